--- /dev/null
+++ b/core/src/membership.rs
@@ -0,0 +1,49 @@
+//! Who is in the fleet: the platform's lagging list, and what it says of each host.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use strum::{Display, EnumString};
+
+/// What a host of the system runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HostRole {
+    /// Takes callers' requests.
+    Entry,
+    /// Stands beside a target.
+    Agent,
+}
+
+/// Whether a host may be given new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HostPhase {
+    /// The host takes new work.
+    Live,
+    /// The host finishes what it has and takes nothing new.
+    Leaving,
+}
+
+/// A row of the platform's list of hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// The host's name.
+    pub name: HostName,
+    /// The host's site.
+    pub site: SiteName,
+    /// What the host runs.
+    pub role: HostRole,
+    /// The service of the host's target; none for entries.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// Where the host takes links from other processes; none for entries.
+    #[serde(default)]
+    pub link: Option<SocketAddr>,
+    /// Where the host answers status, metrics and requests for chunks.
+    pub admin: SocketAddr,
+    /// Whether the host is leaving.
+    pub phase: HostPhase,
+}
--- /dev/null
+++ b/core/src/request.rs
@@ -0,0 +1,1 @@
+//! A live request: attempts, claims, recent answers, limits and poison.
--- /dev/null
+++ b/core/src/weights/manifest.rs
@@ -0,0 +1,85 @@
+//! Content-addressed description of one version of the weights.
+
+use crate::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Most chunks that a manifest may list.
+pub const MAX_CHUNKS: usize = 1 << 18;
+/// Most bytes of one chunk.
+pub const MAX_CHUNK_BYTES: u64 = 16 * 1024 * 1024;
+const DIGEST_DOMAIN: &[u8] = b"buckthornwharf manifest 1";
+
+/// The ordered chunks of a version; its digest names the version.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionManifest {
+    /// Bytes of the whole version.
+    pub total_bytes: u64,
+    /// Bytes of each chunk but the last, which may be shorter.
+    pub chunk_bytes: u64,
+    /// The hash of each chunk, in order.
+    pub chunks: Vec<ChunkHash>,
+}
+
+/// Why a manifest is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum ManifestError {
+    /// the manifest does not have the digest that it was asked for by
+    WrongDigest,
+    /// the manifest's sizes contradict each other or exceed the limits
+    BadSizes,
+}
+
+impl std::error::Error for ManifestError {}
+
+impl VersionManifest {
+    /// The manifest of `content` in chunks of `chunk_bytes`, which must not be zero.
+    pub fn of_content(content: &[u8], chunk_bytes: u64) -> Self {
+        let chunk_len = usize::try_from(chunk_bytes).unwrap_or(usize::MAX);
+        let chunks = content.chunks(chunk_len).map(hash_chunk).collect();
+        Self { total_bytes: content.len() as u64, chunk_bytes, chunks }
+    }
+
+    /// The digest that names the version. It does not depend on how the manifest is encoded.
+    pub fn digest(&self) -> VersionDigest {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(DIGEST_DOMAIN);
+        hasher.update(&self.total_bytes.to_le_bytes());
+        hasher.update(&self.chunk_bytes.to_le_bytes());
+        for chunk in &self.chunks {
+            hasher.update(chunk.as_bytes());
+        }
+        VersionDigest::from_bytes(*hasher.finalize().as_bytes())
+    }
+
+    /// Checks that the manifest is sound and is the one that `digest` names.
+    ///
+    /// # Errors
+    ///
+    /// [`ManifestError`] tells which of the two does not hold.
+    pub fn verify(&self, digest: &VersionDigest) -> Result<(), ManifestError> {
+        if self.chunk_bytes == 0 || self.chunk_bytes > MAX_CHUNK_BYTES {
+            return Err(ManifestError::BadSizes);
+        }
+        if self.chunks.len() > MAX_CHUNKS {
+            return Err(ManifestError::BadSizes);
+        }
+        if self.total_bytes.div_ceil(self.chunk_bytes) != self.chunks.len() as u64 {
+            return Err(ManifestError::BadSizes);
+        }
+        if self.digest() != *digest {
+            return Err(ManifestError::WrongDigest);
+        }
+        Ok(())
+    }
+
+    /// Bytes of the chunk at `index`; zero past the end.
+    pub fn chunk_len(&self, index: usize) -> u64 {
+        let start = index as u64 * self.chunk_bytes;
+        self.total_bytes.saturating_sub(start).min(self.chunk_bytes)
+    }
+}
+
+/// The hash of a chunk's bytes.
+pub fn hash_chunk(bytes: &[u8]) -> ChunkHash {
+    ChunkHash::from_bytes(*blake3::hash(bytes).as_bytes())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! The binary's parts: the entry, the agent, the platform's clients and the links between processes.
+//!
+//! Decisions are in `buckthornwharf-core`; here are the sockets, timers and threads round them.
+
+pub mod settings;
+pub mod shared;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line.
+
+fn main() {}
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The stand-ins' program.
+
+fn main() {}
