Add links, the caller's HTTP side and the agent's target client

Cause: the path needs sockets round the decisions: links with a mutual proof of the shared secret, a front for callers and a client for targets that lets no unchecked byte of an answer pass. Ruled out: checking only the first event's fingerprint, since an engine may be reloaded between two events; every event is checked. Before: types only. Conclusion: the pieces stand ready for the entry and the agent.

--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,4 @@
+//! The agent: the process beside a target.
+
+pub mod answer_check;
+pub mod target;
--- /dev/null
+++ b/src/agent/answer_check.rs
@@ -0,0 +1,132 @@
+//! Checks a target's answer before any of it is passed on: each part must come from the weights
+//! that were asked for, and the end must be marked.
+
+use buckthornwharf_core::prelude::*;
+use bytes::{Bytes, BytesMut};
+use serde::Deserialize;
+
+/// Most bytes of an answer that is not a stream, and of one event of a stream.
+pub const MAX_HELD_BYTES: usize = 8 * 1024 * 1024;
+const EVENT_END: &[u8] = b"\n\n";
+const EVENT_PREFIX: &[u8] = b"data: ";
+const STREAM_END: &[u8] = b"[DONE]";
+
+/// How an answer's body is built, which decides how it is checked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerShape {
+    /// Any bytes; the length is checked by HTTP.
+    Opaque,
+    /// One JSON object with a fingerprint.
+    Json,
+    /// Server-sent events, each a JSON object with a fingerprint, ended by `[DONE]`.
+    EventStream,
+}
+
+/// Why an answer is not passed on, or not further.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum AnswerFault {
+    /// the answer comes from other weights than those asked for
+    WrongDigest,
+    /// the answer is not of the expected form
+    Malformed,
+    /// the answer ended without its end mark
+    Unfinished,
+    /// the answer or one of its events is too large
+    TooLarge,
+}
+
+impl std::error::Error for AnswerFault {}
+
+#[derive(Deserialize)]
+struct FingerprintField {
+    system_fingerprint: Option<String>,
+}
+
+/// Holds back the bytes of an answer until they are checked.
+#[derive(Debug)]
+pub struct AnswerChecker {
+    shape: AnswerShape,
+    expected: Option<VersionDigest>,
+    held: BytesMut,
+    ended: bool,
+}
+
+impl AnswerChecker {
+    /// A checker for an answer of `shape` that must come from `expected`, if that is given.
+    pub fn new(shape: AnswerShape, expected: Option<VersionDigest>) -> Self {
+        Self { shape, expected, held: BytesMut::new(), ended: false }
+    }
+
+    /// Takes bytes of the answer and returns those that are checked and may be passed on.
+    ///
+    /// # Errors
+    ///
+    /// [`AnswerFault`] if the answer must not be passed on any further.
+    pub fn push(&mut self, bytes: Bytes) -> Result<Bytes, AnswerFault> {
+        if self.shape == AnswerShape::Opaque {
+            return Ok(bytes);
+        }
+        self.held.extend_from_slice(&bytes);
+        if self.held.len() > MAX_HELD_BYTES {
+            return Err(AnswerFault::TooLarge);
+        }
+        if self.shape == AnswerShape::Json {
+            return Ok(Bytes::new());
+        }
+        self.take_events()
+    }
+
+    /// Ends the answer and returns the bytes that were still held.
+    ///
+    /// # Errors
+    ///
+    /// [`AnswerFault`] if the answer is not whole.
+    pub fn finish(&mut self) -> Result<Bytes, AnswerFault> {
+        match self.shape {
+            AnswerShape::Opaque => Ok(Bytes::new()),
+            AnswerShape::Json => {
+                self.check_object(&self.held)?;
+                Ok(self.held.split().freeze())
+            }
+            AnswerShape::EventStream if self.ended && self.held.is_empty() => Ok(Bytes::new()),
+            AnswerShape::EventStream => Err(AnswerFault::Unfinished),
+        }
+    }
+
+    fn take_events(&mut self) -> Result<Bytes, AnswerFault> {
+        let mut checked = 0;
+        while let Some(length) = find_event_end(&self.held[checked..]) {
+            let event = &self.held[checked..checked + length];
+            let Some(data) = event.strip_prefix(EVENT_PREFIX) else {
+                return Err(AnswerFault::Malformed);
+            };
+            if self.ended {
+                return Err(AnswerFault::Malformed);
+            }
+            if data == STREAM_END {
+                self.ended = true;
+            } else {
+                self.check_object(data)?;
+            }
+            checked += length + EVENT_END.len();
+        }
+        Ok(self.held.split_to(checked).freeze())
+    }
+
+    fn check_object(&self, json: &[u8]) -> Result<(), AnswerFault> {
+        let object: FingerprintField =
+            serde_json::from_slice(json).map_err(|_| AnswerFault::Malformed)?;
+        let Some(expected) = self.expected else {
+            return Ok(());
+        };
+        let found = object.system_fingerprint.and_then(|text| text.parse().ok());
+        if found != Some(expected) {
+            return Err(AnswerFault::WrongDigest);
+        }
+        Ok(())
+    }
+}
+
+fn find_event_end(bytes: &[u8]) -> Option<usize> {
+    bytes.windows(EVENT_END.len()).position(|window| window == EVENT_END)
+}
--- /dev/null
+++ b/src/entry.rs
@@ -0,0 +1,3 @@
+//! The entry: takes callers' requests and passes them to agents.
+
+pub mod caller;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,10 @@
 //!
 //! Decisions are in `buckthornwharf-core`; here are the sockets, timers and threads round them.
 
+pub mod admin;
+pub mod agent;
+pub mod entry;
+pub mod http_server;
+pub mod link;
 pub mod settings;
 pub mod shared;
--- /dev/null
+++ b/src/link/connection.rs
@@ -0,0 +1,136 @@
+//! An open link: one task that moves frames both ways until either side falls silent.
+
+use super::handshake::{LinkSocket, PeerIdentity};
+use buckthornwharf_core::frame::LinkFrame;
+use buckthornwharf_core::prelude::*;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use tokio::sync::mpsc;
+use tokio_tungstenite::tungstenite::Message;
+
+/// Pace of heartbeats in both directions.
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// A link on which nothing arrived for this long is silent and is dropped.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Frames that are written before the socket is flushed.
+const WRITE_BATCH: usize = 64;
+
+/// Tells one link of a process from the next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkId(pub u64);
+
+/// The sending side of a link; it can be cloned.
+#[derive(Debug, Clone)]
+pub struct LinkHandle {
+    /// The link.
+    pub id: LinkId,
+    /// The other side.
+    pub peer: Arc<PeerIdentity>,
+    sender: mpsc::UnboundedSender<LinkFrame>,
+}
+
+impl LinkHandle {
+    /// Queues a frame. What becomes of it after a loss of the link is not known here.
+    pub fn send(&self, frame: LinkFrame) {
+        // A closed channel means that the link is down, which its owner hears as an event.
+        let _ = self.sender.send(frame);
+    }
+}
+
+/// What happens on a link.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// The link is open.
+    Up(LinkHandle),
+    /// A frame arrived; heartbeats are not reported.
+    Frame(LinkId, LinkFrame),
+    /// The link is down; nothing more arrives on it.
+    Down(LinkId),
+}
+
+/// Runs an open link until it fails, falls silent or `events` is closed, reporting through
+/// `events`.
+pub async fn run_link(
+    id: LinkId,
+    socket: LinkSocket,
+    peer: PeerIdentity,
+    events: mpsc::UnboundedSender<LinkEvent>,
+) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let handle = LinkHandle { id, peer: Arc::new(peer), sender };
+    let peer = handle.peer.clone();
+    if events.send(LinkEvent::Up(handle)).is_err() {
+        return;
+    }
+    let (sink, stream) = socket.split();
+    let reason = tokio::select! {
+        reason = read_frames(id, stream, &events) => reason,
+        reason = write_frames(sink, receiver) => reason,
+    };
+    log::info!("link to {} down: {reason}", peer.host);
+    let _ = events.send(LinkEvent::Down(id));
+}
+
+async fn read_frames(
+    id: LinkId,
+    mut stream: SplitStream<LinkSocket>,
+    events: &mpsc::UnboundedSender<LinkEvent>,
+) -> String {
+    loop {
+        let Ok(next) = actix_rt::time::timeout(SILENCE_LIMIT, stream.next()).await else {
+            return "silent".to_owned();
+        };
+        let bytes = match next {
+            Some(Ok(Message::Binary(bytes))) => bytes,
+            Some(Ok(Message::Close(_))) | None => return "closed by the peer".to_owned(),
+            Some(Ok(_)) => continue,
+            Some(Err(error)) => return error.to_string(),
+        };
+        let frame = match LinkFrame::decode(&bytes) {
+            Ok(LinkFrame::Heartbeat) => continue,
+            Ok(frame) => frame,
+            Err(error) => return error.to_string(),
+        };
+        if events.send(LinkEvent::Frame(id, frame)).is_err() {
+            return "closed here".to_owned();
+        }
+    }
+}
+
+async fn write_frames(
+    mut sink: SplitSink<LinkSocket, Message>,
+    mut receiver: mpsc::UnboundedReceiver<LinkFrame>,
+) -> String {
+    let mut heartbeat = actix_rt::time::interval(HEARTBEAT_INTERVAL);
+    let mut batch = Vec::with_capacity(WRITE_BATCH);
+    loop {
+        let received = tokio::select! {
+            received = receiver.recv_many(&mut batch, WRITE_BATCH) => received,
+            _ = heartbeat.tick() => {
+                batch.push(LinkFrame::Heartbeat);
+                1
+            }
+        };
+        if received == 0 {
+            let _ = sink.close().await;
+            return "closed here".to_owned();
+        }
+        let written = actix_rt::time::timeout(SILENCE_LIMIT, write_batch(&mut sink, &mut batch));
+        match written.await {
+            Ok(Ok(())) => {}
+            Ok(Err(reason)) => return reason,
+            Err(_) => return "the peer does not read".to_owned(),
+        }
+    }
+}
+
+async fn write_batch(
+    sink: &mut SplitSink<LinkSocket, Message>,
+    batch: &mut Vec<LinkFrame>,
+) -> Result<(), String> {
+    for frame in batch.drain(..) {
+        let bytes = frame.encode().map_err(|error| error.to_string())?;
+        sink.feed(Message::binary(bytes)).await.map_err(|error| error.to_string())?;
+    }
+    sink.flush().await.map_err(|error| error.to_string())
+}
