Add the processes' metrics

Cause: operators need counts and histograms from each process. Ruled out: a global registry, since tests run several processes' parts in one program. Before: none. After: registered, not yet fed.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod entry;
 pub mod http_server;
 pub mod link;
+pub mod metrics;
 pub mod settings;
 pub mod shared;
