--- /dev/null
+++ b/src/agent.rs
@@ -0,0 +1,3 @@
+//! The process beside a target.
+
+pub mod weights;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,7 @@
 //!
 //! Decisions are in `buckthornwharf-core`; here are the sockets, timers and threads round them.
 
+pub mod agent;
+pub mod platform;
 pub mod settings;
 pub mod shared;
