--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,3 +2,4 @@
 
 pub mod answer_check;
 pub mod target;
+pub mod weights;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod http_server;
 pub mod link;
 pub mod metrics;
+pub mod platform;
 pub mod settings;
 pub mod shared;
