Add the two state machines of a live request

Cause: the entry and the agent need the decisions of a request before their sockets: RequestDriver for one caller's request at an entry, RequestLedger for all requests at an agent, and the budget of retries.

Ruled out: ids of requests that end by themselves after a fixed count (a late question would be told "never seen" of work that ran), one sorted vector for all remembered ids (each insertion would move up to 2 MB), and wrong_version for an answer that was thrown away: its class says "not run", but the work ran. That gets the new code 305, answer_discarded, of class "unknown"; wrong_version is kept for a request that was refused before its dispatch.

Before: no request could be carried. Conclusion: the interfaces are ready to build sockets round.

--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -65,7 +65,7 @@
     NeverSeen = 205,
     /// the deadline passed before the work was dispatched
     DeadlineBefore = 206,
-    /// a target served another version than the one asked for; nothing of it was passed on
+    /// the target serves another version than the one asked for; the work was not dispatched
     WrongVersion = 207,
     /// the link to the target's host was lost and what became of the work is not known
     LinkLost = 300,
@@ -77,6 +77,8 @@
     CutShort = 303,
     /// the caller went away
     Cancelled = 304,
+    /// the answer came from another version than the one asked for; nothing of it was passed on
+    AnswerDiscarded = 305,
 }
 
 impl ResultCode {
@@ -116,7 +118,8 @@
             ResultCode::LinkLost
             | ResultCode::TargetFailed
             | ResultCode::CutShort
-            | ResultCode::Cancelled => 502,
+            | ResultCode::Cancelled
+            | ResultCode::AnswerDiscarded => 502,
         }
     }
 
--- /dev/null
+++ b/core/src/request/ledger/target.rs
@@ -0,0 +1,190 @@
+//! From a request's turn to the end of its target's answer.
+
+use super::event::{ClaimVerdict, LedgerAction, TargetGate};
+use super::record::{RecordPhase, RequestRecord};
+use super::{MAX_ANSWER_BYTES, RequestLedger};
+use crate::frame::{BodyFrame, HeadFrame, LinkFrame};
+use crate::prelude::*;
+use bytes::Bytes;
+
+impl RequestLedger {
+    pub(super) fn on_ready(&mut self, now: MonoTime, id: RequestId, gate: TargetGate) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        if record.phase != RecordPhase::Waiting {
+            return;
+        }
+        if let Some(code) = refusal(record, now, gate) {
+            return self.finish(now, id, code);
+        }
+        if self.alone.is_some_and(|alone| alone != id) {
+            let submit = Arc::clone(&record.submit);
+            return self.actions.push(LedgerAction::Enqueue(submit));
+        }
+        if record.submit.suspect {
+            self.alone = Some(id);
+            if self.busy > 0 {
+                return self.actions.push(LedgerAction::Hold(id));
+            }
+        }
+        self.busy += 1;
+        if record.needs_claim() {
+            record.phase = RecordPhase::Claiming;
+            let submit = Arc::clone(&record.submit);
+            return self.actions.push(LedgerAction::Claim(submit));
+        }
+        self.dispatch(id);
+    }
+
+    fn dispatch(&mut self, id: RequestId) {
+        let Some(record) = self.records.get_mut(&id) else { return };
+        record.phase = RecordPhase::Running;
+        let submit = Arc::clone(&record.submit);
+        self.actions.push(LedgerAction::Dispatch(submit));
+    }
+
+    pub(super) fn on_claimed(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        verdict: ClaimVerdict,
+        gate: TargetGate,
+    ) {
+        let Some(record) = self.records.get(&id) else { return };
+        if record.phase != RecordPhase::Claiming {
+            return;
+        }
+        match verdict {
+            ClaimVerdict::Won => match refusal(record, now, gate) {
+                None => self.dispatch(id),
+                Some(code) => {
+                    self.actions.push(LedgerAction::ReleaseClaim(id));
+                    self.finish(now, id, code);
+                }
+            },
+            ClaimVerdict::Join(first) => self.follow(now, id, first),
+            ClaimVerdict::Refused(code) => self.finish(now, id, code),
+        }
+    }
+
+    /// Gives request `id` the answer of request `first`.
+    fn follow(&mut self, now: MonoTime, id: RequestId, first: RequestId) {
+        let Some(leader) = self.records.get_mut(&first).filter(|leader| leader.answer.holds(0))
+        else {
+            return self.finish(now, id, ResultCode::AlreadyClaimed);
+        };
+        let result = leader.result();
+        let answer = leader.answer.clone();
+        if result.is_none() {
+            leader.followers.push(id);
+        }
+        let Some(record) = self.records.get_mut(&id) else { return };
+        record.phase = RecordPhase::Following;
+        let link = record.link;
+        let frames = answer.frames(id, false, 0, None);
+        record.answer = answer;
+        for frame in frames {
+            self.send(link, frame);
+        }
+        self.end_turn(id, true);
+        if let Some(code) = result {
+            self.finish(now, id, code);
+        }
+    }
+
+    pub(super) fn on_refused(&mut self, now: MonoTime, id: RequestId, code: ResultCode) {
+        let is_waiting =
+            self.records.get(&id).is_some_and(|record| record.phase == RecordPhase::Waiting);
+        if is_waiting {
+            self.finish(now, id, code);
+        }
+    }
+
+    /// The ids that get the answer of `id`, if that is running.
+    fn audience(&self, id: RequestId) -> Vec<RequestId> {
+        let Some(record) = self.records.get(&id) else { return Vec::new() };
+        if record.phase != RecordPhase::Running {
+            return Vec::new();
+        }
+        std::iter::once(id).chain(record.followers.iter().copied()).collect()
+    }
+
+    pub(super) fn on_target_head(
+        &mut self,
+        now: MonoTime,
+        id: RequestId,
+        status: u16,
+        content_type: Arc<str>,
+        digest: Option<VersionDigest>,
+    ) {
+        let Some(record) = self.records.get(&id) else { return };
+        if record.phase != RecordPhase::Running {
+            return;
+        }
+        if record.submit.digest.is_some() && digest != record.submit.digest {
+            self.actions.push(LedgerAction::CancelTarget(id));
+            return self.finish(now, id, ResultCode::AnswerDiscarded);
+        }
+        for id in self.audience(id) {
+            let head = HeadFrame { id, status, content_type: Arc::clone(&content_type), digest };
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            let link = record.link;
+            if record.answer.set_head(head.clone()) {
+                self.send(link, LinkFrame::Head(head));
+            }
+        }
+    }
+
+    pub(super) fn on_target_body(&mut self, id: RequestId, bytes: Bytes) {
+        for id in self.audience(id) {
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            let link = record.link;
+            let position = record.answer.push(bytes.clone());
+            record.answer.trim(MAX_ANSWER_BYTES);
+            let body = BodyFrame { id, position, bytes: bytes.clone() };
+            self.send(link, LinkFrame::Body(body));
+        }
+    }
+
+    pub(super) fn on_target_end(&mut self, now: MonoTime, id: RequestId, code: ResultCode) {
+        let Some(record) = self.records.get(&id) else { return };
+        if record.phase != RecordPhase::Running {
+            return;
+        }
+        let is_whole = code == ResultCode::Ok && record.answer.has_head();
+        let fingerprint = record.submit.fingerprint;
+        if is_whole && record.submit.suspect {
+            self.actions.push(LedgerAction::Cleared(fingerprint));
+        }
+        let code =
+            if code == ResultCode::Ok && !is_whole { ResultCode::TargetFailed } else { code };
+        self.finish(now, id, code);
+    }
+
+    pub(super) fn on_target_crashed(&mut self, now: MonoTime) {
+        let running = self.records.iter();
+        let running = running.filter(|(_, record)| record.phase == RecordPhase::Running);
+        let (ids, mut fingerprints): (Vec<_>, Vec<_>) =
+            running.map(|(id, record)| (*id, record.submit.fingerprint)).unzip();
+        for id in ids {
+            self.finish(now, id, ResultCode::TargetFailed);
+        }
+        fingerprints.sort_unstable();
+        fingerprints.dedup();
+        if !fingerprints.is_empty() {
+            self.actions.push(LedgerAction::Crashed(fingerprints));
+        }
+    }
+}
+
+/// Why a request must not be dispatched now; none if it may be.
+fn refusal(record: &RequestRecord, now: MonoTime, gate: TargetGate) -> Option<ResultCode> {
+    if now >= record.deadline {
+        return Some(ResultCode::DeadlineBefore);
+    }
+    match (gate, record.submit.digest) {
+        (TargetGate::Closed, _) => Some(ResultCode::NotServing),
+        (TargetGate::Engine(serving), Some(wanted)) if serving == wanted => None,
+        (TargetGate::Plain, None) => None,
+        _ => Some(ResultCode::WrongVersion),
+    }
+}
--- /dev/null
+++ b/core/tests/request_ledger.rs
@@ -0,0 +1,217 @@
+//! The agent's ledger of requests, event by event.
+
+use buckthornwharf_core::config::PriorityClass;
+use buckthornwharf_core::frame::{LinkFrame, ResolveFrame, SubmitFrame};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::ledger::{LedgerAction, LedgerEvent, TargetGate};
+use buckthornwharf_core::request::{LinkId, RequestLedger};
+use bytes::Bytes;
+
+const FIRST: LinkId = LinkId(1);
+const SECOND: LinkId = LinkId(2);
+
+fn submit(id: u128, idempotent: bool, suspect: bool) -> LinkFrame {
+    LinkFrame::Submit(SubmitFrame {
+        id: RequestId(id),
+        organisation: "mill".into(),
+        weight: 1,
+        priority: PriorityClass::Normal,
+        service: "booking".into(),
+        digest: None,
+        deadline_ms: 30_000,
+        idempotent,
+        idempotency_key: None,
+        fingerprint: 1,
+        suspect,
+        cost_tokens: 1,
+        method: "POST".into(),
+        path: "/".into(),
+        content_type: "".into(),
+        body: Bytes::new(),
+    })
+}
+
+fn resolve(id: u128, position: u64) -> LinkFrame {
+    LinkFrame::Resolve(ResolveFrame { id: RequestId(id), has_head: false, position })
+}
+
+fn describe(action: &LedgerAction) -> String {
+    match action {
+        LedgerAction::Enqueue(submit) => format!("enqueue {}", submit.id.0),
+        LedgerAction::Claim(submit) => format!("claim {}", submit.id.0),
+        LedgerAction::Dispatch(submit) => format!("dispatch {}", submit.id.0),
+        LedgerAction::Send { link, frame } => format!("{frame:?} on {}", link.0),
+        action => format!("{action:?}"),
+    }
+}
+
+struct TestAgent {
+    ledger: RequestLedger,
+    now: MonoTime,
+    lines: Vec<String>,
+}
+
+impl TestAgent {
+    fn new() -> Self {
+        let mut agent =
+            Self { ledger: RequestLedger::new(), now: MonoTime::ZERO, lines: Vec::new() };
+        agent.open(FIRST);
+        agent
+    }
+
+    fn event(&mut self, event: LedgerEvent) {
+        let actions = self.ledger.on_event(self.now, event);
+        self.lines.extend(actions.iter().map(describe));
+    }
+
+    fn open(&mut self, link: LinkId) {
+        let incarnation = HostIncarnation(1);
+        self.event(LedgerEvent::LinkOpened { link, entry: "entry".into(), incarnation });
+    }
+
+    fn frame(&mut self, link: LinkId, frame: LinkFrame) {
+        self.event(LedgerEvent::Frame { link, frame });
+    }
+
+    fn ready(&mut self, id: u128) {
+        self.event(LedgerEvent::Ready { id: RequestId(id), gate: TargetGate::Plain });
+    }
+
+    fn answer(&mut self, id: u128) {
+        let id = RequestId(id);
+        let content_type = "".into();
+        self.event(LedgerEvent::TargetHead { id, status: 200, content_type, digest: None });
+        self.event(LedgerEvent::TargetBody { id, bytes: Bytes::from_static(b"booked") });
+        self.event(LedgerEvent::TargetEnd { id, code: ResultCode::Ok });
+    }
+
+    fn later(&mut self, span: Duration) {
+        self.now = self.now + span;
+        self.event(LedgerEvent::Tick);
+    }
+
+    fn story(&self) -> String {
+        self.lines.join("\n")
+    }
+}
+
+#[test]
+fn a_doubled_request_runs_once_and_gets_the_answer_again() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, false, false));
+    agent.frame(FIRST, submit(1, false, false));
+    agent.ready(1);
+    agent.ready(1);
+    agent.answer(1);
+    agent.open(SECOND);
+    agent.frame(SECOND, submit(1, false, false));
+    insta::assert_snapshot!(agent.story(), @r#"
+    Accepted(RequestId(1)) on 1
+    enqueue 1
+    dispatch 1
+    Head(HeadFrame { id: RequestId(1), status: 200, content_type: "", digest: None }) on 1
+    Body(BodyFrame { id: RequestId(1), position: 0, bytes: b"booked" }) on 1
+    End(EndFrame { id: RequestId(1), code: Ok, length: 6 }) on 1
+    Accepted(RequestId(1)) on 2
+    Head(HeadFrame { id: RequestId(1), status: 200, content_type: "", digest: None }) on 2
+    Body(BodyFrame { id: RequestId(1), position: 0, bytes: b"booked" }) on 2
+    End(EndFrame { id: RequestId(1), code: Ok, length: 6 }) on 2
+    "#);
+}
+
+#[test]
+fn never_seen_bars_the_request_and_the_older_link() {
+    let mut agent = TestAgent::new();
+    agent.open(SECOND);
+    agent.frame(SECOND, resolve(1, 0));
+    agent.frame(FIRST, submit(1, false, false));
+    agent.frame(SECOND, submit(1, false, false));
+    insta::assert_snapshot!(agent.story(), @r#"
+    Resolved(ResolvedFrame { id: RequestId(1), knowledge: NeverSeen }) on 2
+    End(EndFrame { id: RequestId(1), code: NeverSeen, length: 0 }) on 2
+    "#);
+}
+
+#[test]
+fn an_answer_goes_on_from_the_asked_position() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, true, false));
+    agent.ready(1);
+    agent.event(LedgerEvent::LinkLost(FIRST));
+    agent.answer(1);
+    agent.open(SECOND);
+    agent.frame(SECOND, resolve(1, 4));
+    agent.later(Duration::from_mins(3));
+    agent.frame(SECOND, resolve(1, 4));
+    insta::assert_snapshot!(agent.story(), @r#"
+    Accepted(RequestId(1)) on 1
+    enqueue 1
+    dispatch 1
+    Resolved(ResolvedFrame { id: RequestId(1), knowledge: Done }) on 2
+    Head(HeadFrame { id: RequestId(1), status: 200, content_type: "", digest: None }) on 2
+    Body(BodyFrame { id: RequestId(1), position: 4, bytes: b"ed" }) on 2
+    End(EndFrame { id: RequestId(1), code: Ok, length: 6 }) on 2
+    Resolved(ResolvedFrame { id: RequestId(1), knowledge: Forgotten }) on 2
+    "#);
+}
+
+#[test]
+fn orphaned_work_is_stopped_only_if_it_may_be_repeated() {
+    let mut agent = TestAgent::new();
+    for (id, idempotent) in [(1, true), (2, false), (3, false)] {
+        agent.frame(FIRST, submit(id, idempotent, false));
+    }
+    agent.ready(1);
+    agent.ready(2);
+    agent.event(LedgerEvent::LinkLost(FIRST));
+    agent.later(Duration::from_secs(11));
+    agent.ready(3);
+    insta::assert_snapshot!(agent.story(), @r#"
+    Accepted(RequestId(1)) on 1
+    enqueue 1
+    Accepted(RequestId(2)) on 1
+    enqueue 2
+    Accepted(RequestId(3)) on 1
+    enqueue 3
+    dispatch 1
+    dispatch 2
+    CancelTarget(RequestId(1))
+    Dequeue(RequestId(3))
+    "#);
+}
+
+#[test]
+fn a_suspect_runs_alone() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, true, false));
+    agent.frame(FIRST, submit(2, true, true));
+    agent.frame(FIRST, submit(3, true, false));
+    agent.ready(1);
+    agent.ready(2);
+    agent.ready(3);
+    agent.answer(1);
+    agent.ready(2);
+    agent.answer(2);
+    agent.ready(3);
+    insta::assert_snapshot!(agent.story(), @r#"
+    Accepted(RequestId(1)) on 1
+    enqueue 1
+    Accepted(RequestId(2)) on 1
+    enqueue 2
+    Accepted(RequestId(3)) on 1
+    enqueue 3
+    dispatch 1
+    Hold(RequestId(2))
+    enqueue 3
+    Head(HeadFrame { id: RequestId(1), status: 200, content_type: "", digest: None }) on 1
+    Body(BodyFrame { id: RequestId(1), position: 0, bytes: b"booked" }) on 1
+    End(EndFrame { id: RequestId(1), code: Ok, length: 6 }) on 1
+    Recheck(RequestId(2))
+    dispatch 2
+    Head(HeadFrame { id: RequestId(2), status: 200, content_type: "", digest: None }) on 1
+    Body(BodyFrame { id: RequestId(2), position: 0, bytes: b"booked" }) on 1
+    Cleared(1)
+    End(EndFrame { id: RequestId(2), code: Ok, length: 6 }) on 1
+    dispatch 3
+    "#);
+}
