Add the traffic threads of the entry and the agent

Cause: the state machines of requests need links, callers and targets. Before: machines only. After: compiles, all tests pass; the processes are not yet started by the command line, so nothing is measured.

--- a/core/src/request/attempt.rs
+++ b/core/src/request/attempt.rs
@@ -23,6 +23,8 @@
     pub incarnation: HostIncarnation,
     /// The link.
     pub link: LinkId,
+    /// The digest that the target serves and must answer from; none for a plain service.
+    pub digest: Option<VersionDigest>,
 }
 
 /// What happens to a request at an entry.
--- a/core/src/request/driver.rs
+++ b/core/src/request/driver.rs
@@ -80,6 +80,11 @@
         self.attempt().map(|attempt| &attempt.choice.host)
     }
 
+    /// The digest that the current attempt must be answered from; none for a plain service.
+    pub fn digest(&self) -> Option<VersionDigest> {
+        self.submit.digest
+    }
+
     /// The link of the current attempt, also if it is lost.
     pub fn link(&self) -> Option<LinkId> {
         self.attempt().map(|attempt| attempt.choice.link)
@@ -153,6 +158,7 @@
             return self.finish(ResultCode::Overloaded);
         }
         self.tried.push(choice.clone());
+        self.submit.digest = choice.digest;
         let left = self.deadline.since(now);
         let deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         let frame = LinkFrame::Submit(SubmitFrame { deadline_ms, ..self.submit.clone() });
--- a/core/tests/request_driver.rs
+++ b/core/tests/request_driver.rs
@@ -34,7 +34,7 @@
 }
 
 fn choice(host: &str, link: LinkId) -> TargetChoice {
-    TargetChoice { host: host.into(), incarnation: HostIncarnation(1), link }
+    TargetChoice { host: host.into(), incarnation: HostIncarnation(1), link, digest: None }
 }
 
 fn head() -> LinkFrame {
--- /dev/null
+++ b/src/agent/requests.rs
@@ -0,0 +1,369 @@
+//! The requests at an agent: from the links through the queue to the target, and back.
+
+use super::target::{TargetClient, TargetEvent, TargetFailure};
+use crate::clock;
+use crate::link::LinkHandle;
+use crate::metrics::AgentMetrics;
+use crate::shared::{GateLoad, GatePosition};
+use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, TargetState};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::ledger::{ClaimVerdict, LedgerAction, LedgerEvent, TargetGate};
+use buckthornwharf_core::request::{LinkId, RequestLedger};
+use buckthornwharf_core::routing::{FairQueue, QueueItem, QueueLimits, RefusedItem};
+use std::collections::VecDeque;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Most requests that wait at one agent.
+const MAX_WAITING: usize = 1_024;
+/// Most estimated tokens that wait at one agent.
+const MAX_WAITING_TOKENS: u64 = 1_000_000;
+/// Requests whose connections break within this time are taken to break together.
+pub const CRASH_WINDOW: Duration = Duration::from_millis(50);
+
+/// An event of the target's answer to a request.
+pub type AnswerEvent = (RequestId, TargetEvent);
+
+/// A request that was dispatched to the target.
+struct DispatchedRequest {
+    item: Option<QueueItem>,
+    digest: Option<VersionDigest>,
+    cancel: Option<oneshot::Sender<()>>,
+    parts: u32,
+}
+
+/// Requests whose connections to the target broke, until it is clear whether it crashed.
+#[derive(Default)]
+struct BrokenSet {
+    since: Option<MonoTime>,
+    ids: Vec<RequestId>,
+}
+
+/// All requests of one agent, and the links that they came on.
+pub struct RequestDesk {
+    service: ServiceName,
+    slots: u32,
+    ledger: RequestLedger,
+    queue: FairQueue,
+    popped: SortedTable<RequestId, QueueItem>,
+    dispatched: SortedTable<RequestId, DispatchedRequest>,
+    broken: BrokenSet,
+    client: TargetClient,
+    answers: mpsc::UnboundedSender<AnswerEvent>,
+    links: SortedTable<LinkId, LinkHandle>,
+    position: GatePosition,
+    position_since: MonoTime,
+    leaving: bool,
+    load: watch::Sender<GateLoad>,
+    metrics: AgentMetrics,
+    pending: VecDeque<LedgerAction>,
+}
+
+/// What a desk is made of.
+pub struct DeskParts {
+    /// The service of the target.
+    pub service: ServiceName,
+    /// Requests that the target works on at once.
+    pub slots: u32,
+    /// The client of the target.
+    pub client: TargetClient,
+    /// Where the target's answers are reported, to be given to [`RequestDesk::on_answer`].
+    pub answers: mpsc::UnboundedSender<AnswerEvent>,
+    /// Where the dispatched requests are told.
+    pub load: watch::Sender<GateLoad>,
+    /// The agent's metrics.
+    pub metrics: AgentMetrics,
+}
+
+impl RequestDesk {
+    /// A desk without requests, whose gate is closed.
+    pub fn new(parts: DeskParts) -> Self {
+        let limits = QueueLimits { max_items: MAX_WAITING, max_tokens: MAX_WAITING_TOKENS };
+        Self {
+            service: parts.service,
+            slots: parts.slots,
+            ledger: RequestLedger::new(),
+            queue: FairQueue::new(limits),
+            popped: SortedTable::new(),
+            dispatched: SortedTable::new(),
+            broken: BrokenSet::default(),
+            client: parts.client,
+            answers: parts.answers,
+            links: SortedTable::new(),
+            position: GatePosition::Closed,
+            position_since: clock::now(),
+            leaving: false,
+            load: parts.load,
+            metrics: parts.metrics,
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// Whether no request waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.ledger.in_flight() == 0
+    }
+
+    /// What is reported to the entries.
+    pub fn state(&self) -> TargetState {
+        let serving = match self.position {
+            GatePosition::OpenEngine(digest) => Some(digest),
+            GatePosition::Closed | GatePosition::OpenPlain => None,
+        };
+        let serving_for = clock::now().since(self.position_since);
+        TargetState {
+            service: self.service.clone(),
+            serving,
+            accepting: self.position != GatePosition::Closed && !self.leaving,
+            leaving: self.leaving,
+            running: self.ledger.running(),
+            waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            waiting_tokens: self.queue.waiting_tokens(),
+            serving_for_ms: u64::try_from(serving_for.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Sends a frame on every link.
+    pub fn broadcast(&self, frame: &LinkFrame) {
+        self.links.values().for_each(|handle| handle.send(frame.clone()));
+    }
+
+    /// Sends a frame on one link.
+    pub fn send(&self, link: LinkId, frame: LinkFrame) {
+        if let Some(handle) = self.links.get(&link) {
+            handle.send(frame);
+        }
+    }
+
+    /// A link opened.
+    pub fn link_up(&mut self, handle: LinkHandle) {
+        let event = LedgerEvent::LinkOpened {
+            link: handle.id,
+            entry: handle.peer.host.clone(),
+            incarnation: handle.peer.incarnation,
+        };
+        handle.send(LinkFrame::State(self.state()));
+        self.links.insert(handle.id, handle);
+        self.metrics.process.links_open.set(self.links.len() as i64);
+        self.apply(event);
+    }
+
+    /// A link is down.
+    pub fn link_down(&mut self, link: LinkId) {
+        if self.links.remove(&link).is_none() {
+            return;
+        }
+        self.metrics.process.links_open.set(self.links.len() as i64);
+        self.apply(LedgerEvent::LinkLost(link));
+    }
+
+    /// A frame about requests came on a link.
+    pub fn request_frame(&mut self, link: LinkId, frame: LinkFrame) {
+        self.apply(LedgerEvent::Frame { link, frame });
+    }
+
+    /// The weights side moved the gate.
+    pub fn set_position(&mut self, position: GatePosition) {
+        if position != self.position {
+            self.position = position;
+            self.position_since = clock::now();
+        }
+        self.pump();
+        self.publish_load();
+    }
+
+    /// The host leaves: what has not been dispatched is refused, and nothing new is taken.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.pump();
+    }
+
+    /// An event of the target's answer to a request.
+    pub fn on_answer(&mut self, (id, event): AnswerEvent) {
+        match event {
+            TargetEvent::Head { status, content_type, digest } => {
+                self.apply(LedgerEvent::TargetHead { id, status, content_type, digest });
+            }
+            TargetEvent::Body(bytes) => {
+                if let Some(request) = self.dispatched.get_mut(&id) {
+                    request.parts += 1;
+                }
+                self.apply(LedgerEvent::TargetBody { id, bytes });
+            }
+            TargetEvent::Whole => self.end_target(id, ResultCode::Ok),
+            TargetEvent::Failed(TargetFailure::Broken) => self.note_broken(id),
+            TargetEvent::Failed(TargetFailure::BadAnswer) => {
+                self.end_target(id, ResultCode::AnswerDiscarded);
+            }
+            TargetEvent::Failed(failure) => {
+                log::debug!("request={id} target failed: {failure}");
+                self.end_target(id, ResultCode::TargetFailed);
+            }
+        }
+    }
+
+    /// Lets time pass; to be called at least every [`CRASH_WINDOW`].
+    pub fn tick(&mut self) {
+        self.settle_broken();
+        self.apply(LedgerEvent::Tick);
+    }
+
+    fn note_broken(&mut self, id: RequestId) {
+        self.broken.since.get_or_insert_with(clock::now);
+        self.broken.ids.push(id);
+    }
+
+    /// If every dispatched request broke within the window, the target crashed; otherwise only
+    /// these requests failed.
+    fn settle_broken(&mut self) {
+        let now = clock::now();
+        if self.broken.since.is_none_or(|since| now.since(since) < CRASH_WINDOW) {
+            return;
+        }
+        let broken = std::mem::take(&mut self.broken);
+        let is_crash = self.dispatched.keys().all(|id| broken.ids.contains(id));
+        if is_crash {
+            log::warn!("the target crashed under {} requests", broken.ids.len());
+            self.metrics.target_crashes.inc();
+            self.apply(LedgerEvent::TargetCrashed);
+        }
+        for id in broken.ids {
+            self.end_target(id, ResultCode::TargetFailed);
+        }
+    }
+
+    fn end_target(&mut self, id: RequestId, code: ResultCode) {
+        if let Some(request) = self.dispatched.remove(&id)
+            && let Some(item) = &request.item
+        {
+            let actual = if request.parts > 1 { request.parts } else { item.cost_tokens };
+            self.queue.on_done(clock::now(), item, actual);
+        }
+        self.publish_load();
+        self.apply(LedgerEvent::TargetEnd { id, code });
+    }
+
+    fn apply(&mut self, event: LedgerEvent) {
+        self.feed(event);
+        self.pump();
+    }
+
+    fn feed(&mut self, event: LedgerEvent) {
+        let actions = self.ledger.on_event(clock::now(), event);
+        self.pending.extend(actions);
+        while let Some(action) = self.pending.pop_front() {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: LedgerAction) {
+        match action {
+            LedgerAction::Enqueue(submit) => self.enqueue(&submit),
+            LedgerAction::Dequeue(id) => {
+                self.queue.remove(id);
+                self.popped.remove(&id);
+            }
+            LedgerAction::Hold(_) => {}
+            LedgerAction::Recheck(id) => self.feed_ready(id),
+            LedgerAction::Claim(submit) => self.claim(&submit),
+            LedgerAction::ReleaseClaim(_) => {}
+            LedgerAction::Dispatch(submit) => self.dispatch(&submit),
+            LedgerAction::CancelTarget(id) => {
+                let request = self.dispatched.get_mut(&id);
+                if let Some(cancel) = request.and_then(|request| request.cancel.take()) {
+                    let _ = cancel.send(());
+                }
+            }
+            LedgerAction::Send { link, frame } => self.send(link, frame),
+            LedgerAction::Crashed(_) | LedgerAction::Cleared(_) => {}
+        }
+    }
+
+    fn enqueue(&mut self, submit: &SubmitFrame) {
+        let now = clock::now();
+        let item = QueueItem {
+            id: submit.id,
+            organisation: submit.organisation.clone(),
+            weight: submit.weight,
+            priority: submit.priority,
+            cost_tokens: submit.cost_tokens,
+            deadline: now + Duration::from_millis(submit.deadline_ms),
+        };
+        let refused = self.queue.push(now, item);
+        self.refuse_all(refused);
+    }
+
+    fn refuse_all(&mut self, refused: Vec<RefusedItem>) {
+        for refusal in refused {
+            self.feed(LedgerEvent::Refused { id: refusal.item.id, code: refusal.code });
+        }
+    }
+
+    /// Gives waiting requests their turn while the target has free slots. While the gate is closed
+    /// or the host leaves, every waiting request is refused at once.
+    fn pump(&mut self) {
+        loop {
+            let is_shut = self.leaving || self.position == GatePosition::Closed;
+            let has_turn = self.ledger.takes_turns() && self.ledger.running() < self.slots;
+            if !has_turn && !is_shut {
+                break;
+            }
+            let popped = self.queue.pop(clock::now());
+            self.refuse_all(popped.refused);
+            let Some(item) = popped.next else { break };
+            let id = item.id;
+            if self.leaving {
+                self.feed(LedgerEvent::Refused { id, code: ResultCode::Leaving });
+            } else if is_shut {
+                self.feed(LedgerEvent::Refused { id, code: ResultCode::NotServing });
+            } else {
+                self.popped.insert(id, item);
+                self.feed_ready(id);
+            }
+        }
+        self.metrics.waiting.set(self.queue.len() as i64);
+        self.metrics.running.set(i64::from(self.ledger.running()));
+    }
+
+    fn feed_ready(&mut self, id: RequestId) {
+        let gate = self.gate();
+        self.feed(LedgerEvent::Ready { id, gate });
+    }
+
+    fn gate(&self) -> TargetGate {
+        match self.position {
+            GatePosition::Closed => TargetGate::Closed,
+            GatePosition::OpenPlain => TargetGate::Plain,
+            GatePosition::OpenEngine(digest) => TargetGate::Engine(digest),
+        }
+    }
+
+    fn claim(&mut self, submit: &SubmitFrame) {
+        let verdict = ClaimVerdict::Refused(ResultCode::PlatformDown);
+        let gate = self.gate();
+        self.feed(LedgerEvent::Claimed { id: submit.id, verdict, gate });
+    }
+
+    fn dispatch(&mut self, submit: &Arc<SubmitFrame>) {
+        let id = submit.id;
+        let (cancel, cancelled) = oneshot::channel();
+        let item = self.popped.remove(&id);
+        let request =
+            DispatchedRequest { item, digest: submit.digest, cancel: Some(cancel), parts: 0 };
+        self.dispatched.insert(id, request);
+        self.publish_load();
+        let client = self.client.clone();
+        let answers = self.answers.clone();
+        actix_rt::spawn(client.run(submit.clone(), cancelled, answers));
+    }
+
+    fn publish_load(&self) {
+        let mut load = GateLoad { position: self.position, ..GateLoad::default() };
+        for request in self.dispatched.values() {
+            match request.digest {
+                Some(digest) => *load.engine.get_or_insert_with(digest, || 0) += 1,
+                None => load.plain += 1,
+            }
+        }
+        self.load.send_replace(load);
+    }
+}
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,6 +1,7 @@
 //! Requests from an agent to its target.
 
 use super::answer_check::{AnswerChecker, AnswerFault, AnswerShape};
+use super::requests::AnswerEvent;
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientResponse, Connector};
 use buckthornwharf_core::frame::SubmitFrame;
@@ -53,6 +54,18 @@
     Cancelled,
 }
 
+struct AnswerReporter {
+    id: RequestId,
+    events: mpsc::UnboundedSender<AnswerEvent>,
+}
+
+impl AnswerReporter {
+    fn send(&self, event: TargetEvent) {
+        // A closed channel means that the agent stops.
+        let _ = self.events.send((self.id, event));
+    }
+}
+
 /// Sends requests to one target.
 #[derive(Clone)]
 pub struct TargetClient {
@@ -73,10 +86,11 @@
     /// Runs a request and reports its answer through `events`, until it ends or `cancel` is used.
     pub async fn run(
         self,
-        frame: SubmitFrame,
+        frame: Arc<SubmitFrame>,
         cancel: oneshot::Receiver<()>,
-        events: mpsc::UnboundedSender<TargetEvent>,
+        events: mpsc::UnboundedSender<AnswerEvent>,
     ) {
+        let events = AnswerReporter { id: frame.id, events };
         let result = tokio::select! {
             result = self.exchange(&frame, &events) => result,
             _ = cancel => Err(TargetFailure::Cancelled),
@@ -89,7 +103,7 @@
         if is_engine && last == TargetEvent::Failed(TargetFailure::Cancelled) {
             self.cancel_engine(frame.id).await;
         }
-        let _ = events.send(last);
+        events.send(last);
     }
 
     async fn cancel_engine(&self, id: RequestId) {
@@ -103,7 +117,7 @@
     async fn exchange(
         &self,
         frame: &SubmitFrame,
-        events: &mpsc::UnboundedSender<TargetEvent>,
+        events: &AnswerReporter,
     ) -> Result<(), TargetFailure> {
         let response = self.send(frame).await?;
         let content_type = header_of(&response, "content-type");
@@ -124,7 +138,7 @@
         let rest = checker.finish().map_err(log_fault)?;
         pass_on(events, &mut head, rest);
         if let Some(head) = head {
-            let _ = events.send(head);
+            events.send(head);
         }
         Ok(())
     }
@@ -174,20 +188,16 @@
     }
 }
 
-fn pass_on(
-    events: &mpsc::UnboundedSender<TargetEvent>,
-    head: &mut Option<TargetEvent>,
-    bytes: Bytes,
-) {
+fn pass_on(events: &AnswerReporter, head: &mut Option<TargetEvent>, bytes: Bytes) {
     if bytes.is_empty() {
         return;
     }
     // The head is passed on with the first checked bytes, so that nothing of an answer from other
     // weights leaves.
     if let Some(head) = head.take() {
-        let _ = events.send(head);
+        events.send(head);
     }
-    let _ = events.send(TargetEvent::Body(bytes));
+    events.send(TargetEvent::Body(bytes));
 }
 
 fn shape_of(frame: &SubmitFrame, status: StatusCode, content_type: &str) -> AnswerShape {
--- /dev/null
+++ b/src/agent/traffic.rs
@@ -0,0 +1,194 @@
+//! The traffic thread of an agent: links from entries, and the requests they bring.
+
+use super::requests::{AnswerEvent, CRASH_WINDOW, DeskParts, RequestDesk};
+use super::target::TargetClient;
+use crate::clock;
+use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkIdentity, accept_link, run_link};
+use crate::metrics::AgentMetrics;
+use crate::settings::AgentSettings;
+use crate::shared::{ConfigReceiver, GateLoad, GatePosition};
+use actix_rt::net::TcpListener;
+use anyhow::Result;
+use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::LinkId;
+use std::rc::Rc;
+use tokio::sync::{mpsc, watch};
+
+/// Pace at which the state of the target is reported while nothing urgent changes.
+const STATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a leaving agent stays after its notice, so that no entry still sends it work.
+const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the traffic thread of an agent is made of.
+pub struct TrafficParts {
+    /// What the agent says of itself on links.
+    pub identity: LinkIdentity,
+    /// The agent's settings.
+    pub settings: AgentSettings,
+    /// Where entries connect.
+    pub listener: std::net::TcpListener,
+    /// The configuration in force.
+    pub config: ConfigReceiver,
+    /// Takes the configurations that peers send.
+    pub config_frames: mpsc::UnboundedSender<ConfigFrame>,
+    /// Where the gate is to stand.
+    pub position: watch::Receiver<GatePosition>,
+    /// Where the dispatched requests are told.
+    pub load: watch::Sender<GateLoad>,
+    /// Turns true when the process is to leave.
+    pub leaving: watch::Receiver<bool>,
+    /// The agent's metrics.
+    pub metrics: AgentMetrics,
+}
+
+/// The state of the traffic thread.
+struct AgentTraffic {
+    desk: RequestDesk,
+    exchange: ConfigExchange,
+    config_frames: mpsc::UnboundedSender<ConfigFrame>,
+    metrics: AgentMetrics,
+    reported: Option<TargetState>,
+    reported_at: MonoTime,
+}
+
+/// Runs the traffic of an agent until it is told to leave and every request has ended.
+///
+/// # Errors
+///
+/// Fails if the listener cannot be used.
+pub async fn run_traffic(parts: TrafficParts) -> Result<()> {
+    let listener = TcpListener::from_std(parts.listener)?;
+    let (event_sender, mut events) = mpsc::unbounded_channel();
+    let accepting = actix_rt::spawn(accept_links(listener, parts.identity, event_sender));
+    let (answer_sender, mut answers) = mpsc::unbounded_channel();
+    let mut traffic = AgentTraffic {
+        desk: RequestDesk::new(DeskParts {
+            service: parts.settings.service.clone(),
+            slots: parts.settings.target_slots,
+            client: TargetClient::new(parts.settings.target),
+            answers: answer_sender,
+            load: parts.load,
+            metrics: parts.metrics.clone(),
+        }),
+        exchange: ConfigExchange::default(),
+        config_frames: parts.config_frames,
+        metrics: parts.metrics,
+        reported: None,
+        reported_at: clock::now(),
+    };
+    let mut config = parts.config;
+    let mut position = parts.position;
+    let mut leaving = parts.leaving;
+    let mut tick = actix_rt::time::interval(CRASH_WINDOW);
+    config.mark_changed();
+    position.mark_changed();
+    let mut left_at = None;
+    loop {
+        tokio::select! {
+            Some(event) = events.recv() => traffic.on_link_event(event),
+            Some(answer) = answers.recv() => traffic.on_answer(answer),
+            Ok(()) = config.changed() => {
+                let active = config.borrow_and_update().clone();
+                traffic.on_config(active);
+            }
+            Ok(()) = position.changed() => {
+                let position = *position.borrow_and_update();
+                traffic.desk.set_position(position);
+            }
+            Ok(()) = leaving.changed(), if left_at.is_none() => {
+                if *leaving.borrow_and_update() {
+                    traffic.desk.leave();
+                    left_at = Some(clock::now());
+                }
+            }
+            _ = tick.tick() => traffic.desk.tick(),
+        }
+        traffic.report_state();
+        let is_over = left_at.is_some_and(|at| clock::now().since(at) >= LEAVE_GRACE);
+        if is_over && traffic.desk.is_idle() {
+            accepting.abort();
+            return Ok(());
+        }
+    }
+}
+
+async fn accept_links(
+    listener: TcpListener,
+    identity: LinkIdentity,
+    events: mpsc::UnboundedSender<LinkEvent>,
+) {
+    let identity = Rc::new(identity);
+    let mut next_id = 1;
+    loop {
+        let Ok((stream, address)) = listener.accept().await else {
+            actix_rt::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let id = LinkId(next_id);
+        next_id += 1;
+        let identity = identity.clone();
+        let events = events.clone();
+        actix_rt::spawn(async move {
+            match accept_link(stream, &identity).await {
+                Ok((socket, peer)) => run_link(id, socket, peer, events).await,
+                Err(error) => log::warn!("link from {address}: {error:#}"),
+            }
+        });
+    }
+}
+
+impl AgentTraffic {
+    fn on_config(&mut self, active: Option<Arc<crate::shared::ActiveConfig>>) {
+        if let Some(active) = &active {
+            self.metrics.process.config_generation.set(active.generation.0 as i64);
+        }
+        self.exchange.set_active(active);
+        self.desk.broadcast(&LinkFrame::Config(self.exchange.announcement()));
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(handle) => {
+                handle.send(LinkFrame::Config(self.exchange.announcement()));
+                self.desk.link_up(handle);
+            }
+            LinkEvent::Down(link) => self.desk.link_down(link),
+            LinkEvent::Frame(link, LinkFrame::Config(frame)) => self.on_config_frame(link, frame),
+            LinkEvent::Frame(link, frame) => self.desk.request_frame(link, frame),
+        }
+    }
+
+    fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
+        match self.exchange.on_frame(frame) {
+            ExchangeStep::Nothing => {}
+            ExchangeStep::Reply(reply) => self.desk.send(link, LinkFrame::Config(reply)),
+            ExchangeStep::Deliver(frame) => {
+                let _ = self.config_frames.send(frame);
+            }
+        }
+    }
+
+    fn on_answer(&mut self, answer: AnswerEvent) {
+        self.desk.on_answer(answer);
+    }
+
+    /// Reports the state at once where it decides who may send work here, else at a steady pace.
+    fn report_state(&mut self) {
+        let state = self.desk.state();
+        let now = clock::now();
+        let is_urgent = self.reported.as_ref().is_none_or(|reported| {
+            reported.serving != state.serving
+                || reported.accepting != state.accepting
+                || reported.leaving != state.leaving
+        });
+        if !is_urgent && now.since(self.reported_at) < STATE_INTERVAL {
+            return;
+        }
+        self.desk.broadcast(&LinkFrame::State(state.clone()));
+        self.reported = Some(state);
+        self.reported_at = now;
+    }
+}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,5 +1,6 @@
 //! The HTTP side of a caller's request: reading it, and writing its answer.
 
+use super::prompt::PromptSummary;
 use crate::admin::with_type;
 use crate::shared::ActiveConfig;
 use actix_http::body::{BodyStream, BoxBody};
@@ -47,6 +48,8 @@
     pub content_type: Arc<str>,
     /// HTTP body.
     pub body: Bytes,
+    /// What routing needs to know of the body.
+    pub prompt: PromptSummary,
 }
 
 /// What an answer brings to the caller.
@@ -104,23 +107,28 @@
     let (organisation, organisation_config) = organisation_of(headers, config)?;
     let route = config.document.route_for(request.path()).ok_or(ResultCode::NoRoute)?;
     let service = config.document.services.get(&route.service).ok_or(ResultCode::NoRoute)?;
-    let method = request.method().as_str();
-    let caller = CallerRequest {
+    let idempotency_key = idempotency_key(headers)?;
+    let deadline = deadline_of(headers, default_deadline)?;
+    let content_type = text_header(headers, "content-type")?.unwrap_or_default().into();
+    let method: Arc<str> = request.method().as_str().into();
+    let path: Arc<str> = request.uri().path_and_query().map_or("/", |path| path.as_str()).into();
+    let body = actix_rt::time::timeout(BODY_TIMEOUT, read_body(request)).await;
+    let body = body.map_err(|_| ResultCode::BadRequest)??;
+    let prompt = PromptSummary::read(&organisation, &path, idempotency_key.as_deref(), &body);
+    Ok(CallerRequest {
         organisation,
         organisation_config,
         service: route.service.clone(),
         kind: service.kind,
-        idempotent: is_idempotent(route, method),
-        idempotency_key: idempotency_key(headers)?,
-        deadline: deadline_of(headers, default_deadline)?,
-        method: method.into(),
-        path: request.uri().path_and_query().map_or("/", |path| path.as_str()).into(),
-        content_type: text_header(headers, "content-type")?.unwrap_or_default().into(),
-        body: Bytes::new(),
-    };
-    let body = actix_rt::time::timeout(BODY_TIMEOUT, read_body(request)).await;
-    let body = body.map_err(|_| ResultCode::BadRequest)??;
-    Ok(CallerRequest { body, ..caller })
+        idempotent: is_idempotent(route, &method),
+        idempotency_key,
+        deadline,
+        method,
+        path,
+        content_type,
+        body,
+        prompt,
+    })
 }
 
 fn organisation_of(
--- /dev/null
+++ b/src/entry/traffic.rs
@@ -0,0 +1,251 @@
+//! The traffic thread of an entry: callers' connections, links, and the requests between them.
+
+use super::caller::{CallerGuard, read_request, refusal, write_answer};
+use super::links::LinkKeeper;
+use super::observer::RequestObserver;
+use super::requests::{RequestTable, random_id};
+use crate::clock;
+use crate::http_server::serve_http;
+use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkHandle, LinkIdentity};
+use crate::metrics::EntryMetrics;
+use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response};
+use actix_rt::net::TcpListener;
+use anyhow::Result;
+use buckthornwharf_core::frame::{ConfigFrame, LinkFrame};
+use buckthornwharf_core::membership::{HostPhase, HostRecord};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::LinkId;
+use buckthornwharf_core::routing::choose_links;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::{mpsc, watch};
+
+/// Pace at which time passes for requests.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What the traffic thread of an entry is made of.
+pub struct TrafficParts {
+    /// What the entry says of itself on links.
+    pub identity: LinkIdentity,
+    /// Where callers connect.
+    pub listener: std::net::TcpListener,
+    /// Most links to agents.
+    pub max_links: usize,
+    /// Time for a request whose caller names no deadline.
+    pub default_deadline: Duration,
+    /// The configuration in force.
+    pub config: ConfigReceiver,
+    /// The hosts that the process believes in.
+    pub hosts: HostsReceiver,
+    /// Takes the configurations that peers send.
+    pub config_frames: mpsc::UnboundedSender<ConfigFrame>,
+    /// Turns true when the process is to leave.
+    pub leaving: watch::Receiver<bool>,
+    /// The entry's metrics.
+    pub metrics: EntryMetrics,
+}
+
+/// The state of the traffic thread.
+struct EntryTraffic {
+    host: HostName,
+    max_links: usize,
+    default_deadline: Duration,
+    table: RequestTable,
+    keeper: LinkKeeper,
+    handles: SortedTable<LinkId, LinkHandle>,
+    exchange: ConfigExchange,
+    config: ConfigReceiver,
+    hosts: HostsReceiver,
+    config_frames: mpsc::UnboundedSender<ConfigFrame>,
+    metrics: Rc<EntryMetrics>,
+}
+
+type SharedTraffic = Rc<RefCell<EntryTraffic>>;
+
+/// Runs the traffic of an entry until it is told to leave and every request has ended.
+///
+/// # Errors
+///
+/// Fails if the server cannot be started.
+pub async fn run_traffic(parts: TrafficParts) -> Result<()> {
+    let listener = TcpListener::from_std(parts.listener)?;
+    let (event_sender, event_receiver) = mpsc::unbounded_channel();
+    let site = parts.identity.site.clone();
+    let traffic = Rc::new(RefCell::new(EntryTraffic {
+        host: parts.identity.host.clone(),
+        max_links: parts.max_links,
+        default_deadline: parts.default_deadline,
+        table: RequestTable::new(site),
+        keeper: LinkKeeper::new(parts.identity, event_sender),
+        handles: SortedTable::new(),
+        exchange: ConfigExchange::default(),
+        config: parts.config.clone(),
+        hosts: parts.hosts.clone(),
+        config_frames: parts.config_frames,
+        metrics: Rc::new(parts.metrics),
+    }));
+    actix_rt::spawn(follow_links(traffic.clone(), event_receiver));
+    actix_rt::spawn(follow_config(traffic.clone(), parts.config));
+    actix_rt::spawn(follow_hosts(traffic.clone(), parts.hosts));
+    actix_rt::spawn(follow_time(traffic.clone()));
+    let handler_traffic = traffic.clone();
+    serve_http(listener, parts.leaving, move |request| answer(handler_traffic.clone(), request))
+        .await
+}
+
+async fn answer(traffic: SharedTraffic, mut request: Request) -> Response<BoxBody> {
+    let id = random_id();
+    let (config, default_deadline) = {
+        let traffic = traffic.borrow();
+        (traffic.config.borrow().clone(), traffic.default_deadline)
+    };
+    let Some(config) = config else {
+        return refusal(id, ResultCode::NotServing);
+    };
+    let caller = match read_request(&mut request, &config, default_deadline).await {
+        Ok(caller) => caller,
+        Err(code) => return refusal(id, code),
+    };
+    let (sender, receiver) = mpsc::unbounded_channel();
+    {
+        let mut traffic = traffic.borrow_mut();
+        let observer = RequestObserver::start(
+            traffic.metrics.clone(),
+            clock::now(),
+            caller.service.clone(),
+            caller.organisation.clone(),
+        );
+        traffic.table.submit(id, caller, sender, observer);
+    }
+    let on_gone = Box::new(move |id| traffic.borrow_mut().table.caller_gone(id));
+    write_answer(receiver, CallerGuard::new(id, on_gone)).await
+}
+
+async fn follow_links(traffic: SharedTraffic, mut events: mpsc::UnboundedReceiver<LinkEvent>) {
+    while let Some(event) = events.recv().await {
+        traffic.borrow_mut().on_link_event(event);
+    }
+}
+
+async fn follow_config(traffic: SharedTraffic, mut config: ConfigReceiver) {
+    loop {
+        let active = config.borrow_and_update().clone();
+        traffic.borrow_mut().on_config(active);
+        if config.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_hosts(traffic: SharedTraffic, mut hosts: HostsReceiver) {
+    loop {
+        hosts.mark_unchanged();
+        traffic.borrow_mut().choose_links();
+        if hosts.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn follow_time(traffic: SharedTraffic) {
+    let mut interval = actix_rt::time::interval(TICK_INTERVAL);
+    loop {
+        interval.tick().await;
+        traffic.borrow_mut().on_tick();
+    }
+}
+
+impl EntryTraffic {
+    fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
+        if let Some(active) = &active {
+            let sites = active.document.sites.iter();
+            let regions = sites.map(|(site, config)| (site.clone(), config.region.clone()));
+            self.table.set_regions(regions.collect());
+            self.metrics.process.config_generation.set(active.generation.0 as i64);
+        }
+        self.exchange.set_active(active);
+        self.table.broadcast(&LinkFrame::Config(self.exchange.announcement()));
+        self.choose_links();
+    }
+
+    fn choose_links(&mut self) {
+        let hosts = self.hosts.borrow().clone();
+        let Some(active) = self.config.borrow().clone() else {
+            // Without a configuration a few agents are dialled, which may have one.
+            return self.dial(first_agents(&hosts, self.max_links));
+        };
+        let chosen = choose_links(&self.host, &hosts, &active.document, self.max_links);
+        let addresses = chosen.into_iter().filter_map(|host| address_of(&hosts, host)).collect();
+        self.dial(addresses);
+    }
+
+    fn dial(&mut self, wanted: SortedTable<HostName, SocketAddr>) {
+        for host in self.keeper.set_wanted(&wanted) {
+            if !self.table.needs_host(&host) {
+                self.keeper.drop_link(&host);
+            }
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(handle) => {
+                handle.send(LinkFrame::Config(self.exchange.announcement()));
+                self.handles.insert(handle.id, handle.clone());
+                self.metrics.process.links_open.set(self.handles.len() as i64);
+                self.table.link_up(handle);
+            }
+            LinkEvent::Down(link) => {
+                self.handles.remove(&link);
+                self.metrics.process.links_open.set(self.handles.len() as i64);
+                self.table.link_down(link);
+            }
+            LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
+        }
+    }
+
+    fn on_frame(&mut self, link: LinkId, frame: LinkFrame) {
+        match &frame {
+            LinkFrame::State(state) => self.table.target_state(link, state),
+            LinkFrame::Accepted(id) => self.table.request_frame(link, *id, frame),
+            LinkFrame::Resolved(resolved) => self.table.request_frame(link, resolved.id, frame),
+            LinkFrame::Head(head) => self.table.request_frame(link, head.id, frame),
+            LinkFrame::Body(body) => self.table.request_frame(link, body.id, frame),
+            LinkFrame::End(end) => self.table.request_frame(link, end.id, frame),
+            LinkFrame::Config(config) => self.on_config_frame(link, config.clone()),
+            _ => {}
+        }
+    }
+
+    fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
+        match self.exchange.on_frame(frame) {
+            ExchangeStep::Nothing => {}
+            ExchangeStep::Reply(reply) => {
+                if let Some(handle) = self.handles.get(&link) {
+                    handle.send(LinkFrame::Config(reply));
+                }
+            }
+            ExchangeStep::Deliver(frame) => {
+                let _ = self.config_frames.send(frame);
+            }
+        }
+    }
+
+    fn on_tick(&mut self) {
+        self.table.tick();
+    }
+}
+
+fn address_of(hosts: &[HostRecord], host: HostName) -> Option<(HostName, SocketAddr)> {
+    let at = hosts.binary_search_by(|record| record.name.cmp(&host)).ok()?;
+    Some((host, hosts[at].link?))
+}
+
+fn first_agents(hosts: &[HostRecord], max_links: usize) -> SortedTable<HostName, SocketAddr> {
+    let live = hosts.iter().filter(|host| host.phase == HostPhase::Live);
+    let agents = live.filter_map(|host| Some((host.name.clone(), host.link?)));
+    agents.take(max_links).collect()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 pub mod agent;
+pub mod clock;
 pub mod entry;
 pub mod http_server;
 pub mod link;
--- a/src/link/connection.rs
+++ b/src/link/connection.rs
@@ -3,6 +3,7 @@
 use super::handshake::{LinkSocket, PeerIdentity};
 use buckthornwharf_core::frame::LinkFrame;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::LinkId;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use tokio::sync::mpsc;
@@ -15,10 +16,6 @@
 /// Frames that are written before the socket is flushed.
 const WRITE_BATCH: usize = 64;
 
-/// Tells one link of a process from the next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LinkId(pub u64);
-
 /// The sending side of a link; it can be cloned.
 #[derive(Debug, Clone)]
 pub struct LinkHandle {
@@ -49,7 +46,7 @@
 }
 
 /// Runs an open link until it fails, falls silent or `events` is closed, reporting through
-/// `events`.
+/// `events`. [`LinkEvent::Down`] is reported also when the task that runs this is aborted.
 pub async fn run_link(
     id: LinkId,
     socket: LinkSocket,
@@ -62,13 +59,24 @@
     if events.send(LinkEvent::Up(handle)).is_err() {
         return;
     }
+    let _guard = DownGuard { id, events: events.clone() };
     let (sink, stream) = socket.split();
     let reason = tokio::select! {
         reason = read_frames(id, stream, &events) => reason,
         reason = write_frames(sink, receiver) => reason,
     };
     log::info!("link to {} down: {reason}", peer.host);
-    let _ = events.send(LinkEvent::Down(id));
+}
+
+struct DownGuard {
+    id: LinkId,
+    events: mpsc::UnboundedSender<LinkEvent>,
+}
+
+impl Drop for DownGuard {
+    fn drop(&mut self) {
+        let _ = self.events.send(LinkEvent::Down(self.id));
+    }
 }
 
 async fn read_frames(
