Add the platform clients, the command line and the folder's merge

The merge works on a tree that keeps file, line and column of each value and only then becomes the typed document: deserialising each file by itself was ruled out, because a later file is partial and loses where a field came from.

Not run yet: apply and the followers against a key-value service, for want of its stand-in.

--- /dev/null
+++ b/core/src/config/merge.rs
@@ -0,0 +1,91 @@
+//! Merging the files of a folder, in the order of their names, into one document.
+//!
+//! A later file overrides an earlier one: maps merge field by field, lists and single values are
+//! replaced whole, and `null` removes a field.
+
+use crate::config::ConfigDocument;
+use crate::config::check::check_document;
+use crate::config::node::{ConfigIssue, ConfigNode, NodeOrigin, NodeValue};
+use crate::config::typed;
+use crate::prelude::*;
+
+/// A file of the folder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigFile {
+    /// The file's name.
+    pub name: Arc<str>,
+    /// The file's text.
+    pub text: String,
+}
+
+/// A merged and checked folder.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MergedConfig {
+    /// The merged values with the place that each came from.
+    pub tree: ConfigNode,
+    /// The document.
+    pub document: ConfigDocument,
+}
+
+/// Merges `files` and checks the result.
+///
+/// # Errors
+///
+/// Everything that is found wrong, at least one issue: syntax first, then types, then references.
+pub fn merge_files(files: &[ConfigFile]) -> Result<MergedConfig, Vec<ConfigIssue>> {
+    let tree = merge_trees(files)?;
+    let document: ConfigDocument = typed::document(&tree).map_err(|issue| vec![issue])?;
+    let issues = check_document(&document, &tree);
+    if !issues.is_empty() {
+        return Err(issues);
+    }
+    Ok(MergedConfig { tree, document })
+}
+
+/// Merges `files` without a look at what the fields mean.
+///
+/// # Errors
+///
+/// The syntax errors of all files.
+pub fn merge_trees(files: &[ConfigFile]) -> Result<ConfigNode, Vec<ConfigIssue>> {
+    let mut files: Vec<&ConfigFile> = files.iter().collect();
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    let mut merged = empty_tree();
+    let mut issues = Vec::new();
+    for file in files {
+        match ConfigNode::parse(&file.name, &file.text) {
+            Ok(node) => overlay(&mut merged, node),
+            Err(issue) => issues.push(issue),
+        }
+    }
+    if issues.is_empty() { Ok(merged) } else { Err(issues) }
+}
+
+fn empty_tree() -> ConfigNode {
+    let origin = NodeOrigin { file: "(no file)".into(), line: 0, column: 0 };
+    ConfigNode { value: NodeValue::Map(SortedTable::new()), origin }
+}
+
+fn overlay(base: &mut ConfigNode, over: ConfigNode) {
+    let NodeValue::Map(new_fields) = over.value else {
+        *base = over;
+        return;
+    };
+    if !matches!(base.value, NodeValue::Map(_)) {
+        *base = ConfigNode { value: NodeValue::Map(SortedTable::new()), origin: over.origin };
+    }
+    let NodeValue::Map(fields) = &mut base.value else { return };
+    for (key, node) in new_fields {
+        overlay_field(fields, key, node);
+    }
+}
+
+fn overlay_field(fields: &mut SortedTable<Arc<str>, ConfigNode>, key: Arc<str>, node: ConfigNode) {
+    if node.value == NodeValue::Null {
+        fields.remove(&*key);
+        return;
+    }
+    let origin = node.origin.clone();
+    let empty = || ConfigNode { value: NodeValue::Null, origin };
+    overlay(fields.get_or_insert_with(key, empty), node);
+}
--- /dev/null
+++ b/src/cmd/entry.rs
@@ -0,0 +1,28 @@
+//! `buckthornwharf entry`.
+
+use crate::cmd::ExitStatus;
+use crate::settings::ProcessSettings;
+use anyhow::{Context, Result, bail};
+use bpaf::Bpaf;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Runs an entry until it is told to stop.
+#[derive(Debug, Clone, Bpaf)]
+pub struct EntryCommand {
+    /// The YAML file with the settings of the process
+    #[bpaf(argument("FILE"))]
+    pub settings: PathBuf,
+}
+
+impl EntryCommand {
+    /// Reads the settings and runs the process.
+    ///
+    /// # Errors
+    ///
+    /// [`ExitStatus::BadSettings`] if the settings are wrong.
+    pub fn run(self) -> Result<ExitCode> {
+        let _settings = ProcessSettings::read(&self.settings).context(ExitStatus::BadSettings)?;
+        bail!("not built yet")
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,5 +2,8 @@
 //!
 //! Decisions are in `buckthornwharf-core`; here are the sockets, timers and threads round them.
 
+pub mod cmd;
+pub mod follow;
+pub mod platform;
 pub mod settings;
 pub mod shared;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,15 @@
 //! The command line.
 
-fn main() {}
+use buckthornwharf::cmd::{ExitStatus, command};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    match command().run().run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("buckthornwharf: {error:#}");
+            ExitStatus::of(&error).into()
+        }
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,6 @@
+//! The platform's interfaces, a thin module for each; docs/platform.md gives their shapes.
+
+pub mod clock;
+pub mod hosts;
+pub mod http;
+pub mod kv;
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,86 @@
+//! HTTP calls with a deadline for the whole call and a limit on the answer's body.
+
+use awc::Client;
+use awc::error::SendRequestError;
+use awc::http::{Method, StatusCode};
+use bytes::Bytes;
+use std::time::Duration;
+
+thread_local! {
+    static CLIENT: Client = Client::builder().disable_timeout().finish();
+}
+
+/// A call to one of the platform's interfaces.
+#[derive(Debug, Clone)]
+pub struct HttpCall {
+    /// The method.
+    pub method: Method,
+    /// The whole URL.
+    pub url: String,
+    /// The body; empty for none.
+    pub body: Bytes,
+    /// Time for the whole call, with the answer's body.
+    pub deadline: Duration,
+    /// Most bytes of the answer's body.
+    pub max_answer_bytes: usize,
+}
+
+/// The answer to a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum HttpError {
+    /// no connection: {0}
+    Unreached(String),
+    /// no answer within {0:?}
+    TimedOut(Duration),
+    /// the connection broke off: {0}
+    Broken(String),
+}
+
+impl std::error::Error for HttpError {}
+
+impl HttpError {
+    /// Whether nothing of the call can have reached the other side.
+    pub fn never_sent(&self) -> bool {
+        matches!(self, HttpError::Unreached(_))
+    }
+}
+
+impl HttpCall {
+    /// Sends the call on this thread's client and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`HttpError`] if there is no whole answer in time; any status is an answer.
+    pub async fn send(self) -> Result<HttpAnswer, HttpError> {
+        let deadline = self.deadline;
+        match tokio::time::timeout(deadline, self.exchange()).await {
+            Ok(answer) => answer,
+            Err(_) => Err(HttpError::TimedOut(deadline)),
+        }
+    }
+
+    async fn exchange(self) -> Result<HttpAnswer, HttpError> {
+        let request = CLIENT.with(|client| client.request(self.method, self.url));
+        let mut response = request.send_body(self.body).await.map_err(describe_send_error)?;
+        let body = response.body().limit(self.max_answer_bytes).await;
+        let body = body.map_err(|error| HttpError::Broken(error.to_string()))?;
+        Ok(HttpAnswer { status: response.status(), body })
+    }
+}
+
+fn describe_send_error(error: SendRequestError) -> HttpError {
+    match error {
+        SendRequestError::Connect(error) => HttpError::Unreached(error.to_string()),
+        SendRequestError::Url(error) => HttpError::Unreached(error.to_string()),
+        error => HttpError::Broken(error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/platform/kv.rs
@@ -0,0 +1,338 @@
+//! The client of the platform's key-value service.
+
+use crate::platform::clock;
+use crate::platform::http::{HttpAnswer, HttpCall, HttpError};
+use awc::http::{Method, StatusCode};
+use base64::prelude::{BASE64_STANDARD, Engine};
+use buckthornwharf_core::config::budget::{CallBudget, RetryBackoff};
+use buckthornwharf_core::prelude::*;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+/// Most bytes of a value.
+pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+const CALL_DEADLINE: Duration = Duration::from_secs(2);
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+const SETTLE_ATTEMPTS: u32 = 5;
+const CALLS_PER_SECOND: f64 = 50.0;
+const CALL_BURST: f64 = 100.0;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KvRow {
+    /// The key.
+    pub key: Arc<str>,
+    /// The value.
+    pub value: Bytes,
+    /// The index of the last write to the key; the base of a compare-and-swap.
+    pub index: u64,
+    /// The session that holds the key.
+    pub session: Option<KvSession>,
+}
+
+/// The id of a session, to which the service ties the keys that a process holds.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Deserialize)]
+#[serde(transparent)]
+pub struct KvSession(Arc<str>);
+
+/// Why a call to the service failed.
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub enum KvError {
+    /// the key-value service is not reached: {0}
+    Unreached(String),
+    /// this process has used up its budget of calls to the key-value service
+    OverBudget,
+    /// the value is larger than the key-value service takes (1 MiB)
+    TooLarge,
+    /// the key-value service refused the call with status {0}
+    Refused(u16),
+    /// the key-value service gave no answer and the outcome is unknown: {0}
+    Unknown(String),
+}
+
+impl std::error::Error for KvError {}
+
+impl KvError {
+    /// Whether the call certainly had no effect.
+    pub fn is_without_effect(&self) -> bool {
+        !matches!(self, KvError::Unknown(_))
+    }
+
+    /// Whether the same call may succeed later.
+    pub fn is_passing(&self) -> bool {
+        !matches!(self, KvError::TooLarge | KvError::Refused(_))
+    }
+}
+
+/// A client of the key-value service; clones share one budget of calls.
+#[derive(Debug, Clone)]
+pub struct KvClient {
+    addr: SocketAddr,
+    budget: Arc<Mutex<CallBudget>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct RowBody {
+    key: Arc<str>,
+    #[serde(default)]
+    value: Option<String>,
+    modify_index: u64,
+    #[serde(default)]
+    session: Option<KvSession>,
+}
+
+#[derive(Deserialize)]
+struct SessionBody {
+    #[serde(rename = "ID")]
+    id: KvSession,
+}
+
+impl KvClient {
+    /// A client of the service at `addr`.
+    pub fn new(addr: SocketAddr) -> Self {
+        let budget = CallBudget::new(CALLS_PER_SECOND, CALL_BURST, clock::now());
+        Self { addr, budget: Arc::new(Mutex::new(budget)) }
+    }
+
+    /// The row of `key`; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer.
+    pub async fn get(&self, key: &str) -> Result<Option<KvRow>, KvError> {
+        let rows = self.read_rows(&format!("kv/{}", encode_key(key)), CALL_DEADLINE).await?;
+        Ok(rows.into_iter().next())
+    }
+
+    /// The rows whose keys start with `prefix`.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer.
+    pub async fn list(&self, prefix: &str) -> Result<Vec<KvRow>, KvError> {
+        let path = format!("kv/{}?recurse=true", encode_key(prefix));
+        self.read_rows(&path, CALL_DEADLINE).await
+    }
+
+    /// The row of `key` as soon as its index exceeds `after_index`, or as it is after `wait`.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after_index: u64,
+        wait: Duration,
+    ) -> Result<Option<KvRow>, KvError> {
+        let wait_ms = wait.as_millis();
+        let path = format!("kv/{}?index={after_index}&wait={wait_ms}ms", encode_key(key));
+        let rows = self.read_rows(&path, wait + WATCH_MARGIN).await?;
+        Ok(rows.into_iter().next())
+    }
+
+    /// Sets `key` if its index is `index` (0: if it is absent) and tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::Unknown`] if the write may have taken effect; else it did not.
+    pub async fn put_cas(&self, key: &str, value: Bytes, index: u64) -> Result<bool, KvError> {
+        if value.len() > MAX_VALUE_BYTES {
+            return Err(KvError::TooLarge);
+        }
+        let path = format!("kv/{}?cas={index}", encode_key(key));
+        self.write(Method::PUT, &path, value).await
+    }
+
+    /// As [`KvClient::put_cas`], but a lost answer is settled: the key is read back and, while its
+    /// base is still in place, written again. The value must be unique to this write. `false`
+    /// means that the key holds another value.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::Unknown`] if the outcome could not be settled; else the write had no effect.
+    pub async fn put_settled(&self, key: &str, value: Bytes, index: u64) -> Result<bool, KvError> {
+        let lost = match self.put_cas(key, value.clone(), index).await {
+            Err(error @ KvError::Unknown(_)) => error,
+            settled => return settled,
+        };
+        let backoff = RetryBackoff::default();
+        for attempt in 0..SETTLE_ATTEMPTS {
+            tokio::time::sleep(backoff.delay(attempt, &mut rand::rng())).await;
+            let Ok(row) = self.get(key).await else { continue };
+            if row.as_ref().is_some_and(|row| row.value == value) {
+                return Ok(true);
+            }
+            if row.map_or(0, |row| row.index) != index {
+                return Ok(false);
+            }
+            // The first write may still be on its way; at most one of the two can take effect.
+            if self.put_cas(key, value.clone(), index).await == Ok(true) {
+                return Ok(true);
+            }
+        }
+        Err(lost)
+    }
+
+    /// Deletes `key` if its index is `index` and tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::Unknown`] if the deletion may have taken effect; else it did not.
+    pub async fn delete_cas(&self, key: &str, index: u64) -> Result<bool, KvError> {
+        let path = format!("kv/{}?cas={index}", encode_key(key));
+        self.write(Method::DELETE, &path, Bytes::new()).await
+    }
+
+    /// Creates a session that lapses `ttl` after its last renewal; its keys are deleted then.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer.
+    pub async fn create_session(&self, ttl: Duration) -> Result<KvSession, KvError> {
+        let body = format!(r#"{{"TTL":"{}ms","Behavior":"delete"}}"#, ttl.as_millis());
+        let answer = self.call(Method::PUT, "session/create", body.into(), CALL_DEADLINE).await?;
+        let session: SessionBody = parse(&check(answer)?)?;
+        Ok(session.id)
+    }
+
+    /// Renews a session and tells whether it still was.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer; the session may have been renewed.
+    pub async fn renew_session(&self, session: &KvSession) -> Result<bool, KvError> {
+        self.touch_session("renew", session).await
+    }
+
+    /// Ends a session and tells whether it still was; its keys are deleted.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError`] if the service gives no answer; the session may have ended.
+    pub async fn destroy_session(&self, session: &KvSession) -> Result<bool, KvError> {
+        self.touch_session("destroy", session).await
+    }
+
+    /// Sets `key` and ties it to `session` unless another session holds it; tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::Unknown`] if the write may have taken effect; else it did not.
+    pub async fn acquire(
+        &self,
+        key: &str,
+        value: Bytes,
+        session: &KvSession,
+    ) -> Result<bool, KvError> {
+        let path = format!("kv/{}?acquire={}", encode_key(key), session.0);
+        self.write(Method::PUT, &path, value).await
+    }
+
+    /// Frees `key` if `session` holds it; tells whether it did.
+    ///
+    /// # Errors
+    ///
+    /// [`KvError::Unknown`] if the write may have taken effect; else it did not.
+    pub async fn release(&self, key: &str, session: &KvSession) -> Result<bool, KvError> {
+        let path = format!("kv/{}?release={}", encode_key(key), session.0);
+        self.write(Method::PUT, &path, Bytes::new()).await
+    }
+
+    async fn touch_session(&self, verb: &str, session: &KvSession) -> Result<bool, KvError> {
+        let path = format!("session/{verb}/{}", session.0);
+        let answer = self.call(Method::PUT, &path, Bytes::new(), CALL_DEADLINE).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(false);
+        }
+        check(answer).map(|_| true)
+    }
+
+    async fn read_rows(&self, path: &str, deadline: Duration) -> Result<Vec<KvRow>, KvError> {
+        let answer = self.call(Method::GET, path, Bytes::new(), deadline).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(Vec::new());
+        }
+        let rows: Vec<RowBody> = parse(&check(answer)?)?;
+        rows.into_iter().map(RowBody::decode).collect()
+    }
+
+    async fn write(&self, method: Method, path: &str, value: Bytes) -> Result<bool, KvError> {
+        let answer = self.call(method, path, value, CALL_DEADLINE).await?;
+        parse(&check(answer)?)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        deadline: Duration,
+    ) -> Result<HttpAnswer, KvError> {
+        if !self.take_call() {
+            return Err(KvError::OverBudget);
+        }
+        let url = format!("http://{}/v1/{path}", self.addr);
+        let call = HttpCall { method, url, body, deadline, max_answer_bytes: MAX_ANSWER_BYTES };
+        call.send().await.map_err(KvError::from)
+    }
+
+    fn take_call(&self) -> bool {
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.try_take(clock::now())
+    }
+}
+
+impl RowBody {
+    fn decode(self) -> Result<KvRow, KvError> {
+        let value = BASE64_STANDARD.decode(self.value.unwrap_or_default());
+        let value = value.map_err(|error| KvError::Unknown(error.to_string()))?;
+        let Self { key, modify_index, session, .. } = self;
+        Ok(KvRow { key, value: value.into(), index: modify_index, session })
+    }
+}
+
+impl From<HttpError> for KvError {
+    fn from(error: HttpError) -> Self {
+        if error.never_sent() {
+            return KvError::Unreached(error.to_string());
+        }
+        KvError::Unknown(error.to_string())
+    }
+}
+
+fn check(answer: HttpAnswer) -> Result<Bytes, KvError> {
+    if answer.status.is_success() {
+        return Ok(answer.body);
+    }
+    if answer.status == StatusCode::PAYLOAD_TOO_LARGE {
+        return Err(KvError::TooLarge);
+    }
+    // A service that fails half way may have done the work before it answered.
+    if answer.status.is_server_error() {
+        return Err(KvError::Unknown(format!("status {}", answer.status.as_u16())));
+    }
+    Err(KvError::Refused(answer.status.as_u16()))
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, KvError> {
+    serde_json::from_slice(body).map_err(|error| KvError::Unknown(error.to_string()))
+}
+
+fn encode_key(key: &str) -> String {
+    let mut encoded = String::with_capacity(key.len());
+    for byte in key.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
+                encoded.push(char::from(byte));
+            }
+            _ => encoded.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    encoded
+}
