--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod admin;
 pub mod agent;
 pub mod clock;
+pub mod cmd;
 pub mod entry;
+pub mod follow;
 pub mod http_server;
 pub mod link;
 pub mod metrics;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,4 +1,8 @@
-//! Clients of the platform's interfaces, one thin module for each.
+//! The platform's interfaces, a thin module for each; docs/platform.md gives their shapes.
 
+pub mod clock;
 pub mod engine;
+pub mod hosts;
+pub mod http;
+pub mod kv;
 pub mod store;
