Decide in core when a process reads the configuration and whom it believes

The followers watched the key-value service from every process and believed every list.

The followers only carry the calls. A notice of leaving that never expires was ruled out: a new run that this process has no link to would be leaving for good.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -5,8 +5,10 @@
 pub mod check;
 pub mod diff;
 pub mod document;
+pub mod generation;
 pub mod merge;
 pub mod node;
+pub mod reader;
 pub mod record;
 pub mod render;
 pub mod typed;
@@ -16,6 +18,8 @@
     AllowanceConfig, ConfigDocument, ModelConfig, ObjectiveConfig, OrganisationConfig,
     PriorityClass, RouteConfig, ServiceConfig, SiteConfig, TargetKind, VersionConfig,
 };
+pub use generation::{GenerationHolder, OfferError};
 pub use merge::{ConfigFile, MergedConfig, merge_files};
 pub use node::{ConfigIssue, ConfigNode, NodeOrigin, NodeValue};
+pub use reader::{ReaderEvent, ServiceCall, ServiceReader};
 pub use record::{ApplyId, CONFIG_KEY, ConfigRecord, RecordError, Settlement};
--- a/core/src/config/record.rs
+++ b/core/src/config/record.rs
@@ -13,7 +13,7 @@
 pub const MAX_RECORD_BYTES: usize = 1024 * 1024;
 
 /// Most earlier runs that a record names.
-pub const MAX_EARLIER: usize = 32;
+pub const MAX_EARLIER: usize = 8;
 
 /// Identifies one run of `apply`; drawn at random.
 #[derive(
--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -1,5 +1,11 @@
 //! Who is in the fleet: the platform's lagging list, and what it says of each host.
 
+pub mod lease;
+pub mod merge;
+
+pub use lease::{HeldLease, LapsedLease};
+pub use merge::{MembershipEvent, MembershipMerge};
+
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -1,8 +1,8 @@
 //! `buckthornwharf apply`.
 
+use crate::clock;
 use crate::cmd::ExitStatus;
 use crate::cmd::folder::read_folder;
-use crate::platform::clock;
 use crate::platform::kv::{KvClient, KvError, KvRow};
 use anyhow::{Context, Error, Result, bail};
 use bpaf::Bpaf;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -1,16 +1,16 @@
 //! `buckthornwharf status`.
 
+use crate::admin::ProcessStatus;
 use crate::cmd::ExitStatus;
 use crate::platform::hosts::HostsClient;
 use crate::platform::http::{HttpCall, HttpError};
 use anyhow::{Context, Result};
 use awc::http::Method;
 use bpaf::Bpaf;
-use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
+use buckthornwharf_core::membership::HostRecord;
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
 use futures_util::StreamExt;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
@@ -26,17 +26,6 @@
     pub hosts: SocketAddr,
 }
 
-/// What a process answers to `GET /status` at its admin address.
-#[derive(Debug, Clone, Deserialize)]
-struct ProcessStatus {
-    host: HostName,
-    site: SiteName,
-    role: HostRole,
-    generation: Option<ConfigGeneration>,
-    serving: Option<VersionDigest>,
-    phase: HostPhase,
-}
-
 /// A row of the list with what its process answered.
 struct StatusRow {
     record: HostRecord,
--- a/src/follow/config.rs
+++ b/src/follow/config.rs
@@ -1,15 +1,20 @@
 //! Follows the configuration in the key-value service and on links.
 
-use crate::platform::kv::KvClient;
+use crate::clock;
+use crate::platform::kv::{KvClient, KvError, KvRow};
 use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
-use buckthornwharf_core::config::budget::RetryBackoff;
-use buckthornwharf_core::config::{CONFIG_KEY, ConfigRecord};
+use buckthornwharf_core::config::reader::WATCH_WAIT;
+use buckthornwharf_core::config::{
+    CONFIG_KEY, ConfigRecord, GenerationHolder, OfferError, ReaderEvent, ServiceCall, ServiceReader,
+};
 use buckthornwharf_core::frame::ConfigFrame;
+use buckthornwharf_core::membership::{HostPhase, HostRecord};
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
+use futures_util::future::{LocalBoxFuture, OptionFuture};
 use tokio::sync::{mpsc, watch};
 
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const IDLE_TICK: Duration = Duration::from_secs(1);
 
 /// Who follows, and from where.
 #[derive(Debug, Clone)]
@@ -22,75 +27,124 @@
     pub kv: KvClient,
 }
 
-/// Publishes the newest configuration that the process has heard of; never an older one.
+/// Publishes the newest configuration that the process has seen; never an older one.
 #[derive(Debug)]
 pub struct ConfigFollower {
     settings: FollowSettings,
+    holder: GenerationHolder,
+    reader: ServiceReader,
     sender: watch::Sender<Option<Arc<ActiveConfig>>>,
 }
 
+type ServiceAnswer = Result<Option<KvRow>, KvError>;
+
 impl ConfigFollower {
-    /// Starts to follow on this thread's runtime. `frames` are what links bring.
+    /// Starts to follow on this thread's runtime. `frames` are the bodies that links bring.
     pub fn start(
         settings: FollowSettings,
-        _hosts: HostsReceiver,
+        hosts: HostsReceiver,
         frames: mpsc::UnboundedReceiver<ConfigFrame>,
     ) -> ConfigReceiver {
         let (sender, receiver) = watch::channel(None);
-        let follower = Arc::new(Self { settings, sender });
-        actix_rt::spawn(follower.clone().follow_service());
-        actix_rt::spawn(follower.follow_links(frames));
+        let reader = ServiceReader::new(settings.host.clone(), clock::now(), &mut rand::rng());
+        let follower = Self { settings, holder: GenerationHolder::default(), reader, sender };
+        actix_rt::spawn(follower.run(hosts, frames));
         receiver
     }
 
-    async fn follow_links(self: Arc<Self>, mut frames: mpsc::UnboundedReceiver<ConfigFrame>) {
-        while let Some(frame) = frames.recv().await {
-            if !frame.body.is_empty() {
-                self.offer(frame.body);
+    async fn run(
+        mut self,
+        mut hosts: HostsReceiver,
+        mut frames: mpsc::UnboundedReceiver<ConfigFrame>,
+    ) {
+        let mut call: OptionFuture<LocalBoxFuture<'static, ServiceAnswer>> = None.into();
+        while !self.sender.is_closed() {
+            let next_call = tokio::select! {
+                Some(frame) = frames.recv() => self.on_frame(frame),
+                Ok(()) = hosts.changed() => {
+                    let records = hosts.borrow_and_update().clone();
+                    self.on_hosts(&records)
+                }
+                Some(answer) = &mut call => {
+                    call = None.into();
+                    self.on_answer(answer)
+                }
+                () = tokio::time::sleep(self.until_due()) => self.tell(ReaderEvent::Tick),
+            };
+            if let Some(next_call) = next_call {
+                call = Some(self.start_call(next_call)).into();
             }
         }
     }
 
-    async fn follow_service(self: Arc<Self>) {
-        let backoff = RetryBackoff::default();
-        let mut index = 0;
-        let mut failures = 0;
-        while !self.sender.is_closed() {
-            match self.settings.kv.watch(CONFIG_KEY, index, WATCH_WAIT).await {
-                Ok(Some(row)) => {
-                    failures = 0;
-                    index = row.index;
-                    self.offer(row.value);
-                }
-                Ok(None) => {
-                    index = 0;
-                    tokio::time::sleep(backoff.delay(0, &mut rand::rng())).await;
-                }
-                Err(error) => {
-                    log::debug!("{error}");
-                    tokio::time::sleep(backoff.delay(failures, &mut rand::rng())).await;
-                    failures += 1;
-                }
+    fn until_due(&self) -> Duration {
+        self.reader.due().map_or(IDLE_TICK, |due| due.since(clock::now()))
+    }
+
+    fn tell(&mut self, event: ReaderEvent<'_>) -> Option<ServiceCall> {
+        self.reader.on_event(clock::now(), event, &mut rand::rng())
+    }
+
+    fn start_call(&self, call: ServiceCall) -> LocalBoxFuture<'static, ServiceAnswer> {
+        let kv = self.settings.kv.clone();
+        match call {
+            ServiceCall::Read => Box::pin(async move { kv.get(CONFIG_KEY).await }),
+            ServiceCall::Watch { after_index } => {
+                Box::pin(async move { kv.watch(CONFIG_KEY, after_index, WATCH_WAIT).await })
             }
         }
     }
 
-    fn offer(&self, body: Bytes) {
-        let record = match ConfigRecord::decode(&body) {
-            Ok(record) => record,
+    fn on_hosts(&mut self, records: &[HostRecord]) -> Option<ServiceCall> {
+        let live = records.iter().filter(|record| record.phase == HostPhase::Live);
+        let fleet = live.clone().count();
+        let site: Vec<HostName> = live
+            .filter(|record| record.site == self.settings.site)
+            .map(|record| record.name.clone())
+            .collect();
+        self.tell(ReaderEvent::Hosts { site: &site, fleet })
+    }
+
+    fn on_frame(&mut self, frame: ConfigFrame) -> Option<ServiceCall> {
+        if frame.body.is_empty() {
+            return None;
+        }
+        let offered = self.holder.offer_announced(frame.generation, &frame.body);
+        self.publish(frame.body, offered)
+    }
+
+    fn on_answer(&mut self, answer: ServiceAnswer) -> Option<ServiceCall> {
+        match answer {
+            Ok(Some(row)) => {
+                let offered = self.holder.offer(&row.value);
+                self.publish(row.value, offered);
+                self.tell(ReaderEvent::Row { index: row.index })
+            }
+            Ok(None) => self.tell(ReaderEvent::Absent),
+            Err(error) => {
+                log::debug!("{error}");
+                self.tell(ReaderEvent::Failed)
+            }
+        }
+    }
+
+    fn publish(
+        &mut self,
+        body: Bytes,
+        offered: Result<Option<ConfigRecord>, OfferError>,
+    ) -> Option<ServiceCall> {
+        let record = match offered {
+            Ok(Some(record)) => record,
+            Ok(None) => return None,
             Err(error) => {
                 log::warn!("a configuration is not taken: {error}");
-                return;
+                return None;
             }
         };
-        self.sender.send_if_modified(|active| {
-            let current = active.as_ref().map(|active| active.generation);
-            if current >= Some(record.generation) {
-                return false;
-            }
-            let ConfigRecord { generation, document, .. } = record;
-            *active = Some(Arc::new(ActiveConfig { generation, body, document }));
-            true
-        });
+        log::info!("configuration generation {} is in force", record.generation);
+        let ConfigRecord { generation, document, .. } = record;
+        let active = ActiveConfig { generation, body, document };
+        self.sender.send_replace(Some(Arc::new(active)));
+        self.tell(ReaderEvent::Holding)
     }
 }
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -1,48 +1,69 @@
 //! Follows the platform's list of hosts.
 
+use crate::clock;
 use crate::platform::hosts::HostsClient;
 use crate::shared::HostsReceiver;
-use buckthornwharf_core::membership::HostRecord;
+use buckthornwharf_core::membership::{HostRecord, MembershipEvent, MembershipMerge};
 use buckthornwharf_core::prelude::*;
 use rand::RngExt;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
 
 const POLL_PERIOD: Duration = Duration::from_secs(1);
 
-/// Polls the list of hosts and publishes what the process believes of it.
+/// Polls the list of hosts and publishes it, merged with what links tell, when it changes.
 #[derive(Debug)]
 pub struct HostsFollower {
     client: HostsClient,
+    merge: MembershipMerge,
     sender: watch::Sender<Arc<Vec<HostRecord>>>,
 }
 
 impl HostsFollower {
     /// Starts to follow the list on this thread's runtime.
     pub fn start(client: HostsClient) -> HostsReceiver {
+        let (_, signs) = mpsc::unbounded_channel();
+        Self::start_with_signs(client, signs)
+    }
+
+    /// As [`HostsFollower::start`]; `signs` are what links tell of their peers.
+    pub fn start_with_signs(
+        client: HostsClient,
+        signs: mpsc::UnboundedReceiver<MembershipEvent>,
+    ) -> HostsReceiver {
         let (sender, receiver) = watch::channel(Arc::default());
-        let follower = Self { client, sender };
-        actix_rt::spawn(follower.run());
+        let follower = Self { client, merge: MembershipMerge::default(), sender };
+        actix_rt::spawn(follower.run(signs));
         receiver
     }
 
-    async fn run(self) {
+    async fn run(mut self, mut signs: mpsc::UnboundedReceiver<MembershipEvent>) {
+        let mut poll_at = Instant::now();
         while !self.sender.is_closed() {
-            match self.client.list().await {
-                Ok(records) => self.publish(records),
-                Err(error) => log::debug!("{error}"),
+            tokio::select! {
+                Some(sign) = signs.recv() => self.take(sign),
+                () = tokio::time::sleep_until(poll_at) => {
+                    self.poll().await;
+                    let jitter = rand::rng().random_range(0.75..1.25);
+                    poll_at = Instant::now() + POLL_PERIOD.mul_f64(jitter);
+                }
             }
-            let jitter = rand::rng().random_range(0.75..1.25);
-            tokio::time::sleep(POLL_PERIOD.mul_f64(jitter)).await;
         }
     }
 
-    fn publish(&self, records: Vec<HostRecord>) {
-        self.sender.send_if_modified(|known| {
-            if **known == records {
-                return false;
+    async fn poll(&mut self) {
+        match self.client.list().await {
+            Ok(records) => self.take(MembershipEvent::List(records)),
+            Err(error) => {
+                log::debug!("{error}");
+                self.take(MembershipEvent::Tick);
             }
-            *known = Arc::new(records);
-            true
-        });
+        }
+    }
+
+    fn take(&mut self, event: MembershipEvent) {
+        if self.merge.on_event(clock::now(), event) {
+            self.sender.send_replace(self.merge.records().clone());
+        }
     }
 }
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -1,6 +1,5 @@
 //! The platform's interfaces, a thin module for each; docs/platform.md gives their shapes.
 
-pub mod clock;
 pub mod engine;
 pub mod hosts;
 pub mod http;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -1,6 +1,6 @@
 //! The client of the platform's key-value service.
 
-use crate::platform::clock;
+use crate::clock;
 use crate::platform::http::{HttpAnswer, HttpCall, HttpError};
 use awc::http::{Method, StatusCode};
 use base64::prelude::{BASE64_STANDARD, Engine};
