Start the entry and the agent from the command line

Cause: the traffic threads had no process round them. Ruled out: an administrative endpoint on the traffic thread, where a slow reader of chunks would delay requests. Before: 'not built yet'. Conclusion: the thin path is joined.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -5,3 +5,116 @@
 pub mod target;
 pub mod traffic;
 pub mod weights;
+
+use crate::admin::{self, ProcessStatus, json_response, text_response, with_type};
+use crate::follow::{ConfigFollower, FollowSettings, HostsFollower};
+use crate::link::LinkIdentity;
+use crate::metrics::AgentMetrics;
+use crate::platform::hosts::HostsClient;
+use crate::platform::kv::KvClient;
+use crate::process;
+use crate::settings::{AgentSettings, ProcessSettings};
+use crate::shared::{ConfigReceiver, GateControl, GateLoad, GatePosition};
+use actix_http::body::BoxBody;
+use actix_http::{Request, Response, StatusCode};
+use anyhow::{Context, Result};
+use buckthornwharf_core::membership::HostRole;
+use buckthornwharf_core::prelude::*;
+use rand::RngExt;
+use tokio::sync::{mpsc, watch};
+use traffic::TrafficParts;
+use weights::{ChunkAnswer, KeeperHandles, KeeperParts};
+
+/// Runs an agent until it is told to leave and every request has ended.
+///
+/// # Errors
+///
+/// Fails if an address cannot be used, or if a thread dies.
+pub fn run(settings: ProcessSettings) -> Result<()> {
+    let agent = settings.agent.clone().context("the settings have no `agent`")?;
+    process::run_control(control(settings, agent))
+}
+
+async fn control(settings: ProcessSettings, agent: AgentSettings) -> Result<()> {
+    let link = process::bind(agent.link)?;
+    let admin = process::bind(agent.admin)?;
+    let leaving = process::leave_signal()?;
+    println!("ready agent link={} admin={}", link.local_addr()?, admin.local_addr()?);
+    let metrics = AgentMetrics::new()?;
+    let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
+    let hosts = HostsFollower::start(HostsClient::new(settings.platform.hosts));
+    let follow = FollowSettings {
+        host: settings.host.clone(),
+        site: settings.site.clone(),
+        kv: KvClient::new(settings.platform.kv),
+    };
+    let config = ConfigFollower::start(follow, hosts.clone(), frame_receiver);
+    let (position_sender, position) = watch::channel(GatePosition::Closed);
+    let (load_sender, load) = watch::channel(GateLoad::default());
+    let gate = GateControl { position: position_sender, in_flight: load };
+    let parts = TrafficParts {
+        identity: LinkIdentity {
+            host: settings.host.clone(),
+            site: settings.site.clone(),
+            incarnation: HostIncarnation(rand::rng().random()),
+            key: settings.link_secret.key(),
+        },
+        settings: agent,
+        listener: link,
+        config: config.clone(),
+        config_frames: frame_sender,
+        position,
+        load: load_sender,
+        leaving: leaving.clone(),
+        metrics: metrics.clone(),
+    };
+    let traffic = process::start_traffic(move || traffic::run_traffic(parts));
+    let keeper = KeeperParts { settings: settings.clone(), config: config.clone(), hosts, gate };
+    let handles = weights::start(keeper);
+    let status = StatusSource { settings, config, leaving, metrics, handles };
+    admin::start_admin(admin, move |request| status.clone().answer(request))?;
+    process::join_traffic(traffic).await
+}
+
+/// Answers the administrative endpoint of an agent, which other agents ask for chunks.
+#[derive(Clone)]
+struct StatusSource {
+    settings: ProcessSettings,
+    config: ConfigReceiver,
+    leaving: watch::Receiver<bool>,
+    metrics: AgentMetrics,
+    handles: KeeperHandles,
+}
+
+impl StatusSource {
+    async fn answer(self, request: Request) -> Response<BoxBody> {
+        match request.path() {
+            "/status" => json_response(&self.status()),
+            "/metrics" => text_response(StatusCode::OK, self.metrics.process.render()),
+            path if path.starts_with("/weights/") => self.chunk(path).await,
+            _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
+        }
+    }
+
+    async fn chunk(&self, path: &str) -> Response<BoxBody> {
+        match self.handles.chunks.answer(path).await {
+            ChunkAnswer::Manifest(json) => with_type(StatusCode::OK, "application/json", json),
+            ChunkAnswer::Chunk(bytes) => {
+                with_type(StatusCode::OK, "application/octet-stream", bytes)
+            }
+            ChunkAnswer::NotHere => text_response(StatusCode::NOT_FOUND, "not here\n"),
+            ChunkAnswer::Busy => text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n"),
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        ProcessStatus {
+            host: self.settings.host.clone(),
+            site: self.settings.site.clone(),
+            role: HostRole::Agent,
+            generation: self.config.borrow().as_ref().map(|active| active.generation),
+            serving: *self.handles.serving.borrow(),
+            phase: admin::phase_of(&self.leaving),
+        }
+    }
+}
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -28,6 +28,7 @@
 }
 
 /// What the rest of the agent gets from the weights side.
+#[derive(Clone)]
 pub struct KeeperHandles {
     /// The version that the target confirmed to serve and that the gate is open for.
     pub serving: watch::Receiver<Option<VersionDigest>>,
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -2,7 +2,7 @@
 
 use crate::cmd::ExitStatus;
 use crate::settings::ProcessSettings;
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result};
 use bpaf::Bpaf;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -22,7 +22,8 @@
     ///
     /// [`ExitStatus::BadSettings`] if the settings are wrong.
     pub fn run(self) -> Result<ExitCode> {
-        let _settings = ProcessSettings::read(&self.settings).context(ExitStatus::BadSettings)?;
-        bail!("not built yet")
+        let settings = ProcessSettings::read(&self.settings).context(ExitStatus::BadSettings)?;
+        crate::entry::run(settings)?;
+        Ok(ExitCode::SUCCESS)
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod link;
 pub mod metrics;
 pub mod platform;
+pub mod process;
 pub mod settings;
 pub mod shared;
