--- /dev/null
+++ b/standin/src/call.rs
@@ -0,0 +1,167 @@
+//! One HTTP call as the stand-ins see it, and its answer.
+
+use actix_http::body::BoxBody;
+use actix_http::header::{CONTENT_TYPE, HeaderMap};
+use actix_http::{Method, Request, Response, StatusCode};
+use buckthornwharf_core::prelude::*;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+/// The answer to a call.
+pub type CallAnswer = Response<BoxBody>;
+
+/// A call with its whole body.
+#[derive(Debug)]
+pub struct HttpCall {
+    /// The method.
+    pub method: Method,
+    /// The path without the query; percent encoding is left as it is.
+    pub path: String,
+    /// The parameters of the query.
+    pub query: SortedTable<String, String>,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The caller's end of the connection.
+    pub peer: Option<SocketAddr>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// {status}: {text}
+#[derive(Debug, Clone, PartialEq, Eq, displaydoc::Display)]
+pub struct CallError {
+    /// The status of the answer.
+    pub status: StatusCode,
+    /// What was wrong.
+    pub text: String,
+}
+
+impl std::error::Error for CallError {}
+
+impl CallError {
+    /// An error with `status` that says `text`.
+    pub fn new(status: StatusCode, text: impl Into<String>) -> Self {
+        Self { status, text: text.into() }
+    }
+
+    /// An error of the caller: status 400.
+    pub fn bad(text: impl Into<String>) -> Self {
+        Self::new(StatusCode::BAD_REQUEST, text)
+    }
+
+    /// An unknown path or row: status 404.
+    pub fn absent(text: impl Into<String>) -> Self {
+        Self::new(StatusCode::NOT_FOUND, text)
+    }
+}
+
+impl From<CallError> for CallAnswer {
+    fn from(error: CallError) -> Self {
+        let body = serde_json::json!({ "error": error.text });
+        json_answer(error.status, &body)
+    }
+}
+
+impl HttpCall {
+    /// Reads `request` whole.
+    ///
+    /// # Errors
+    ///
+    /// 413 where the body is longer than `max_body_bytes`, 400 where it breaks off.
+    pub async fn read(mut request: Request, max_body_bytes: usize) -> Result<Self, CallError> {
+        let body = read_body(&mut request, max_body_bytes).await?;
+        let query = parse_query(request.uri().query().unwrap_or_default());
+        Ok(Self {
+            method: request.method().clone(),
+            path: request.path().to_owned(),
+            query,
+            headers: request.head().headers().clone(),
+            peer: request.peer_addr(),
+            body,
+        })
+    }
+
+    /// The header `name` as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// The header `name` parsed; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// 400 if it does not parse.
+    pub fn parsed_header<T: FromStr>(&self, name: &str) -> Result<Option<T>, CallError> {
+        let Some(text) = self.header(name) else { return Ok(None) };
+        let value = text.parse().map_err(|_| CallError::bad(format!("bad header {name}")))?;
+        Ok(Some(value))
+    }
+
+    /// The query parameter `name` parsed; none if it is absent.
+    ///
+    /// # Errors
+    ///
+    /// 400 if it does not parse.
+    pub fn parsed_query<T: FromStr>(&self, name: &str) -> Result<Option<T>, CallError> {
+        let Some(text) = self.query.get(name) else { return Ok(None) };
+        let value = text.parse().map_err(|_| CallError::bad(format!("bad parameter {name}")))?;
+        Ok(Some(value))
+    }
+
+    /// The body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// 400 with the line and column where it does not parse.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, CallError> {
+        serde_json::from_slice(&self.body).map_err(|error| CallError::bad(error.to_string()))
+    }
+}
+
+async fn read_body(request: &mut Request, max_body_bytes: usize) -> Result<Bytes, CallError> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    while let Some(part) = payload.next().await {
+        let part = part.map_err(|error| CallError::bad(error.to_string()))?;
+        if body.len() + part.len() > max_body_bytes {
+            let text = format!("the body is longer than {max_body_bytes} bytes");
+            return Err(CallError::new(StatusCode::PAYLOAD_TOO_LARGE, text));
+        }
+        body.extend_from_slice(&part);
+    }
+    Ok(body.freeze())
+}
+
+fn parse_query(query: &str) -> SortedTable<String, String> {
+    let pairs = query.split('&').filter(|pair| !pair.is_empty());
+    let rows = pairs.map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+    rows.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
+}
+
+/// An answer with `value` as JSON.
+pub fn json_answer<T: Serialize>(status: StatusCode, value: &T) -> CallAnswer {
+    let body = match serde_json::to_vec(value) {
+        Ok(body) => body,
+        Err(error) => {
+            log::error!("an answer is not serialisable: {error}");
+            return Response::new(StatusCode::INTERNAL_SERVER_ERROR);
+        }
+    };
+    let mut answer = Response::build(status);
+    answer.insert_header((CONTENT_TYPE, "application/json"));
+    answer.body(body).map_into_boxed_body()
+}
+
+/// An answer 200 with `value` as JSON.
+pub fn json_ok<T: Serialize>(value: &T) -> Result<CallAnswer, CallError> {
+    Ok(json_answer(StatusCode::OK, value))
+}
+
+/// The error for a method and path that the role does not know.
+pub fn unknown_call(call: &HttpCall) -> CallError {
+    CallError::absent(format!("no such call: {} {}", call.method, call.path))
+}
--- /dev/null
+++ b/standin/src/engine/chat.rs
@@ -0,0 +1,125 @@
+//! The JSON of chat completions.
+
+use crate::call::CallError;
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+/// Tokens of an answer where the caller names no number.
+const DEFAULT_MAX_TOKENS: u32 = 16;
+/// Most tokens of an answer.
+const MAX_TOKENS: u32 = 1 << 16;
+
+/// A request for a chat completion; unknown fields are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct ChatRequest {
+    /// Digest of a loaded version, or any other name for the version loaded last.
+    #[serde(default)]
+    pub model: String,
+    /// The messages; together they are the prompt.
+    pub messages: Vec<ChatMessage>,
+    /// Tokens of the answer.
+    #[serde(default)]
+    pub max_tokens: Option<u32>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// A message of a chat.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What is said.
+    pub content: String,
+}
+
+/// Why an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum FinishReason {
+    /// All tokens were generated.
+    Length,
+    /// The request was cancelled.
+    Abort,
+}
+
+impl ChatRequest {
+    /// The prompt: the contents of the messages, one a line.
+    pub fn prompt(&self) -> String {
+        let contents: Vec<&str> =
+            self.messages.iter().map(|message| message.content.as_str()).collect();
+        contents.join("\n")
+    }
+
+    /// Tokens of the answer.
+    ///
+    /// # Errors
+    ///
+    /// 400 over the limit of the engine.
+    pub fn answer_tokens(&self) -> Result<u32, CallError> {
+        let tokens = self.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        if tokens > MAX_TOKENS {
+            return Err(CallError::bad(format!("max_tokens is over {MAX_TOKENS}")));
+        }
+        Ok(tokens)
+    }
+}
+
+/// The fixed part of each object of one answer.
+#[derive(Debug, Clone)]
+pub struct ChatLabel {
+    /// The id of the answer.
+    pub id: String,
+    /// The model as the caller named it.
+    pub model: String,
+    /// The digest of the weights that generate the answer.
+    pub fingerprint: VersionDigest,
+}
+
+impl ChatLabel {
+    /// The object of a streamed answer that carries `content`.
+    pub fn token_chunk(&self, content: &str) -> Value {
+        self.chunk(&json!({ "role": "assistant", "content": content }), None)
+    }
+
+    /// The last object of a streamed answer.
+    pub fn last_chunk(&self, reason: FinishReason) -> Value {
+        self.chunk(&json!({}), Some(reason))
+    }
+
+    fn chunk(&self, delta: &Value, reason: Option<FinishReason>) -> Value {
+        let reason: Option<&str> = reason.map(FinishReason::into);
+        json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "created": 0,
+            "model": self.model,
+            "system_fingerprint": self.fingerprint,
+            "choices": [{ "index": 0, "delta": delta, "finish_reason": reason }],
+        })
+    }
+
+    /// The object of an answer that is not streamed.
+    pub fn completion(&self, content: &str, tokens: u32, reason: FinishReason) -> Value {
+        let reason: &str = reason.into();
+        json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": 0,
+            "model": self.model,
+            "system_fingerprint": self.fingerprint,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": content },
+                "finish_reason": reason,
+            }],
+            "usage": {
+                "prompt_tokens": 0,
+                "completion_tokens": tokens,
+                "total_tokens": tokens,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/standin/src/engine/run.rs
@@ -0,0 +1,148 @@
+//! The run of one request in the batch.
+
+use super::EngineService;
+use super::answer::token_text;
+use super::chat::{ChatLabel, FinishReason};
+use super::registry::RegisteredRequest;
+use super::slots::SlotPermit;
+use crate::call::{CallAnswer, CallError, json_ok};
+use actix_http::body::BodyStream;
+use actix_http::header::CONTENT_TYPE;
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use std::convert::Infallible;
+use std::future::pending;
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// The status of an answer that was cancelled before it began.
+const STATUS_CANCELLED: u16 = 499;
+
+/// What the engine did next.
+enum RunStep {
+    Token(String),
+    End(FinishReason),
+}
+
+/// A request in the batch. When it is dropped, its slot is free and its id is forgotten.
+pub struct AnswerRun {
+    engine: Rc<EngineService>,
+    label: ChatLabel,
+    prompt: String,
+    tokens: u32,
+    next: u32,
+    is_ended: bool,
+    request: RegisteredRequest,
+    _permit: SlotPermit,
+}
+
+impl AnswerRun {
+    /// Starts the run.
+    pub fn new(
+        engine: Rc<EngineService>,
+        label: ChatLabel,
+        prompt: String,
+        tokens: u32,
+        request: RegisteredRequest,
+        permit: SlotPermit,
+    ) -> Self {
+        engine.running.set(engine.running.get() + 1);
+        Self { engine, label, prompt, tokens, next: 0, is_ended: false, request, _permit: permit }
+    }
+
+    /// Generates the whole answer, then sends it.
+    ///
+    /// # Errors
+    ///
+    /// 499 where the request is cancelled.
+    pub async fn answer_whole(mut self) -> Result<CallAnswer, CallError> {
+        let mut content = String::new();
+        loop {
+            match self.step().await {
+                RunStep::Token(token) => content.push_str(&token),
+                RunStep::End(FinishReason::Abort) => {
+                    return Err(cancelled_error());
+                }
+                RunStep::End(reason) => {
+                    return json_ok(&self.label.completion(&content, self.tokens, reason));
+                }
+            }
+        }
+    }
+
+    /// Sends each token as a server-sent event.
+    pub fn answer_streamed(self) -> CallAnswer {
+        let events = unfold(Some(self), |run| async {
+            let mut run = run?;
+            Some(match run.step().await {
+                RunStep::Token(token) => {
+                    let event = format!("data: {}\n\n", run.label.token_chunk(&token));
+                    (Ok::<_, Infallible>(Bytes::from(event)), Some(run))
+                }
+                RunStep::End(reason) => {
+                    let last = run.label.last_chunk(reason);
+                    let event = format!("data: {last}\n\ndata: [DONE]\n\n");
+                    (Ok(Bytes::from(event)), None)
+                }
+            })
+        });
+        let mut answer = Response::build(StatusCode::OK);
+        answer.insert_header((CONTENT_TYPE, "text/event-stream"));
+        let body = BodyStream::new(Box::pin(events));
+        match answer.message_body(body) {
+            Ok(answer) => answer.map_into_boxed_body(),
+            Err(_) => Response::new(StatusCode::INTERNAL_SERVER_ERROR),
+        }
+    }
+
+    async fn step(&mut self) -> RunStep {
+        if self.next >= self.tokens {
+            return self.end(FinishReason::Length);
+        }
+        tokio::select! {
+            () = self.request.cancelled() => self.end(FinishReason::Abort),
+            () = self.engine.generate_token(self.next) => {
+                let token = token_text(&self.prompt, self.next);
+                self.next += 1;
+                RunStep::Token(token)
+            }
+        }
+    }
+
+    fn end(&mut self, reason: FinishReason) -> RunStep {
+        self.is_ended = reason == FinishReason::Length;
+        RunStep::End(reason)
+    }
+}
+
+/// The answer to a request that was cancelled before its answer began.
+pub fn cancelled_error() -> CallError {
+    let status = StatusCode::from_u16(STATUS_CANCELLED).unwrap_or(StatusCode::BAD_REQUEST);
+    CallError::new(status, "the request was cancelled")
+}
+
+impl Drop for AnswerRun {
+    fn drop(&mut self) {
+        let engine = &self.engine;
+        engine.running.set(engine.running.get() - 1);
+        let ends = if self.is_ended { &engine.completed } else { &engine.broken_off };
+        ends.set(ends.get() + 1);
+    }
+}
+
+impl EngineService {
+    async fn generate_token(&self, index: u32) {
+        let (stalls, gap) = {
+            let switches = self.switches.borrow();
+            (switches.stalls_at(index), switches.token_gap())
+        };
+        if stalls {
+            pending::<()>().await;
+        }
+        if !gap.is_zero() {
+            sleep(gap).await;
+        }
+        self.tokens.set(self.tokens.get() + 1);
+    }
+}
--- /dev/null
+++ b/standin/src/fleet/wait.rs
@@ -0,0 +1,28 @@
+//! Waits on conditions.
+
+use anyhow::{Result, bail};
+use buckthornwharf_core::prelude::*;
+use tokio::time::{Instant, sleep};
+
+/// Pause between two looks at a condition.
+pub const POLL_PACE: Duration = Duration::from_millis(20);
+
+/// Waits until `condition` holds.
+///
+/// # Errors
+///
+/// Names `what` if it does not hold within `limit`.
+pub async fn wait_until(
+    what: &str,
+    limit: Duration,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Result<()> {
+    let end = Instant::now() + limit;
+    while !condition().await {
+        if Instant::now() >= end {
+            bail!("not within {limit:?}: {what}");
+        }
+        sleep(POLL_PACE).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standin/src/hosts.rs
@@ -0,0 +1,135 @@
+//! The lagging list of hosts.
+
+use crate::call::{CallAnswer, CallError, HttpCall, json_ok, unknown_call};
+use crate::outage::OutageMode;
+use crate::server::StandinRole;
+use crate::switches::patch_switches;
+use actix_http::Method;
+use buckthornwharf_core::membership::HostRecord;
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Instant;
+
+/// Most changes that are kept apart for the lag; older ones are seen by every reader.
+const MAX_CHANGES: usize = 1 << 16;
+/// Longest lag; older changes are seen by every reader.
+const MAX_LAG: Duration = Duration::from_secs(600);
+
+/// Fault switches of the list of hosts.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostsSwitches {
+    /// An outage of all reads.
+    pub down: OutageMode,
+    /// Milliseconds by which reads lag behind changes, at most ten minutes.
+    pub lag_ms: u64,
+    /// Whether reads show an empty list.
+    pub empty: bool,
+}
+
+#[derive(Debug)]
+struct HostChange {
+    at: Instant,
+    name: HostName,
+    record: Option<HostRecord>,
+}
+
+/// The list of hosts.
+#[derive(Debug, Default)]
+pub struct HostsService {
+    oldest: RefCell<SortedTable<HostName, HostRecord>>,
+    changes: RefCell<VecDeque<HostChange>>,
+    switches: RefCell<HostsSwitches>,
+    reads: Cell<u64>,
+}
+
+impl HostsService {
+    /// A service without hosts.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self::default())
+    }
+
+    async fn list(&self) -> Result<CallAnswer, CallError> {
+        self.reads.set(self.reads.get() + 1);
+        let switches = self.switches.borrow().clone();
+        switches.down.pass().await?;
+        if switches.empty {
+            return json_ok(&Vec::<HostRecord>::new());
+        }
+        let lag = Duration::from_millis(switches.lag_ms).min(MAX_LAG);
+        let hosts = self.hosts_before(Instant::now().checked_sub(lag));
+        json_ok(&hosts.values().collect::<Vec<_>>())
+    }
+
+    fn hosts_before(&self, until: Option<Instant>) -> SortedTable<HostName, HostRecord> {
+        let mut hosts = self.oldest.borrow().clone();
+        let changes = self.changes.borrow();
+        let seen = changes.iter().filter(|change| until.is_some_and(|until| change.at <= until));
+        seen.for_each(|change| change.apply(&mut hosts));
+        hosts
+    }
+
+    fn set(&self, name: &str, record: Option<HostRecord>) {
+        let change = HostChange { at: Instant::now(), name: HostName::from(name), record };
+        self.changes.borrow_mut().push_back(change);
+        self.fold_old_changes();
+    }
+
+    fn fold_old_changes(&self) {
+        let mut changes = self.changes.borrow_mut();
+        let mut oldest = self.oldest.borrow_mut();
+        while let Some(change) = changes.front()
+            && (changes.len() > MAX_CHANGES || change.at.elapsed() > MAX_LAG)
+        {
+            change.apply(&mut oldest);
+            changes.pop_front();
+        }
+    }
+}
+
+impl HostChange {
+    fn apply(&self, hosts: &mut SortedTable<HostName, HostRecord>) {
+        match &self.record {
+            Some(record) => hosts.insert(self.name.clone(), record.clone()),
+            None => hosts.remove(&self.name),
+        };
+    }
+}
+
+impl StandinRole for HostsService {
+    const NAME: &'static str = "hosts";
+    const MAX_BODY_BYTES: usize = 64 * 1024;
+
+    async fn answer(self: Rc<Self>, call: HttpCall) -> Result<CallAnswer, CallError> {
+        if call.path == "/v1/hosts" && call.method == Method::GET {
+            return self.list().await;
+        }
+        let Some(name) = call.path.strip_prefix("/v1/hosts/") else {
+            return Err(unknown_call(&call));
+        };
+        match call.method {
+            Method::PUT => {
+                let record: HostRecord = call.json()?;
+                if record.name.as_str() != name {
+                    return Err(CallError::bad("the record has another name than the path"));
+                }
+                self.set(name, Some(record));
+            }
+            Method::DELETE => self.set(name, None),
+            _ => return Err(unknown_call(&call)),
+        }
+        json_ok(&Value::Bool(true))
+    }
+
+    fn patch_switches(&self, patch: &[u8]) -> Result<(), CallError> {
+        patch_switches(&mut *self.switches.borrow_mut(), patch)
+    }
+
+    fn counts(&self) -> Value {
+        json!({ "reads": self.reads.get() })
+    }
+}
--- /dev/null
+++ b/standin/src/kv.rs
@@ -0,0 +1,384 @@
+//! The key-value service: compare-and-swap, sessions and watches, after Consul's HTTP API.
+
+mod counts;
+mod table;
+
+pub use counts::KvCounts;
+pub use table::{KvRow, KvTable, ReadView, SessionBehavior};
+
+use crate::call::{CallAnswer, CallError, HttpCall, json_answer, json_ok, unknown_call};
+use crate::outage::OutageMode;
+use crate::server::{ConnectionTable, StandinRole};
+use crate::switches::patch_switches;
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use buckthornwharf_core::prelude::*;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::future::pending;
+use std::rc::Rc;
+use std::time::Instant;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Most bytes of a value.
+pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+/// How long a watch waits where it names no time.
+const DEFAULT_WAIT: Duration = Duration::from_secs(300);
+/// Longest wait of a watch.
+const MAX_WAIT: Duration = Duration::from_secs(600);
+/// How often lapsed sessions are looked for.
+const LAPSE_PACE: Duration = Duration::from_millis(20);
+const INDEX_HEADER: HeaderName = HeaderName::from_static("x-consul-index");
+
+/// What becomes of an answer that is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LossMode {
+    /// The connection is closed.
+    #[default]
+    Close,
+    /// The connection stays open and silent.
+    Stall,
+}
+
+/// Fault switches of the key-value service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct KvSwitches {
+    /// An outage of all calls.
+    pub down: OutageMode,
+    /// Milliseconds by which each call is delayed before it takes effect.
+    pub slow_ms: u64,
+    /// How many of the next writes take effect without an answer.
+    pub lose_answers: u32,
+    /// What becomes of these answers.
+    pub loss: LossMode,
+    /// Whether reads show each key as it was before its last write.
+    pub stale_reads: bool,
+}
+
+/// The key-value service.
+pub struct KvService {
+    table: RefCell<KvTable>,
+    switches: RefCell<KvSwitches>,
+    counts: RefCell<KvCounts>,
+    changed: watch::Sender<()>,
+    connections: ConnectionTable,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct SessionRequest {
+    #[serde(rename = "TTL")]
+    ttl: Option<String>,
+    behavior: Option<String>,
+}
+
+impl KvService {
+    /// A service without rows, and the task that lets its sessions lapse.
+    pub fn start(connections: ConnectionTable) -> Rc<Self> {
+        let service = Rc::new(Self {
+            table: RefCell::default(),
+            switches: RefCell::default(),
+            counts: RefCell::default(),
+            changed: watch::Sender::new(()),
+            connections,
+        });
+        actix_rt::spawn(service.clone().lapse_sessions());
+        service
+    }
+
+    async fn lapse_sessions(self: Rc<Self>) {
+        loop {
+            sleep(LAPSE_PACE).await;
+            self.lapse_now();
+        }
+    }
+
+    fn lapse_now(&self) {
+        let lapsed = self.table.borrow_mut().lapse_sessions(Instant::now());
+        if lapsed > 0 {
+            self.counts.borrow_mut().session_lapsed += lapsed as u64;
+            self.changed.send_replace(());
+        }
+    }
+
+    async fn pass_faults(&self) -> Result<(), CallError> {
+        let down = self.switches.borrow().down;
+        down.pass().await?;
+        let slow_ms = self.switches.borrow().slow_ms;
+        if slow_ms > 0 {
+            sleep(Duration::from_millis(slow_ms)).await;
+        }
+        self.lapse_now();
+        Ok(())
+    }
+
+    fn view(&self) -> ReadView {
+        match self.switches.borrow().stale_reads {
+            true => ReadView::Previous,
+            false => ReadView::Present,
+        }
+    }
+
+    async fn read(&self, key: &str, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        let is_list = call.query.contains_key("recurse");
+        let index: Option<u64> = call.parsed_query("index")?;
+        self.count_read(is_list, index.is_some());
+        self.pass_faults().await?;
+        if let Some(index) = index.filter(|index| *index > 0) {
+            self.wait_beyond(key, is_list, index, read_wait(call)?).await;
+            let down = self.switches.borrow().down;
+            down.pass().await?;
+        }
+        self.answer_read(key, is_list)
+    }
+
+    fn count_read(&self, is_list: bool, is_watch: bool) {
+        let mut counts = self.counts.borrow_mut();
+        counts.total += 1;
+        match (is_watch, is_list) {
+            (true, _) => counts.watch += 1,
+            (false, true) => counts.list += 1,
+            (false, false) => counts.get += 1,
+        }
+    }
+
+    async fn wait_beyond(&self, key: &str, is_list: bool, index: u64, wait: Duration) {
+        let _waiting = WaitingGuard::new(&self.counts);
+        let mut changed = self.changed.subscribe();
+        let beyond = async {
+            while self.is_up() && self.read_index(key, is_list) <= index {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = timeout(wait, beyond).await;
+    }
+
+    fn is_up(&self) -> bool {
+        self.switches.borrow().down == OutageMode::Off
+    }
+
+    fn read_index(&self, key: &str, is_list: bool) -> u64 {
+        let table = self.table.borrow();
+        match is_list {
+            true => table.list(key, self.view()).1,
+            false => table.get(key, self.view()).1,
+        }
+    }
+
+    fn answer_read(&self, key: &str, is_list: bool) -> Result<CallAnswer, CallError> {
+        let table = self.table.borrow();
+        let (rows, index) = match is_list {
+            true => table.list(key, self.view()),
+            false => {
+                let (row, index) = table.get(key, self.view());
+                (row.map(|row| (key, row)).into_iter().collect(), index)
+            }
+        };
+        let status = if rows.is_empty() { StatusCode::NOT_FOUND } else { StatusCode::OK };
+        let rows: Vec<Value> = rows.into_iter().map(|(key, row)| encode_row(key, row)).collect();
+        let mut answer = json_answer(status, &rows);
+        answer.headers_mut().insert(INDEX_HEADER, HeaderValue::from(index));
+        Ok(answer)
+    }
+
+    async fn write(
+        &self,
+        call: &HttpCall,
+        write: impl FnOnce(&mut KvTable) -> Value,
+    ) -> Result<CallAnswer, CallError> {
+        self.counts.borrow_mut().total += 1;
+        self.pass_faults().await?;
+        let result = write(&mut self.table.borrow_mut());
+        self.changed.send_replace(());
+        if let Some(loss) = self.take_loss() {
+            self.lose_answer(call, loss).await;
+        }
+        json_ok(&result)
+    }
+
+    fn take_loss(&self) -> Option<LossMode> {
+        let mut switches = self.switches.borrow_mut();
+        switches.lose_answers = switches.lose_answers.checked_sub(1)?;
+        self.counts.borrow_mut().lost_answers += 1;
+        Some(switches.loss)
+    }
+
+    async fn lose_answer(&self, call: &HttpCall, loss: LossMode) {
+        match loss {
+            LossMode::Close => {
+                self.connections.cut(call).await;
+            }
+            LossMode::Stall => pending().await,
+        }
+    }
+
+    async fn put(&self, key: &str, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        let value = call.body.clone();
+        if let Some(session) = call.query.get("acquire") {
+            self.counts.borrow_mut().acquire += 1;
+            return self.write(call, |table| table.acquire(key, value, session).into()).await;
+        }
+        if let Some(session) = call.query.get("release") {
+            self.counts.borrow_mut().release += 1;
+            return self.write(call, |table| table.release(key, session).into()).await;
+        }
+        let cas: Option<u64> = call.parsed_query("cas")?;
+        self.count_put(cas.is_some());
+        self.write(call, |table| table.put(key, value, cas).into()).await
+    }
+
+    fn count_put(&self, is_cas: bool) {
+        let mut counts = self.counts.borrow_mut();
+        match is_cas {
+            true => counts.cas += 1,
+            false => counts.put += 1,
+        }
+    }
+
+    async fn delete(&self, key: &str, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        let cas: Option<u64> = call.parsed_query("cas")?;
+        self.counts.borrow_mut().delete += 1;
+        self.write(call, |table| table.delete(key, cas).into()).await
+    }
+
+    async fn create_session(&self, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        let request: SessionRequest = match call.body.is_empty() {
+            true => SessionRequest { ttl: None, behavior: None },
+            false => call.json()?,
+        };
+        let ttl = request.ttl.as_deref().map(parse_span).transpose()?;
+        let behavior = parse_behavior(request.behavior.as_deref())?;
+        self.counts.borrow_mut().session_create += 1;
+        let id = format!("{:032x}", rand::random::<u128>());
+        self.write(call, |table| {
+            table.open_session(id.clone(), ttl, behavior, Instant::now());
+            json!({ "ID": id })
+        })
+        .await
+    }
+
+    async fn renew_session(&self, id: &str, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        self.counts.borrow_mut().session_renew += 1;
+        let mut is_known = false;
+        let answer = self
+            .write(call, |table| {
+                is_known = table.renew_session(id, Instant::now());
+                json!([{ "ID": id }])
+            })
+            .await?;
+        match is_known {
+            true => Ok(answer),
+            false => Err(CallError::absent(format!("no session {id}"))),
+        }
+    }
+
+    async fn destroy_session(&self, id: &str, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        self.counts.borrow_mut().session_destroy += 1;
+        self.write(call, |table| {
+            table.close_session(id);
+            Value::Bool(true)
+        })
+        .await
+    }
+}
+
+impl StandinRole for KvService {
+    const NAME: &'static str = "kv";
+    const MAX_BODY_BYTES: usize = MAX_VALUE_BYTES;
+
+    async fn answer(self: Rc<Self>, call: HttpCall) -> Result<CallAnswer, CallError> {
+        if let Some(key) = call.path.strip_prefix("/v1/kv/") {
+            return match call.method {
+                Method::GET => self.read(key, &call).await,
+                Method::PUT => self.put(key, &call).await,
+                Method::DELETE => self.delete(key, &call).await,
+                _ => Err(unknown_call(&call)),
+            };
+        }
+        let Some(order) = call.path.strip_prefix("/v1/session/") else {
+            return Err(unknown_call(&call));
+        };
+        match order.split_once('/').unwrap_or((order, "")) {
+            _ if call.method != Method::PUT => Err(unknown_call(&call)),
+            ("create", "") => self.create_session(&call).await,
+            ("renew", id) => self.renew_session(id, &call).await,
+            ("destroy", id) => self.destroy_session(id, &call).await,
+            _ => Err(unknown_call(&call)),
+        }
+    }
+
+    fn patch_switches(&self, patch: &[u8]) -> Result<(), CallError> {
+        patch_switches(&mut *self.switches.borrow_mut(), patch)?;
+        self.changed.send_replace(());
+        Ok(())
+    }
+
+    fn counts(&self) -> Value {
+        let mut counts = self.counts.borrow().clone();
+        counts.open_sessions = self.table.borrow().session_count() as u64;
+        json!(counts)
+    }
+}
+
+/// Counts a watch as waiting for as long as it lives, also when its call is dropped.
+struct WaitingGuard<'a> {
+    counts: &'a RefCell<KvCounts>,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn new(counts: &'a RefCell<KvCounts>) -> Self {
+        counts.borrow_mut().waiting_watches += 1;
+        Self { counts }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.counts.borrow_mut().waiting_watches -= 1;
+    }
+}
+
+fn encode_row(key: &str, row: &KvRow) -> Value {
+    json!({
+        "Key": key,
+        "Value": STANDARD.encode::<&Bytes>(&row.value),
+        "CreateIndex": row.create_index,
+        "ModifyIndex": row.modify_index,
+        "Session": row.session,
+    })
+}
+
+fn read_wait(call: &HttpCall) -> Result<Duration, CallError> {
+    let Some(text) = call.query.get("wait") else { return Ok(DEFAULT_WAIT) };
+    Ok(parse_span(text)?.min(MAX_WAIT))
+}
+
+/// A span such as `10s`, `250ms` or `5m`.
+fn parse_span(text: &str) -> Result<Duration, CallError> {
+    let bad = || CallError::bad(format!("bad duration {text:?}: a number with ms, s or m"));
+    let digits = text.find(|c: char| !c.is_ascii_digit()).ok_or_else(bad)?;
+    let number: u32 = text[..digits].parse().map_err(|_| bad())?;
+    match &text[digits..] {
+        "ms" => Ok(Duration::from_millis(number.into())),
+        "s" => Ok(Duration::from_secs(number.into())),
+        "m" => Ok(Duration::from_secs(u64::from(number) * 60)),
+        _ => Err(bad()),
+    }
+}
+
+fn parse_behavior(text: Option<&str>) -> Result<SessionBehavior, CallError> {
+    match text {
+        None | Some("release") => Ok(SessionBehavior::Release),
+        Some("delete") => Ok(SessionBehavior::Delete),
+        Some(other) => Err(CallError::bad(format!("bad Behavior {other:?}: release or delete"))),
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,128 @@
-//! The stand-ins' program.
+//! The stand-ins' program: plays one role of the platform or one target.
 
-fn main() {}
+use anyhow::Result;
+use bpaf::{Bpaf, Parser};
+use buckthornwharf_standin::engine::{EngineOptions, EngineService, EngineSwitches};
+use buckthornwharf_standin::hosts::HostsService;
+use buckthornwharf_standin::kv::KvService;
+use buckthornwharf_standin::plain::PlainService;
+use buckthornwharf_standin::server::{ConnectionTable, serve_role};
+use buckthornwharf_standin::store::StoreService;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Plays one part of the platform, or a target, on an HTTP address.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum StandinCommand {
+    /// The key-value service.
+    #[bpaf(command)]
+    Kv {
+        #[bpaf(external)]
+        listen: SocketAddr,
+    },
+    /// The list of hosts.
+    #[bpaf(command)]
+    Hosts {
+        #[bpaf(external)]
+        listen: SocketAddr,
+    },
+    /// The weight store and origin.
+    #[bpaf(command)]
+    Store {
+        #[bpaf(external)]
+        listen: SocketAddr,
+    },
+    /// A model engine.
+    #[bpaf(command)]
+    Engine {
+        #[bpaf(external)]
+        listen: SocketAddr,
+        #[bpaf(external)]
+        engine_arguments: EngineArguments,
+    },
+    /// A plain service.
+    #[bpaf(command)]
+    Plain {
+        #[bpaf(external)]
+        listen: SocketAddr,
+    },
+}
+
+/// What an engine is started with.
+#[derive(Debug, Clone, Bpaf)]
+struct EngineArguments {
+    /// Requests that are worked on at once.
+    #[bpaf(argument("NUMBER"), fallback(16), display_fallback)]
+    slots: u32,
+    /// Versions that are held at once.
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    holds: u32,
+    /// Refuse orders with an old fence.
+    checks_fence: bool,
+    /// Time before each token.
+    #[bpaf(argument("MILLISECONDS"), fallback(0), display_fallback)]
+    token_gap_ms: u64,
+    /// Time that a load takes.
+    #[bpaf(argument("MILLISECONDS"), fallback(0), display_fallback)]
+    load_ms: u64,
+}
+
+fn listen() -> impl Parser<SocketAddr> {
+    bpaf::long("listen")
+        .help("Address to listen on; port 0 takes a free one")
+        .argument::<SocketAddr>("ADDRESS")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .display_fallback()
+}
+
+fn main() -> Result<()> {
+    env_logger::init();
+    let command = standin_command().run();
+    actix_rt::System::new().block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        tokio::select! {
+            result = run_command(command) => result,
+            _ = terminate.recv() => Ok(()),
+        }
+    })
+}
+
+async fn run_command(command: StandinCommand) -> Result<()> {
+    let connections = ConnectionTable::default();
+    match command {
+        StandinCommand::Kv { listen } => {
+            let service = KvService::start(connections.clone());
+            serve_role(service, listen, connections).await
+        }
+        StandinCommand::Hosts { listen } => {
+            serve_role(HostsService::new(), listen, connections).await
+        }
+        StandinCommand::Store { listen } => {
+            serve_role(StoreService::new(), listen, connections).await
+        }
+        StandinCommand::Engine { listen, engine_arguments } => {
+            let service = start_engine(&engine_arguments, connections.clone());
+            serve_role(service, listen, connections).await
+        }
+        StandinCommand::Plain { listen } => {
+            let service = PlainService::new(connections.clone());
+            serve_role(service, listen, connections).await
+        }
+    }
+}
+
+fn start_engine(arguments: &EngineArguments, connections: ConnectionTable) -> Rc<EngineService> {
+    let options = EngineOptions {
+        slots: arguments.slots,
+        holds: arguments.holds,
+        checks_fence: arguments.checks_fence,
+    };
+    let switches = EngineSwitches {
+        token_gap_ms: arguments.token_gap_ms,
+        load_ms: arguments.load_ms,
+        ..EngineSwitches::default()
+    };
+    EngineService::start(options, switches, connections)
+}
--- /dev/null
+++ b/standin/src/plain.rs
@@ -0,0 +1,101 @@
+//! A plain service that echoes what it was asked and counts its runs.
+
+use crate::call::{CallAnswer, CallError, HttpCall, json_ok};
+use crate::runs::RunCounts;
+use crate::server::{ConnectionTable, StandinRole};
+use crate::switches::patch_switches;
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::future::pending;
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// When the connection of a call is closed without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DropMode {
+    /// Never.
+    #[default]
+    Off,
+    /// Before the run: it does not count.
+    Before,
+    /// After the run: it counts.
+    After,
+}
+
+/// Fault switches of a plain service.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlainSwitches {
+    /// Milliseconds from the run to the answer.
+    pub delay_ms: u64,
+    /// When connections are closed without an answer.
+    pub drop: DropMode,
+    /// Whether calls run and are never answered.
+    pub stall: bool,
+}
+
+/// The answer to any call.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlainEcho {
+    /// The method of the call.
+    pub method: String,
+    /// The path without the query.
+    pub path: String,
+    /// The body as text.
+    pub body: String,
+    /// The `X-Request-Id` of the call.
+    pub request_id: Option<String>,
+}
+
+/// A plain service.
+#[derive(Debug)]
+pub struct PlainService {
+    switches: RefCell<PlainSwitches>,
+    runs: RefCell<RunCounts>,
+    connections: ConnectionTable,
+}
+
+impl PlainService {
+    /// A service that cuts calls through `connections`.
+    pub fn new(connections: ConnectionTable) -> Rc<Self> {
+        Rc::new(Self { switches: RefCell::default(), runs: RefCell::default(), connections })
+    }
+}
+
+impl StandinRole for PlainService {
+    const NAME: &'static str = "plain";
+    const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+    async fn answer(self: Rc<Self>, call: HttpCall) -> Result<CallAnswer, CallError> {
+        let switches = self.switches.borrow().clone();
+        if switches.drop == DropMode::Before {
+            self.connections.cut(&call).await;
+        }
+        let echo = PlainEcho {
+            method: call.method.to_string(),
+            path: call.path.clone(),
+            body: String::from_utf8_lossy(&call.body).into_owned(),
+            request_id: call.header("x-request-id").map(str::to_owned),
+        };
+        self.runs.borrow_mut().add(echo.request_id.as_deref(), &echo.body);
+        if switches.drop == DropMode::After {
+            self.connections.cut(&call).await;
+        }
+        if switches.stall {
+            pending::<()>().await;
+        }
+        sleep(Duration::from_millis(switches.delay_ms)).await;
+        json_ok(&echo)
+    }
+
+    fn patch_switches(&self, patch: &[u8]) -> Result<(), CallError> {
+        patch_switches(&mut *self.switches.borrow_mut(), patch)
+    }
+
+    fn counts(&self) -> Value {
+        json!(*self.runs.borrow())
+    }
+}
--- /dev/null
+++ b/standin/src/runs.rs
@@ -0,0 +1,42 @@
+//! How often each request and each body was run.
+
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Most different ids or bodies that are counted one by one.
+const MAX_COUNTED: usize = 1 << 18;
+
+/// Runs since the start of the process.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunCounts {
+    /// All runs.
+    pub total: u64,
+    /// Runs by `X-Request-Id`; requests without one are in the total only.
+    pub by_request: SortedTable<String, u32>,
+    /// Runs by the text of the prompt or body.
+    pub by_text: SortedTable<String, u32>,
+    /// Runs that the tables had no room for.
+    pub uncounted: u64,
+}
+
+impl RunCounts {
+    /// Counts one run.
+    pub fn add(&mut self, request: Option<&str>, text: &str) {
+        self.total += 1;
+        let in_request = request.is_none_or(|request| add_one(&mut self.by_request, request));
+        let in_text = add_one(&mut self.by_text, text);
+        self.uncounted += u64::from(!in_request || !in_text);
+    }
+}
+
+fn add_one(table: &mut SortedTable<String, u32>, key: &str) -> bool {
+    if let Some(count) = table.get_mut(key) {
+        *count += 1;
+        return true;
+    }
+    if table.len() >= MAX_COUNTED {
+        return false;
+    }
+    table.insert(key.to_owned(), 1);
+    true
+}
--- /dev/null
+++ b/standin/src/store.rs
@@ -0,0 +1,219 @@
+//! The weight store and origin: manifests and chunks at a limited rate.
+
+mod counts;
+mod pacer;
+
+pub use counts::{ChunkCounts, StoreCounts};
+pub use pacer::RatePacer;
+
+use crate::call::{CallAnswer, CallError, HttpCall, json_ok, unknown_call};
+use crate::outage::OutageMode;
+use crate::server::StandinRole;
+use crate::switches::patch_switches;
+use actix_http::body::SizedStream;
+use actix_http::{Response, StatusCode};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::VersionManifest;
+use buckthornwharf_core::weights::manifest::{MAX_CHUNK_BYTES, hash_chunk};
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use futures_util::stream::try_unfold;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::RefCell;
+use std::future::pending;
+use std::io;
+use std::rc::Rc;
+
+/// Most bytes of all published chunks.
+const MAX_STORE_BYTES: usize = 1024 * 1024 * 1024;
+/// Bytes that are sent in one piece.
+const PIECE_BYTES: usize = 16 * 1024;
+/// Bytes of a chunk where the publisher names none.
+const DEFAULT_CHUNK_BYTES: u64 = 4 * 1024 * 1024;
+
+/// Fault switches of the weight store.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSwitches {
+    /// An outage of all reads.
+    pub down: OutageMode,
+    /// Bytes a second over all readers of chunks; zero is no limit.
+    pub bytes_per_second: u64,
+    /// How many of the next chunks are sent with a wrong byte.
+    pub corrupt: u32,
+    /// How many of the next chunks break off in the middle.
+    pub truncate: u32,
+    /// Whether chunks stop in the middle without an end.
+    pub stall: bool,
+}
+
+/// How one chunk is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendMode {
+    Whole,
+    Corrupt,
+    Truncate,
+    Stall,
+}
+
+/// The weight store.
+#[derive(Debug, Default)]
+pub struct StoreService {
+    manifests: RefCell<SortedTable<VersionDigest, VersionManifest>>,
+    chunks: RefCell<SortedTable<ChunkHash, Bytes>>,
+    switches: RefCell<StoreSwitches>,
+    counts: RefCell<StoreCounts>,
+    pacer: RatePacer,
+}
+
+impl StoreService {
+    /// A store without versions.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self::default())
+    }
+
+    fn publish(&self, call: &HttpCall) -> Result<CallAnswer, CallError> {
+        let chunk_bytes = call.parsed_query("chunk_bytes")?.unwrap_or(DEFAULT_CHUNK_BYTES);
+        if chunk_bytes == 0 || chunk_bytes > MAX_CHUNK_BYTES {
+            return Err(CallError::bad(format!("chunk_bytes is not in 1..={MAX_CHUNK_BYTES}")));
+        }
+        if self.stored_bytes() + call.body.len() > MAX_STORE_BYTES {
+            return Err(CallError::new(StatusCode::INSUFFICIENT_STORAGE, "the store is full"));
+        }
+        let manifest = VersionManifest::of_content(&call.body, chunk_bytes);
+        let digest = manifest.digest();
+        self.keep_chunks(&call.body, chunk_bytes as usize);
+        self.manifests.borrow_mut().insert(digest, manifest);
+        json_ok(&json!({ "digest": digest }))
+    }
+
+    fn stored_bytes(&self) -> usize {
+        self.chunks.borrow().values().map(Bytes::len).sum()
+    }
+
+    fn keep_chunks(&self, content: &Bytes, chunk_bytes: usize) {
+        let mut chunks = self.chunks.borrow_mut();
+        for start in (0..content.len()).step_by(chunk_bytes) {
+            let chunk = content.slice(start..content.len().min(start + chunk_bytes));
+            chunks.insert(hash_chunk(&chunk), chunk);
+        }
+    }
+
+    async fn manifest(&self, digest: &str) -> Result<CallAnswer, CallError> {
+        self.counts.borrow_mut().manifest_requests += 1;
+        let down = self.switches.borrow().down;
+        down.pass().await?;
+        let digest: VersionDigest = digest.parse().map_err(|_| CallError::bad("bad digest"))?;
+        let manifests = self.manifests.borrow();
+        let manifest =
+            manifests.get(&digest).ok_or_else(|| CallError::absent("no such version"))?;
+        json_ok(manifest)
+    }
+
+    async fn chunk(self: Rc<Self>, hash: &str) -> Result<CallAnswer, CallError> {
+        let hash: ChunkHash = hash.parse().map_err(|_| CallError::bad("bad hash"))?;
+        let chunk = self.chunks.borrow().get(&hash).cloned();
+        let chunk = chunk.ok_or_else(|| CallError::absent("no such chunk"))?;
+        self.counts.borrow_mut().add_request(hash);
+        let down = self.switches.borrow().down;
+        down.pass().await?;
+        let mode = self.take_mode();
+        Ok(self.send_chunk(hash, chunk, mode))
+    }
+
+    fn take_mode(&self) -> SendMode {
+        let mut switches = self.switches.borrow_mut();
+        if switches.stall {
+            return SendMode::Stall;
+        }
+        if let Some(rest) = switches.corrupt.checked_sub(1) {
+            switches.corrupt = rest;
+            return SendMode::Corrupt;
+        }
+        if let Some(rest) = switches.truncate.checked_sub(1) {
+            switches.truncate = rest;
+            return SendMode::Truncate;
+        }
+        SendMode::Whole
+    }
+
+    fn send_chunk(self: Rc<Self>, hash: ChunkHash, chunk: Bytes, mode: SendMode) -> CallAnswer {
+        let len = chunk.len() as u64;
+        let chunk = if mode == SendMode::Corrupt { corrupt(&chunk) } else { chunk };
+        let body = SizedStream::new(len, self.pieces(hash, chunk, mode));
+        Response::with_body(StatusCode::OK, body).map_into_boxed_body()
+    }
+
+    fn pieces(
+        self: Rc<Self>,
+        hash: ChunkHash,
+        chunk: Bytes,
+        mode: SendMode,
+    ) -> impl Stream<Item = io::Result<Bytes>> {
+        let middle = chunk.len() / 2;
+        try_unfold((self, chunk, 0), move |(store, chunk, sent)| async move {
+            if sent >= chunk.len() {
+                return Ok(None);
+            }
+            if sent >= middle {
+                break_off(mode).await?;
+            }
+            let piece = chunk.slice(sent..chunk.len().min(sent + PIECE_BYTES));
+            store.pace_piece(hash, piece.len()).await;
+            let sent = sent + piece.len();
+            Ok(Some((piece, (store, chunk, sent))))
+        })
+    }
+
+    async fn pace_piece(&self, hash: ChunkHash, bytes: usize) {
+        let rate = self.switches.borrow().bytes_per_second;
+        self.pacer.pass(bytes, rate).await;
+        self.counts.borrow_mut().add_bytes(hash, bytes as u64);
+    }
+}
+
+impl StandinRole for StoreService {
+    const NAME: &'static str = "store";
+    const MAX_BODY_BYTES: usize = MAX_STORE_BYTES;
+
+    async fn answer(self: Rc<Self>, call: HttpCall) -> Result<CallAnswer, CallError> {
+        match (call.method.as_str(), call.path.as_str()) {
+            ("PUT", "/v1/publish") => self.publish(&call),
+            ("GET", path) => {
+                if let Some(digest) = path.strip_prefix("/v1/manifests/") {
+                    return self.manifest(digest).await;
+                }
+                if let Some(hash) = path.strip_prefix("/v1/chunks/") {
+                    return self.clone().chunk(hash).await;
+                }
+                Err(unknown_call(&call))
+            }
+            _ => Err(unknown_call(&call)),
+        }
+    }
+
+    fn patch_switches(&self, patch: &[u8]) -> Result<(), CallError> {
+        patch_switches(&mut *self.switches.borrow_mut(), patch)
+    }
+
+    fn counts(&self) -> Value {
+        json!(*self.counts.borrow())
+    }
+}
+
+async fn break_off(mode: SendMode) -> io::Result<()> {
+    match mode {
+        SendMode::Whole | SendMode::Corrupt => Ok(()),
+        SendMode::Truncate => Err(io::ErrorKind::ConnectionAborted.into()),
+        SendMode::Stall => pending().await,
+    }
+}
+
+fn corrupt(chunk: &Bytes) -> Bytes {
+    let mut bytes = BytesMut::from(chunk.as_ref());
+    if let Some(byte) = bytes.last_mut() {
+        *byte ^= 1;
+    }
+    bytes.freeze()
+}
--- /dev/null
+++ b/standin/src/store/counts.rs
@@ -0,0 +1,40 @@
+//! Counters of the weight store.
+
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// Reads since the start.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreCounts {
+    /// Requests for manifests.
+    pub manifest_requests: u64,
+    /// Requests for chunks.
+    pub chunk_requests: u64,
+    /// Bytes of chunks that were sent.
+    pub chunk_bytes: u64,
+    /// Reads by chunk.
+    pub chunks: SortedTable<ChunkHash, ChunkCounts>,
+}
+
+/// Reads of one chunk.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkCounts {
+    /// Requests.
+    pub requests: u64,
+    /// Bytes that were sent.
+    pub bytes: u64,
+}
+
+impl StoreCounts {
+    /// Counts a request for `chunk`.
+    pub fn add_request(&mut self, chunk: ChunkHash) {
+        self.chunk_requests += 1;
+        self.chunks.get_or_insert_with(chunk, ChunkCounts::default).requests += 1;
+    }
+
+    /// Counts `bytes` of `chunk` as sent.
+    pub fn add_bytes(&mut self, chunk: ChunkHash, bytes: u64) {
+        self.chunk_bytes += bytes;
+        self.chunks.get_or_insert_with(chunk, ChunkCounts::default).bytes += bytes;
+    }
+}
--- /dev/null
+++ b/standin/src/store/pacer.rs
@@ -0,0 +1,30 @@
+//! A rate limit over all readers.
+
+use buckthornwharf_core::prelude::*;
+use std::cell::Cell;
+use tokio::time::{Instant, sleep_until};
+
+/// Lets bytes through at a rate; readers take turns in the order in which they ask.
+#[derive(Debug)]
+pub struct RatePacer {
+    next_free: Cell<Instant>,
+}
+
+impl Default for RatePacer {
+    fn default() -> Self {
+        Self { next_free: Cell::new(Instant::now()) }
+    }
+}
+
+impl RatePacer {
+    /// Waits until `bytes` have gone through at `bytes_per_second`; zero is no limit.
+    pub async fn pass(&self, bytes: usize, bytes_per_second: u64) {
+        if bytes_per_second == 0 {
+            return;
+        }
+        let span = Duration::from_secs_f64(bytes as f64 / bytes_per_second as f64);
+        let end = self.next_free.get().max(Instant::now()) + span;
+        self.next_free.set(end);
+        sleep_until(end).await;
+    }
+}
--- /dev/null
+++ b/standin/tests/kv.rs
@@ -0,0 +1,142 @@
+//! The key-value stand-in keeps its contract and brings about its faults.
+
+use anyhow::Result;
+use awc::http::Method;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_standin::fleet::{FleetClient, StandinProcess, StandinProgram, wait_until};
+use buckthornwharf_standin::kv::KvCounts;
+use serde_json::{Value, json};
+use std::path::Path;
+use tempfile::TempDir;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct KvFixture {
+    client: FleetClient,
+    kv: StandinProcess,
+    _folder: TempDir,
+}
+
+impl KvFixture {
+    async fn start() -> Result<Self> {
+        let folder = TempDir::new()?;
+        let program = Path::new(env!("CARGO_BIN_EXE_buckthornwharf-standin"));
+        let kv = StandinProgram::new(program, folder.path()).start("kv", "kv", &[]).await?;
+        Ok(Self { client: FleetClient::default(), kv, _folder: folder })
+    }
+
+    async fn put(&self, path: &str, body: &str) -> Result<Value> {
+        self.client.put(self.kv.address, path, body.to_owned()).await?.ok()?.json()
+    }
+
+    async fn row(&self, key: &str) -> Result<Value> {
+        let rows: Value =
+            self.client.get(self.kv.address, &format!("/v1/kv/{key}")).await?.json()?;
+        Ok(rows[0].clone())
+    }
+
+    async fn faults(&self, switches: &Value) -> Result<()> {
+        self.client.set_faults(self.kv.address, switches).await
+    }
+
+    async fn counts(&self) -> Result<KvCounts> {
+        self.client.counts(self.kv.address).await
+    }
+
+    async fn open_session(&self, ttl: &str) -> Result<String> {
+        let body = json!({ "TTL": ttl, "Behavior": "delete" }).to_string();
+        let answer = self.put("/v1/session/create", &body).await?;
+        Ok(answer["ID"].as_str().unwrap_or_default().to_owned())
+    }
+}
+
+#[actix_rt::test]
+async fn writes_only_on_the_expected_index() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    assert_eq!(fixture.put("/v1/kv/a?cas=0", "one").await?, json!(true));
+    assert_eq!(fixture.put("/v1/kv/a?cas=0", "two").await?, json!(false));
+    let index = fixture.row("a").await?["ModifyIndex"].as_u64().unwrap_or(0);
+    assert_eq!(fixture.put(&format!("/v1/kv/a?cas={index}"), "three").await?, json!(true));
+    assert_eq!(fixture.row("a").await?["Value"], json!("dGhyZWU="));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_watch_ends_with_the_next_write_and_counts_once() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    fixture.put("/v1/kv/a", "one").await?;
+    let index = fixture.row("a").await?["ModifyIndex"].clone();
+    let path = format!("/v1/kv/a?index={index}&wait=20s");
+    let (client, address) = (fixture.client.clone(), fixture.kv.address);
+    let watch = actix_rt::spawn(async move { client.get(address, &path).await });
+    let waits = async || fixture.counts().await.is_ok_and(|counts| counts.waiting_watches == 1);
+    wait_until("the watch waits", LIMIT, waits).await?;
+    fixture.put("/v1/kv/a", "two").await?;
+    let rows: Value = watch.await??.ok()?.json()?;
+    assert_eq!(rows[0]["Value"], json!("dHdv"));
+    let counts = fixture.counts().await?;
+    assert_eq!((counts.watch, counts.waiting_watches, counts.put, counts.get), (1, 0, 2, 1));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_leaves_its_write_in_force() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    fixture.faults(&json!({ "lose_answers": 1 })).await?;
+    assert!(fixture.put("/v1/kv/a?cas=0", "one").await.is_err());
+    assert_eq!(fixture.row("a").await?["Value"], json!("b25l"));
+    assert_eq!(fixture.put("/v1/kv/b?cas=0", "two").await?, json!(true));
+    assert_eq!(fixture.counts().await?.lost_answers, 1);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_session_that_lapses_loses_its_keys() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    let (kept, lapsing) =
+        (fixture.open_session("60s").await?, fixture.open_session("300ms").await?);
+    let acquire = |session: &str| format!("/v1/kv/lock?acquire={session}");
+    assert_eq!(fixture.put(&acquire(&lapsing), "held").await?, json!(true));
+    assert_eq!(fixture.put(&acquire(&kept), "taken").await?, json!(false));
+    let lapsed = async || fixture.counts().await.is_ok_and(|counts| counts.session_lapsed == 1);
+    wait_until("the session lapses", LIMIT, lapsed).await?;
+    assert_eq!(fixture.row("lock").await?, Value::Null);
+    let renew = format!("/v1/session/renew/{lapsing}");
+    assert_eq!(fixture.client.put(fixture.kv.address, &renew, "").await?.status, 404);
+    assert_eq!(fixture.put(&acquire(&kept), "taken").await?, json!(true));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn stale_reads_show_the_value_before_the_last_write() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    fixture.put("/v1/kv/a", "one").await?;
+    fixture.put("/v1/kv/a", "two").await?;
+    fixture.faults(&json!({ "stale_reads": true })).await?;
+    assert_eq!(fixture.row("a").await?["Value"], json!("b25l"));
+    fixture.faults(&json!({ "stale_reads": false })).await?;
+    assert_eq!(fixture.row("a").await?["Value"], json!("dHdv"));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn lists_deletes_and_refuses() -> Result<()> {
+    let fixture = KvFixture::start().await?;
+    let (client, address) = (&fixture.client, fixture.kv.address);
+    fixture.put("/v1/kv/p/a", "1").await?;
+    fixture.put("/v1/kv/p/b", "2").await?;
+    fixture.put("/v1/kv/q", "3").await?;
+    let rows: Vec<Value> = client.get(address, "/v1/kv/p/?recurse=true").await?.ok()?.json()?;
+    assert_eq!(rows.iter().map(|row| &row["Key"]).collect::<Vec<_>>(), ["p/a", "p/b"]);
+    let delete = client.send(Method::DELETE, address, "/v1/kv/p/a?cas=1", &[], "").await?;
+    assert_eq!(delete.text(), "false");
+    let delete = client.send(Method::DELETE, address, "/v1/kv/p/a", &[], "").await?;
+    assert_eq!(delete.text(), "true");
+    assert_eq!(client.get(address, "/v1/kv/p/a").await?.status, 404);
+    assert_eq!(client.put(address, "/v1/kv/big", vec![0; 1024 * 1024 + 1]).await?.status, 413);
+    assert_eq!(client.put(address, "/v1/kv/a?cas=x", "").await?.status, 400);
+    assert_eq!(client.put(address, "/fault", r#"{"unknown":1}"#).await?.status, 400);
+    fixture.faults(&json!({ "down": "refuse" })).await?;
+    assert_eq!(client.get(address, "/v1/kv/q").await?.status, 503);
+    Ok(())
+}
