Add service-level burn: counters, merging and judgement

Cause: operators need to see which objective burns, how fast, where and by which result code, over 5 min and 1 h, and 30 min and 6 h. Ruled out: counters by code and site in full for each bucket (19 codes by 11 sites in 193 buckets a series); causes are kept sparse and bounded instead. Before: nothing. Conclusion: a page is due when both windows of a pair burn above 14.4 or 6; the share of each window that was seen goes with the report.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! randomness are arguments, and what has to be done comes back as values. Each module can be
 //! embedded alone.
 
+pub mod burn;
 pub mod clock;
 pub mod code;
 pub mod config;
