--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -12,6 +12,7 @@
 pub mod record;
 pub mod render;
 pub mod typed;
+pub mod units;
 
 pub use diff::{FieldChange, diff_documents};
 pub use document::{
--- a/core/src/config/document.rs
+++ b/core/src/config/document.rs
@@ -1,5 +1,6 @@
 //! The merged configuration, as it is kept in the platform's key-value service.
 
+use crate::config::units::ByteCount;
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_with::hex::Hex;
@@ -161,14 +162,18 @@
 }
 
 /// What the spread of weights may take of each link, in bytes a second.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct AllowanceConfig {
     /// From the origin, over all hosts.
+    #[serde_as(as = "ByteCount")]
     pub origin_bytes_per_second: u64,
     /// Up or down one host's link.
+    #[serde_as(as = "ByteCount")]
     pub host_bytes_per_second: u64,
     /// One way between two regions, over all hosts.
+    #[serde_as(as = "ByteCount")]
     pub region_pair_bytes_per_second: u64,
     /// The region that reads from the origin; the first region by name if absent.
     #[serde(skip_serializing_if = "Option::is_none")]
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -68,6 +68,10 @@
         };
         let base = run.read_base().await?;
         self.check_base(&base, &document)?;
+        if let Some(current) = base.record.as_ref().filter(|record| record.document == document) {
+            println!("accepted generation {} before; nothing changes", current.generation);
+            return Ok(ExitStatus::Done.into());
+        }
         let id = ApplyId(rand::rng().random());
         let record = ConfigRecord::on_base(base.record.as_ref(), id, document);
         run.write(&base, &record).await?;
@@ -133,17 +137,21 @@
         record: &ConfigRecord,
         maybe_sent: bool,
     ) -> Result<()> {
-        let found = match self.read_base().await {
-            Ok(found) => found.record,
-            Err(error) => return Err(error.context(unsettled_status(maybe_sent))),
-        };
-        match record.settle(found.as_ref()) {
-            Settlement::Accepted => Ok(()),
-            Settlement::Lost => Err(describe_race(base, found.as_ref())),
-            Settlement::Open if !maybe_sent => Err(describe_race(base, found.as_ref())),
-            Settlement::Open | Settlement::TooOld => {
-                let error = Error::msg("the configuration changed in the meantime");
-                Err(error.context(unsettled_status(maybe_sent)))
+        let mut attempt = 0;
+        loop {
+            let found = match self.read_base().await {
+                Ok(found) => found.record,
+                Err(error) => return Err(error.context(unsettled_status(maybe_sent))),
+            };
+            match record.settle(found.as_ref()) {
+                Settlement::Accepted => return Ok(()),
+                Settlement::Lost => return Err(describe_race(base, found.as_ref())),
+                // A read that still shows the base is stale, or the base itself was.
+                Settlement::Open if self.pause(attempt).await => attempt += 1,
+                Settlement::Open | Settlement::TooOld => {
+                    let error = Error::msg("the configuration changed in the meantime");
+                    return Err(error.context(unsettled_status(maybe_sent)));
+                }
             }
         }
     }
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -50,7 +50,7 @@
     TooLarge,
     /// the key-value service refused the call with status {0}
     Refused(u16),
-    /// the key-value service gave no answer and the outcome is unknown: {0}
+    /// no usable answer from the key-value service: {0}
     Unknown(String),
 }
 
