--- a/core/src/membership/merge.rs
+++ b/core/src/membership/merge.rs
@@ -137,7 +137,9 @@
     }
 
     fn forget_old_signs(&mut self, now: MonoTime) {
-        self.signs.retain(|_, sign| now.since(sign.seen_at) < NOTICE_HOLD);
+        let held = &self.held;
+        self.signs
+            .retain(|name, sign| now.since(sign.seen_at) < NOTICE_HOLD || held.contains_key(name));
     }
 
     fn rebuild(&mut self) -> bool {
