Spread a configuration over links as what was changed

A whole record goes to every process at every change.

ConfigPatch is the step between two encoded records; its result must have the hash of the record that it was made from, so a wrong or mixed one never comes into force. ConfigExchange asks a single announcer, is answered by patches or by the whole, and asks again if nothing comes. It is the link's exchange without a clock of its own, to take its place. Patches by text difference were ruled out: they would not survive another order of fields.

--- a/core/src/config.rs
+++ b/core/src/config.rs
@@ -5,9 +5,11 @@
 pub mod check;
 pub mod diff;
 pub mod document;
+pub mod exchange;
 pub mod generation;
 pub mod merge;
 pub mod node;
+pub mod patch;
 pub mod reader;
 pub mod record;
 pub mod render;
@@ -19,8 +21,10 @@
     AllowanceConfig, ConfigDocument, ModelConfig, ObjectiveConfig, OrganisationConfig,
     PriorityClass, RouteConfig, ServiceConfig, SiteConfig, TargetKind, VersionConfig,
 };
+pub use exchange::{ConfigExchange, ExchangeStep};
 pub use generation::{GenerationHolder, OfferError};
 pub use merge::{ConfigFile, MergedConfig, merge_files};
 pub use node::{ConfigIssue, ConfigNode, NodeOrigin, NodeValue};
+pub use patch::{ConfigPatch, PatchError};
 pub use reader::{ReaderEvent, ServiceCall, ServiceReader};
 pub use record::{ApplyId, CONFIG_KEY, ConfigRecord, RecordError, Settlement};
