Bound the calls of a fleet and measure control in virtual time

The reader had no test over a fleet. Two faults showed in the first runs: - late reads were spread over 0.5 to 1.5 periods, so that after a common start no process read for half a period: with all watchers dead, a generation was not in force within 11 s.

--- a/core/src/config/reader.rs
+++ b/core/src/config/reader.rs
@@ -132,8 +132,8 @@
         let was_watching = self.watches;
         self.watches = is_watcher(&self.host, site);
         let first = self.fleet.replace(fleet.max(1)).is_none();
-        if first && !self.holding {
-            self.bring_forward(now + self.start_delay(rng));
+        if first && !self.holding && matches!(self.state, CallState::Due(_)) {
+            self.state = CallState::Due(now + self.start_delay(rng));
         }
         if self.watches && !was_watching {
             self.bring_forward(now + self.start_delay(rng));
@@ -213,8 +213,10 @@
         spread.mul_f64(rng.random_range(0.0..=1.0))
     }
 
+    /// Spread from zero on, so that some process of the fleet reads at any time, also right after
+    /// all have started together.
     fn late_delay(&self, rng: &mut impl Rng) -> Duration {
-        self.late_period().mul_f64(rng.random_range(0.5..=1.5))
+        self.late_period().mul_f64(rng.random_range(0.0..=2.0))
     }
 
     fn late_period(&self) -> Duration {
--- /dev/null
+++ b/core/tests/support/fleet.rs
@@ -0,0 +1,353 @@
+//! A fleet in virtual time: the core's own decisions, and a model of links and of the key-value
+//! service round them.
+
+use buckthornwharf_core::config::reader::WATCH_WAIT;
+use buckthornwharf_core::config::{
+    ApplyId, ConfigDocument, ConfigExchange, ConfigRecord, ExchangeStep, GenerationHolder,
+    ReaderEvent, ServiceCall, ServiceConfig, ServiceReader, SiteConfig, TargetKind,
+};
+use buckthornwharf_core::frame::ConfigFrame;
+use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::routing::subset::choose_all_links;
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+const LINK_LATENCY: Duration = Duration::from_millis(3);
+const CALL_LATENCY: Duration = Duration::from_millis(3);
+const CALL_DEADLINE: Duration = Duration::from_secs(2);
+const ASK_AGAIN: Duration = Duration::from_secs(1);
+const MAX_LINKS: usize = 64;
+const SERVICES: usize = 10;
+
+/// Something that happens to one process, or to the service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum FleetEvent {
+    Tick(usize),
+    Answer(usize, Option<u64>),
+    WatchEnd(usize, u64),
+    Frame { from: usize, to: usize, generation: u64, body: Vec<u8> },
+    AskAgain(usize),
+}
+
+struct FleetProcess {
+    host: HostName,
+    reader: ServiceReader,
+    holder: GenerationHolder,
+    exchange: ConfigExchange,
+    peers: Vec<usize>,
+    is_dead: bool,
+}
+
+/// The messages of a fleet, counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// Calls to the service; a watch is one.
+    pub calls: u64,
+    /// Frames that announce a generation or ask for one.
+    pub announcements: u64,
+    /// Frames that carry what was changed.
+    pub patches: u64,
+    /// Frames that carry a whole record.
+    pub wholes: u64,
+    /// Answers of the service that carry a whole record.
+    pub rows: u64,
+}
+
+/// A fleet of processes and the service.
+pub struct FleetModel {
+    /// The present.
+    pub now: MonoTime,
+    /// What was counted so far.
+    pub counts: FleetCounts,
+    /// Ends of links, each link counted at both of its processes.
+    pub link_ends: usize,
+    /// Calls in each second.
+    pub calls_by_second: Vec<u64>,
+    processes: Vec<FleetProcess>,
+    queue: BinaryHeap<Reverse<(MonoTime, u64, FleetEvent)>>,
+    queued: u64,
+    waiting: Vec<(usize, u64)>,
+    bodies: Vec<Bytes>,
+    is_down: bool,
+    rng: StdRng,
+}
+
+/// One row of the list for each process: one in six is an entry.
+pub fn fleet_hosts(size: usize, sites: usize) -> Vec<HostRecord> {
+    let host = |number: usize| HostRecord {
+        name: format!("host-{number:05}").into(),
+        site: format!("site-{:02}", number % sites).into(),
+        role: if number.is_multiple_of(6) { HostRole::Entry } else { HostRole::Agent },
+        service: Some(format!("service-{}", number % SERVICES).into()),
+        link: "127.0.0.1:1".parse().ok(),
+        admin: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        phase: HostPhase::Live,
+    };
+    (0..size).map(host).collect()
+}
+
+fn fleet_document(sites: usize) -> ConfigDocument {
+    let mut document = ConfigDocument::default();
+    for number in 0..sites {
+        let region = format!("region-{}", number % 5).into();
+        document.sites.insert(format!("site-{number:02}").into(), SiteConfig { region });
+    }
+    for number in 0..SERVICES {
+        let service = ServiceConfig {
+            kind: TargetKind::Plain,
+            model: None,
+            version: None,
+            sites: Vec::new(),
+            max_out_of_service: 1,
+            priority: 0,
+        };
+        document.services.insert(format!("service-{number}").into(), service);
+    }
+    document
+}
+
+impl FleetModel {
+    /// Processes that start together and know the list of hosts.
+    pub fn start(size: usize, sites: usize, seed: u64) -> Self {
+        let hosts = fleet_hosts(size, sites);
+        let links = choose_all_links(&hosts, &fleet_document(sites), MAX_LINKS);
+        let mut rng = StdRng::seed_from_u64(seed);
+        let process = |host: &HostRecord| FleetProcess {
+            host: host.name.clone(),
+            reader: ServiceReader::new(host.name.clone(), MonoTime::ZERO, &mut rng),
+            holder: GenerationHolder::default(),
+            exchange: ConfigExchange::default(),
+            peers: Vec::new(),
+            is_dead: false,
+        };
+        let processes: Vec<FleetProcess> = hosts.iter().map(process).collect();
+        let mut fleet = Self {
+            now: MonoTime::ZERO,
+            counts: FleetCounts::default(),
+            link_ends: 0,
+            calls_by_second: Vec::new(),
+            processes,
+            queue: BinaryHeap::new(),
+            queued: 0,
+            waiting: Vec::new(),
+            bodies: Vec::new(),
+            is_down: false,
+            rng,
+        };
+        fleet.connect(&links);
+        fleet.tell_hosts(&hosts);
+        fleet
+    }
+
+    fn connect(&mut self, links: &SortedTable<HostName, Vec<HostName>>) {
+        let index = |host: &HostName| self.processes.binary_search_by(|p| p.host.cmp(host));
+        let pairs: Vec<(usize, usize)> = links
+            .iter()
+            .flat_map(|(entry, agents)| agents.iter().map(move |agent| (entry, agent)))
+            .filter_map(|(entry, agent)| Some((index(entry).ok()?, index(agent).ok()?)))
+            .collect();
+        self.link_ends = 2 * pairs.len();
+        for (entry, agent) in pairs {
+            self.processes[entry].peers.push(agent);
+            self.processes[agent].peers.push(entry);
+        }
+    }
+
+    fn tell_hosts(&mut self, hosts: &[HostRecord]) {
+        for at in 0..hosts.len() {
+            let site: Vec<HostName> = hosts
+                .iter()
+                .filter(|host| host.site == hosts[at].site)
+                .map(|host| host.name.clone())
+                .collect();
+            self.tell(at, ReaderEvent::Hosts { site: &site, fleet: hosts.len() });
+        }
+    }
+
+    /// Accepts one more generation.
+    pub fn apply(&mut self) {
+        let base = self.bodies.last().and_then(|body| ConfigRecord::decode(body).ok());
+        let generation = self.bodies.len() as u64 + 1;
+        let mut document = fleet_document(1);
+        document.allowances.host_bytes_per_second = generation;
+        let record = ConfigRecord::on_base(base.as_ref(), ApplyId(generation.into()), document);
+        self.bodies.push(record.encode().expect("a small record").into());
+        let index = self.index();
+        for (process, _) in std::mem::take(&mut self.waiting) {
+            self.queue(CALL_LATENCY, FleetEvent::Answer(process, Some(index)));
+        }
+    }
+
+    /// Starts or ends an outage, in which no call is answered.
+    pub fn set_down(&mut self, is_down: bool) {
+        self.is_down = is_down;
+        for (process, _) in std::mem::take(&mut self.waiting) {
+            self.queue(CALL_DEADLINE, FleetEvent::Answer(process, None));
+        }
+    }
+
+    /// Ends all watchers at once, while the list still names them; returns how many.
+    pub fn kill_watchers(&mut self) -> usize {
+        let watchers = self.processes.iter_mut().filter(|process| process.reader.is_watcher());
+        watchers.map(|process| process.is_dead = true).count()
+    }
+
+    /// Whether every living process has the newest generation.
+    pub fn is_in_force(&self) -> bool {
+        let newest = ConfigGeneration(self.index());
+        let living = self.processes.iter().filter(|process| !process.is_dead);
+        living.into_iter().all(|process| process.holder.generation() == newest)
+    }
+
+    /// Runs until every living process has the newest generation; the time that took, or none if it
+    /// takes longer than `limit`.
+    pub fn run_until_in_force(&mut self, limit: Duration) -> Option<Duration> {
+        let start = self.now;
+        while !self.is_in_force() {
+            if self.now.since(start) > limit {
+                return None;
+            }
+            self.run_for(Duration::from_millis(5));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Runs for `span`.
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.queue.peek().is_some_and(|Reverse((at, ..))| *at <= end) {
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+            self.now = at;
+            self.on_event(event);
+        }
+        self.now = end;
+    }
+
+    fn index(&self) -> u64 {
+        self.bodies.len() as u64
+    }
+
+    fn queue(&mut self, after: Duration, event: FleetEvent) {
+        self.queued += 1;
+        self.queue.push(Reverse((self.now + after, self.queued, event)));
+    }
+
+    fn on_event(&mut self, event: FleetEvent) {
+        match event {
+            FleetEvent::Tick(at) => self.tell(at, ReaderEvent::Tick),
+            FleetEvent::Answer(at, index) => self.on_answer(at, index),
+            FleetEvent::WatchEnd(at, id) => self.on_watch_end(at, id),
+            FleetEvent::Frame { from, to, generation, body } => {
+                let generation = ConfigGeneration(generation);
+                self.on_frame(from, to, ConfigFrame { generation, body: body.into() });
+            }
+            FleetEvent::AskAgain(at) => {
+                if let Some(frame) = self.processes[at].exchange.ask_again(self.now) {
+                    self.broadcast(at, &frame);
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, at: usize, event: ReaderEvent<'_>) {
+        let process = &mut self.processes[at];
+        if process.is_dead {
+            return;
+        }
+        let call = process.reader.on_event(self.now, event, &mut self.rng);
+        let due = process.reader.due();
+        if let Some(call) = call {
+            self.call(at, call);
+        }
+        if let Some(due) = due {
+            self.queue(due.since(self.now), FleetEvent::Tick(at));
+        }
+    }
+
+    fn call(&mut self, at: usize, call: ServiceCall) {
+        self.counts.calls += 1;
+        let second = (self.now.as_micros() / 1_000_000) as usize;
+        self.calls_by_second.resize(self.calls_by_second.len().max(second + 1), 0);
+        self.calls_by_second[second] += 1;
+        if self.is_down {
+            return self.queue(CALL_DEADLINE, FleetEvent::Answer(at, None));
+        }
+        let index = self.index();
+        match call {
+            ServiceCall::Watch { after_index } if after_index >= index => {
+                let id = self.queued;
+                self.waiting.push((at, id));
+                self.queue(WATCH_WAIT, FleetEvent::WatchEnd(at, id));
+            }
+            _ => self.queue(CALL_LATENCY, FleetEvent::Answer(at, Some(index))),
+        }
+    }
+
+    fn on_watch_end(&mut self, at: usize, id: u64) {
+        let Some(place) = self.waiting.iter().position(|waiting| *waiting == (at, id)) else {
+            return;
+        };
+        self.waiting.swap_remove(place);
+        self.on_answer(at, Some(self.index()));
+    }
+
+    fn on_answer(&mut self, at: usize, index: Option<u64>) {
+        match index {
+            None => self.tell(at, ReaderEvent::Failed),
+            Some(0) => self.tell(at, ReaderEvent::Absent),
+            Some(index) => {
+                self.counts.rows += 1;
+                let body = self.bodies[index as usize - 1].clone();
+                self.offer(at, body);
+                self.tell(at, ReaderEvent::Row { index });
+            }
+        }
+    }
+
+    fn on_frame(&mut self, from: usize, to: usize, frame: ConfigFrame) {
+        if self.processes[to].is_dead {
+            return;
+        }
+        match self.processes[to].exchange.on_frame(self.now, frame) {
+            ExchangeStep::Nothing => {}
+            ExchangeStep::Reply(reply) => {
+                if reply.body.is_empty() {
+                    self.queue(ASK_AGAIN, FleetEvent::AskAgain(to));
+                }
+                self.send(to, from, reply);
+            }
+            ExchangeStep::Deliver(whole) => self.offer(to, whole.body),
+        }
+    }
+
+    fn offer(&mut self, at: usize, body: Bytes) {
+        let process = &mut self.processes[at];
+        let Ok(Some(record)) = process.holder.offer(&body) else { return };
+        process.exchange.set_active(record.generation, body);
+        let frame = process.exchange.announcement();
+        self.broadcast(at, &frame);
+        self.tell(at, ReaderEvent::Holding);
+    }
+
+    fn broadcast(&mut self, from: usize, frame: &ConfigFrame) {
+        for to in self.processes[from].peers.clone() {
+            self.send(from, to, frame.clone());
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, frame: ConfigFrame) {
+        const ARRAY_TYPE: u8 = 0x80;
+        match frame.body.first() {
+            None => self.counts.announcements += 1,
+            Some(first) if first & 0xe0 == ARRAY_TYPE => self.counts.patches += 1,
+            Some(_) => self.counts.wholes += 1,
+        }
+        let generation = frame.generation.0;
+        let event = FleetEvent::Frame { from, to, generation, body: frame.body.to_vec() };
+        self.queue(LINK_LATENCY, event);
+    }
+}
