--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -3,9 +3,11 @@
 mod client;
 mod platform;
 mod process;
+mod solo;
 mod wait;
 
 pub use client::{FleetClient, HttpReply, StreamReply};
 pub use platform::{StandinProcess, StandinProgram};
 pub use process::{FleetProcess, ReadyAddresses};
+pub use solo::SoloStandin;
 pub use wait::{POLL_PACE, wait_until};
--- a/standin/src/fleet/client.rs
+++ b/standin/src/fleet/client.rs
@@ -76,7 +76,9 @@
         let body = response.body().limit(MAX_REPLY_BYTES).await;
         let body = body.map_err(|error| anyhow!("{place}: the answer breaks off: {error}"))?;
         let headers = response.headers().clone();
-        Ok(HttpReply { status: response.status().as_u16(), headers, body })
+        let reply = HttpReply { status: response.status().as_u16(), headers, body };
+        reply.check_length().with_context(|| place)?;
+        Ok(reply)
     }
 
     /// Sends a GET.
@@ -165,6 +167,15 @@
         Ok(self)
     }
 
+    /// The client takes the end of a connection for the end of a body, also where bytes are missing.
+    fn check_length(&self) -> Result<()> {
+        let Some(length) = self.header("content-length") else { return Ok(()) };
+        if length != self.body.len().to_string() {
+            bail!("the answer breaks off after {} of {length} bytes", self.body.len());
+        }
+        Ok(())
+    }
+
     /// The header `name`.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/standin/tests/kv.rs
+++ b/standin/tests/kv.rs
@@ -3,44 +3,38 @@
 use anyhow::Result;
 use awc::http::Method;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_standin::fleet::{FleetClient, StandinProcess, StandinProgram, wait_until};
+use buckthornwharf_standin::fleet::{SoloStandin, wait_until};
 use buckthornwharf_standin::kv::KvCounts;
 use serde_json::{Value, json};
-use std::path::Path;
-use tempfile::TempDir;
 
 const LIMIT: Duration = Duration::from_secs(20);
 
 struct KvFixture {
-    client: FleetClient,
-    kv: StandinProcess,
-    _folder: TempDir,
+    solo: SoloStandin,
 }
 
 impl KvFixture {
     async fn start() -> Result<Self> {
-        let folder = TempDir::new()?;
-        let program = Path::new(env!("CARGO_BIN_EXE_buckthornwharf-standin"));
-        let kv = StandinProgram::new(program, folder.path()).start("kv", "kv", &[]).await?;
-        Ok(Self { client: FleetClient::default(), kv, _folder: folder })
+        let program = env!("CARGO_BIN_EXE_buckthornwharf-standin");
+        Ok(Self { solo: SoloStandin::start(program, "kv", &[]).await? })
     }
 
     async fn put(&self, path: &str, body: &str) -> Result<Value> {
-        self.client.put(self.kv.address, path, body.to_owned()).await?.ok()?.json()
+        self.solo.client.put(self.solo.address(), path, body.to_owned()).await?.ok()?.json()
     }
 
     async fn row(&self, key: &str) -> Result<Value> {
         let rows: Value =
-            self.client.get(self.kv.address, &format!("/v1/kv/{key}")).await?.json()?;
+            self.solo.client.get(self.solo.address(), &format!("/v1/kv/{key}")).await?.json()?;
         Ok(rows[0].clone())
     }
 
     async fn faults(&self, switches: &Value) -> Result<()> {
-        self.client.set_faults(self.kv.address, switches).await
+        self.solo.set_faults(switches).await
     }
 
     async fn counts(&self) -> Result<KvCounts> {
-        self.client.counts(self.kv.address).await
+        self.solo.counts().await
     }
 
     async fn open_session(&self, ttl: &str) -> Result<String> {
@@ -67,7 +61,7 @@
     fixture.put("/v1/kv/a", "one").await?;
     let index = fixture.row("a").await?["ModifyIndex"].clone();
     let path = format!("/v1/kv/a?index={index}&wait=20s");
-    let (client, address) = (fixture.client.clone(), fixture.kv.address);
+    let (client, address) = (fixture.solo.client.clone(), fixture.solo.address());
     let watch = actix_rt::spawn(async move { client.get(address, &path).await });
     let waits = async || fixture.counts().await.is_ok_and(|counts| counts.waiting_watches == 1);
     wait_until("the watch waits", LIMIT, waits).await?;
@@ -102,7 +96,7 @@
     wait_until("the session lapses", LIMIT, lapsed).await?;
     assert_eq!(fixture.row("lock").await?, Value::Null);
     let renew = format!("/v1/session/renew/{lapsing}");
-    assert_eq!(fixture.client.put(fixture.kv.address, &renew, "").await?.status, 404);
+    assert_eq!(fixture.solo.client.put(fixture.solo.address(), &renew, "").await?.status, 404);
     assert_eq!(fixture.put(&acquire(&kept), "taken").await?, json!(true));
     Ok(())
 }
@@ -122,7 +116,7 @@
 #[actix_rt::test]
 async fn lists_deletes_and_refuses() -> Result<()> {
     let fixture = KvFixture::start().await?;
-    let (client, address) = (&fixture.client, fixture.kv.address);
+    let (client, address) = (&fixture.solo.client, fixture.solo.address());
     fixture.put("/v1/kv/p/a", "1").await?;
     fixture.put("/v1/kv/p/b", "2").await?;
     fixture.put("/v1/kv/q", "3").await?;
