--- /dev/null
+++ b/standin/src/fleet/sample.rs
@@ -0,0 +1,73 @@
+//! A small configuration for tests and the demo: two sites, an engine service and a plain one.
+
+use super::system::ConfigFile;
+use buckthornwharf_core::prelude::*;
+
+/// The sites, each a region of its own.
+pub const SAMPLE_SITES: [&str; 2] = ["mba-a", "nbo-a"];
+/// The service of the engines.
+pub const ENGINE_SERVICE: &str = "grant-llm";
+/// The plain service, whose POST calls must not be repeated.
+pub const PLAIN_SERVICE: &str = "officer-portal";
+/// The path of the plain service.
+pub const PLAIN_PATH: &str = "/portal";
+/// The path of the engines.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+/// The key of the only organisation.
+pub const ORGANISATION_KEY: &str = "key of the tea packers";
+
+/// The configuration in which the engines serve the version `digest`.
+pub fn sample_config(digest: VersionDigest) -> Vec<ConfigFile> {
+    vec![
+        config_file("10-sites.yaml", sites()),
+        config_file("20-models.yaml", models(digest)),
+        config_file("30-services.yaml", services()),
+        config_file("40-organisations.yaml", organisations()),
+        config_file("50-routes.yaml", routes()),
+    ]
+}
+
+fn config_file(name: &str, text: String) -> ConfigFile {
+    ConfigFile { name: name.to_owned(), text }
+}
+
+fn sites() -> String {
+    let rows = SAMPLE_SITES.map(|site| format!("  {site}:\n    region: {}\n", &site[..3]));
+    format!("sites:\n{}", rows.concat())
+}
+
+fn models(digest: VersionDigest) -> String {
+    format!("models:\n  grant-base:\n    versions:\n      v1:\n        digest: {digest}\n")
+}
+
+fn services() -> String {
+    format!(
+        "services:
+  {ENGINE_SERVICE}:
+    kind: engine
+    model: grant-base
+    version: v1
+  {PLAIN_SERVICE}:
+    kind: plain
+"
+    )
+}
+
+fn organisations() -> String {
+    let key_hash = blake3::hash(ORGANISATION_KEY.as_bytes());
+    format!("organisations:\n  tea-packers:\n    key_hash: {key_hash}\n")
+}
+
+fn routes() -> String {
+    format!(
+        "routes:
+  chat:
+    path: {CHAT_PATH}
+    service: {ENGINE_SERVICE}
+  portal:
+    path: {PLAIN_PATH}
+    service: {PLAIN_SERVICE}
+    non_idempotent: [POST]
+"
+    )
+}
--- a/standin/src/fleet/wait.rs
+++ b/standin/src/fleet/wait.rs
@@ -2,7 +2,7 @@
 
 use anyhow::{Result, bail};
 use buckthornwharf_core::prelude::*;
-use tokio::time::{Instant, sleep};
+use tokio::time::{sleep, timeout};
 
 /// Pause between two looks at a condition.
 pub const POLL_PACE: Duration = Duration::from_millis(20);
@@ -17,12 +17,13 @@
     limit: Duration,
     mut condition: impl AsyncFnMut() -> bool,
 ) -> Result<()> {
-    let end = Instant::now() + limit;
-    while !condition().await {
-        if Instant::now() >= end {
-            bail!("not within {limit:?}: {what}");
+    let holds = async {
+        while !condition().await {
+            sleep(POLL_PACE).await;
         }
-        sleep(POLL_PACE).await;
+    };
+    match timeout(limit, holds).await {
+        Ok(()) => Ok(()),
+        Err(_) => bail!("not within {limit:?}: {what}"),
     }
-    Ok(())
 }
