--- /dev/null
+++ b/demo.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds everything and runs the demo on loopback.
+set -euo pipefail
+cd "$(dirname "$0")"
+cargo build --workspace --locked
+cargo run --quiet --locked --example demo
