Add claims, suspects, link pulse and the limits of an entry

Cause: requests with an idempotency key, requests that crash targets, silent links and an organisation's limits need decisions of their own.

Before: none of these. Conclusion: the ledger keeps the agent's book of suspects itself, so the shell has nothing to do for it.

--- a/core/src/frame.rs
+++ b/core/src/frame.rs
@@ -39,7 +39,7 @@
     Body(BodyFrame),
     /// From the agent: the end of an answer, whole or not.
     End(EndFrame),
-    /// From the agent: fingerprints that were in flight when its target crashed.
+    /// From either side: fingerprints that were in flight when a target crashed.
     Suspects(SuspectFrame),
 }
 
@@ -201,17 +201,21 @@
 /// Fingerprints that were in flight when a target crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectFrame {
-    /// The fingerprints with the number of crashes seen.
+    /// The fingerprints with the crashes.
     pub fingerprints: Vec<SuspectRecord>,
+    /// Fingerprints whose requests have been answered whole since.
+    pub cleared: Vec<u64>,
 }
 
-/// A fingerprint and the crashes it was in flight at.
+/// A fingerprint and a crash that it was in flight at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
     /// Hash of what was asked.
     pub fingerprint: u64,
-    /// Crashes that it was in flight at.
-    pub crashes: u32,
+    /// Number of the crash, as good as random.
+    pub crash: u64,
+    /// Milliseconds since the crash.
+    pub age_ms: u64,
 }
 
 /// Why a message is refused.
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -3,9 +3,13 @@
 mod answer;
 pub mod attempt;
 pub mod budget;
+pub mod claim;
 mod driver;
 mod id_book;
 pub mod ledger;
+pub mod limit;
+pub mod poison;
+pub mod silence;
 
 use std::time::Duration;
 
--- a/core/src/request/driver.rs
+++ b/core/src/request/driver.rs
@@ -369,7 +369,6 @@
     /// The attempt failed, and it may have run.
     fn fail_attempt(&mut self, now: MonoTime, code: ResultCode, budget: &mut RetryBudget) {
         if self.may_repeat() && self.can_retry(now) && budget.take_retry() {
-            self.submit.suspect |= code == ResultCode::TargetFailed;
             return self.pick_again(true);
         }
         self.may_have_run = true;
--- a/core/src/request/ledger.rs
+++ b/core/src/request/ledger.rs
@@ -7,8 +7,9 @@
 
 use super::LinkId;
 use super::id_book::IdBook;
+use super::poison::SuspectBook;
 use crate::code::OutcomeClass;
-use crate::frame::LinkFrame;
+use crate::frame::{LinkFrame, SuspectFrame};
 use crate::prelude::*;
 use record::{RecordPhase, RequestRecord};
 use std::collections::VecDeque;
@@ -39,6 +40,8 @@
 /// - The loss of a link stops nothing at once; the entry may ask on its next link and gets the
 ///   answer from the position it has.
 /// - What must not be repeated is never cancelled once it was dispatched.
+/// - A request that was in flight at a crash of any target runs alone, and after a second crash it
+///   is refused. The ledger tells all entries, and passes on what they tell.
 #[derive(Debug)]
 pub struct RequestLedger {
     links: SortedTable<LinkId, (HostName, HostIncarnation)>,
@@ -47,6 +50,7 @@
     recent_bytes: u64,
     barred: IdBook,
     forgotten: IdBook,
+    suspects: SuspectBook,
     busy: u32,
     alone: Option<RequestId>,
     actions: Vec<LedgerAction>,
@@ -61,6 +65,7 @@
             recent_bytes: 0,
             barred: IdBook::new(MAX_REMEMBERED_IDS),
             forgotten: IdBook::new(MAX_REMEMBERED_IDS),
+            suspects: SuspectBook::new(),
             busy: 0,
             alone: None,
             actions: Vec::new(),
@@ -118,6 +123,14 @@
         }
     }
 
+    /// Tells all entries, but the one on `except`, of suspects.
+    fn broadcast(&mut self, except: Option<LinkId>, suspects: &SuspectFrame) {
+        for link in self.links.keys().filter(|link| Some(**link) != except) {
+            let frame = LinkFrame::Suspects(suspects.clone());
+            self.actions.push(LedgerAction::Send { link: *link, frame });
+        }
+    }
+
     /// Ends a request and those that wait for its answer.
     fn finish(&mut self, now: MonoTime, id: RequestId, code: ResultCode) {
         let Some(record) = self.records.get_mut(&id) else { return };
@@ -190,6 +203,7 @@
         self.drop_old_answers(now);
         self.barred.expire(now);
         self.forgotten.expire(now);
+        self.suspects.expire(now);
     }
 
     /// Ends a request whose deadline passed or whose link was lost for too long.
--- a/core/src/request/ledger/event.rs
+++ b/core/src/request/ledger/event.rs
@@ -44,8 +44,8 @@
     },
     /// A link broke or went silent.
     LinkLost(LinkId),
-    /// A frame came on a link. Only [`LinkFrame::Submit`], [`LinkFrame::Cancel`] and
-    /// [`LinkFrame::Resolve`] matter here; others are ignored.
+    /// A frame came on a link. Only [`LinkFrame::Submit`], [`LinkFrame::Cancel`],
+    /// [`LinkFrame::Resolve`] and [`LinkFrame::Suspects`] matter here; others are ignored.
     Frame {
         /// The link that it came on.
         link: LinkId,
@@ -135,8 +135,8 @@
         /// The frame.
         frame: LinkFrame,
     },
-    /// These fingerprints were in flight when the target crashed.
+    /// These fingerprints were in flight when the target crashed; for logs and metrics only.
     Crashed(Vec<u64>),
-    /// The request with this fingerprint was answered whole, so it is no cause of crashes.
+    /// The suspect with this fingerprint was answered whole; for logs and metrics only.
     Cleared(u64),
 }
--- a/core/src/request/ledger/inbound.rs
+++ b/core/src/request/ledger/inbound.rs
@@ -8,6 +8,7 @@
 };
 use crate::prelude::*;
 use crate::request::LinkId;
+use crate::request::poison::SuspectVerdict;
 
 impl RequestLedger {
     pub(super) fn on_link_opened(
@@ -24,6 +25,9 @@
             self.on_link_lost(now, link);
         }
         self.links.insert(link, owner);
+        if let Some(suspects) = self.suspects.snapshot(now) {
+            self.send(Some(link), LinkFrame::Suspects(suspects));
+        }
     }
 
     pub(super) fn on_link_lost(&mut self, now: MonoTime, link: LinkId) {
@@ -46,6 +50,11 @@
         match frame {
             LinkFrame::Submit(submit) => self.on_submit(now, link, submit),
             LinkFrame::Resolve(resolve) => self.on_resolve(now, link, resolve),
+            LinkFrame::Suspects(suspects) => {
+                if let Some(news) = self.suspects.merge(now, &suspects) {
+                    self.broadcast(Some(link), &news);
+                }
+            }
             _ => {}
         }
     }
@@ -67,6 +76,9 @@
         if self.records.len() + self.forgotten.len() >= MAX_REMEMBERED_IDS {
             return self.refuse_new(now, link, id, ResultCode::Overloaded);
         }
+        if self.suspects.verdict(now, submit.fingerprint) == SuspectVerdict::Poisonous {
+            return self.refuse_new(now, link, id, ResultCode::Poisonous);
+        }
         let record = RequestRecord::new(now, submit, link);
         let submit = Arc::clone(&record.submit);
         self.records.insert(id, Box::new(record));
--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -5,6 +5,7 @@
 use super::{MAX_ANSWER_BYTES, RequestLedger};
 use crate::frame::{BodyFrame, HeadFrame, LinkFrame};
 use crate::prelude::*;
+use crate::request::poison::SuspectVerdict;
 use bytes::Bytes;
 
 impl RequestLedger {
@@ -20,7 +21,11 @@
             let submit = Arc::clone(&record.submit);
             return self.actions.push(LedgerAction::Enqueue(submit));
         }
-        if record.submit.suspect {
+        let verdict = self.suspects.verdict(now, record.submit.fingerprint);
+        if verdict == SuspectVerdict::Poisonous {
+            return self.finish(now, id, ResultCode::Poisonous);
+        }
+        if record.submit.suspect || verdict == SuspectVerdict::Suspect {
             self.alone = Some(id);
             if self.busy > 0 {
                 return self.actions.push(LedgerAction::Hold(id));
@@ -152,7 +157,8 @@
         }
         let is_whole = code == ResultCode::Ok && record.answer.has_head();
         let fingerprint = record.submit.fingerprint;
-        if is_whole && record.submit.suspect {
+        if is_whole && let Some(news) = self.suspects.note_whole_answer(fingerprint) {
+            self.broadcast(None, &news);
             self.actions.push(LedgerAction::Cleared(fingerprint));
         }
         let code =
@@ -163,15 +169,25 @@
     pub(super) fn on_target_crashed(&mut self, now: MonoTime) {
         let running = self.records.iter();
         let running = running.filter(|(_, record)| record.phase == RecordPhase::Running);
-        let (ids, mut fingerprints): (Vec<_>, Vec<_>) =
-            running.map(|(id, record)| (*id, record.submit.fingerprint)).unzip();
-        for id in ids {
-            self.finish(now, id, ResultCode::TargetFailed);
+        let running: Vec<(RequestId, u64)> =
+            running.map(|(id, record)| (*id, record.submit.fingerprint)).collect();
+        if running.is_empty() {
+            return;
         }
+        let mut fingerprints: Vec<u64> = running.iter().map(|(_, print)| *print).collect();
         fingerprints.sort_unstable();
         fingerprints.dedup();
-        if !fingerprints.is_empty() {
-            self.actions.push(LedgerAction::Crashed(fingerprints));
+        let crash = crash_number(now, &running);
+        let news = self.suspects.note_crash(now, crash, &fingerprints);
+        // Before the ends, so that an entry knows of the suspects when it tries elsewhere.
+        self.broadcast(None, &news);
+        self.actions.push(LedgerAction::Crashed(fingerprints));
+        for (id, fingerprint) in running {
+            let code = match self.suspects.verdict(now, fingerprint) {
+                SuspectVerdict::Poisonous => ResultCode::Poisonous,
+                SuspectVerdict::Clear | SuspectVerdict::Suspect => ResultCode::TargetFailed,
+            };
+            self.finish(now, id, code);
         }
     }
 }
@@ -188,3 +204,16 @@
         _ => Some(ResultCode::WrongVersion),
     }
 }
+
+/// The number of a crash: as random as the ids that were in flight, and another one if the same
+/// requests are in flight at a later crash.
+fn crash_number(now: MonoTime, running: &[(RequestId, u64)]) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&now.as_micros().to_le_bytes());
+    for (id, _) in running {
+        hasher.update(&id.0.to_le_bytes());
+    }
+    let mut number = [0; 8];
+    hasher.finalize_xof().fill(&mut number);
+    u64::from_le_bytes(number)
+}
