--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,14 @@
+//! Links between entries and agents: WebSocket connections that carry [`LinkFrame`]s.
+//!
+//! The entry opens a link, both sides prove that they know the shared secret, and then frames flow
+//! both ways. A link that has been silent for too long is dropped by either side.
+//!
+//! [`LinkFrame`]: buckthornwharf_core::frame::LinkFrame
+
+mod config_exchange;
+mod connection;
+mod handshake;
+
+pub use config_exchange::{ConfigExchange, ExchangeStep};
+pub use connection::{LinkEvent, LinkHandle, run_link};
+pub use handshake::{LinkIdentity, LinkSocket, PeerIdentity, accept_link, dial_link};
