Prove the request machines by every fault at every step

Cause: the promises (a whole answer or an error, at most one run of what must not be repeated, a true "not run", exactly one final answer) hold only if they hold at each step of a request under each fault.

The world of the tests joins the real drivers, ledgers, claim keepers and books of suspects by fake links to targets that count runs, in virtual time: 18 faults at 8 steps for 3 kinds of work, keys that come again elsewhere, a request that crashes targets, and random faults through the real machines and naive ones.

Ruled out: one test for each cell (432 of them say less than one table), and comparing results with the naive machines under faults cell by cell: a blind resend is sometimes lucky. Without faults both must agree; with faults each is held to the same promises.

--- /dev/null
+++ b/core/tests/request_world.rs
@@ -0,0 +1,20 @@
+//! The real machines of requests, joined by fake links to fake targets that count runs.
+
+#[path = "request/differential.rs"]
+mod differential;
+#[path = "request/faults.rs"]
+mod faults;
+#[path = "request/hosts.rs"]
+mod hosts;
+#[path = "request/keyed.rs"]
+mod keyed;
+#[path = "request/links.rs"]
+mod links;
+#[path = "request/naive.rs"]
+mod naive;
+#[path = "request/suspects.rs"]
+mod suspects;
+#[path = "request/verdict.rs"]
+mod verdict;
+#[path = "request/world.rs"]
+mod world;
