--- /dev/null
+++ b/benches/burst/model.rs
@@ -0,0 +1,376 @@
+//! A model of links and clocks in virtual time, with the product's own fetch machines at the ends.
+//!
+//! A chunk's content is small; [`UNIT_BYTES`] bytes on a link stand behind each byte of it. Flows
+//! share each link equally, and time goes on in steps of [`STEP`].
+
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
+use buckthornwharf_core::weights::{
+    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
+    PlanHost, SpreadPlan, VersionManifest,
+};
+use bytes::Bytes;
+
+/// Bytes on a link behind each byte of the content.
+pub const UNIT_BYTES: u64 = 32 * 1024;
+/// Time between two states of the model.
+pub const STEP: Duration = Duration::from_millis(20);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+const LIST_LAG: Duration = Duration::from_secs(30);
+const MAX_UPLOADS: u32 = 8;
+const REQUEST_BYTES: u64 = 260;
+const ANSWER_BYTES: u64 = 160;
+
+/// A host of the model.
+pub struct ModelHost {
+    /// Its place in the plan.
+    pub place: PlanHost,
+    /// The product's decisions.
+    pub machine: FetchMachine,
+    /// Whether it is up.
+    pub alive: bool,
+    /// When it held every chunk.
+    pub complete: Option<MonoTime>,
+    /// Units sent to other hosts.
+    pub uploaded: f64,
+    /// Control messages sent.
+    pub messages: u64,
+    /// Bytes of the control messages sent.
+    pub control_bytes: u64,
+    uploads: u32,
+    wake: MonoTime,
+}
+
+struct ModelFlow {
+    to: usize,
+    from: Option<usize>,
+    ticket: FetchTicket,
+    chunk: usize,
+    left: f64,
+    cap: f64,
+    told: MonoTime,
+}
+
+/// The hosts, the flows between them and the messages on their way.
+pub struct FleetModel {
+    /// The hosts, in the order of their names.
+    pub hosts: Vec<ModelHost>,
+    /// The clock.
+    pub now: MonoTime,
+    /// Units that the origin sent.
+    pub origin_units: f64,
+    /// The chunks that the origin and these hosts send corrupt: every one of a host's.
+    pub corrupting: Vec<usize>,
+    /// Whether the origin answers.
+    pub origin_up: bool,
+    manifest: Arc<VersionManifest>,
+    content: Bytes,
+    limits: FetchLimits,
+    store_region: RegionName,
+    flows: Vec<ModelFlow>,
+    mail: Vec<(MonoTime, usize, FetchEvent)>,
+    cut: Option<(RegionName, RegionName)>,
+    replan: Option<MonoTime>,
+}
+
+impl FleetModel {
+    /// A model of `places`, all of which want a version of `chunks` chunks of `chunk_len` units.
+    pub fn new(
+        places: Vec<PlanHost>,
+        chunks: usize,
+        chunk_len: usize,
+        limits: FetchLimits,
+    ) -> Self {
+        let content: Bytes = content_of(chunks * chunk_len).into();
+        let manifest = Arc::new(VersionManifest::of_content(&content, chunk_len as u64));
+        let store_region = places[0].region.clone();
+        let plan = Arc::new(SpreadPlan::new(&manifest, places, &store_region));
+        let host = |(index, place): (usize, &PlanHost)| ModelHost {
+            place: place.clone(),
+            machine: FetchMachine::new(
+                MonoTime::ZERO,
+                manifest.clone(),
+                plan.clone(),
+                place.name.clone(),
+                limits,
+                ChunkSet::new(chunks),
+                index as u64,
+            ),
+            alive: true,
+            complete: None,
+            uploaded: 0.0,
+            messages: 0,
+            control_bytes: 0,
+            uploads: 0,
+            wake: MonoTime::ZERO,
+        };
+        let hosts = plan.hosts().iter().enumerate().map(host).collect();
+        Self {
+            hosts,
+            now: MonoTime::ZERO,
+            origin_units: 0.0,
+            corrupting: Vec::new(),
+            origin_up: true,
+            manifest,
+            content,
+            limits,
+            store_region,
+            flows: Vec::new(),
+            mail: Vec::new(),
+            cut: None,
+            replan: None,
+        }
+    }
+
+    /// Units of one copy.
+    pub fn copy_units(&self) -> f64 {
+        self.manifest.total_bytes as f64
+    }
+
+    /// Kills a host without a word; the list of hosts tells of it later.
+    pub fn kill(&mut self, host: usize) {
+        self.hosts[host].alive = false;
+        self.flows.retain(|flow| flow.to != host);
+        self.replan = Some(self.now + LIST_LAG);
+    }
+
+    /// Cuts the link between two regions.
+    pub fn cut(&mut self, a: &RegionName, b: &RegionName) {
+        self.cut = Some((a.clone(), b.clone()));
+    }
+
+    /// Whether every living host holds every chunk.
+    pub fn is_done(&self) -> bool {
+        self.hosts.iter().all(|host| !host.alive || host.complete.is_some())
+    }
+
+    /// Goes one step on.
+    pub fn step(&mut self) {
+        self.now = self.now + STEP;
+        self.move_flows();
+        self.deliver();
+        if self.replan.is_some_and(|due| due <= self.now) {
+            self.replan_all();
+        }
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].alive && self.hosts[host].wake <= self.now {
+                self.feed(host, FetchEvent::Tick);
+            }
+        }
+    }
+
+    fn feed(&mut self, host: usize, event: FetchEvent) {
+        let actions = self.hosts[host].machine.on_event(self.now, event);
+        for action in actions {
+            self.act(host, action);
+        }
+        let wake = self.hosts[host].machine.next_wake();
+        self.hosts[host].wake = wake.unwrap_or(MonoTime::from_micros(u64::MAX));
+    }
+
+    fn act(&mut self, host: usize, action: FetchAction) {
+        match action {
+            FetchAction::Fetch(order) => self.fetch(host, order),
+            FetchAction::Cancel(ticket) => self.end_flow(host, ticket),
+            FetchAction::Poll(peer) => self.poll(host, &peer),
+            FetchAction::Complete => self.hosts[host].complete = Some(self.now),
+            FetchAction::Keep(..) | FetchAction::Corrupt(..) => {}
+        }
+    }
+
+    fn end_flow(&mut self, host: usize, ticket: FetchTicket) {
+        let ours = |flow: &ModelFlow| flow.to == host && flow.ticket == ticket;
+        let Some(at) = self.flows.iter().position(ours) else {
+            return;
+        };
+        let flow = self.flows.swap_remove(at);
+        self.release(&flow);
+    }
+
+    fn release(&mut self, flow: &ModelFlow) {
+        if let Some(from) = flow.from {
+            self.hosts[from].uploads -= 1;
+        }
+    }
+
+    fn index_of(&self, name: &HostName) -> usize {
+        let found = self.hosts.binary_search_by(|host| host.place.name.cmp(name));
+        found.expect("a host of the model")
+    }
+
+    fn is_reachable(&self, a: usize, region: &RegionName) -> bool {
+        let own = &self.hosts[a].place.region;
+        let Some((x, y)) = &self.cut else {
+            return true;
+        };
+        !((own == x && region == y) || (own == y && region == x))
+    }
+
+    fn count(&mut self, host: usize, bytes: u64) {
+        self.hosts[host].messages += 1;
+        self.hosts[host].control_bytes += bytes;
+    }
+
+    fn post(&mut self, delay: Duration, host: usize, event: FetchEvent) {
+        self.mail.push((self.now + delay, host, event));
+    }
+
+    fn poll(&mut self, host: usize, peer: &HostName) {
+        self.count(host, REQUEST_BYTES);
+        let from = self.index_of(peer);
+        if !self.hosts[from].alive || !self.is_reachable(host, &self.hosts[from].place.region) {
+            self.post(CONNECT_TIMEOUT, host, FetchEvent::PollFailed(peer.clone()));
+            return;
+        }
+        let held = self.hosts[from].machine.held().clone();
+        self.count(from, ANSWER_BYTES + held.len() as u64 / 8);
+        self.post(STEP, host, FetchEvent::HeldBy(peer.clone(), held));
+    }
+
+    fn fetch(&mut self, host: usize, order: FetchOrder) {
+        self.count(host, REQUEST_BYTES);
+        let from = match &order.source {
+            ChunkSource::Origin => None,
+            ChunkSource::Peer(name) => Some(self.index_of(name)),
+        };
+        let region = match from {
+            None => self.store_region.clone(),
+            Some(from) => self.hosts[from].place.region.clone(),
+        };
+        let up = from.map_or(self.origin_up, |from| self.hosts[from].alive);
+        if !up || !self.is_reachable(host, &region) {
+            let event = FetchEvent::Failed(order.ticket, FetchFailure::Unreachable);
+            self.post(CONNECT_TIMEOUT, host, event);
+            return;
+        }
+        if let Some(from) = from {
+            let refused = if !self.hosts[from].machine.held().contains(order.chunk) {
+                Some(FetchFailure::NotHere)
+            } else if self.hosts[from].uploads >= MAX_UPLOADS {
+                Some(FetchFailure::Busy)
+            } else {
+                None
+            };
+            if let Some(failure) = refused {
+                self.count(from, ANSWER_BYTES);
+                self.post(STEP, host, FetchEvent::Failed(order.ticket, failure));
+                return;
+            }
+            self.hosts[from].uploads += 1;
+        }
+        self.flows.push(ModelFlow {
+            to: host,
+            from,
+            ticket: order.ticket,
+            chunk: order.chunk,
+            left: self.manifest.chunk_len(order.chunk) as f64,
+            cap: order.bytes_per_second.map_or(f64::INFINITY, |rate| rate as f64),
+            told: self.now,
+        });
+    }
+
+    fn region_at(&self, end: Option<usize>) -> &RegionName {
+        end.map_or(&self.store_region, |host| &self.hosts[host].place.region)
+    }
+
+    /// Flows on each link: from the origin, up and down each host's, and between regions.
+    fn move_flows(&mut self) {
+        let count = self.hosts.len();
+        let (mut origin, mut up, mut down) = (0.0, vec![0.0; count], vec![0.0; count]);
+        let mut pairs: SortedTable<(RegionName, RegionName), f64> = SortedTable::new();
+        let pair_of = |model: &Self, flow: &ModelFlow| {
+            let (from, to) = (model.region_at(flow.from), model.region_at(Some(flow.to)));
+            (from != to).then(|| (from.clone(), to.clone()))
+        };
+        for flow in &self.flows {
+            flow.from.map_or_else(|| origin += 1.0, |from| up[from] += 1.0);
+            down[flow.to] += 1.0;
+            if let Some(pair) = pair_of(self, flow) {
+                *pairs.get_or_insert_with(pair, || 0.0) += 1.0;
+            }
+        }
+        let limits = self.limits;
+        let seconds = STEP.as_secs_f64();
+        let mut flows = std::mem::take(&mut self.flows);
+        let mut done = Vec::new();
+        for flow in &mut flows {
+            let from_alive = flow.from.is_none_or(|from| self.hosts[from].alive);
+            let cut = !self.is_reachable(flow.to, self.region_at(flow.from));
+            if !from_alive || cut || (flow.from.is_none() && !self.origin_up) {
+                continue;
+            }
+            let source = match flow.from {
+                None => limits.origin_bytes_per_second as f64 / origin,
+                Some(from) => limits.host_bytes_per_second as f64 / up[from],
+            };
+            let sink = limits.host_bytes_per_second as f64 / down[flow.to];
+            let between = pair_of(self, flow).and_then(|pair| pairs.get(&pair).copied());
+            let between = between
+                .map_or(f64::INFINITY, |flows| limits.region_pair_bytes_per_second as f64 / flows);
+            let moved = source.min(sink).min(between).min(flow.cap) * seconds;
+            flow.left -= moved;
+            match flow.from {
+                None => self.origin_units += moved,
+                Some(from) => self.hosts[from].uploaded += moved,
+            }
+            if flow.left <= 0.0 {
+                done.push((flow.to, flow.ticket));
+            } else if self.now.since(flow.told) >= PROGRESS_INTERVAL {
+                flow.told = self.now;
+                let bytes = (self.manifest.chunk_len(flow.chunk) as f64 - flow.left) as u64;
+                self.mail.push((self.now, flow.to, FetchEvent::Progress(flow.ticket, bytes)));
+            }
+        }
+        self.flows = flows;
+        for (host, ticket) in done {
+            self.arrive(host, ticket);
+        }
+    }
+
+    fn arrive(&mut self, host: usize, ticket: FetchTicket) {
+        let ours = |flow: &ModelFlow| flow.to == host && flow.ticket == ticket;
+        let Some(at) = self.flows.iter().position(ours) else {
+            return;
+        };
+        let flow = self.flows.swap_remove(at);
+        self.release(&flow);
+        let length = self.manifest.chunk_bytes as usize;
+        let start = flow.chunk * length;
+        let end = (start + length).min(self.content.len());
+        let mut bytes = self.content.slice(start..end);
+        if flow.from.is_some_and(|from| self.corrupting.contains(&from)) {
+            bytes = vec![0; end - start].into();
+        }
+        self.feed(host, FetchEvent::Arrived(ticket, bytes));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.mail.extract_if(.., |(due, ..)| *due <= now).collect();
+        for (_, host, event) in due {
+            if self.hosts[host].alive {
+                self.feed(host, event);
+            }
+        }
+    }
+
+    fn replan_all(&mut self) {
+        self.replan = None;
+        let alive = self.hosts.iter().filter(|host| host.alive);
+        let places = alive.map(|host| host.place.clone()).collect();
+        let plan = Arc::new(SpreadPlan::new(&self.manifest, places, &self.store_region));
+        for host in 0..self.hosts.len() {
+            if self.hosts[host].alive {
+                self.feed(host, FetchEvent::Replanned(plan.clone()));
+            }
+        }
+    }
+}
+
+/// Bytes that differ from chunk to chunk.
+fn content_of(len: usize) -> Vec<u8> {
+    let mut content = vec![0; len];
+    blake3::Hasher::new().finalize_xof().fill(&mut content);
+    content
+}
--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -1,6 +1,12 @@
 //! The spread of weights: manifests, the plan of who fetches what from whom, fetches, and the life
 //! cycle of a version on a host.
 
+pub mod chunk_set;
+pub mod fetch;
 pub mod manifest;
+pub mod plan;
 
+pub use chunk_set::ChunkSet;
+pub use fetch::{ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine};
 pub use manifest::{ManifestError, VersionManifest};
+pub use plan::{PlanHost, SpreadPlan};
--- /dev/null
+++ b/core/src/weights/chunk_set.rs
@@ -0,0 +1,75 @@
+//! A set of chunk positions.
+
+/// Positions of chunks in a manifest, one bit each.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct ChunkSet {
+    words: Vec<u64>,
+    len: usize,
+    count: usize,
+}
+
+impl ChunkSet {
+    /// An empty set for a manifest of `len` chunks.
+    pub fn new(len: usize) -> Self {
+        Self { words: vec![0; len.div_ceil(64)], len, count: 0 }
+    }
+
+    /// The number of chunks that the manifest has.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether the manifest has no chunk.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// The number of positions in the set.
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Whether every position of the manifest is in the set.
+    pub fn is_full(&self) -> bool {
+        self.count == self.len
+    }
+
+    /// Whether `index` is in the set.
+    pub fn contains(&self, index: usize) -> bool {
+        self.words.get(index / 64).is_some_and(|word| word >> (index % 64) & 1 == 1)
+    }
+
+    /// Adds `index`; whether it was absent. A position past the end is ignored.
+    pub fn insert(&mut self, index: usize) -> bool {
+        if index >= self.len || self.contains(index) {
+            return false;
+        }
+        self.words[index / 64] |= 1 << (index % 64);
+        self.count += 1;
+        true
+    }
+
+    /// The positions that are absent, in order.
+    pub fn missing(&self) -> impl Iterator<Item = usize> {
+        (0..self.len).filter(|index| !self.contains(*index))
+    }
+
+    /// The set as bytes, position 0 in the lowest bit of the first byte.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let mut bytes: Vec<u8> = self.words.iter().flat_map(|word| word.to_le_bytes()).collect();
+        bytes.truncate(self.len.div_ceil(8));
+        bytes
+    }
+
+    /// The set that `bytes` encode, for a manifest of `len` chunks; missing bytes count as absent
+    /// positions and surplus ones are ignored.
+    pub fn from_bytes(bytes: &[u8], len: usize) -> Self {
+        let mut set = Self::new(len);
+        for index in 0..len.min(bytes.len() * 8) {
+            if bytes[index / 8] >> (index % 8) & 1 == 1 {
+                set.insert(index);
+            }
+        }
+        set
+    }
+}
--- /dev/null
+++ b/core/src/weights/fetch.rs
@@ -0,0 +1,391 @@
+//! The fetches of one version on one host, as a state machine.
+//!
+//! The owner feeds events and carries out the actions that come back; [`FetchMachine::next_wake`]
+//! tells when it wants [`FetchEvent::Tick`] if nothing else happens before.
+
+mod choose;
+mod flights;
+mod lanes;
+mod peers;
+
+use crate::prelude::*;
+use crate::weights::manifest::hash_chunk;
+use crate::weights::plan::{HostIndex, SpreadPlan, mix};
+use crate::weights::{ChunkSet, VersionManifest};
+use bytes::Bytes;
+use flights::{ChunkFlight, FlightTable};
+use lanes::LaneTable;
+use peers::{PeerLedger, SourceRecord};
+
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+const CORRUPT_LIMIT: u32 = 2;
+
+/// Where a chunk is fetched from.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChunkSource {
+    /// The platform's weight store.
+    Origin,
+    /// Another host.
+    Peer(HostName),
+}
+
+/// Names one fetch of a machine.
+pub type FetchTicket = u64;
+
+/// A chunk to be fetched.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FetchOrder {
+    /// Names the fetch in events and in [`FetchAction::Cancel`].
+    pub ticket: FetchTicket,
+    /// Position of the chunk in the manifest.
+    pub chunk: usize,
+    /// Where to fetch it.
+    pub source: ChunkSource,
+    /// Most bytes a second; none if only the host's own cap applies.
+    pub bytes_per_second: Option<u64>,
+}
+
+/// Why a fetch brought nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FetchFailure {
+    /// The source does not answer.
+    Unreachable,
+    /// The answer broke off or was too long.
+    Cut,
+    /// The source does not hold the chunk.
+    NotHere,
+    /// The source has no room for another upload.
+    Busy,
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum FetchEvent {
+    /// Time has passed.
+    Tick,
+    /// So many bytes of a chunk have arrived.
+    Progress(FetchTicket, u64),
+    /// All bytes of a chunk have arrived; not verified yet.
+    Arrived(FetchTicket, Bytes),
+    /// A fetch brought nothing.
+    Failed(FetchTicket, FetchFailure),
+    /// A host told which chunks it holds.
+    HeldBy(HostName, ChunkSet),
+    /// A host did not tell which chunks it holds.
+    PollFailed(HostName),
+    /// The list of hosts or the configuration changed.
+    Replanned(Arc<SpreadPlan>),
+    /// Live requests take so many percent of what the host can do.
+    LiveLoad(u8),
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FetchAction {
+    /// Fetch a chunk.
+    Fetch(FetchOrder),
+    /// Break a fetch off; no event of it is expected any more.
+    Cancel(FetchTicket),
+    /// Ask a host which chunks it holds.
+    Poll(HostName),
+    /// Keep a chunk, which is verified, and pass it on to whoever asks.
+    Keep(usize, Bytes),
+    /// A source sent bytes that are not those of the chunk.
+    Corrupt(ChunkSource, usize),
+    /// Every chunk is kept.
+    Complete,
+}
+
+/// What the spread may take of each link, in bytes a second, and how much may run at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FetchLimits {
+    /// From the origin, over all hosts.
+    pub origin_bytes_per_second: u64,
+    /// Up or down the host's link.
+    pub host_bytes_per_second: u64,
+    /// One way between two regions, over all hosts.
+    pub region_pair_bytes_per_second: u64,
+    /// Fetches from the origin at once.
+    pub origin_fetches: usize,
+    /// Fetches from hosts of the own region at once.
+    pub peer_fetches: usize,
+}
+
+impl FetchLimits {
+    /// Limits under these allowances, with the usual number of fetches at once.
+    pub fn new(origin: u64, host: u64, region_pair: u64) -> Self {
+        Self {
+            origin_bytes_per_second: origin.max(1),
+            host_bytes_per_second: host.max(1),
+            region_pair_bytes_per_second: region_pair.max(1),
+            origin_fetches: 2,
+            peer_fetches: 6,
+        }
+    }
+}
+
+/// Fetches one version. Dropping it is the way to give up a superseded version.
+#[derive(Debug)]
+pub struct FetchMachine {
+    manifest: Arc<VersionManifest>,
+    plan: Arc<SpreadPlan>,
+    name: HostName,
+    me: Option<HostIndex>,
+    limits: FetchLimits,
+    live_percent: u8,
+    held: ChunkSet,
+    peers: PeerLedger,
+    lanes: LaneTable,
+    flights: FlightTable,
+    retry_at: Vec<MonoTime>,
+    started: MonoTime,
+    next_poll: MonoTime,
+    polling: Option<(HostName, MonoTime)>,
+    polls: u64,
+    draws: u64,
+    complete: bool,
+}
+
+impl FetchMachine {
+    /// A machine of the host called `name`, which holds `held` already. `seed` scatters the choices
+    /// of different hosts.
+    pub fn new(
+        now: MonoTime,
+        manifest: Arc<VersionManifest>,
+        plan: Arc<SpreadPlan>,
+        name: HostName,
+        limits: FetchLimits,
+        held: ChunkSet,
+        seed: u64,
+    ) -> Self {
+        let count = manifest.chunks.len();
+        Self {
+            me: plan.index_of(&name),
+            peers: PeerLedger::new(&plan, count, &limits, now),
+            lanes: LaneTable::new(plan.region_count()),
+            flights: FlightTable::default(),
+            retry_at: vec![MonoTime::ZERO; count],
+            manifest,
+            plan,
+            name,
+            limits,
+            live_percent: 0,
+            held,
+            started: now,
+            next_poll: now,
+            polling: None,
+            polls: 0,
+            draws: mix(seed),
+            complete: false,
+        }
+    }
+
+    /// The chunks that are held.
+    pub fn held(&self) -> &ChunkSet {
+        &self.held
+    }
+
+    /// How often `source` sent bytes that were not those of the chunk.
+    pub fn corrupt_count(&self, source: &ChunkSource) -> u32 {
+        self.record_of(source).map_or(0, |record| record.corrupt)
+    }
+
+    /// Takes in an event and tells what to do.
+    pub fn on_event(&mut self, now: MonoTime, event: FetchEvent) -> Vec<FetchAction> {
+        let mut actions = Vec::new();
+        match event {
+            FetchEvent::Tick => {}
+            FetchEvent::Progress(ticket, bytes) => self.progress(now, ticket, bytes),
+            FetchEvent::Arrived(ticket, bytes) => self.arrived(now, ticket, bytes, &mut actions),
+            FetchEvent::Failed(ticket, failure) => self.failed(now, ticket, failure),
+            FetchEvent::HeldBy(peer, chunks) => self.held_by(now, &peer, chunks),
+            FetchEvent::PollFailed(peer) => self.poll_failed(now, &peer),
+            FetchEvent::Replanned(plan) => self.replanned(now, plan, &mut actions),
+            FetchEvent::LiveLoad(percent) => self.live_percent = percent.min(100),
+        }
+        self.expire(now, &mut actions);
+        if self.held.is_full() {
+            self.finish(&mut actions);
+        } else {
+            self.fill(now, &mut actions);
+        }
+        actions
+    }
+
+    /// When the machine wants a tick; none once it is complete.
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        if self.complete {
+            return None;
+        }
+        let deadline = self.flights.next_deadline();
+        let poll = match &self.polling {
+            Some((_, deadline)) => *deadline,
+            None => self.next_poll,
+        };
+        Some(deadline.map_or(poll, |deadline| deadline.min(poll)))
+    }
+
+    fn progress(&mut self, now: MonoTime, ticket: FetchTicket, bytes: u64) {
+        let Some(flight) = self.flights.get_mut(ticket) else {
+            return;
+        };
+        if bytes > flight.bytes {
+            flight.bytes = bytes;
+            flight.deadline = now + flight.stall_timeout;
+        }
+    }
+
+    fn arrived(
+        &mut self,
+        now: MonoTime,
+        ticket: FetchTicket,
+        bytes: Bytes,
+        actions: &mut Vec<FetchAction>,
+    ) {
+        let Some(flight) = self.flights.remove(ticket) else {
+            return;
+        };
+        self.landed(&flight);
+        if hash_chunk(&bytes) != self.manifest.chunks[flight.chunk] {
+            self.corrupt(now, &flight, actions);
+            return;
+        }
+        let took = now.since(flight.started);
+        let length = self.manifest.chunk_len(flight.chunk);
+        if let Some(record) = self.record_mut(&flight.source) {
+            record.succeeded(now, length, took);
+        }
+        if let Some(region) = flight.lane {
+            self.lanes.succeeded(region);
+        }
+        if self.held.insert(flight.chunk) {
+            actions.push(FetchAction::Keep(flight.chunk, bytes));
+        }
+    }
+
+    fn corrupt(&mut self, now: MonoTime, flight: &ChunkFlight, actions: &mut Vec<FetchAction>) {
+        actions.push(FetchAction::Corrupt(flight.source.clone(), flight.chunk));
+        self.flights.avoid(flight.chunk, &flight.source);
+        if let Some(record) = self.record_mut(&flight.source) {
+            record.corrupted(now);
+        }
+    }
+
+    fn failed(&mut self, now: MonoTime, ticket: FetchTicket, failure: FetchFailure) {
+        let Some(flight) = self.flights.remove(ticket) else {
+            return;
+        };
+        self.landed(&flight);
+        self.blame(now, &flight, failure);
+    }
+
+    fn blame(&mut self, now: MonoTime, flight: &ChunkFlight, failure: FetchFailure) {
+        if let Some(region) = flight.lane {
+            self.lanes.failed(now, region, failure);
+        }
+        self.retry_at[flight.chunk] = now + POLL_INTERVAL;
+        let chunk = flight.chunk;
+        if let Some(record) = self.record_mut(&flight.source) {
+            record.failed(now, failure, chunk);
+        }
+    }
+
+    /// Breaks off the fetches and the poll that have stalled.
+    fn expire(&mut self, now: MonoTime, actions: &mut Vec<FetchAction>) {
+        for flight in self.flights.take_expired(now) {
+            actions.push(FetchAction::Cancel(flight.ticket));
+            self.landed(&flight);
+            self.blame(now, &flight, FetchFailure::Unreachable);
+        }
+        match &self.polling {
+            Some((peer, deadline)) if *deadline <= now => {
+                let peer = peer.clone();
+                self.poll_failed(now, &peer);
+            }
+            _ => {}
+        }
+    }
+
+    fn held_by(&mut self, now: MonoTime, peer: &HostName, chunks: ChunkSet) {
+        self.poll_ended(now, peer);
+        if let Some(index) = self.plan.index_of(peer) {
+            self.peers.hosts[index].told(now, chunks);
+        }
+    }
+
+    fn poll_failed(&mut self, now: MonoTime, peer: &HostName) {
+        self.poll_ended(now, peer);
+        if let Some(index) = self.plan.index_of(peer) {
+            self.peers.hosts[index].failed(now, FetchFailure::Unreachable, 0);
+        }
+    }
+
+    fn poll_ended(&mut self, now: MonoTime, peer: &HostName) {
+        if self.polling.as_ref().is_some_and(|(polled, _)| polled == peer) {
+            self.polling = None;
+            self.next_poll = now + POLL_INTERVAL;
+        }
+    }
+
+    fn replanned(&mut self, now: MonoTime, plan: Arc<SpreadPlan>, actions: &mut Vec<FetchAction>) {
+        let count = self.manifest.chunks.len();
+        let old = std::mem::replace(&mut self.plan, plan);
+        let mut peers = PeerLedger::new(&self.plan, count, &self.limits, now);
+        peers.origin = self.peers.origin.clone();
+        for (index, host) in self.plan.hosts().iter().enumerate() {
+            if let Some(before) = old.index_of(&host.name) {
+                peers.hosts[index] = self.peers.hosts[before].clone();
+                peers.hosts[index].in_flight = 0;
+            }
+        }
+        self.peers = peers;
+        self.me = self.plan.index_of(&self.name);
+        let mut gone = self.flights.retain_sources(&self.plan);
+        if !self.plan.has_regions_of(&old) {
+            self.lanes = LaneTable::new(self.plan.region_count());
+            gone.extend(self.flights.take_lanes());
+        }
+        for flight in self.flights.iter() {
+            if let ChunkSource::Peer(name) = &flight.source
+                && let Some(index) = self.plan.index_of(name)
+            {
+                self.peers.hosts[index].in_flight += 1;
+            }
+        }
+        actions.extend(gone.into_iter().map(FetchAction::Cancel));
+    }
+
+    fn finish(&mut self, actions: &mut Vec<FetchAction>) {
+        if self.complete {
+            return;
+        }
+        self.complete = true;
+        let rest = self.flights.take_all();
+        actions.extend(rest.into_iter().map(|flight| FetchAction::Cancel(flight.ticket)));
+        actions.push(FetchAction::Complete);
+    }
+
+    fn landed(&mut self, flight: &ChunkFlight) {
+        if let Some(record) = self.record_mut(&flight.source) {
+            record.in_flight = record.in_flight.saturating_sub(1);
+        }
+        if let Some(region) = flight.lane {
+            self.lanes.ended(region);
+        }
+    }
+
+    fn record_of(&self, source: &ChunkSource) -> Option<&SourceRecord> {
+        match source {
+            ChunkSource::Origin => Some(&self.peers.origin),
+            ChunkSource::Peer(name) => self.plan.index_of(name).map(|at| &self.peers.hosts[at]),
+        }
+    }
+
+    fn record_mut(&mut self, source: &ChunkSource) -> Option<&mut SourceRecord> {
+        match source {
+            ChunkSource::Origin => Some(&mut self.peers.origin),
+            ChunkSource::Peer(name) => self.plan.index_of(name).map(|at| &mut self.peers.hosts[at]),
+        }
+    }
+}
--- /dev/null
+++ b/core/src/weights/fetch/choose.rs
@@ -0,0 +1,297 @@
+//! Which chunk is fetched next, and from whom.
+
+use super::flights::ChunkFlight;
+use super::{ChunkSource, FetchAction, FetchMachine, FetchOrder, POLL_INTERVAL, POLL_TIMEOUT};
+use crate::prelude::*;
+use crate::weights::plan::{HostIndex, RegionIndex, mix};
+
+const SHORTEST_PATIENCE: Duration = Duration::from_secs(5);
+const PATIENCE_FACTOR: f64 = 3.0;
+/// Patiences after which a host that makes no progress is passed over by all, not by the next only.
+const LAST_PATIENCE: u32 = 8;
+const FETCHES_PER_PEER: u32 = 2;
+const HOLDER_DRAWS: u64 = 4;
+const LEAST_SHARE_PERCENT: u64 = 10;
+
+impl FetchMachine {
+    /// Starts whatever may be started now.
+    pub(super) fn fill(&mut self, now: MonoTime, actions: &mut Vec<FetchAction>) {
+        let Some(me) = self.me else {
+            return;
+        };
+        let region = self.plan.region_of(me);
+        if region == self.plan.reader() {
+            self.fill_origin(now, me, actions);
+        } else {
+            self.fill_lanes(now, me, actions);
+        }
+        self.fill_peers(now, me, actions);
+        self.fill_poll(now, me, actions);
+    }
+
+    fn fill_origin(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
+        while self.flights.origin_count() < self.limits.origin_fetches {
+            if !self.peers.origin.is_ready(now) {
+                return;
+            }
+            let duty =
+                |chunk: &usize| self.is_open(now, *chunk) && self.is_acting_home(now, *chunk, me);
+            let next = self.held.missing().find(duty);
+            let Some(chunk) = next else {
+                return;
+            };
+            self.begin(now, chunk, ChunkSource::Origin, None, actions);
+        }
+    }
+
+    fn fill_lanes(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
+        let region = self.plan.region_of(me);
+        for other in 0..self.plan.region_count() {
+            if other == region || !self.lanes.is_free(other, now) {
+                continue;
+            }
+            let Some(chunk) = self.lane_chunk(now, me, other) else {
+                continue;
+            };
+            let Some(source) = self.lane_source(now, chunk, other) else {
+                continue;
+            };
+            self.begin(now, chunk, source, Some(other), actions);
+        }
+    }
+
+    /// The next chunk to bring over the link from `other`: one that the plan brings over it, else
+    /// one that the plan brings over another link.
+    fn lane_chunk(&self, now: MonoTime, me: HostIndex, other: RegionIndex) -> Option<usize> {
+        let region = self.plan.region_of(me);
+        let mine = |chunk: &usize| {
+            self.is_open(now, *chunk) && self.acting_gateway(now, *chunk, region, me) == Some(me)
+        };
+        let planned = |chunk: &usize| self.plan.source_region(*chunk, region) == Some(other);
+        let next = self.held.missing().find(|chunk| planned(chunk) && mine(chunk));
+        next.or_else(|| self.held.missing().find(mine))
+    }
+
+    fn lane_source(&self, now: MonoTime, chunk: usize, other: RegionIndex) -> Option<ChunkSource> {
+        let unfit = |host: HostIndex| {
+            self.peers.is_suspect(host, now) || self.flights.avoids(chunk, self.plan.name_of(host))
+        };
+        match self.plan.home(chunk, other, unfit) {
+            Some(host) if self.peers.hosts[host].is_ready(now) => Some(self.peer(host)),
+            Some(_) => None,
+            None if other == self.plan.reader() => Some(ChunkSource::Origin),
+            None => None,
+        }
+    }
+
+    fn fill_peers(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
+        let count = self.held.len();
+        let slots = self.limits.peer_fetches.saturating_mul(self.spare_percent()) / 100;
+        let mut free = slots.max(1).saturating_sub(self.flights.peer_count());
+        let offset = (self.draws % count.max(1) as u64) as usize;
+        for home_first in [true, false] {
+            for step in 0..count {
+                if free == 0 {
+                    return;
+                }
+                let chunk = (offset + step) % count;
+                if self.held.contains(chunk) || !self.is_open(now, chunk) {
+                    continue;
+                }
+                if home_first && self.plan.homes(chunk, self.plan.region_of(me))[0] != me {
+                    continue;
+                }
+                let Some(holder) = self.holder(now, chunk, me) else {
+                    continue;
+                };
+                self.begin(now, chunk, self.peer(holder), None, actions);
+                free -= 1;
+            }
+        }
+    }
+
+    /// A host of the own region that is known to hold `chunk` and has few fetches of this host.
+    fn holder(&self, now: MonoTime, chunk: usize, me: HostIndex) -> Option<HostIndex> {
+        let region = self.plan.region_of(me);
+        let members = self.plan.members(region);
+        let key = self.draws ^ mix(chunk as u64 ^ (now.as_micros() / 1_000_000));
+        let drawn = (0..HOLDER_DRAWS).map(|draw| {
+            let at = mix(key.wrapping_add(draw)) % members.len() as u64;
+            members[at as usize]
+        });
+        let homes = self.plan.homes(chunk, region).iter().copied();
+        let gateway = self.acting_gateway(now, chunk, region, me);
+        let gateway = gateway.filter(|_| region != self.plan.reader());
+        let is_home = gateway == Some(self.plan.homes(chunk, region)[0]);
+        let may_ask_gateway = is_home || self.is_acting_home(now, chunk, me);
+        let fit = |host: &HostIndex| {
+            let record = &self.peers.hosts[*host];
+            *host != me
+                && record.known.contains(chunk)
+                && record.is_ready(now)
+                && record.in_flight < FETCHES_PER_PEER
+                && (may_ask_gateway || gateway != Some(*host) || record.known.is_full())
+                && !self.flights.avoids(chunk, self.plan.name_of(*host))
+        };
+        let candidates = drawn.chain(homes).chain(gateway);
+        candidates.filter(fit).min_by_key(|host| self.peers.hosts[*host].in_flight)
+    }
+
+    fn fill_poll(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
+        if self.polling.is_some() || now < self.next_poll {
+            return;
+        }
+        self.polls += 1;
+        let Some(target) = self.poll_target(now, me) else {
+            self.next_poll = now + POLL_INTERVAL;
+            return;
+        };
+        let name = self.plan.name_of(target).clone();
+        self.polling = Some((name.clone(), now + POLL_TIMEOUT));
+        actions.push(FetchAction::Poll(name));
+    }
+
+    /// The host to ask what it holds: in turn the gateway and the home of a missing chunk, a host
+    /// whose chunks this one takes over, and any host of the region.
+    fn poll_target(&self, now: MonoTime, me: HostIndex) -> Option<HostIndex> {
+        let region = self.plan.region_of(me);
+        let key = mix(self.draws ^ self.polls);
+        let missing = self.held.missing().nth(key as usize % (self.held.len() - self.held.count()));
+        let missing = missing?;
+        let suspect = |host| self.peers.is_suspect(host, now);
+        let useful = |host: &HostIndex| {
+            *host != me && !suspect(*host) && !self.peers.hosts[*host].known.is_full()
+        };
+        let first = match self.polls % 4 {
+            0 => self.plan.gateway(missing, region, suspect),
+            1 => self.predecessor(key, me, region),
+            2 => self.plan.home(missing, region, suspect),
+            _ => None,
+        };
+        first.filter(useful).or_else(|| {
+            let members = self.plan.members(region);
+            let draw = |at: u64| members[(mix(key ^ at) % members.len() as u64) as usize];
+            (1..=HOLDER_DRAWS).map(draw).find(useful)
+        })
+    }
+
+    /// The home of a missing chunk that this host takes over if the home fails.
+    fn predecessor(&self, key: u64, me: HostIndex, region: RegionIndex) -> Option<HostIndex> {
+        let next_in_order = |chunk: &usize| self.plan.homes(*chunk, region)[1..].contains(&me);
+        let chunks: Vec<usize> = self.held.missing().filter(next_in_order).collect();
+        let chunk = chunks.get(key as usize % chunks.len().max(1))?;
+        Some(self.plan.homes(*chunk, region)[0])
+    }
+
+    fn begin(
+        &mut self,
+        now: MonoTime,
+        chunk: usize,
+        source: ChunkSource,
+        lane: Option<RegionIndex>,
+        actions: &mut Vec<FetchAction>,
+    ) {
+        let length = self.manifest.chunk_len(chunk);
+        let rate = lane.map(|_| self.lane_rate());
+        if let (Some(region), Some(rate)) = (lane, rate) {
+            let span = Duration::from_secs_f64(length as f64 / rate as f64);
+            self.lanes.begun(now, region, span);
+        }
+        let Some(record) = self.record_mut(&source) else {
+            return;
+        };
+        record.in_flight += 1;
+        let mut stall_timeout = record.stall_timeout(length);
+        if let Some(rate) = rate {
+            stall_timeout =
+                stall_timeout.max(Duration::from_secs_f64(0.5 * length as f64 / rate as f64));
+        }
+        let flight = ChunkFlight {
+            ticket: 0,
+            chunk,
+            source: source.clone(),
+            lane,
+            started: now,
+            deadline: now + stall_timeout,
+            stall_timeout,
+            bytes: 0,
+        };
+        let ticket = self.flights.add(flight);
+        let order = FetchOrder { ticket, chunk, source, bytes_per_second: rate };
+        actions.push(FetchAction::Fetch(order));
+    }
+
+    /// This gateway's part of a region pair's allowance.
+    fn lane_rate(&self) -> u64 {
+        let region = self.me.map_or(0, |me| self.plan.region_of(me));
+        let gateways = self.plan.gateway_count(region).max(1) as u64;
+        let part = self.limits.region_pair_bytes_per_second / gateways;
+        (part * self.spare_percent() as u64 / 100).max(1)
+    }
+
+    /// What live requests leave of the host, in percent.
+    fn spare_percent(&self) -> usize {
+        usize::from(100 - self.live_percent).max(LEAST_SHARE_PERCENT as usize)
+    }
+
+    /// Whether `chunk`, which is missing, may be asked for.
+    fn is_open(&self, now: MonoTime, chunk: usize) -> bool {
+        self.retry_at[chunk] <= now && !self.flights.holds_chunk(chunk)
+    }
+
+    /// Whether this host answers for `chunk` in its region: all before it in the order of takeover
+    /// have failed or make no progress.
+    fn is_acting_home(&self, now: MonoTime, chunk: usize, me: HostIndex) -> bool {
+        let region = self.plan.region_of(me);
+        let patience = self.home_patience();
+        let failed = |host: HostIndex, patience: Duration| {
+            let record = &self.peers.hosts[host];
+            record.is_suspect(now) || self.is_late(now, host, chunk, patience)
+        };
+        for host in self.plan.homes(chunk, region) {
+            if *host == me {
+                return true;
+            }
+            if !failed(*host, patience) {
+                return false;
+            }
+        }
+        let failed = |host| host != me && failed(host, patience * LAST_PATIENCE);
+        self.plan.home(chunk, region, failed) == Some(me)
+    }
+
+    fn acting_gateway(
+        &self,
+        now: MonoTime,
+        chunk: usize,
+        region: RegionIndex,
+        me: HostIndex,
+    ) -> Option<HostIndex> {
+        let patience = self.gateway_patience();
+        self.plan.gateway(chunk, region, |host| {
+            host != me
+                && (self.peers.is_suspect(host, now) || self.is_late(now, host, chunk, patience))
+        })
+    }
+
+    /// Whether `host` lacks `chunk` and has told of nothing new for `patience`.
+    fn is_late(&self, now: MonoTime, host: HostIndex, chunk: usize, patience: Duration) -> bool {
+        let record = &self.peers.hosts[host];
+        !record.known.contains(chunk) && now.since(record.progressed.max(self.started)) > patience
+    }
+
+    fn home_patience(&self) -> Duration {
+        let rate = self.limits.origin_bytes_per_second as f64;
+        let seconds = PATIENCE_FACTOR * self.manifest.total_bytes as f64 / rate;
+        Duration::from_secs_f64(seconds).max(self.gateway_patience())
+    }
+
+    fn gateway_patience(&self) -> Duration {
+        let seconds = PATIENCE_FACTOR * self.manifest.chunk_bytes as f64 / self.lane_rate() as f64;
+        Duration::from_secs_f64(seconds).max(SHORTEST_PATIENCE)
+    }
+
+    fn peer(&self, host: HostIndex) -> ChunkSource {
+        ChunkSource::Peer(self.plan.name_of(host).clone())
+    }
+}
--- /dev/null
+++ b/core/src/weights/fetch/flights.rs
@@ -0,0 +1,103 @@
+//! The fetches that have been started and not ended.
+
+use super::{ChunkSource, FetchTicket};
+use crate::prelude::*;
+use crate::weights::plan::{RegionIndex, SpreadPlan};
+
+/// A fetch that has been started.
+#[derive(Debug, Clone)]
+pub(super) struct ChunkFlight {
+    pub ticket: FetchTicket,
+    pub chunk: usize,
+    pub source: ChunkSource,
+    /// The region at the other end, if the fetch crosses a region pair.
+    pub lane: Option<RegionIndex>,
+    pub started: MonoTime,
+    pub deadline: MonoTime,
+    pub stall_timeout: Duration,
+    pub bytes: u64,
+}
+
+/// All started fetches, and the sources that sent a chunk corrupt.
+#[derive(Debug, Default)]
+pub(super) struct FlightTable {
+    flights: Vec<ChunkFlight>,
+    avoided: Vec<(usize, ChunkSource)>,
+    next_ticket: FetchTicket,
+}
+
+impl FlightTable {
+    pub fn add(&mut self, mut flight: ChunkFlight) -> FetchTicket {
+        self.next_ticket += 1;
+        flight.ticket = self.next_ticket;
+        self.flights.push(flight);
+        self.next_ticket
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &ChunkFlight> {
+        self.flights.iter()
+    }
+
+    pub fn get_mut(&mut self, ticket: FetchTicket) -> Option<&mut ChunkFlight> {
+        self.flights.iter_mut().find(|flight| flight.ticket == ticket)
+    }
+
+    pub fn remove(&mut self, ticket: FetchTicket) -> Option<ChunkFlight> {
+        let at = self.flights.iter().position(|flight| flight.ticket == ticket)?;
+        Some(self.flights.swap_remove(at))
+    }
+
+    pub fn holds_chunk(&self, chunk: usize) -> bool {
+        self.flights.iter().any(|flight| flight.chunk == chunk)
+    }
+
+    pub fn origin_count(&self) -> usize {
+        self.flights.iter().filter(|flight| flight.source == ChunkSource::Origin).count()
+    }
+
+    pub fn peer_count(&self) -> usize {
+        let within =
+            |flight: &&ChunkFlight| flight.lane.is_none() && flight.source != ChunkSource::Origin;
+        self.flights.iter().filter(within).count()
+    }
+
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.flights.iter().map(|flight| flight.deadline).min()
+    }
+
+    pub fn take_expired(&mut self, now: MonoTime) -> Vec<ChunkFlight> {
+        self.flights.extract_if(.., |flight| flight.deadline <= now).collect()
+    }
+
+    pub fn take_all(&mut self) -> Vec<ChunkFlight> {
+        std::mem::take(&mut self.flights)
+    }
+
+    /// Drops the fetches from hosts that the plan does not know, and returns their tickets.
+    pub fn retain_sources(&mut self, plan: &SpreadPlan) -> Vec<FetchTicket> {
+        let unknown = |flight: &mut ChunkFlight| match &flight.source {
+            ChunkSource::Origin => false,
+            ChunkSource::Peer(name) => plan.index_of(name).is_none(),
+        };
+        self.flights.extract_if(.., unknown).map(|flight| flight.ticket).collect()
+    }
+
+    /// Drops the fetches that cross a region pair, and returns their tickets.
+    pub fn take_lanes(&mut self) -> Vec<FetchTicket> {
+        let crossing = |flight: &mut ChunkFlight| flight.lane.is_some();
+        self.flights.extract_if(.., crossing).map(|flight| flight.ticket).collect()
+    }
+
+    /// Notes that `source` sent `chunk` corrupt.
+    pub fn avoid(&mut self, chunk: usize, source: &ChunkSource) {
+        self.avoided.push((chunk, source.clone()));
+    }
+
+    /// Whether `source` sent `chunk` corrupt.
+    pub fn avoids(&self, chunk: usize, source: &HostName) -> bool {
+        let same = |avoided: &(usize, ChunkSource)| {
+            avoided.0 == chunk && matches!(&avoided.1, ChunkSource::Peer(name) if name == source)
+        };
+        self.avoided.iter().any(same)
+    }
+}
--- /dev/null
+++ b/core/src/weights/fetch/peers.rs
@@ -0,0 +1,131 @@
+//! What a host knows of the sources of chunks.
+
+use super::{CORRUPT_LIMIT, FetchFailure, FetchLimits};
+use crate::prelude::*;
+use crate::weights::ChunkSet;
+use crate::weights::plan::{HostIndex, SpreadPlan};
+
+const FIRST_SUSPICION: Duration = Duration::from_secs(2);
+const LONGEST_SUSPICION: Duration = Duration::from_secs(64);
+const BUSY_PAUSE: Duration = Duration::from_millis(200);
+const PEER_SHUN_TIME: Duration = Duration::from_secs(600);
+const ORIGIN_SHUN_TIME: Duration = Duration::from_secs(2);
+const SHORTEST_STALL: Duration = Duration::from_secs(2);
+const LONGEST_STALL: Duration = Duration::from_secs(20);
+/// A fetch has stalled if nothing arrives in the time of this part of a chunk at the rate seen.
+const STALL_PART: f64 = 0.5;
+const RATE_MEMORY: f64 = 0.7;
+
+/// What is known of one source.
+#[derive(Debug, Clone)]
+pub(super) struct SourceRecord {
+    pub known: ChunkSet,
+    pub in_flight: u32,
+    pub corrupt: u32,
+    /// When the source last told of a chunk that it had not told of before.
+    pub progressed: MonoTime,
+    failures: u32,
+    suspect_until: MonoTime,
+    busy_until: MonoTime,
+    bytes_per_second: f64,
+    shun_time: Duration,
+}
+
+impl SourceRecord {
+    fn new(chunks: usize, bytes_per_second: u64, now: MonoTime) -> Self {
+        Self {
+            known: ChunkSet::new(chunks),
+            in_flight: 0,
+            corrupt: 0,
+            progressed: now,
+            failures: 0,
+            suspect_until: MonoTime::ZERO,
+            busy_until: MonoTime::ZERO,
+            bytes_per_second: bytes_per_second as f64,
+            shun_time: PEER_SHUN_TIME,
+        }
+    }
+
+    /// Whether the source failed lately or sends corrupt chunks.
+    pub fn is_suspect(&self, now: MonoTime) -> bool {
+        now < self.suspect_until
+    }
+
+    /// Whether the source may be asked for a chunk now.
+    pub fn is_ready(&self, now: MonoTime) -> bool {
+        now >= self.suspect_until && now >= self.busy_until
+    }
+
+    /// How long nothing may arrive before a fetch of `length` bytes has stalled.
+    pub fn stall_timeout(&self, length: u64) -> Duration {
+        let seconds = STALL_PART * length as f64 / self.bytes_per_second.max(1.0);
+        Duration::from_secs_f64(seconds.min(LONGEST_STALL.as_secs_f64())).max(SHORTEST_STALL)
+    }
+
+    pub fn succeeded(&mut self, now: MonoTime, length: u64, took: Duration) {
+        let rate = length as f64 / took.as_secs_f64().max(1e-6);
+        self.bytes_per_second = RATE_MEMORY * self.bytes_per_second + (1.0 - RATE_MEMORY) * rate;
+        self.trust(now);
+    }
+
+    pub fn told(&mut self, now: MonoTime, chunks: ChunkSet) {
+        if chunks.count() > self.known.count() {
+            self.progressed = now;
+        }
+        self.known = chunks;
+        self.trust(now);
+    }
+
+    pub fn corrupted(&mut self, now: MonoTime) {
+        self.corrupt += 1;
+        if self.corrupt >= CORRUPT_LIMIT {
+            self.suspect_until = now + self.shun_time;
+        }
+    }
+
+    pub fn failed(&mut self, now: MonoTime, failure: FetchFailure, chunk: usize) {
+        match failure {
+            FetchFailure::NotHere => {
+                if self.known.contains(chunk) {
+                    self.known = ChunkSet::new(self.known.len());
+                }
+                self.trust(now);
+            }
+            FetchFailure::Busy => self.busy_until = now + BUSY_PAUSE,
+            FetchFailure::Cut | FetchFailure::Unreachable => self.suspect(now),
+        }
+    }
+
+    fn suspect(&mut self, now: MonoTime) {
+        let span = FIRST_SUSPICION * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.suspect_until = self.suspect_until.max(now + span.min(LONGEST_SUSPICION));
+    }
+
+    fn trust(&mut self, now: MonoTime) {
+        self.failures = 0;
+        if self.corrupt < CORRUPT_LIMIT {
+            self.suspect_until = self.suspect_until.min(now);
+        }
+    }
+}
+
+/// What is known of the origin and of every host of the plan.
+#[derive(Debug)]
+pub(super) struct PeerLedger {
+    pub origin: SourceRecord,
+    pub hosts: Vec<SourceRecord>,
+}
+
+impl PeerLedger {
+    pub fn new(plan: &SpreadPlan, chunks: usize, limits: &FetchLimits, now: MonoTime) -> Self {
+        let record = SourceRecord::new(chunks, limits.host_bytes_per_second, now);
+        let mut origin = SourceRecord::new(0, limits.origin_bytes_per_second, now);
+        origin.shun_time = ORIGIN_SHUN_TIME;
+        Self { origin, hosts: vec![record; plan.hosts().len()] }
+    }
+
+    pub fn is_suspect(&self, host: HostIndex, now: MonoTime) -> bool {
+        self.hosts[host].is_suspect(now)
+    }
+}
--- /dev/null
+++ b/core/src/weights/plan.rs
@@ -0,0 +1,284 @@
+//! Who fetches which chunk from whom, worked out alike by every host.
+//!
+//! The reader region takes each chunk from the origin once. Each remote region takes an equal part
+//! of the chunks from the reader region and the others from the other remote regions, through a few
+//! gateways. Within a region each chunk has a home host, and hosts that take over in a fixed order.
+
+use crate::prelude::*;
+use crate::weights::VersionManifest;
+
+/// Hosts of a region that fetch from other regions at the same time.
+pub const GATEWAYS_PER_REGION: usize = 2;
+/// Hosts whose order of takeover is kept for each chunk and region.
+pub const KEPT_RANKS: usize = 3;
+
+/// Position of a host in the plan's sorted list.
+pub type HostIndex = usize;
+/// Position of a region in the plan's sorted list.
+pub type RegionIndex = usize;
+
+/// A host that wants the version.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PlanHost {
+    /// Its name.
+    pub name: HostName,
+    /// Its region.
+    pub region: RegionName,
+}
+
+/// The plan of one version's spread; equal inputs give equal plans.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpreadPlan {
+    hosts: Vec<PlanHost>,
+    host_keys: Vec<u64>,
+    host_regions: Vec<RegionIndex>,
+    regions: Vec<RegionPlan>,
+    reader: RegionIndex,
+    remotes: Vec<RegionIndex>,
+    chunk_keys: Vec<u64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct RegionPlan {
+    name: RegionName,
+    members: Vec<HostIndex>,
+    gateways: Vec<HostIndex>,
+    homes: Vec<[HostIndex; KEPT_RANKS]>,
+}
+
+impl SpreadPlan {
+    /// Plans the spread of `manifest` to `hosts`, in any order. The origin is read by
+    /// `store_region`, or by the first region if no host of that one wants the version.
+    pub fn new(
+        manifest: &VersionManifest,
+        mut hosts: Vec<PlanHost>,
+        store_region: &RegionName,
+    ) -> Self {
+        hosts.sort_unstable();
+        hosts.dedup_by(|a, b| a.name == b.name);
+        let chunk_keys: Vec<u64> = manifest.chunks.iter().map(|c| key_of(c.as_bytes())).collect();
+        let host_keys: Vec<u64> = hosts.iter().map(|host| name_key(host.name.as_str())).collect();
+        let mut names: Vec<RegionName> = hosts.iter().map(|host| host.region.clone()).collect();
+        names.sort_unstable();
+        names.dedup();
+        let region_index = |name: &RegionName| names.partition_point(|other| other < name);
+        let host_regions: Vec<RegionIndex> =
+            hosts.iter().map(|host| region_index(&host.region)).collect();
+        let digest_key = key_of(manifest.digest().as_bytes());
+        let build = |(index, name): (RegionIndex, &RegionName)| {
+            let members: Vec<HostIndex> =
+                (0..hosts.len()).filter(|host| host_regions[*host] == index).collect();
+            RegionPlan::new(name.clone(), members, &host_keys, &chunk_keys, digest_key)
+        };
+        let regions: Vec<RegionPlan> = names.iter().enumerate().map(build).collect();
+        let reader = names.binary_search(store_region).unwrap_or(0);
+        let remotes = (0..regions.len()).filter(|index| *index != reader).collect();
+        Self { hosts, host_keys, host_regions, regions, reader, remotes, chunk_keys }
+    }
+
+    /// The hosts, sorted by name.
+    pub fn hosts(&self) -> &[PlanHost] {
+        &self.hosts
+    }
+
+    /// The position of the host called `name`.
+    pub fn index_of(&self, name: &HostName) -> Option<HostIndex> {
+        self.hosts.binary_search_by(|host| host.name.cmp(name)).ok()
+    }
+
+    /// The name of the host at `index`.
+    pub fn name_of(&self, index: HostIndex) -> &HostName {
+        &self.hosts[index].name
+    }
+
+    /// The region of the host at `index`.
+    pub fn region_of(&self, index: HostIndex) -> RegionIndex {
+        self.host_regions[index]
+    }
+
+    /// The name of a region.
+    pub fn region_name(&self, region: RegionIndex) -> &RegionName {
+        &self.regions[region].name
+    }
+
+    /// The number of regions.
+    pub fn region_count(&self) -> usize {
+        self.regions.len()
+    }
+
+    /// Whether both plans know the same regions.
+    pub fn has_regions_of(&self, other: &SpreadPlan) -> bool {
+        let names = |plan: &SpreadPlan| -> Vec<RegionName> {
+            plan.regions.iter().map(|region| region.name.clone()).collect()
+        };
+        names(self) == names(other)
+    }
+
+    /// The region that reads from the origin.
+    pub fn reader(&self) -> RegionIndex {
+        self.reader
+    }
+
+    /// The number of chunks.
+    pub fn chunk_count(&self) -> usize {
+        self.chunk_keys.len()
+    }
+
+    /// The hosts of a region, sorted by name.
+    pub fn members(&self, region: RegionIndex) -> &[HostIndex] {
+        &self.regions[region].members
+    }
+
+    /// The region from which `region` takes `chunk`; none if it reads the origin.
+    pub fn source_region(&self, chunk: usize, region: RegionIndex) -> Option<RegionIndex> {
+        if region == self.reader {
+            return None;
+        }
+        let entry = self.remotes[chunk % self.remotes.len()];
+        Some(if entry == region { self.reader } else { entry })
+    }
+
+    /// How many gateways of `region` work at the same time.
+    pub fn gateway_count(&self, region: RegionIndex) -> usize {
+        self.regions[region].members.len().min(GATEWAYS_PER_REGION)
+    }
+
+    /// The gateway that brings `chunk` into `region`: the first in the order of takeover that is
+    /// not `suspect`.
+    pub fn gateway(
+        &self,
+        chunk: usize,
+        region: RegionIndex,
+        suspect: impl Fn(HostIndex) -> bool,
+    ) -> Option<HostIndex> {
+        let gateways = &self.regions[region].gateways;
+        let count = self.gateway_count(region);
+        if count == 0 {
+            return None;
+        }
+        let slot = (chunk / self.remotes.len().max(1)) % count;
+        let first = gateways.iter().skip(slot).step_by(count).copied().find(|host| !suspect(*host));
+        first.or_else(|| gateways.iter().copied().find(|host| !suspect(*host)))
+    }
+
+    /// The first hosts of `region` in the order in which they take over `chunk`; repeated if the
+    /// region has fewer.
+    pub fn homes(&self, chunk: usize, region: RegionIndex) -> &[HostIndex; KEPT_RANKS] {
+        &self.regions[region].homes[chunk]
+    }
+
+    /// The host that answers for `chunk` in `region`: the first in the order of takeover that is
+    /// not `suspect`; none if all are.
+    pub fn home(
+        &self,
+        chunk: usize,
+        region: RegionIndex,
+        suspect: impl Fn(HostIndex) -> bool,
+    ) -> Option<HostIndex> {
+        if let Some(host) = self.homes(chunk, region).iter().find(|host| !suspect(**host)) {
+            return Some(*host);
+        }
+        let members = self.regions[region].members.iter().copied();
+        let alive = members.filter(|host| !suspect(*host));
+        alive.max_by_key(|host| mix(self.host_keys[*host] ^ self.chunk_keys[chunk]))
+    }
+
+    /// The hosts that may be asked for the manifest before the origin, in order. Empty for the host
+    /// that reads it from the origin first.
+    pub fn manifest_sources(
+        digest: &VersionDigest,
+        me: &PlanHost,
+        hosts: &[PlanHost],
+        store_region: &RegionName,
+    ) -> Vec<HostName> {
+        let key = key_of(digest.as_bytes());
+        let order = |region: &RegionName| {
+            let mut names: Vec<&HostName> =
+                hosts.iter().filter(|host| host.region == *region).map(|host| &host.name).collect();
+            names.sort_by_key(|name| std::cmp::Reverse(mix(name_key(name.as_str()) ^ key)));
+            names.truncate(KEPT_RANKS);
+            names
+        };
+        let own = order(&me.region);
+        let before: Vec<&HostName> = own.into_iter().take_while(|name| **name != me.name).collect();
+        let mut sources: Vec<HostName> = before.into_iter().cloned().collect();
+        if me.region != *store_region {
+            sources.extend(order(store_region).into_iter().cloned());
+        }
+        sources
+    }
+}
+
+impl RegionPlan {
+    fn new(
+        name: RegionName,
+        members: Vec<HostIndex>,
+        host_keys: &[u64],
+        chunk_keys: &[u64],
+        digest_key: u64,
+    ) -> Self {
+        let mut gateways = members.clone();
+        gateways.sort_by_key(|host| std::cmp::Reverse(mix(host_keys[*host] ^ digest_key)));
+        let most = chunk_keys.len().div_ceil(members.len().max(1));
+        let mut loads = vec![0; host_keys.len()];
+        let home = |key: &u64| {
+            let ranks = best_ranks(&members, host_keys, *key);
+            balanced(ranks, &members, host_keys, *key, &mut loads, most)
+        };
+        let homes = chunk_keys.iter().map(home).collect();
+        Self { name, members, gateways, homes }
+    }
+}
+
+/// The hosts with the highest scores for `key`, best first.
+fn best_ranks(members: &[HostIndex], host_keys: &[u64], key: u64) -> [HostIndex; KEPT_RANKS] {
+    let mut best = [(0, members[0]); KEPT_RANKS];
+    for host in members {
+        let score = mix(host_keys[*host] ^ key);
+        let at = best.partition_point(|(other, _)| *other >= score);
+        if at < KEPT_RANKS {
+            best[at..].rotate_right(1);
+            best[at] = (score, *host);
+        }
+    }
+    best.map(|(_, host)| host)
+}
+
+/// Puts the best host that is home to fewer than `most` chunks in front of `ranks`.
+fn balanced(
+    mut ranks: [HostIndex; KEPT_RANKS],
+    members: &[HostIndex],
+    host_keys: &[u64],
+    key: u64,
+    loads: &mut [usize],
+    most: usize,
+) -> [HostIndex; KEPT_RANKS] {
+    let free = |host: &&HostIndex| loads[**host] < most;
+    let home = ranks
+        .iter()
+        .find(free)
+        .or_else(|| members.iter().filter(free).max_by_key(|host| mix(host_keys[**host] ^ key)));
+    let home = home.copied().unwrap_or(ranks[0]);
+    loads[home] += 1;
+    let at = ranks.iter().position(|host| *host == home).unwrap_or(KEPT_RANKS - 1);
+    ranks[..=at].rotate_right(1);
+    ranks[0] = home;
+    ranks
+}
+
+fn name_key(name: &str) -> u64 {
+    key_of(blake3::hash(name.as_bytes()).as_bytes())
+}
+
+fn key_of(bytes: &[u8; 32]) -> u64 {
+    u64::from_le_bytes([
+        bytes[0], bytes[1], bytes[2], bytes[3], bytes[4], bytes[5], bytes[6], bytes[7],
+    ])
+}
+
+/// Scatters a key over all 64 bits (the finaliser of SplitMix64).
+pub(super) fn mix(key: u64) -> u64 {
+    let key = (key ^ (key >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let key = (key ^ (key >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    key ^ (key >> 31)
+}
