Limit uploads by what a host has sent, and retry a chunk over other links at once

Cause: with the store's pair cut, one link that answered "not here" kept the first missing chunk in its pause, so the link that could bring it took later ones, which the relaying region did not ask for. The pause is now kept by link. Ruled out: unequal order of the gateways' parts; both sides use the same.

--- a/benches/burst.rs
+++ b/benches/burst.rs
@@ -78,7 +78,6 @@
 }
 
 fn strike(model: &mut FleetModel, fault: BurstFault) {
-    let region = |index: usize| RegionName::from(format!("region-{index}"));
     match fault {
         BurstFault::None => {}
         BurstFault::DeadHosts => {
@@ -86,8 +85,8 @@
             let stride = model.hosts.len() / count;
             (0..count).for_each(|index| model.kill(index * stride + stride / 2));
         }
-        BurstFault::CutStorePair => model.cut(&region(0), &region(1)),
-        BurstFault::CutRemotePair => model.cut(&region(1), &region(2)),
+        BurstFault::CutStorePair => model.cut(0, 1),
+        BurstFault::CutRemotePair => model.cut(1, 2),
     }
 }
 
--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -7,7 +7,7 @@
 use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
 use buckthornwharf_core::weights::{
     ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
-    PlanHost, SpreadPlan, VersionManifest,
+    PlanHost, SpreadPlan, UploadLimiter, VersionManifest,
 };
 use bytes::Bytes;
 
@@ -18,7 +18,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 const LIST_LAG: Duration = Duration::from_secs(30);
-const MAX_UPLOADS: u32 = 8;
 const REQUEST_BYTES: u64 = 260;
 const ANSWER_BYTES: u64 = 160;
 
@@ -38,7 +37,8 @@
     pub messages: u64,
     /// Bytes of the control messages sent.
     pub control_bytes: u64,
-    uploads: u32,
+    uploads: UploadLimiter,
+    region: usize,
     wake: MonoTime,
 }
 
@@ -68,9 +68,11 @@
     content: Bytes,
     limits: FetchLimits,
     store_region: RegionName,
+    store: usize,
+    regions: usize,
     flows: Vec<ModelFlow>,
     mail: Vec<(MonoTime, usize, FetchEvent)>,
-    cut: Option<(RegionName, RegionName)>,
+    cut: Option<(usize, usize)>,
     replan: Option<MonoTime>,
 }
 
@@ -102,7 +104,8 @@
             uploaded: 0.0,
             messages: 0,
             control_bytes: 0,
-            uploads: 0,
+            uploads: UploadLimiter::new(manifest.total_bytes),
+            region: plan.region_of(index),
             wake: MonoTime::ZERO,
         };
         let hosts = plan.hosts().iter().enumerate().map(host).collect();
@@ -116,6 +119,8 @@
             content,
             limits,
             store_region,
+            store: plan.reader(),
+            regions: plan.region_count(),
             flows: Vec::new(),
             mail: Vec::new(),
             cut: None,
@@ -131,13 +136,14 @@
     /// Kills a host without a word; the list of hosts tells of it later.
     pub fn kill(&mut self, host: usize) {
         self.hosts[host].alive = false;
-        self.flows.retain(|flow| flow.to != host);
+        let lost: Vec<_> = self.flows.extract_if(.., |flow| flow.to == host).collect();
+        lost.iter().for_each(|flow| self.release(flow));
         self.replan = Some(self.now + LIST_LAG);
     }
 
-    /// Cuts the link between two regions.
-    pub fn cut(&mut self, a: &RegionName, b: &RegionName) {
-        self.cut = Some((a.clone(), b.clone()));
+    /// Cuts the link between two regions, by their places in the order of names.
+    pub fn cut(&mut self, a: usize, b: usize) {
+        self.cut = Some((a.min(b), a.max(b)));
     }
 
     /// Whether every living host holds every chunk.
@@ -190,7 +196,8 @@
 
     fn release(&mut self, flow: &ModelFlow) {
         if let Some(from) = flow.from {
-            self.hosts[from].uploads -= 1;
+            let moved = self.manifest.chunk_len(flow.chunk) as f64 - flow.left;
+            self.hosts[from].uploads.end(moved as u64);
         }
     }
 
@@ -199,12 +206,13 @@
         found.expect("a host of the model")
     }
 
-    fn is_reachable(&self, a: usize, region: &RegionName) -> bool {
-        let own = &self.hosts[a].place.region;
-        let Some((x, y)) = &self.cut else {
-            return true;
-        };
-        !((own == x && region == y) || (own == y && region == x))
+    fn region_at(&self, end: Option<usize>) -> usize {
+        end.map_or(self.store, |host| self.hosts[host].region)
+    }
+
+    fn is_reachable(&self, host: usize, from: Option<usize>) -> bool {
+        let (a, b) = (self.region_at(Some(host)), self.region_at(from));
+        self.cut != Some((a.min(b), a.max(b)))
     }
 
     fn count(&mut self, host: usize, bytes: u64) {
@@ -219,7 +227,7 @@
     fn poll(&mut self, host: usize, peer: &HostName) {
         self.count(host, REQUEST_BYTES);
         let from = self.index_of(peer);
-        if !self.hosts[from].alive || !self.is_reachable(host, &self.hosts[from].place.region) {
+        if !self.hosts[from].alive || !self.is_reachable(host, Some(from)) {
             self.post(CONNECT_TIMEOUT, host, FetchEvent::PollFailed(peer.clone()));
             return;
         }
@@ -234,12 +242,8 @@
             ChunkSource::Origin => None,
             ChunkSource::Peer(name) => Some(self.index_of(name)),
         };
-        let region = match from {
-            None => self.store_region.clone(),
-            Some(from) => self.hosts[from].place.region.clone(),
-        };
         let up = from.map_or(self.origin_up, |from| self.hosts[from].alive);
-        if !up || !self.is_reachable(host, &region) {
+        if !up || !self.is_reachable(host, from) {
             let event = FetchEvent::Failed(order.ticket, FetchFailure::Unreachable);
             self.post(CONNECT_TIMEOUT, host, event);
             return;
@@ -247,7 +251,7 @@
         if let Some(from) = from {
             let refused = if !self.hosts[from].machine.held().contains(order.chunk) {
                 Some(FetchFailure::NotHere)
-            } else if self.hosts[from].uploads >= MAX_UPLOADS {
+            } else if !self.hosts[from].uploads.start() {
                 Some(FetchFailure::Busy)
             } else {
                 None
@@ -257,7 +261,6 @@
                 self.post(STEP, host, FetchEvent::Failed(order.ticket, failure));
                 return;
             }
-            self.hosts[from].uploads += 1;
         }
         self.flows.push(ModelFlow {
             to: host,
@@ -270,24 +273,20 @@
         });
     }
 
-    fn region_at(&self, end: Option<usize>) -> &RegionName {
-        end.map_or(&self.store_region, |host| &self.hosts[host].place.region)
-    }
-
     /// Flows on each link: from the origin, up and down each host's, and between regions.
     fn move_flows(&mut self) {
         let count = self.hosts.len();
         let (mut origin, mut up, mut down) = (0.0, vec![0.0; count], vec![0.0; count]);
-        let mut pairs: SortedTable<(RegionName, RegionName), f64> = SortedTable::new();
+        let mut pairs = vec![0.0; self.regions * self.regions];
         let pair_of = |model: &Self, flow: &ModelFlow| {
             let (from, to) = (model.region_at(flow.from), model.region_at(Some(flow.to)));
-            (from != to).then(|| (from.clone(), to.clone()))
+            (from != to).then_some(from * model.regions + to)
         };
         for flow in &self.flows {
             flow.from.map_or_else(|| origin += 1.0, |from| up[from] += 1.0);
             down[flow.to] += 1.0;
             if let Some(pair) = pair_of(self, flow) {
-                *pairs.get_or_insert_with(pair, || 0.0) += 1.0;
+                pairs[pair] += 1.0;
             }
         }
         let limits = self.limits;
@@ -296,7 +295,7 @@
         let mut done = Vec::new();
         for flow in &mut flows {
             let from_alive = flow.from.is_none_or(|from| self.hosts[from].alive);
-            let cut = !self.is_reachable(flow.to, self.region_at(flow.from));
+            let cut = !self.is_reachable(flow.to, flow.from);
             if !from_alive || cut || (flow.from.is_none() && !self.origin_up) {
                 continue;
             }
@@ -305,7 +304,7 @@
                 Some(from) => limits.host_bytes_per_second as f64 / up[from],
             };
             let sink = limits.host_bytes_per_second as f64 / down[flow.to];
-            let between = pair_of(self, flow).and_then(|pair| pairs.get(&pair).copied());
+            let between = pair_of(self, flow).map(|pair| pairs[pair]);
             let between = between
                 .map_or(f64::INFINITY, |flows| limits.region_pair_bytes_per_second as f64 / flows);
             let moved = source.min(sink).min(between).min(flow.cap) * seconds;
--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -5,8 +5,10 @@
 pub mod fetch;
 pub mod manifest;
 pub mod plan;
+pub mod upload;
 
 pub use chunk_set::ChunkSet;
 pub use fetch::{ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine};
 pub use manifest::{ManifestError, VersionManifest};
 pub use plan::{PlanHost, SpreadPlan};
+pub use upload::UploadLimiter;
--- a/core/src/weights/chunk_set.rs
+++ b/core/src/weights/chunk_set.rs
@@ -49,6 +49,14 @@
         true
     }
 
+    /// Adds every position of `other`, which must be a set for the same manifest.
+    pub fn insert_all(&mut self, other: &ChunkSet) {
+        for (word, added) in self.words.iter_mut().zip(&other.words) {
+            *word |= added;
+        }
+        self.count = self.words.iter().map(|word| word.count_ones() as usize).sum();
+    }
+
     /// The positions that are absent, in order.
     pub fn missing(&self) -> impl Iterator<Item = usize> {
         (0..self.len).filter(|index| !self.contains(*index))
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -10,7 +10,7 @@
 
 use crate::prelude::*;
 use crate::weights::manifest::hash_chunk;
-use crate::weights::plan::{HostIndex, SpreadPlan, mix};
+use crate::weights::plan::{HostIndex, RegionIndex, SpreadPlan, mix};
 use crate::weights::{ChunkSet, VersionManifest};
 use bytes::Bytes;
 use flights::{ChunkFlight, FlightTable};
@@ -138,7 +138,8 @@
     peers: PeerLedger,
     lanes: LaneTable,
     flights: FlightTable,
-    retry_at: Vec<MonoTime>,
+    /// By chunk: until when the link that failed it last is not asked again.
+    retries: Vec<(MonoTime, Option<RegionIndex>)>,
     started: MonoTime,
     next_poll: MonoTime,
     polling: Option<(HostName, MonoTime)>,
@@ -165,7 +166,7 @@
             peers: PeerLedger::new(&plan, count, &limits, now),
             lanes: LaneTable::new(plan.region_count()),
             flights: FlightTable::default(),
-            retry_at: vec![MonoTime::ZERO; count],
+            retries: vec![(MonoTime::ZERO, None); count],
             manifest,
             plan,
             name,
@@ -284,7 +285,7 @@
         if let Some(region) = flight.lane {
             self.lanes.failed(now, region, failure);
         }
-        self.retry_at[flight.chunk] = now + POLL_INTERVAL;
+        self.retries[flight.chunk] = (now + POLL_INTERVAL, flight.lane);
         let chunk = flight.chunk;
         if let Some(record) = self.record_mut(&flight.source) {
             record.failed(now, failure, chunk);
@@ -310,7 +311,7 @@
     fn held_by(&mut self, now: MonoTime, peer: &HostName, chunks: ChunkSet) {
         self.poll_ended(now, peer);
         if let Some(index) = self.plan.index_of(peer) {
-            self.peers.hosts[index].told(now, chunks);
+            self.peers.told(now, index, chunks);
         }
     }
 
@@ -335,8 +336,7 @@
         peers.origin = self.peers.origin.clone();
         for (index, host) in self.plan.hosts().iter().enumerate() {
             if let Some(before) = old.index_of(&host.name) {
-                peers.hosts[index] = self.peers.hosts[before].clone();
-                peers.hosts[index].in_flight = 0;
+                peers.adopt(index, &self.peers.hosts[before]);
             }
         }
         self.peers = peers;
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -34,8 +34,9 @@
             if !self.peers.origin.is_ready(now) {
                 return;
             }
-            let duty =
-                |chunk: &usize| self.is_open(now, *chunk) && self.is_acting_home(now, *chunk, me);
+            let duty = |chunk: &usize| {
+                self.is_open(now, *chunk, None) && self.is_acting_home(now, *chunk, me)
+            };
             let next = self.held.missing().find(duty);
             let Some(chunk) = next else {
                 return;
@@ -65,7 +66,8 @@
     fn lane_chunk(&self, now: MonoTime, me: HostIndex, other: RegionIndex) -> Option<usize> {
         let region = self.plan.region_of(me);
         let mine = |chunk: &usize| {
-            self.is_open(now, *chunk) && self.acting_gateway(now, *chunk, region, me) == Some(me)
+            self.is_open(now, *chunk, Some(other))
+                && self.acting_gateway(now, *chunk, region, me) == Some(me)
         };
         let planned = |chunk: &usize| self.plan.source_region(*chunk, region) == Some(other);
         let next = self.held.missing().find(|chunk| planned(chunk) && mine(chunk));
@@ -95,7 +97,10 @@
                     return;
                 }
                 let chunk = (offset + step) % count;
-                if self.held.contains(chunk) || !self.is_open(now, chunk) {
+                if self.held.contains(chunk) || !self.peers.is_known(chunk) {
+                    continue;
+                }
+                if !self.is_open(now, chunk, None) {
                     continue;
                 }
                 if home_first && self.plan.homes(chunk, self.plan.region_of(me))[0] != me {
@@ -120,23 +125,35 @@
             members[at as usize]
         });
         let homes = self.plan.homes(chunk, region).iter().copied();
-        let gateway = self.acting_gateway(now, chunk, region, me);
+        let gateway = self.plan.gateway(chunk, region, |host| self.peers.is_suspect(host, now));
         let gateway = gateway.filter(|_| region != self.plan.reader());
-        let is_home = gateway == Some(self.plan.homes(chunk, region)[0]);
-        let may_ask_gateway = is_home || self.is_acting_home(now, chunk, me);
         let fit = |host: &HostIndex| {
             let record = &self.peers.hosts[*host];
-            *host != me
-                && record.known.contains(chunk)
+            record.known.contains(chunk)
+                && *host != me
                 && record.is_ready(now)
                 && record.in_flight < FETCHES_PER_PEER
-                && (may_ask_gateway || gateway != Some(*host) || record.known.is_full())
                 && !self.flights.avoids(chunk, self.plan.name_of(*host))
+                && (gateway != Some(*host) || self.may_ask_gateway(now, chunk, *host, me))
         };
         let candidates = drawn.chain(homes).chain(gateway);
         candidates.filter(fit).min_by_key(|host| self.peers.hosts[*host].in_flight)
     }
 
+    /// Whether `chunk` may be asked from the gateway that brought it: by the home, by all if the
+    /// gateway is the home, and once the gateway holds the whole version.
+    fn may_ask_gateway(
+        &self,
+        now: MonoTime,
+        chunk: usize,
+        gateway: HostIndex,
+        me: HostIndex,
+    ) -> bool {
+        self.peers.hosts[gateway].known.is_full()
+            || self.plan.homes(chunk, self.plan.region_of(me))[0] == gateway
+            || self.is_acting_home(now, chunk, me)
+    }
+
     fn fill_poll(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
         if self.polling.is_some() || now < self.next_poll {
             return;
@@ -234,9 +251,11 @@
         usize::from(100 - self.live_percent).max(LEAST_SHARE_PERCENT as usize)
     }
 
-    /// Whether `chunk`, which is missing, may be asked for.
-    fn is_open(&self, now: MonoTime, chunk: usize) -> bool {
-        self.retry_at[chunk] <= now && !self.flights.holds_chunk(chunk)
+    /// Whether `chunk`, which is missing, may be asked for over the link from `lane`, or within the
+    /// region if none: it is not in flight, and the same link did not fail it a moment ago.
+    fn is_open(&self, now: MonoTime, chunk: usize, lane: Option<RegionIndex>) -> bool {
+        let (retry_at, failed_lane) = self.retries[chunk];
+        (retry_at <= now || failed_lane != lane) && !self.flights.holds_chunk(chunk)
     }
 
     /// Whether this host answers for `chunk` in its region: all before it in the order of takeover
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -115,6 +115,7 @@
 pub(super) struct PeerLedger {
     pub origin: SourceRecord,
     pub hosts: Vec<SourceRecord>,
+    known: ChunkSet,
 }
 
 impl PeerLedger {
@@ -122,7 +123,25 @@
         let record = SourceRecord::new(chunks, limits.host_bytes_per_second, now);
         let mut origin = SourceRecord::new(0, limits.origin_bytes_per_second, now);
         origin.shun_time = ORIGIN_SHUN_TIME;
-        Self { origin, hosts: vec![record; plan.hosts().len()] }
+        let hosts = vec![record; plan.hosts().len()];
+        Self { origin, hosts, known: ChunkSet::new(chunks) }
+    }
+
+    /// Takes over what an older plan's ledger knew of `host`, but for the fetches in flight.
+    pub fn adopt(&mut self, host: HostIndex, record: &SourceRecord) {
+        self.known.insert_all(&record.known);
+        self.hosts[host] = SourceRecord { in_flight: 0, ..record.clone() };
+    }
+
+    /// Takes in what `host` told.
+    pub fn told(&mut self, now: MonoTime, host: HostIndex, chunks: ChunkSet) {
+        self.known.insert_all(&chunks);
+        self.hosts[host].told(now, chunks);
+    }
+
+    /// Whether any host ever told that it holds `chunk`.
+    pub fn is_known(&self, chunk: usize) -> bool {
+        self.known.contains(chunk)
     }
 
     pub fn is_suspect(&self, host: HostIndex, now: MonoTime) -> bool {
