--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,14 @@
 
 pub mod admin;
 pub mod agent;
+pub mod clock;
+pub mod cmd;
 pub mod entry;
+pub mod follow;
 pub mod http_server;
 pub mod link;
 pub mod metrics;
 pub mod platform;
+pub mod process;
 pub mod settings;
 pub mod shared;
