--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -2,8 +2,11 @@
 //! cycle of a version on a host.
 
 pub mod chunk_set;
+pub mod fence;
 pub mod fetch;
+pub mod lifecycle;
 pub mod manifest;
+pub mod permit;
 pub mod plan;
 pub mod upload;
 
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -9,6 +9,8 @@
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Patiences after which a host that makes no progress is passed over by all, not by the next only.
 const LAST_PATIENCE: u32 = 8;
+const ORIGIN_CHUNKS_AHEAD: usize = 6;
+const ORIGIN_HASTE: f64 = 1.05;
 const FETCHES_PER_PEER: u32 = 2;
 const HOLDER_DRAWS: u64 = 4;
 const LEAST_SHARE_PERCENT: u64 = 10;
@@ -34,10 +36,11 @@
             if !self.peers.origin.is_ready(now) {
                 return;
             }
+            let due = self.origin_due(now);
             let duty = |chunk: &usize| {
                 self.is_open(now, *chunk, None) && self.is_acting_home(now, *chunk, me)
             };
-            let next = self.held.missing().find(duty);
+            let next = self.held.missing().take_while(|chunk| *chunk < due).find(duty);
             let Some(chunk) = next else {
                 return;
             };
@@ -45,6 +48,14 @@
         }
     }
 
+    /// How many chunks, in order, may have been asked of the origin by now. All readers keep to it,
+    /// so that the first chunks arrive early and the origin's allowance is kept without agreement.
+    fn origin_due(&self, now: MonoTime) -> usize {
+        let rate = self.limits.origin_bytes_per_second as f64 * ORIGIN_HASTE;
+        let bytes = now.since(self.started).as_secs_f64() * rate;
+        (bytes / self.manifest.chunk_bytes.max(1) as f64) as usize + ORIGIN_CHUNKS_AHEAD
+    }
+
     fn fill_lanes(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
         let region = self.plan.region_of(me);
         for other in 0..self.plan.region_count() {
--- /dev/null
+++ b/core/src/weights/lifecycle.rs
@@ -0,0 +1,193 @@
+//! The life cycle of a version on a host, a type for each state.
+//!
+//! Only a [`HeldVersion`], which has every chunk verified, can be ordered into a target, and only a
+//! [`ServingVersion`], which the target itself confirmed, may be advertised.
+
+use crate::prelude::*;
+use crate::weights::fence::OrderStamp;
+use crate::weights::{ChunkSet, ManifestError, VersionManifest};
+
+/// A version that the configuration names.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedVersion {
+    digest: VersionDigest,
+}
+
+/// A version whose manifest is known and verified.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FetchingVersion {
+    digest: VersionDigest,
+    manifest: Arc<VersionManifest>,
+}
+
+/// A version of which every chunk is kept and verified.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldVersion {
+    digest: VersionDigest,
+    manifest: Arc<VersionManifest>,
+}
+
+/// A version whose load has been ordered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadingVersion {
+    held: HeldVersion,
+    stamp: OrderStamp,
+}
+
+/// A version that the target confirmed to have loaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServingVersion {
+    digest: VersionDigest,
+}
+
+/// A version that takes no new request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DrainingVersion {
+    digest: VersionDigest,
+}
+
+/// A version under which no request runs any more; it may be unloaded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DroppedVersion {
+    digest: VersionDigest,
+}
+
+impl WantedVersion {
+    /// The version that `digest` names.
+    pub fn new(digest: VersionDigest) -> Self {
+        Self { digest }
+    }
+
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+
+    /// Goes on with the manifest, which may come from anywhere.
+    ///
+    /// # Errors
+    ///
+    /// [`ManifestError`] if it is unsound or another version's.
+    pub fn fetch(&self, manifest: VersionManifest) -> Result<FetchingVersion, ManifestError> {
+        manifest.verify(&self.digest)?;
+        Ok(FetchingVersion { digest: self.digest, manifest: Arc::new(manifest) })
+    }
+}
+
+impl FetchingVersion {
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+
+    /// The verified manifest.
+    pub fn manifest(&self) -> &Arc<VersionManifest> {
+        &self.manifest
+    }
+
+    /// Goes on once `held` names every chunk.
+    ///
+    /// # Errors
+    ///
+    /// Gives the version back while chunks are missing.
+    pub fn hold(self, held: &ChunkSet) -> Result<HeldVersion, Self> {
+        if held.len() != self.manifest.chunks.len() || !held.is_full() {
+            return Err(self);
+        }
+        Ok(HeldVersion { digest: self.digest, manifest: self.manifest })
+    }
+}
+
+impl HeldVersion {
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+
+    /// The verified manifest.
+    pub fn manifest(&self) -> &Arc<VersionManifest> {
+        &self.manifest
+    }
+
+    /// Orders the load under `stamp`.
+    pub fn order(self, stamp: OrderStamp) -> LoadingVersion {
+        LoadingVersion { held: self, stamp }
+    }
+}
+
+impl LoadingVersion {
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.held.digest
+    }
+
+    /// The verified manifest.
+    pub fn manifest(&self) -> &Arc<VersionManifest> {
+        &self.held.manifest
+    }
+
+    /// What the order is given under.
+    pub fn stamp(&self) -> OrderStamp {
+        self.stamp
+    }
+
+    /// Ends the order by what the target says it has loaded.
+    ///
+    /// # Errors
+    ///
+    /// Gives the held version back if the target does not list it.
+    pub fn confirm(self, loaded: &[VersionDigest]) -> Result<ServingVersion, HeldVersion> {
+        match ServingVersion::find(self.held.digest, loaded) {
+            Some(serving) => Ok(serving),
+            None => Err(self.held),
+        }
+    }
+}
+
+impl ServingVersion {
+    /// The version `digest` if the target lists it, whoever had it loaded.
+    pub fn find(digest: VersionDigest, loaded: &[VersionDigest]) -> Option<Self> {
+        loaded.contains(&digest).then_some(Self { digest })
+    }
+
+    /// The version's digest, which may be advertised.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+
+    /// Whether the target still lists the version.
+    pub fn is_confirmed(&self, loaded: &[VersionDigest]) -> bool {
+        loaded.contains(&self.digest)
+    }
+
+    /// Takes no new request under the version.
+    pub fn drain(self) -> DrainingVersion {
+        DrainingVersion { digest: self.digest }
+    }
+}
+
+impl DrainingVersion {
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+
+    /// Ends once no request runs under the version.
+    ///
+    /// # Errors
+    ///
+    /// Gives the version back while requests are in flight.
+    pub fn finish(self, in_flight: u32) -> Result<DroppedVersion, Self> {
+        if in_flight > 0 {
+            return Err(self);
+        }
+        Ok(DroppedVersion { digest: self.digest })
+    }
+}
+
+impl DroppedVersion {
+    /// The version's digest.
+    pub fn digest(&self) -> VersionDigest {
+        self.digest
+    }
+}
--- /dev/null
+++ b/core/src/weights/permit.rs
@@ -0,0 +1,39 @@
+//! Permits to take a host out of service for a swap.
+//!
+//! A service has as many permits as hosts that may be out of service at once; each is a key that at
+//! most one agent holds.
+
+use crate::prelude::*;
+use crate::weights::plan::mix;
+
+/// The keys of a service's permits, in the order in which `host` tries them.
+pub fn permit_keys(service: &ServiceName, host: &HostName, max_out_of_service: u32) -> Vec<String> {
+    let hash = blake3::hash(host.as_str().as_bytes());
+    let bytes = hash.as_bytes();
+    let start = mix(u64::from(u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])));
+    let count = u64::from(max_out_of_service);
+    let key = |step: u64| format!("permit/{service}/{}", (start + step) % count);
+    (0..count).map(key).collect()
+}
+
+/// How a held version gets into the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SwapWay {
+    /// The target serves nothing: load at once.
+    Fresh,
+    /// The target has room: load beside what it serves, then move the gate.
+    Beside,
+    /// The target is full: take the host out of service under a permit, unload, load.
+    InPlace,
+}
+
+impl SwapWay {
+    /// The way for a target that holds at most `capacity` versions and has `loaded` of them.
+    pub fn choose(capacity: u32, loaded: usize) -> Self {
+        match loaded {
+            0 => SwapWay::Fresh,
+            _ if loaded < capacity as usize => SwapWay::Beside,
+            _ => SwapWay::InPlace,
+        }
+    }
+}
