--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -1,6 +1,17 @@
 //! The spread of weights: manifests, the plan of who fetches what from whom, fetches, and the life
 //! cycle of a version on a host.
 
+pub mod chunk_set;
+pub mod fence;
+pub mod fetch;
+pub mod lifecycle;
 pub mod manifest;
+pub mod permit;
+pub mod plan;
+pub mod upload;
 
+pub use chunk_set::ChunkSet;
+pub use fetch::{ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine};
 pub use manifest::{ManifestError, VersionManifest};
+pub use plan::{PlanHost, SpreadPlan};
+pub use upload::UploadLimiter;
