--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,312 @@
+//! The configuration over processes: what `apply` accepts, and what is in force, under failures of
+//! the key-value service and of processes.
+
+use anyhow::{Context, Result, ensure};
+use buckthornwharf::admin::ProcessStatus;
+use buckthornwharf_core::config::{CONFIG_KEY, ConfigRecord};
+use buckthornwharf_core::membership::HostRecord;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_standin::fleet::{
+    AgentNode, AgentPlan, ConfigFile, EndedCommand, EntryNode, FleetSystem, PLAIN_SERVICE,
+    SAMPLE_SITES, StandinProcess, sample_config, wait_until,
+};
+use buckthornwharf_standin::kv::KvCounts;
+use serde_json::json;
+use std::path::Path;
+
+const LIMIT: Duration = Duration::from_secs(60);
+const LOOKS: usize = 40;
+
+fn product() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_buckthornwharf"))
+}
+
+/// The sample configuration with `priority` for the plain service.
+fn files(priority: u8) -> Vec<ConfigFile> {
+    let mut files = sample_config(VersionDigest::from_bytes([7; 32]));
+    let text = format!("services: {{{PLAIN_SERVICE}: {{priority: {priority}}}}}\n");
+    files.push(ConfigFile { name: "90-priority.yaml".to_owned(), text });
+    files
+}
+
+async fn apply(system: &FleetSystem, priority: u8, options: &[&str]) -> Result<EndedCommand> {
+    let folder = system.write_config(&files(priority))?.display().to_string();
+    let kv = system.kv.address.to_string();
+    let arguments = [&["apply", "--kv", &kv], options, &[&folder]].concat();
+    system.run_command(&arguments).await
+}
+
+async fn set_kv(system: &FleetSystem, switches: serde_json::Value) -> Result<()> {
+    system.client.set_faults(system.kv.address, &switches).await
+}
+
+async fn counts(system: &FleetSystem) -> Result<KvCounts> {
+    system.client.counts(system.kv.address).await
+}
+
+/// The generation that the key-value service holds, and its priority of the plain service.
+async fn held(system: &FleetSystem) -> Result<(u64, u8)> {
+    let kv = buckthornwharf::platform::kv::KvClient::new(system.kv.address);
+    let Some(row) = kv.get(CONFIG_KEY).await? else { return Ok((0, 0)) };
+    let record = ConfigRecord::decode(&row.value)?;
+    let service = record.document.services.get(PLAIN_SERVICE).context("no plain service")?;
+    Ok((record.generation.0, service.priority))
+}
+
+#[actix_rt::test]
+async fn two_operators_race_and_the_loser_is_told_what_changed() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    assert_eq!(apply(&system, 1, &[]).await?.code, Some(0));
+    set_kv(&system, json!({ "slow_ms": 300 })).await?;
+    let base = ["--base", "1"];
+    let (one, two) = futures_util::join!(apply(&system, 2, &base), apply(&system, 3, &base));
+    let mut runs = [(2, one?), (3, two?)];
+    runs.sort_by_key(|(_, ended)| ended.code);
+    let [(won, winner), (lost, loser)] = runs;
+    assert_eq!((winner.code, loser.code), (Some(0), Some(4)), "{winner:?} {loser:?}");
+    assert!(winner.stdout.contains("accepted generation 2"));
+    assert!(!loser.stdout.contains("accepted"));
+    let change = format!("services.{PLAIN_SERVICE}.priority: ");
+    let told = loser.stdout.lines().find(|line| line.contains(&change)).context("no change")?;
+    assert!(told.ends_with(&format!("-> {won}")), "{told}");
+    assert_eq!(held(&system).await?, (2, won));
+    // What the loser wanted can be applied on top of the winner's.
+    assert_eq!(apply(&system, lost, &["--base", "2"]).await?.code, Some(0));
+    assert_eq!(held(&system).await?, (3, lost));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_settled_and_written_once() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    for (generation, loss) in [(1, "close"), (2, "stall")] {
+        set_kv(&system, json!({ "lose_answers": 1, "loss": loss })).await?;
+        let ended = apply(&system, generation, &[]).await?;
+        assert_eq!(ended.code, Some(0), "{ended:?}");
+        assert!(ended.stdout.contains(&format!("accepted generation {generation} ")));
+        assert_eq!(held(&system).await?, (generation.into(), generation));
+    }
+    assert_eq!(counts(&system).await?.lost_answers, 2);
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn nothing_is_called_accepted_in_an_outage() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    assert_eq!(apply(&system, 1, &[]).await?.code, Some(0));
+    for down in ["refuse", "hang"] {
+        set_kv(&system, json!({ "down": down })).await?;
+        let ended = apply(&system, 2, &["--timeout", "3"]).await?;
+        assert_eq!(ended.code, Some(5), "{ended:?}");
+        assert!(!ended.stdout.contains("accepted"));
+        set_kv(&system, json!({ "down": "off" })).await?;
+        assert_eq!(held(&system).await?, (1, 1));
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn an_outage_after_the_write_leaves_the_outcome_unknown_until_asked_again() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    assert_eq!(apply(&system, 1, &[]).await?.code, Some(0));
+    set_kv(&system, json!({ "slow_ms": 1000, "lose_answers": 1, "loss": "stall" })).await?;
+    let before = counts(&system).await?.cas;
+    let outage = async {
+        let is_written = async || counts(&system).await.is_ok_and(|now| now.cas > before);
+        wait_until("the write is under way", LIMIT, is_written).await?;
+        set_kv(&system, json!({ "down": "refuse" })).await
+    };
+    let (ended, outage) = futures_util::join!(apply(&system, 2, &["--timeout", "5"]), outage);
+    outage?;
+    let ended = ended?;
+    assert_eq!(ended.code, Some(6), "{ended:?}");
+    assert!(!ended.stdout.contains("accepted"));
+    set_kv(&system, json!({ "down": "off", "slow_ms": 0 })).await?;
+    assert_eq!(held(&system).await?, (2, 2));
+    let again = apply(&system, 2, &[]).await?;
+    assert_eq!(again.code, Some(0));
+    assert!(again.stdout.contains("accepted generation 2 before; nothing changes"));
+    assert_eq!(held(&system).await?, (2, 2));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn an_outage_that_ends_in_time_only_delays() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    set_kv(&system, json!({ "down": "refuse" })).await?;
+    let before = counts(&system).await?.get;
+    let outage = async {
+        let is_tried = async || counts(&system).await.is_ok_and(|now| now.get > before + 1);
+        wait_until("apply tries again", LIMIT, is_tried).await?;
+        set_kv(&system, json!({ "down": "off", "slow_ms": 500 })).await
+    };
+    let (ended, outage) = futures_util::join!(apply(&system, 2, &["--timeout", "30"]), outage);
+    outage?;
+    assert_eq!(ended?.code, Some(0));
+    assert_eq!(held(&system).await?, (1, 2));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_configuration_over_a_megabyte_is_refused() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    let mut text = "sites:\n".to_owned();
+    for number in 0..25_000 {
+        text.push_str(&format!("  a-site-with-quite-a-long-name-{number}: {{region: nairobi}}\n"));
+    }
+    let folder = system.write_config(&[ConfigFile { name: "10-sites.yaml".to_owned(), text }])?;
+    let kv = system.kv.address.to_string();
+    let folder = folder.display().to_string();
+    let ended = system.run_command(&["apply", "--kv", &kv, &folder]).await?;
+    assert_eq!(ended.code, Some(7), "{ended:?}");
+    assert!(ended.stderr.contains("more than the 1 MiB"));
+    assert_eq!(held(&system).await?, (0, 0));
+    Ok(())
+}
+
+/// Two sites with an entry and an agent each.
+struct ConfigFleet {
+    system: FleetSystem,
+    plain: StandinProcess,
+    entries: Vec<EntryNode>,
+    agents: Vec<AgentNode>,
+}
+
+impl ConfigFleet {
+    async fn start() -> Result<Self> {
+        let system = FleetSystem::start(product()).await?;
+        let plain = system.start_plain("plain").await?;
+        let mut fleet = Self { system, plain, entries: Vec::new(), agents: Vec::new() };
+        for site in SAMPLE_SITES {
+            let entry = fleet.system.start_entry(&format!("entry-{site}"), site).await?;
+            fleet.entries.push(entry);
+            fleet.agents.push(fleet.system.start_agent(fleet.agent_plan(site)).await?);
+        }
+        Ok(fleet)
+    }
+
+    fn agent_plan(&self, site: &str) -> AgentPlan {
+        AgentPlan {
+            host: format!("agent-{site}").into(),
+            site: site.into(),
+            service: PLAIN_SERVICE.into(),
+            target: self.plain.address,
+            target_checks_fence: false,
+            target_holds: 1,
+        }
+    }
+
+    fn records(&self) -> Vec<&HostRecord> {
+        let entries = self.entries.iter().map(|entry| &entry.record);
+        entries.chain(self.agents.iter().map(|agent| &agent.record)).collect()
+    }
+
+    async fn generation(&self, record: &HostRecord) -> Result<u64> {
+        let reply = self.system.client.get(record.admin, "/status").await?.ok()?;
+        let status: ProcessStatus = reply.json()?;
+        Ok(status.generation.unwrap_or_default().0)
+    }
+
+    async fn wait_for(&self, records: &[&HostRecord], generation: u64) -> Result<()> {
+        for record in records {
+            let what = format!("generation {generation} on {}", record.name);
+            let is_there =
+                async || self.generation(record).await.is_ok_and(|found| found == generation);
+            wait_until(&what, LIMIT, is_there).await?;
+        }
+        Ok(())
+    }
+
+    async fn wait_for_all(&self, generation: u64) -> Result<()> {
+        self.wait_for(&self.records(), generation).await
+    }
+
+    /// Looks again and again whether all processes stay at `generation`.
+    async fn check_unchanged(&self, generation: u64) -> Result<()> {
+        for _ in 0..LOOKS {
+            for record in self.records() {
+                let found = self.generation(record).await?;
+                ensure!(found == generation, "{} has generation {found}", record.name);
+            }
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+        Ok(())
+    }
+
+    async fn apply(&self, priority: u8) -> Result<()> {
+        let ended = apply(&self.system, priority, &[]).await?;
+        ensure!(ended.code == Some(0), "{ended:?}");
+        Ok(())
+    }
+
+    async fn restart_all(&mut self) -> Result<()> {
+        for at in 0..SAMPLE_SITES.len() {
+            let site = SAMPLE_SITES[at];
+            self.entries[at].process.terminate()?;
+            self.entries[at].process.wait_exit(LIMIT).await?;
+            self.entries[at] = self.system.start_entry(&format!("entry-{site}"), site).await?;
+            self.wait_for(&[&self.entries[at].record], 2).await?;
+            self.agents[at].process.terminate()?;
+            self.agents[at].process.wait_exit(LIMIT).await?;
+            self.agents[at] = self.system.start_agent(self.agent_plan(site)).await?;
+            self.wait_for(&[&self.agents[at].record], 2).await?;
+        }
+        Ok(())
+    }
+}
+
+#[actix_rt::test]
+async fn a_generation_is_in_force_everywhere_and_stays_in_an_outage() -> Result<()> {
+    let mut fleet = ConfigFleet::start().await?;
+    fleet.apply(1).await?;
+    fleet.wait_for_all(1).await?;
+    fleet.apply(2).await?;
+    let accepted_at = std::time::Instant::now();
+    fleet.wait_for_all(2).await?;
+    println!("in force on every process after {} ms", accepted_at.elapsed().as_millis());
+    // Reads show the generation before; each process is to have had such an answer.
+    set_kv(&fleet.system, json!({ "stale_reads": true })).await?;
+    let calls = counts(&fleet.system).await?.total;
+    let answered = calls + fleet.records().len() as u64;
+    let is_read = async || counts(&fleet.system).await.is_ok_and(|now| now.total >= answered);
+    wait_until("stale answers", LIMIT, is_read).await?;
+    fleet.check_unchanged(2).await?;
+    set_kv(&fleet.system, json!({ "stale_reads": false, "down": "refuse" })).await?;
+    fleet.check_unchanged(2).await?;
+    // A process that starts in an outage takes the configuration from its peers.
+    fleet.restart_all().await?;
+    fleet.check_unchanged(2).await?;
+    let before = counts(&fleet.system).await?.total;
+    set_kv(&fleet.system, json!({ "down": "off" })).await?;
+    fleet.apply(3).await?;
+    fleet.wait_for_all(3).await?;
+    let calls = counts(&fleet.system).await?.total - before;
+    assert!(calls < 200, "{calls} calls at the return");
+    check_status(&fleet).await
+}
+
+async fn check_status(fleet: &ConfigFleet) -> Result<()> {
+    let hosts = fleet.system.hosts.address.to_string();
+    let ended = fleet.system.run_command(&["status", "--hosts", &hosts]).await?;
+    ensure!(ended.code == Some(0), "{ended:?}");
+    for site in SAMPLE_SITES {
+        let line = format!("site {site}: generation 3, 2 processes, 0 silent");
+        ensure!(ended.stdout.contains(&line), "{}", ended.stdout);
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_site_that_was_cut_off_catches_up() -> Result<()> {
+    let mut fleet = ConfigFleet::start().await?;
+    fleet.apply(1).await?;
+    fleet.wait_for_all(1).await?;
+    fleet.entries[1].process.freeze()?;
+    fleet.agents[1].process.freeze()?;
+    fleet.apply(2).await?;
+    let reached = [&fleet.entries[0].record, &fleet.agents[0].record];
+    fleet.wait_for(&reached, 2).await?;
+    fleet.entries[1].process.resume()?;
+    fleet.agents[1].process.resume()?;
+    fleet.wait_for_all(2).await
+}
