--- a/tests/config.rs
+++ b/tests/config.rs
@@ -240,8 +240,7 @@
     }
 
     async fn restart_all(&mut self) -> Result<()> {
-        for at in 0..SAMPLE_SITES.len() {
-            let site = SAMPLE_SITES[at];
+        for (at, site) in SAMPLE_SITES.into_iter().enumerate() {
             self.entries[at].process.terminate()?;
             self.entries[at].process.wait_exit(LIMIT).await?;
             self.entries[at] = self.system.start_entry(&format!("entry-{site}"), site).await?;
