Tell a connection that was cut from one that never was

The HTTP client reports a connection that the other side closes before the answer as a failure to connect. The key-value client therefore called a write that had taken effect 'without effect': the new test of put_settled with a lost answer failed with left Err(Unreached("no connection: Internal error: connector has been disconnected")), right Ok(true). Only failures before there is a connection count as never sent now.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,9 +1,10 @@
 //! HTTP calls with a deadline for the whole call and a limit on the answer's body.
 
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 thread_local! {
@@ -78,9 +79,25 @@
 }
 
 fn describe_send_error(error: SendRequestError) -> HttpError {
+    if is_never_sent(&error) {
+        return HttpError::Unreached(error.to_string());
+    }
+    HttpError::Broken(error.to_string())
+}
+
+/// Whether nothing of the call can have reached the other side. The client reports a connection
+/// that is closed before the answer as a failure to connect, too, so only those failures count
+/// that come before there is a connection.
+pub fn is_never_sent(error: &SendRequestError) -> bool {
     match error {
-        SendRequestError::Connect(error) => HttpError::Unreached(error.to_string()),
-        SendRequestError::Url(error) => HttpError::Unreached(error.to_string()),
-        error => HttpError::Broken(error.to_string()),
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Io(error)) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
     }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,6 +3,7 @@
 
 use anyhow::{Context, Result, ensure};
 use buckthornwharf::admin::ProcessStatus;
+use buckthornwharf::platform::kv::{KvClient, KvError, MAX_VALUE_BYTES};
 use buckthornwharf_core::config::{CONFIG_KEY, ConfigRecord};
 use buckthornwharf_core::membership::HostRecord;
 use buckthornwharf_core::prelude::*;
@@ -46,8 +47,7 @@
 
 /// The generation that the key-value service holds, and its priority of the plain service.
 async fn held(system: &FleetSystem) -> Result<(u64, u8)> {
-    let kv = buckthornwharf::platform::kv::KvClient::new(system.kv.address);
-    let Some(row) = kv.get(CONFIG_KEY).await? else { return Ok((0, 0)) };
+    let Some(row) = kv_client(system).get(CONFIG_KEY).await? else { return Ok((0, 0)) };
     let record = ConfigRecord::decode(&row.value)?;
     let service = record.document.services.get(PLAIN_SERVICE).context("no plain service")?;
     Ok((record.generation.0, service.priority))
@@ -309,3 +309,54 @@
     fleet.agents[1].process.resume()?;
     fleet.wait_for_all(2).await
 }
+
+fn kv_client(system: &FleetSystem) -> KvClient {
+    KvClient::new(system.kv.address)
+}
+
+#[actix_rt::test]
+async fn the_client_settles_writes_and_keeps_to_sessions() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    let kv = kv_client(&system);
+    set_kv(&system, json!({ "lose_answers": 1 })).await?;
+    assert_eq!(kv.put_settled("claim/a", "nonce-1".into(), 0).await, Ok(true));
+    assert_eq!(kv.put_settled("claim/a", "nonce-2".into(), 0).await, Ok(false));
+    let rows = kv.list("claim/").await?;
+    assert_eq!(rows.as_slice(), kv.get("claim/a").await?.as_slice());
+    assert_eq!(rows[0].value, "nonce-1");
+    assert_eq!(kv.delete_cas("claim/a", rows[0].index + 1).await, Ok(false));
+    assert_eq!(kv.delete_cas("claim/a", rows[0].index).await, Ok(true));
+    assert_eq!(kv.get("claim/a").await, Ok(None));
+    let (one, two) = (
+        kv.create_session(Duration::from_secs(60)).await?,
+        kv.create_session(Duration::from_secs(60)).await?,
+    );
+    assert_eq!(kv.acquire("permit/a", "one".into(), &one).await, Ok(true));
+    assert_eq!(kv.acquire("permit/a", "two".into(), &two).await, Ok(false));
+    assert_eq!(kv.release("permit/a", &two).await, Ok(false));
+    assert_eq!(kv.renew_session(&one).await, Ok(true));
+    assert_eq!(kv.destroy_session(&one).await, Ok(true));
+    assert_eq!(kv.renew_session(&one).await, Ok(false));
+    assert_eq!(kv.get("permit/a").await, Ok(None));
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn the_client_tells_what_had_no_effect_from_what_may_have() -> Result<()> {
+    let system = FleetSystem::start(product()).await?;
+    let kv = kv_client(&system);
+    let large = vec![0; MAX_VALUE_BYTES + 1];
+    assert_eq!(kv.put_cas("a", large.into(), 0).await, Err(KvError::TooLarge));
+    set_kv(&system, json!({ "down": "refuse" })).await?;
+    let refused = kv.put_cas("a", "1".into(), 0).await.expect_err("an outage");
+    assert!(!refused.is_without_effect(), "{refused}");
+    let nobody = KvClient::new(([127, 0, 0, 1], 1).into());
+    let unreached = nobody.put_cas("a", "1".into(), 0).await.expect_err("no service");
+    assert!(unreached.is_without_effect(), "{unreached}");
+    let mut over_budget = 0;
+    for _ in 0..200 {
+        over_budget += u32::from(nobody.get("a").await == Err(KvError::OverBudget));
+    }
+    assert!(over_budget > 0);
+    Ok(())
+}
