Read a long list of hosts less often, and print each issue of a folder on its line

Up to 25 hosts are read each second now, 75 and more every 3 s, because a mark of leaving must be seen within seconds; that is 3 times less and still too much at the design size, where changes of rows have to go over links.

check and apply joined all issues of a folder in one line; they print one a line, the first last.

--- a/core/src/membership/merge.rs
+++ b/core/src/membership/merge.rs
@@ -19,6 +19,12 @@
 /// Time after its last sign of life for which a link counts as alive.
 pub const LINK_ALIVE: Duration = Duration::from_secs(5);
 
+const MIN_POLL_PERIOD: Duration = Duration::from_secs(1);
+/// Longest time between two reads of the list, so that a mark of leaving is seen within seconds.
+const MAX_POLL_PERIOD: Duration = Duration::from_secs(3);
+const ROW_BYTES: f64 = 140.0;
+const POLL_BYTES_PER_SECOND: f64 = 3_500.0;
+
 const MOST_NUMERATOR: usize = 1;
 const MOST_DENOMINATOR: usize = 2;
 
@@ -56,6 +62,13 @@
     records: Arc<Vec<HostRecord>>,
 }
 
+/// The time between two reads of a list of `rows` hosts: longer for a long list, which costs more to
+/// read, as far as a mark of leaving must be seen.
+pub fn poll_period(rows: usize) -> Duration {
+    let seconds = rows as f64 * ROW_BYTES / POLL_BYTES_PER_SECOND;
+    Duration::from_secs_f64(seconds).clamp(MIN_POLL_PERIOD, MAX_POLL_PERIOD)
+}
+
 /// What links told of a host.
 #[derive(Debug, Clone, Copy)]
 struct LinkSign {
--- a/core/tests/membership_merge.rs
+++ b/core/tests/membership_merge.rs
@@ -1,6 +1,6 @@
 //! What is believed of the list of hosts, links and notices, and leases.
 
-use buckthornwharf_core::membership::merge::{LINK_ALIVE, NOTICE_HOLD, SHRINK_HOLD};
+use buckthornwharf_core::membership::merge::{LINK_ALIVE, NOTICE_HOLD, SHRINK_HOLD, poll_period};
 use buckthornwharf_core::membership::{
     HeldLease, HostPhase, HostRecord, HostRole, LapsedLease, MembershipEvent, MembershipMerge,
 };
@@ -140,6 +140,19 @@
     ");
 }
 
+#[test]
+fn a_longer_list_is_read_less_often_but_within_seconds() {
+    let periods: Vec<Duration> = [0, 25, 50, 2_300].into_iter().map(poll_period).collect();
+    insta::assert_debug_snapshot!(periods, @"
+    [
+        1s,
+        1s,
+        2s,
+        3s,
+    ]
+    ");
+}
+
 #[test]
 fn a_lease_counts_from_when_the_renewal_was_sent() {
     let length = Duration::from_secs(10);
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -21,7 +21,7 @@
     ///
     /// # Errors
     ///
-    /// [`ExitStatus::BadConfig`] with everything that is wrong.
+    /// [`ExitStatus::BadConfig`] with the first thing that is wrong.
     pub fn run(self) -> Result<ExitCode> {
         let merged = read_folder(&self.folder)?;
         print!("{}", ConfigNode::render(&merged.tree));
--- a/src/cmd/folder.rs
+++ b/src/cmd/folder.rs
@@ -5,19 +5,24 @@
 use buckthornwharf_core::config::{ConfigFile, ConfigIssue, MergedConfig, merge_files};
 use std::path::{Path, PathBuf};
 
-/// Reads, merges and checks the YAML files of `folder`.
+/// Reads, merges and checks the YAML files of `folder`. Where more than one thing is wrong, all but
+/// the first are printed on standard error, a line each.
 ///
 /// # Errors
 ///
-/// [`ExitStatus::BadConfig`] with everything that is wrong, in one line.
+/// [`ExitStatus::BadConfig`] with the first thing that is wrong.
 pub fn read_folder(folder: &Path) -> Result<MergedConfig> {
     let files = read_files(folder).context(ExitStatus::BadConfig)?;
-    merge_files(&files).map_err(|issues| describe_issues(&issues).context(ExitStatus::BadConfig))
+    merge_files(&files).map_err(|issues| report_issues(issues).context(ExitStatus::BadConfig))
 }
 
-fn describe_issues(issues: &[ConfigIssue]) -> Error {
-    let lines: Vec<String> = issues.iter().map(ConfigIssue::to_string).collect();
-    Error::msg(lines.join("; "))
+fn report_issues(issues: Vec<ConfigIssue>) -> Error {
+    let mut issues = issues.into_iter();
+    let first = issues.next().map(Error::new);
+    for issue in issues {
+        eprintln!("{issue}");
+    }
+    first.unwrap_or_else(|| Error::msg("the folder can't be merged"))
 }
 
 fn read_files(folder: &Path) -> Result<Vec<ConfigFile>> {
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -3,14 +3,13 @@
 use crate::clock;
 use crate::platform::hosts::HostsClient;
 use crate::shared::HostsReceiver;
+use buckthornwharf_core::membership::merge::poll_period;
 use buckthornwharf_core::membership::{HostRecord, MembershipEvent, MembershipMerge};
 use buckthornwharf_core::prelude::*;
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-const POLL_PERIOD: Duration = Duration::from_secs(1);
-
 /// Polls the list of hosts and publishes it, merged with what links tell, when it changes.
 #[derive(Debug)]
 pub struct HostsFollower {
@@ -45,7 +44,8 @@
                 () = tokio::time::sleep_until(poll_at) => {
                     self.poll().await;
                     let jitter = rand::rng().random_range(0.75..1.25);
-                    poll_at = Instant::now() + POLL_PERIOD.mul_f64(jitter);
+                    let period = poll_period(self.merge.records().len());
+                    poll_at = Instant::now() + period.mul_f64(jitter);
                 }
             }
         }
