Free the weights' keeper from a lock it held against itself

Cause: step_engine matched on a borrow of the serving channel and closed the gate inside the match; closing writes to the same channel, so the control thread of every agent stopped at its first step. Seen as a status call to an agent that never ended, and a model that never became live. Ruled out: the HTTP server (it answered before a configuration came) and the follower (links went on).

--- a/src/agent/weights/keeper.rs
+++ b/src/agent/weights/keeper.rs
@@ -130,9 +130,10 @@
             self.open(wanted);
             return self.retire(&loaded, wanted).await;
         }
-        match *self.serving.borrow() {
-            Some(current) if loaded.contains(&current) => {}
-            _ => self.close(),
+        // Copied out first: closing writes to the channel that the borrow would lock.
+        let serving = *self.serving.borrow();
+        if !serving.is_some_and(|current| loaded.contains(&current)) {
+            self.close();
         }
         if *self.held.borrow_and_update() == Some(wanted) {
             self.swap(&loaded, wanted).await?;
