--- a/core/tests/request_driver.rs
+++ b/core/tests/request_driver.rs
@@ -1,7 +1,9 @@
 //! The entry's side of one request, event by event.
 
 use buckthornwharf_core::config::PriorityClass;
-use buckthornwharf_core::frame::{BodyFrame, EndFrame, HeadFrame, LinkFrame, SubmitFrame};
+use buckthornwharf_core::frame::{
+    BodyFrame, EndFrame, HeadFrame, LinkFrame, RequestKnowledge, ResolvedFrame, SubmitFrame,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::attempt::{DriverAction, DriverEvent, TargetChoice};
 use buckthornwharf_core::request::budget::RetryBudget;
@@ -159,3 +161,90 @@
     finish link_lost
     "#);
 }
+
+fn resolved(knowledge: RequestKnowledge) -> LinkFrame {
+    LinkFrame::Resolved(ResolvedFrame { id: ID, knowledge })
+}
+
+#[test]
+fn a_refusal_after_an_attempt_that_may_have_run_is_not_called_not_run() {
+    let events = vec![
+        DriverEvent::LinkLost(FIRST),
+        DriverEvent::TargetChosen(choice("b", SECOND)),
+        DriverEvent::Frame { link: SECOND, frame: end(ResultCode::Overloaded, 0) },
+        DriverEvent::NoTarget(ResultCode::NotServing),
+    ];
+    insta::assert_snapshot!(run(true, &mut RetryBudget::new(), events), @r#"
+    pick, not []
+    submit on 1
+    cancel later on a
+    pick, not [HostName("a")]
+    submit on 2
+    pick, not [HostName("a"), HostName("b")]
+    finish link_lost
+    "#);
+}
+
+#[test]
+fn never_seen_proves_something_only_as_an_answer() {
+    let mut frames = on(FIRST, vec![resolved(RequestKnowledge::NeverSeen)]);
+    insta::assert_snapshot!(run(false, &mut RetryBudget::new(), frames.clone()), @r#"
+    pick, not []
+    submit on 1
+    "#);
+    frames.insert(0, DriverEvent::LinkLost(FIRST));
+    frames.push(DriverEvent::LinkReopened(choice("a", SECOND)));
+    frames.extend(on(SECOND, vec![resolved(RequestKnowledge::NeverSeen)]));
+    insta::assert_snapshot!(run(false, &mut RetryBudget::new(), frames), @r#"
+    pick, not []
+    submit on 1
+    Resolve(ResolveFrame { id: RequestId(7), has_head: false, position: 0 }) on 2
+    pick, not [HostName("a")]
+    "#);
+}
+
+#[test]
+fn an_entry_that_was_frozen_past_the_deadline_believes_nothing() {
+    let budget = &mut RetryBudget::new();
+    let (mut driver, _) = RequestDriver::start(MonoTime::ZERO, submit(false), budget);
+    let asked = [
+        DriverEvent::TargetChosen(choice("a", FIRST)),
+        DriverEvent::LinkReopened(choice("a", SECOND)),
+    ];
+    for event in asked {
+        driver.on_event(MonoTime::ZERO, event, budget);
+    }
+    let frame = resolved(RequestKnowledge::NeverSeen);
+    let event = DriverEvent::Frame { link: SECOND, frame };
+    let actions = driver.on_event(MonoTime::from_millis(30_000), event, budget);
+    let lines: Vec<String> = actions.iter().map(describe).collect();
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    Cancel(RequestId(7)) on 2
+    finish deadline_during
+    "#);
+}
+
+#[test]
+fn an_answer_of_another_version_is_not_passed_on() {
+    let wanted = Some(VersionDigest::from_bytes([1; 32]));
+    for idempotent in [true, false] {
+        let budget = &mut RetryBudget::new();
+        let (mut driver, _) = RequestDriver::start(MonoTime::ZERO, submit(idempotent), budget);
+        let chosen = TargetChoice { digest: wanted, ..choice("a", FIRST) };
+        driver.on_event(MonoTime::ZERO, DriverEvent::TargetChosen(chosen), budget);
+        let mut lines = Vec::new();
+        for event in on(FIRST, vec![head(), body(0, "abc"), end(ResultCode::Ok, 3)]) {
+            let actions = driver.on_event(MonoTime::ZERO, event, budget);
+            lines.extend(actions.iter().map(describe));
+        }
+        let is_repeated = lines.contains(&"pick, not [HostName(\"a\")]".to_owned());
+        assert_eq!(is_repeated, idempotent, "{lines:?}");
+        assert!(!lines.iter().any(|line| line.starts_with("body")), "{lines:?}");
+        if !idempotent {
+            insta::assert_snapshot!(lines.join("\n"), @r#"
+            Cancel(RequestId(7)) on 1
+            finish answer_discarded
+            "#);
+        }
+    }
+}
--- a/core/tests/request_ledger.rs
+++ b/core/tests/request_ledger.rs
@@ -214,3 +214,63 @@
     dispatch 3
     "#);
 }
+
+fn versioned(id: u128, digest: VersionDigest) -> LinkFrame {
+    match submit(id, true, false) {
+        LinkFrame::Submit(frame) => {
+            LinkFrame::Submit(SubmitFrame { digest: Some(digest), ..frame })
+        }
+        frame => frame,
+    }
+}
+
+#[test]
+fn the_version_is_checked_before_the_dispatch_and_on_the_answer() {
+    let (wanted, other) = (VersionDigest::from_bytes([1; 32]), VersionDigest::from_bytes([2; 32]));
+    let mut agent = TestAgent::new();
+    for id in [1, 2, 3] {
+        agent.frame(FIRST, versioned(id, wanted));
+    }
+    agent.event(LedgerEvent::Ready { id: RequestId(1), gate: TargetGate::Engine(other) });
+    agent.event(LedgerEvent::Ready { id: RequestId(2), gate: TargetGate::Plain });
+    agent.event(LedgerEvent::Ready { id: RequestId(3), gate: TargetGate::Engine(wanted) });
+    let content_type: Arc<str> = "".into();
+    let head = LedgerEvent::TargetHead {
+        id: RequestId(3),
+        status: 200,
+        content_type,
+        digest: Some(other),
+    };
+    agent.event(head);
+    agent.event(LedgerEvent::TargetBody { id: RequestId(3), bytes: Bytes::from_static(b"mixed") });
+    agent.event(LedgerEvent::TargetEnd { id: RequestId(3), code: ResultCode::Ok });
+    insta::assert_snapshot!(agent.story(), @r#"
+    Accepted(RequestId(1)) on 1
+    enqueue 1
+    Accepted(RequestId(2)) on 1
+    enqueue 2
+    Accepted(RequestId(3)) on 1
+    enqueue 3
+    End(EndFrame { id: RequestId(1), code: WrongVersion, length: 0 }) on 1
+    End(EndFrame { id: RequestId(2), code: WrongVersion, length: 0 }) on 1
+    dispatch 3
+    CancelTarget(RequestId(3))
+    End(EndFrame { id: RequestId(3), code: AnswerDiscarded, length: 0 }) on 1
+    "#);
+}
+
+#[test]
+fn what_is_forgotten_is_not_called_never_seen() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, false, false));
+    agent.ready(1);
+    agent.answer(1);
+    agent.later(Duration::from_mins(10));
+    agent.lines.clear();
+    agent.frame(FIRST, resolve(1, 0));
+    agent.frame(FIRST, submit(1, false, false));
+    insta::assert_snapshot!(agent.story(), @r#"
+    Resolved(ResolvedFrame { id: RequestId(1), knowledge: Forgotten }) on 1
+    End(EndFrame { id: RequestId(1), code: LinkLost, length: 0 }) on 1
+    "#);
+}
