--- a/core/src/routing/pick.rs
+++ b/core/src/routing/pick.rs
@@ -120,6 +120,11 @@
     pub fn on_end(&mut self, now: MonoTime, host: &HostName, code: ResultCode, latency: Duration) {
         let Some(&slot) = self.index.get(host) else { return };
         self.change(slot, |target| target.on_end(now, code, latency));
+        if code == ResultCode::Ok {
+            let target = &self.targets[slot as usize];
+            let (service, site) = (target.service.clone(), target.site.clone());
+            self.group_mut(&service, &site).note_latency(latency);
+        }
     }
 
     /// Chooses a target; none if no target that the request may go to takes new work.
@@ -136,6 +141,20 @@
         Some(PickedTarget { host: target.host.clone(), digest: target.digest() })
     }
 
+    /// Chooses as [`pick`](Self::pick) does, but only a target where no requests wait by the last
+    /// report: for a retry after a refusal for want of room.
+    pub fn pick_free(
+        &self,
+        now: MonoTime,
+        request: &PickRequest<'_>,
+        rng: &mut impl Rng,
+    ) -> Option<PickedTarget> {
+        let picked = self.pick(now, request, rng)?;
+        let slot = *self.index.get(&picked.host)?;
+        let view = TargetView { targets: &self.targets, now, request };
+        (!view.is_congested(slot)).then_some(picked)
+    }
+
     /// Hosts of `service` that take new work, for reports.
     pub fn open_hosts(&self, service: &ServiceName) -> Vec<HostName> {
         let groups = self.services.get(service).into_iter().flatten();
--- a/core/src/routing/pick/group.rs
+++ b/core/src/routing/pick/group.rs
@@ -1,17 +1,22 @@
 //! The targets of one service in one site.
 
 use super::PickAffinity;
-use super::target::TargetView;
+use super::target::{TargetView, UsualTarget};
 use crate::prelude::*;
 use crate::routing::hash::{combine_hashes, hash_text};
 use rand::{Rng, RngExt};
 
 /// Points of each target on the ring of hashes.
-const RING_POINTS: u64 = 16;
+const RING_POINTS: u64 = 64;
+/// Mixed into hashes before they are looked up on the ring, since callers may mix theirs badly.
+const RING_SEED: u64 = 0x7269_6e67;
 /// Targets that are asked in the order of the ring before affinity is given up.
 const RING_STEPS: usize = 4;
-/// How far above the mean the score of a target may be for affinity to hold.
-const AFFINITY_BOUND: f64 = 1.25;
+/// How much worse than the better of two others the score of a target may be for affinity to
+/// hold, in requests.
+const AFFINITY_WORTH: f64 = 2.0;
+/// Weight of the newest answer in the usual latency.
+const LATENCY_WEIGHT: f64 = 0.02;
 /// Draws at random before all targets are looked at.
 const RANDOM_DRAWS: usize = 8;
 
@@ -28,12 +33,14 @@
     len: usize,
     /// Load of all targets.
     load: i64,
+    /// Usual latency of answers, in seconds.
+    latency: Option<f64>,
 }
 
 impl TargetGroup {
     /// A group without targets.
     pub fn new(site: SiteName) -> Self {
-        Self { site, open: Vec::new(), ring: Vec::new(), len: 0, load: 0 }
+        Self { site, open: Vec::new(), ring: Vec::new(), len: 0, load: 0, latency: None }
     }
 
     /// Adds a target.
@@ -72,16 +79,26 @@
         self.load += change;
     }
 
+    /// Notes the latency of an answer.
+    pub fn note_latency(&mut self, latency: Duration) {
+        let seen = latency.as_secs_f64();
+        let old = self.latency.unwrap_or(seen);
+        self.latency = Some(old + LATENCY_WEIGHT * (seen - old));
+    }
+
     /// The best target for the request with its score.
     pub fn choose(&self, view: &TargetView<'_>, rng: &mut impl Rng) -> Option<(f64, u32)> {
-        let mean = self.mean_load();
-        let bound = match view.request.affinity {
-            PickAffinity::None => return self.choose_of_two(view, mean, rng),
-            PickAffinity::Prefix(hash) => (hash, (mean + 1.0) * AFFINITY_BOUND),
-            PickAffinity::Key(hash) => (hash, f64::INFINITY),
-        };
-        let tied = self.choose_on_ring(view, mean, bound.0, bound.1);
-        tied.or_else(|| self.choose_of_two(view, mean, rng))
+        let usual = self.usual();
+        match view.request.affinity {
+            PickAffinity::None => self.choose_of_two(view, usual, rng),
+            PickAffinity::Key(hash) => self.choose_on_ring(view, usual, hash, f64::INFINITY),
+            PickAffinity::Prefix(hash) => {
+                let free = self.choose_of_two(view, usual, rng)?;
+                Some(
+                    self.choose_on_ring(view, usual, hash, free.0 + AFFINITY_WORTH).unwrap_or(free),
+                )
+            }
+        }
     }
 
     /// A target that recent outcomes bar, for want of another.
@@ -92,21 +109,23 @@
         Some(allowed[at])
     }
 
-    fn mean_load(&self) -> f64 {
-        self.load.max(0) as f64 / self.len.max(1) as f64
+    fn usual(&self) -> UsualTarget {
+        let load = self.load.max(0) as f64 / self.len.max(1) as f64;
+        UsualTarget { load, latency: self.latency }
     }
 
     fn choose_on_ring(
         &self,
         view: &TargetView<'_>,
-        mean: f64,
+        usual: UsualTarget,
         hash: u64,
         bound: f64,
     ) -> Option<(f64, u32)> {
-        let start = self.ring.partition_point(|point| point.0 < hash);
+        let place = combine_hashes(hash, RING_SEED);
+        let start = self.ring.partition_point(|point| point.0 < place);
         let points = self.ring[start..].iter().chain(&self.ring[..start]);
         let usable = points.map(|point| point.1).filter(|&slot| view.is_usable(slot));
-        let mut scored = usable.take(RING_STEPS).map(|slot| (view.score(slot, mean), slot));
+        let mut scored = usable.take(RING_STEPS).map(|slot| (view.score(slot, usual), slot));
         scored.find(|(score, _)| *score <= bound)
     }
 
@@ -114,13 +133,13 @@
     fn choose_of_two(
         &self,
         view: &TargetView<'_>,
-        mean: f64,
+        usual: UsualTarget,
         rng: &mut impl Rng,
     ) -> Option<(f64, u32)> {
         let first = self.draw(view, None, rng)?;
-        let first = (view.score(first, mean), first);
+        let first = (view.score(first, usual), first);
         let Some(second) = self.draw(view, Some(first.1), rng) else { return Some(first) };
-        let second = (view.score(second, mean), second);
+        let second = (view.score(second, usual), second);
         if second.0 < first.0 { Some(second) } else { Some(first) }
     }
 
--- a/core/src/routing/pick/target.rs
+++ b/core/src/routing/pick/target.rs
@@ -11,6 +11,14 @@
 const SLOW_START: Duration = Duration::from_secs(10);
 /// Smallest share of a fresh target.
 const LEAST_START_SHARE: f64 = 0.1;
+/// Weight of the newest answer in the latency of a target.
+const LATENCY_WEIGHT: f64 = 0.1;
+/// Time after the last answer for which its latency counts.
+const LATENCY_LIFETIME: Duration = Duration::from_secs(15);
+/// Ratio to the usual latency from which a target counts as slow.
+const NOTABLE_SLOWNESS: f64 = 1.5;
+/// Largest ratio that counts.
+const MAX_SLOWNESS: f64 = 8.0;
 /// Time that a target without a link is remembered.
 const MEMORY_WITHOUT_LINK: Duration = Duration::from_secs(600);
 
@@ -31,6 +39,9 @@
     /// Load that others put on the target, by the last report.
     others: u32,
     health: TargetHealth,
+    /// Latency of recent answers, in seconds.
+    latency: Option<f64>,
+    latency_at: MonoTime,
 }
 
 impl TargetRecord {
@@ -46,6 +57,8 @@
             own_in_flight: 0,
             others: 0,
             health: TargetHealth::default(),
+            latency: None,
+            latency_at: MonoTime::ZERO,
         }
     }
 
@@ -70,9 +83,12 @@
     }
 
     /// An attempt ended.
-    pub fn on_end(&mut self, now: MonoTime, code: ResultCode, _latency: Duration) {
+    pub fn on_end(&mut self, now: MonoTime, code: ResultCode, latency: Duration) {
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
         self.health.on_end(now, code);
+        if code == ResultCode::Ok {
+            self.note_latency(now, latency);
+        }
     }
 
     /// Requests on the target as last reported and counted, whatever the report's age.
@@ -95,11 +111,29 @@
         !self.linked && self.own_in_flight == 0 && now.since(self.heard_at) >= MEMORY_WITHOUT_LINK
     }
 
-    /// Expected load; the report's part fades towards `mean`, the usual load, as it grows old.
-    fn load(&self, now: MonoTime, mean: f64) -> f64 {
+    fn note_latency(&mut self, now: MonoTime, latency: Duration) {
+        let seen = latency.as_secs_f64();
+        let old = self.latency.unwrap_or(seen);
+        self.latency = Some(old + LATENCY_WEIGHT * (seen - old));
+        self.latency_at = now;
+    }
+
+    /// How many times slower than usual the target answers; 1 if it is not notably slower, or if
+    /// that is long ago.
+    fn slowness(&self, now: MonoTime, usual: UsualTarget) -> f64 {
+        let (Some(own), Some(usual)) = (self.latency, usual.latency) else { return 1.0 };
+        if usual <= 0.0 || now.since(self.latency_at) > LATENCY_LIFETIME {
+            return 1.0;
+        }
+        let ratio = own / usual;
+        if ratio < NOTABLE_SLOWNESS { 1.0 } else { ratio.min(MAX_SLOWNESS) }
+    }
+
+    /// Expected load; the report's part fades towards the usual load as it grows old.
+    fn load(&self, now: MonoTime, usual: UsualTarget) -> f64 {
         let age = now.since(self.heard_at).as_secs_f64();
         let trust = (-age / REPORT_HALF_LIFE.as_secs_f64()).exp2();
-        let unknown = mean.max(f64::from(self.others));
+        let unknown = usual.load.max(f64::from(self.others));
         f64::from(self.own_in_flight) + trust * f64::from(self.others) + (1.0 - trust) * unknown
     }
 
@@ -110,11 +144,21 @@
     }
 
     /// What a further request would meet; the lower, the better.
-    fn score(&self, now: MonoTime, mean: f64) -> f64 {
-        (self.load(now, mean) + 1.0) * self.health.penalty(now) / self.start_share(now)
+    fn score(&self, now: MonoTime, usual: UsualTarget) -> f64 {
+        let load = self.load(now, usual) + 1.0;
+        load * self.slowness(now, usual) * self.health.penalty(now) / self.start_share(now)
     }
 }
 
+/// What is usual among the targets of a group.
+#[derive(Debug, Clone, Copy)]
+pub struct UsualTarget {
+    /// Mean load in requests.
+    pub load: f64,
+    /// Usual latency of answers, in seconds; none before the first.
+    pub latency: Option<f64>,
+}
+
 /// The targets as one request sees them.
 pub struct TargetView<'a> {
     /// All targets by slot.
@@ -140,9 +184,9 @@
         self.is_allowed(slot) && target.health.is_usable(self.now, target.own_in_flight)
     }
 
-    /// The score of the target in `slot`, where targets have a load of `mean` on average.
-    pub fn score(&self, slot: u32, mean: f64) -> f64 {
-        self.targets[slot as usize].score(self.now, mean)
+    /// The score of the target in `slot`, beside what is `usual`.
+    pub fn score(&self, slot: u32, usual: UsualTarget) -> f64 {
+        self.targets[slot as usize].score(self.now, usual)
     }
 
     /// Whether requests wait at the agent of the target in `slot`.
--- a/core/src/routing/queue.rs
+++ b/core/src/routing/queue.rs
@@ -21,6 +21,11 @@
 /// Room of each class relative to the others when the queue is full: low, normal, high.
 const CLASS_ROOM: [f64; CLASS_COUNT] = [1.0, 4.0, 16.0];
 
+/// Number of requests being served above which those without an end are looked for.
+const MAX_SERVING: usize = 1_024;
+/// Time after which the end of a work is no longer waited for.
+const LONGEST_WORK: Duration = Duration::from_secs(3_600);
+
 /// A request that waits. The queue keeps no bodies: whoever owns it finds them by `id`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueueItem {
@@ -66,6 +71,15 @@
     pub max_tokens: u64,
 }
 
+/// Where a waiting request is, and what was expected of its wait.
+#[derive(Debug)]
+struct WaitRecord {
+    priority: PriorityClass,
+    organisation: OrganisationName,
+    queued_at: MonoTime,
+    expected_wait: Duration,
+}
+
 /// Orders the requests that wait for one target.
 ///
 /// Calls in the life of a request: [`push`](Self::push); then either it comes out of
@@ -78,7 +92,10 @@
 pub struct FairQueue {
     limits: QueueLimits,
     classes: [QueueClass; CLASS_COUNT],
-    index: SortedTable<RequestId, (PriorityClass, OrganisationName)>,
+    max_wait: Duration,
+    index: SortedTable<RequestId, WaitRecord>,
+    /// When requests were taken out to be served.
+    serving: SortedTable<RequestId, MonoTime>,
     expiries: BTreeSet<(MonoTime, RequestId)>,
     tokens: u64,
     rate: ServiceRate,
@@ -90,13 +107,22 @@
         Self {
             limits,
             classes: CLASS_ROOM.map(QueueClass::new),
+            max_wait: Duration::MAX,
             index: SortedTable::new(),
+            serving: SortedTable::new(),
             expiries: BTreeSet::new(),
             tokens: 0,
             rate: ServiceRate::default(),
         }
     }
 
+    /// Refuses at once whatever would be expected to wait longer than `max_wait`, whatever its
+    /// deadline.
+    pub fn with_max_wait(mut self, max_wait: Duration) -> Self {
+        self.max_wait = max_wait;
+        self
+    }
+
     /// Requests that wait.
     pub fn len(&self) -> usize {
         self.index.len()
@@ -114,7 +140,7 @@
 
     /// Takes in a request and returns those that are refused at once: empty if `item` was queued
     /// and nothing had to give way. `item` itself is refused if its deadline cannot be met at the
-    /// observed rate, if its id waits already, or if the queue is full and no other organisation
+    /// observed rate or its wait would exceed the bound, if its id waits already, or if the queue is full and no other organisation
     /// is further over its share; else the newest requests of the one furthest over give way.
     pub fn push(&mut self, now: MonoTime, item: QueueItem) -> Vec<RefusedItem> {
         if item.deadline <= now {
@@ -124,7 +150,7 @@
             return vec![RefusedItem { item, code: ResultCode::Overloaded }];
         }
         let id = item.id;
-        self.insert(item);
+        self.insert(now, item);
         let mut refused = Vec::new();
         while self.is_over_limits() {
             let Some(item) = self.take_victim() else { break };
@@ -138,16 +164,26 @@
     }
 
     /// The next request to be served, for a free slot of the target; requests whose time has
-    /// passed come out beside it as refused.
+    /// passed, or would pass before their work ends, come out beside it as refused.
     pub fn pop(&mut self, now: MonoTime) -> PoppedItems {
-        let refused = self.expire(now);
-        PoppedItems { next: self.pop_next(), refused }
+        let mut refused = self.expire(now);
+        while let Some(item) = self.pop_next(now) {
+            if now + self.rate.work_time(now, item.cost_tokens) < item.deadline {
+                self.note_served(now, &item);
+                return PoppedItems { next: Some(item), refused };
+            }
+            refused.push(RefusedItem { item, code: ResultCode::DeadlineBefore });
+        }
+        PoppedItems { next: None, refused }
     }
 
-    fn pop_next(&mut self) -> Option<QueueItem> {
+    fn pop_next(&mut self, now: MonoTime) -> Option<QueueItem> {
         let class = self.next_class()?;
         let item = self.classes[class].pop()?;
-        self.drop_index(&item);
+        if let Some(record) = self.drop_index(&item) {
+            let waited = now.since(record.queued_at);
+            self.classes[class].note_wait(&item.organisation, record.expected_wait, waited);
+        }
         self.settle_credit(class, item.cost_tokens);
         Some(item)
     }
@@ -172,42 +208,68 @@
 
     /// Takes out a request, such as a cancelled one.
     pub fn remove(&mut self, id: RequestId) -> Option<QueueItem> {
-        let (priority, organisation) = self.index.get(&id)?.clone();
-        let item = self.classes[priority as usize].remove(&organisation, id)?;
+        let record = self.index.get(&id)?;
+        let item = self.classes[record.priority as usize].remove(&record.organisation, id)?;
         self.drop_index(&item);
         Some(item)
     }
 
-    /// The work of a popped request ended after `actual` tokens. The difference to `item`'s
-    /// estimate is put on the account of its organisation.
+    /// The work of a popped request ended, whole or not, after `actual` tokens. The difference to
+    /// `item`'s estimate is put on the account of its organisation.
     pub fn on_done(&mut self, now: MonoTime, item: &QueueItem, actual: u32) {
         self.classes[item.priority as usize].correct(&item.organisation, item, actual);
-        self.rate.on_done(now, actual, !self.is_empty());
+        if let Some(started) = self.serving.remove(&item.id) {
+            let took = now.since(started);
+            self.rate.on_done(now, item.cost_tokens, took, !self.is_empty());
+        }
+    }
+
+    /// How long a request of this organisation, weight, class and cost would wait, at the rate
+    /// observed lately; zero while no rate is known.
+    pub fn expected_wait(&self, now: MonoTime, item: &QueueItem) -> Duration {
+        let ratio = self.classes[item.priority as usize].wait_ratio(&item.organisation);
+        let fluid = self.fluid_wait(now, item).as_secs_f64();
+        Duration::try_from_secs_f64(fluid * ratio).unwrap_or(Duration::MAX)
     }
 
-    /// How long a request of this organisation, weight, class and cost would wait, at the
-    /// observed rate; zero while no rate is known.
-    pub fn expected_wait(&self, item: &QueueItem) -> Duration {
+    /// The wait if nothing further came.
+    fn fluid_wait(&self, now: MonoTime, item: &QueueItem) -> Duration {
         let class = item.priority as usize;
         let higher: u64 = self.classes[class + 1..].iter().map(QueueClass::tokens).sum();
-        self.rate.time_for(higher + self.classes[class].tokens_before(item))
+        self.rate.wait_time(now, higher + self.classes[class].tokens_before(item))
     }
 
     fn can_meet(&self, now: MonoTime, item: &QueueItem) -> bool {
-        now + self.expected_wait(item) < item.deadline
+        let wait = self.expected_wait(now, item);
+        let work = self.rate.work_time(now, item.cost_tokens);
+        wait <= self.max_wait && now + wait + work < item.deadline
     }
 
-    fn insert(&mut self, item: QueueItem) {
+    fn insert(&mut self, now: MonoTime, item: QueueItem) {
+        let record = WaitRecord {
+            priority: item.priority,
+            organisation: item.organisation.clone(),
+            queued_at: now,
+            expected_wait: self.fluid_wait(now, &item),
+        };
+        self.index.insert(item.id, record);
         self.tokens += u64::from(item.cost_tokens);
-        self.index.insert(item.id, (item.priority, item.organisation.clone()));
         self.expiries.insert((item.deadline, item.id));
         self.classes[item.priority as usize].push(item);
     }
 
-    fn drop_index(&mut self, item: &QueueItem) {
+    fn drop_index(&mut self, item: &QueueItem) -> Option<WaitRecord> {
         self.tokens -= u64::from(item.cost_tokens);
-        self.index.remove(&item.id);
         self.expiries.remove(&(item.deadline, item.id));
+        self.index.remove(&item.id)
+    }
+
+    /// Notes the start of `item`'s work; starts whose end was never told are forgotten.
+    fn note_served(&mut self, now: MonoTime, item: &QueueItem) {
+        if self.serving.len() >= MAX_SERVING {
+            self.serving.retain(|_, started| now.since(*started) < LONGEST_WORK);
+        }
+        self.serving.insert(item.id, now);
     }
 
     fn is_over_limits(&self) -> bool {
--- a/core/src/routing/queue/class.rs
+++ b/core/src/routing/queue/class.rs
@@ -112,6 +112,24 @@
         }
     }
 
+    /// Learns from a wait of `waited` where `expected` was worked out without regard to requests
+    /// that came later.
+    pub fn note_wait(
+        &mut self,
+        organisation: &OrganisationName,
+        expected: Duration,
+        waited: Duration,
+    ) {
+        if let Some(flow) = self.flows.get_mut(organisation) {
+            flow.note_wait(expected, waited);
+        }
+    }
+
+    /// How many times longer than worked out requests of `organisation` waited lately.
+    pub fn wait_ratio(&self, organisation: &OrganisationName) -> f64 {
+        self.flows.get(organisation).map_or(1.0, QueueFlow::wait_ratio)
+    }
+
     /// Tokens that would be served before `item` if it were queued now: its organisation's own, and
     /// of the others as much as their weights allow in the meantime.
     pub fn tokens_before(&self, item: &QueueItem) -> u64 {
--- a/core/src/routing/queue/flow.rs
+++ b/core/src/routing/queue/flow.rs
@@ -7,14 +7,28 @@
 /// Units of virtual time in one token at weight 1.
 const UNITS_PER_TOKEN: u64 = 1 << 16;
 
+/// Expected waits below this teach nothing.
+const LEAST_TELLING_WAIT: Duration = Duration::from_millis(50);
+/// Weight of the newest wait in the ratio of waits.
+const RATIO_WEIGHT: f64 = 0.1;
+/// Largest ratio of waits.
+const MAX_RATIO: f64 = 8.0;
+
 /// The requests of one organisation in one class, first come, first served.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QueueFlow {
     items: VecDeque<QueueItem>,
     tokens: u64,
     weight: u32,
     /// Virtual time at which the next request starts.
     tag: u64,
+    wait_ratio: f64,
+}
+
+impl Default for QueueFlow {
+    fn default() -> Self {
+        Self { items: VecDeque::new(), tokens: 0, weight: 1, tag: 0, wait_ratio: 1.0 }
+    }
 }
 
 impl QueueFlow {
@@ -86,6 +100,19 @@
         self.tag = (self.tag + self.virtual_cost(actual)).saturating_sub(charged);
     }
 
+    /// How many times longer than worked out requests waited lately.
+    pub fn wait_ratio(&self) -> f64 {
+        self.wait_ratio
+    }
+
+    /// Learns from a wait.
+    pub fn note_wait(&mut self, expected: Duration, waited: Duration) {
+        if expected >= LEAST_TELLING_WAIT {
+            let seen = (waited.as_secs_f64() / expected.as_secs_f64()).min(MAX_RATIO);
+            self.wait_ratio += RATIO_WEIGHT * (seen - self.wait_ratio);
+        }
+    }
+
     fn virtual_cost(&self, tokens: u32) -> u64 {
         u64::from(tokens.max(1)) * UNITS_PER_TOKEN / self.weight()
     }
--- a/core/src/routing/queue/rate.rs
+++ b/core/src/routing/queue/rate.rs
@@ -6,13 +6,20 @@
 const RATE_WINDOW: Duration = Duration::from_millis(500);
 /// Weight of the newest window.
 const WINDOW_WEIGHT: f64 = 0.3;
+/// Weight of the newest work in the time for a token.
+const WORK_WEIGHT: f64 = 0.05;
+/// Time after which what was observed no longer counts, so that a target that refuses all work
+/// because it was slow once is tried again.
+const OBSERVATION_LIFETIME: Duration = Duration::from_secs(10);
 
-/// Tokens a second that a busy target serves. Times without requests that wait say nothing about
-/// it and are left out.
+/// Estimated tokens a second that a busy target serves, and the time that work takes in it. Times
+/// without requests that wait say nothing about the rate and are left out.
 #[derive(Debug, Default)]
 pub struct ServiceRate {
     tokens_per_second: Option<f64>,
+    seconds_per_token: Option<f64>,
     window: Option<RateWindow>,
+    observed_at: MonoTime,
 }
 
 #[derive(Debug)]
@@ -22,12 +29,39 @@
 }
 
 impl ServiceRate {
-    /// Work of `tokens` tokens ended; `busy` tells whether more waits.
-    pub fn on_done(&mut self, now: MonoTime, tokens: u32, busy: bool) {
-        if !busy {
+    /// Work estimated at `tokens` ended after `took`; `busy` tells whether more waits.
+    pub fn on_done(&mut self, now: MonoTime, tokens: u32, took: Duration, busy: bool) {
+        self.observed_at = now;
+        let seen = took.as_secs_f64() / f64::from(tokens.max(1));
+        self.seconds_per_token = Some(blend(self.seconds_per_token, seen, WORK_WEIGHT));
+        if busy {
+            self.note_busy(now, tokens);
+        } else {
             self.window = None;
-            return;
         }
+    }
+
+    /// The time until `tokens` that wait have been taken up; zero while no rate is known.
+    pub fn wait_time(&self, now: MonoTime, tokens: u64) -> Duration {
+        match self.tokens_per_second {
+            Some(rate) if rate > 0.0 && self.is_fresh(now) => seconds(tokens as f64 / rate),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// The time that work estimated at `tokens` takes in the target; zero while it is not known.
+    pub fn work_time(&self, now: MonoTime, tokens: u32) -> Duration {
+        match self.seconds_per_token {
+            Some(pace) if self.is_fresh(now) => seconds(pace * f64::from(tokens)),
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn is_fresh(&self, now: MonoTime) -> bool {
+        now.since(self.observed_at) < OBSERVATION_LIFETIME
+    }
+
+    fn note_busy(&mut self, now: MonoTime, tokens: u32) {
         let Some(window) = &mut self.window else {
             self.window = Some(RateWindow { start: now, tokens: 0 });
             return;
@@ -38,18 +72,15 @@
             return;
         }
         let seen = window.tokens as f64 / span.as_secs_f64();
-        let old = self.tokens_per_second.unwrap_or(seen);
-        self.tokens_per_second = Some(old + WINDOW_WEIGHT * (seen - old));
+        self.tokens_per_second = Some(blend(self.tokens_per_second, seen, WINDOW_WEIGHT));
         self.window = Some(RateWindow { start: now, tokens: 0 });
     }
+}
 
-    /// The time that `tokens` take; zero while no rate is known.
-    pub fn time_for(&self, tokens: u64) -> Duration {
-        match self.tokens_per_second {
-            Some(rate) if rate > 0.0 => {
-                Duration::try_from_secs_f64(tokens as f64 / rate).unwrap_or(Duration::MAX)
-            }
-            _ => Duration::ZERO,
-        }
-    }
+fn blend(old: Option<f64>, seen: f64, weight: f64) -> f64 {
+    old.map_or(seen, |old| old + weight * (seen - old))
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
 }
--- a/core/tests/routing_queue.rs
+++ b/core/tests/routing_queue.rs
@@ -55,7 +55,7 @@
 
 #[test]
 fn a_full_queue_refuses_the_organisation_furthest_over_its_share() {
-    let mut queue = FairQueue::new(QueueLimits { max_items: 4, max_tokens: 1_000_000 });
+    let mut queue = FairQueue::new(QueueLimits { max_items: 4, ..ROOMY });
     for id in 0..4 {
         assert_eq!(queue.push(MonoTime::ZERO, item(id, "large", 10)), []);
     }
