Carry out claims, limits and suspects in the processes

Cause: the machines decided on claims, organisations' limits, crashes and leaving hosts, and nothing carried it out; keyed bookings were refused. Ruled out: claims on the control thread, one more hop for each booking. Before: every keyed, non-idempotent request ended as platform_down.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent: the process beside a target.
 
 pub mod answer_check;
+pub mod claims;
 pub mod requests;
 pub mod target;
 pub mod traffic;
@@ -43,11 +44,9 @@
     let metrics = AgentMetrics::new()?;
     let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
     let hosts = HostsFollower::start(HostsClient::new(settings.platform.hosts));
-    let follow = FollowSettings {
-        host: settings.host.clone(),
-        site: settings.site.clone(),
-        kv: KvClient::new(settings.platform.kv),
-    };
+    let kv = KvClient::new(settings.platform.kv);
+    let follow =
+        FollowSettings { host: settings.host.clone(), site: settings.site.clone(), kv: kv.clone() };
     let config = ConfigFollower::start(follow, hosts.clone(), frame_receiver);
     let (position_sender, position) = watch::channel(GatePosition::Closed);
     let (load_sender, load) = watch::channel(GateLoad::default());
@@ -62,6 +61,8 @@
         settings: agent,
         listener: link,
         config: config.clone(),
+        hosts: hosts.clone(),
+        kv,
         config_frames: frame_sender,
         position,
         load: load_sender,
--- /dev/null
+++ b/src/agent/claims.rs
@@ -0,0 +1,78 @@
+//! Claims of idempotency keys: carries out what the claim keeper decides.
+
+use crate::clock;
+use crate::platform::kv::{KvClient, KvError};
+use buckthornwharf_core::frame::SubmitFrame;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::claim::{ClaimAction, ClaimEvent, ClaimKeeper, ClaimKey};
+use buckthornwharf_core::request::ledger::ClaimVerdict;
+use bytes::Bytes;
+use rand::RngExt;
+use tokio::sync::mpsc;
+
+/// A settled claim.
+pub type SettledClaim = (RequestId, ClaimVerdict);
+
+/// The claims of one agent and the calls to the key-value service that settle them.
+pub struct ClaimDesk {
+    keeper: ClaimKeeper,
+    kv: KvClient,
+    events: mpsc::UnboundedSender<ClaimEvent>,
+}
+
+impl ClaimDesk {
+    /// A desk of the agent on `host`. Answers of the service are reported through `events` and are
+    /// to be given to [`ClaimDesk::on_event`].
+    pub fn new(host: HostName, kv: KvClient, events: mpsc::UnboundedSender<ClaimEvent>) -> Self {
+        Self { keeper: ClaimKeeper::new(host), kv, events }
+    }
+
+    /// Starts to claim the key of a request; returns the claims that are settled by that.
+    pub fn begin(&mut self, submit: &Arc<SubmitFrame>) -> Vec<SettledClaim> {
+        let nonce = rand::rng().random();
+        self.on_event(ClaimEvent::Begin { submit: submit.clone(), nonce })
+    }
+
+    /// Takes an event; returns the claims that are settled by it.
+    pub fn on_event(&mut self, event: ClaimEvent) -> Vec<SettledClaim> {
+        let mut settled = Vec::new();
+        for action in self.keeper.on_event(clock::now(), event) {
+            match action {
+                ClaimAction::Create { id, key, value } => self.create(id, key, value),
+                ClaimAction::Read { id, key } => self.read(id, key),
+                ClaimAction::Settled { id, verdict } => settled.push((id, verdict)),
+            }
+        }
+        settled
+    }
+
+    fn create(&self, id: RequestId, key: ClaimKey, value: Bytes) {
+        let kv = self.kv.clone();
+        let events = self.events.clone();
+        actix_rt::spawn(async move {
+            let event = match kv.put_cas(key.as_str(), value, 0).await {
+                Ok(true) => ClaimEvent::Created(id),
+                Ok(false) => ClaimEvent::Exists(id),
+                Err(error) => failure(id, &error),
+            };
+            let _ = events.send(event);
+        });
+    }
+
+    fn read(&self, id: RequestId, key: ClaimKey) {
+        let kv = self.kv.clone();
+        let events = self.events.clone();
+        actix_rt::spawn(async move {
+            let event = match kv.get(key.as_str()).await {
+                Ok(row) => ClaimEvent::Read { id, value: row.map(|row| row.value) },
+                Err(error) => failure(id, &error),
+            };
+            let _ = events.send(event);
+        });
+    }
+}
+
+fn failure(id: RequestId, error: &KvError) -> ClaimEvent {
+    log::info!("request={id} claim: {error}");
+    if error.is_without_effect() { ClaimEvent::Failed(id) } else { ClaimEvent::Unsure(id) }
+}
--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -1,5 +1,6 @@
 //! The requests at an agent: from the links through the queue to the target, and back.
 
+use super::claims::{ClaimDesk, SettledClaim};
 use super::target::{TargetClient, TargetEvent, TargetFailure};
 use crate::clock;
 use crate::link::LinkHandle;
@@ -7,6 +8,7 @@
 use crate::shared::{GateLoad, GatePosition};
 use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, TargetState};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::claim::ClaimEvent;
 use buckthornwharf_core::request::ledger::{ClaimVerdict, LedgerAction, LedgerEvent, TargetGate};
 use buckthornwharf_core::request::{LinkId, RequestLedger};
 use buckthornwharf_core::routing::{FairQueue, QueueItem, QueueLimits, RefusedItem};
@@ -47,6 +49,7 @@
     popped: SortedTable<RequestId, QueueItem>,
     dispatched: SortedTable<RequestId, DispatchedRequest>,
     broken: BrokenSet,
+    claims: ClaimDesk,
     client: TargetClient,
     answers: mpsc::UnboundedSender<AnswerEvent>,
     links: SortedTable<LinkId, LinkHandle>,
@@ -64,6 +67,8 @@
     pub service: ServiceName,
     /// Requests that the target works on at once.
     pub slots: u32,
+    /// The claims of idempotency keys.
+    pub claims: ClaimDesk,
     /// The client of the target.
     pub client: TargetClient,
     /// Where the target's answers are reported, to be given to [`RequestDesk::on_answer`].
@@ -86,6 +91,7 @@
             popped: SortedTable::new(),
             dispatched: SortedTable::new(),
             broken: BrokenSet::default(),
+            claims: parts.claims,
             client: parts.client,
             answers: parts.answers,
             links: SortedTable::new(),
@@ -161,6 +167,13 @@
         self.apply(LedgerEvent::Frame { link, frame });
     }
 
+    /// The key-value service answered a call for a claim.
+    pub fn on_claim(&mut self, event: ClaimEvent) {
+        let settled = self.claims.on_event(event);
+        self.settle_claims(settled);
+        self.pump();
+    }
+
     /// The weights side moved the gate.
     pub fn set_position(&mut self, position: GatePosition) {
         if position != self.position {
@@ -171,9 +184,10 @@
         self.publish_load();
     }
 
-    /// The host leaves: what has not been dispatched is refused, and nothing new is taken.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Whether the host leaves: then what has not been dispatched is refused, and nothing new is
+    /// taken.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
         self.pump();
     }
 
@@ -204,6 +218,7 @@
     /// Lets time pass; to be called at least every [`CRASH_WINDOW`].
     pub fn tick(&mut self) {
         self.settle_broken();
+        self.on_claim(ClaimEvent::Tick);
         self.apply(LedgerEvent::Tick);
     }
 
@@ -222,8 +237,6 @@
         let broken = std::mem::take(&mut self.broken);
         let is_crash = self.dispatched.keys().all(|id| broken.ids.contains(id));
         if is_crash {
-            log::warn!("the target crashed under {} requests", broken.ids.len());
-            self.metrics.target_crashes.inc();
             self.apply(LedgerEvent::TargetCrashed);
         }
         for id in broken.ids {
@@ -264,8 +277,14 @@
             }
             LedgerAction::Hold(_) => {}
             LedgerAction::Recheck(id) => self.feed_ready(id),
-            LedgerAction::Claim(submit) => self.claim(&submit),
-            LedgerAction::ReleaseClaim(_) => {}
+            LedgerAction::Claim(submit) => {
+                let settled = self.claims.begin(&submit);
+                self.settle_claims(settled);
+            }
+            LedgerAction::ReleaseClaim(id) => {
+                let settled = self.claims.on_event(ClaimEvent::Released(id));
+                self.settle_claims(settled);
+            }
             LedgerAction::Dispatch(submit) => self.dispatch(&submit),
             LedgerAction::CancelTarget(id) => {
                 let request = self.dispatched.get_mut(&id);
@@ -274,7 +293,11 @@
                 }
             }
             LedgerAction::Send { link, frame } => self.send(link, frame),
-            LedgerAction::Crashed(_) | LedgerAction::Cleared(_) => {}
+            LedgerAction::Crashed(fingerprints) => {
+                log::warn!("the target crashed under {} requests", fingerprints.len());
+                self.metrics.target_crashes.inc();
+            }
+            LedgerAction::Cleared(fingerprint) => log::info!("{fingerprint:x} is no suspect"),
         }
     }
 
@@ -337,10 +360,17 @@
         }
     }
 
-    fn claim(&mut self, submit: &SubmitFrame) {
-        let verdict = ClaimVerdict::Refused(ResultCode::PlatformDown);
-        let gate = self.gate();
-        self.feed(LedgerEvent::Claimed { id: submit.id, verdict, gate });
+    fn settle_claims(&mut self, settled: Vec<SettledClaim>) {
+        for (id, verdict) in settled {
+            let outcome = match verdict {
+                ClaimVerdict::Won => "won",
+                ClaimVerdict::Join(_) => "joined",
+                ClaimVerdict::Refused(code) => code.into(),
+            };
+            self.metrics.claims.with_label_values(&[outcome]).inc();
+            let gate = self.gate();
+            self.feed(LedgerEvent::Claimed { id, verdict, gate });
+        }
     }
 
     fn dispatch(&mut self, submit: &Arc<SubmitFrame>) {
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -1,15 +1,18 @@
 //! The traffic thread of an agent: links from entries, and the requests they bring.
 
-use super::requests::{AnswerEvent, CRASH_WINDOW, DeskParts, RequestDesk};
+use super::claims::ClaimDesk;
+use super::requests::{CRASH_WINDOW, DeskParts, RequestDesk};
 use super::target::TargetClient;
 use crate::clock;
 use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkIdentity, accept_link, run_link};
 use crate::metrics::AgentMetrics;
+use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
-use crate::shared::{ConfigReceiver, GateLoad, GatePosition};
+use crate::shared::{ActiveConfig, ConfigReceiver, GateLoad, GatePosition, HostsReceiver};
 use actix_rt::net::TcpListener;
 use anyhow::Result;
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
+use buckthornwharf_core::membership::{HostPhase, HostRecord};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
 use std::rc::Rc;
@@ -32,6 +35,10 @@
     pub listener: std::net::TcpListener,
     /// The configuration in force.
     pub config: ConfigReceiver,
+    /// The hosts that the process believes in.
+    pub hosts: HostsReceiver,
+    /// The key-value service, for claims.
+    pub kv: KvClient,
     /// Takes the configurations that peers send.
     pub config_frames: mpsc::UnboundedSender<ConfigFrame>,
     /// Where the gate is to stand.
@@ -62,12 +69,15 @@
 pub async fn run_traffic(parts: TrafficParts) -> Result<()> {
     let listener = TcpListener::from_std(parts.listener)?;
     let (event_sender, mut events) = mpsc::unbounded_channel();
+    let host = parts.identity.host.clone();
     let accepting = actix_rt::spawn(accept_links(listener, parts.identity, event_sender));
+    let (claim_sender, mut claims) = mpsc::unbounded_channel();
     let (answer_sender, mut answers) = mpsc::unbounded_channel();
     let mut traffic = AgentTraffic {
         desk: RequestDesk::new(DeskParts {
             service: parts.settings.service.clone(),
             slots: parts.settings.target_slots,
+            claims: ClaimDesk::new(host.clone(), parts.kv, claim_sender),
             client: TargetClient::new(parts.settings.target),
             answers: answer_sender,
             load: parts.load,
@@ -82,6 +92,7 @@
     let mut config = parts.config;
     let mut position = parts.position;
     let mut leaving = parts.leaving;
+    let mut hosts = parts.hosts;
     let mut tick = actix_rt::time::interval(CRASH_WINDOW);
     config.mark_changed();
     position.mark_changed();
@@ -89,7 +100,8 @@
     loop {
         tokio::select! {
             Some(event) = events.recv() => traffic.on_link_event(event),
-            Some(answer) = answers.recv() => traffic.on_answer(answer),
+            Some(answer) = answers.recv() => traffic.desk.on_answer(answer),
+            Some(event) = claims.recv() => traffic.desk.on_claim(event),
             Ok(()) = config.changed() => {
                 let active = config.borrow_and_update().clone();
                 traffic.on_config(active);
@@ -100,10 +112,14 @@
             }
             Ok(()) = leaving.changed(), if left_at.is_none() => {
                 if *leaving.borrow_and_update() {
-                    traffic.desk.leave();
+                    traffic.desk.set_leaving(true);
                     left_at = Some(clock::now());
                 }
             }
+            Ok(()) = hosts.changed() => {
+                let listed = is_listed_leaving(&hosts.borrow_and_update(), &host);
+                traffic.desk.set_leaving(listed || left_at.is_some());
+            }
             _ = tick.tick() => traffic.desk.tick(),
         }
         traffic.report_state();
@@ -140,8 +156,14 @@
     }
 }
 
+/// Whether the platform's list says that `host` leaves.
+fn is_listed_leaving(hosts: &[HostRecord], host: &HostName) -> bool {
+    let found = hosts.binary_search_by(|record| record.name.cmp(host));
+    found.is_ok_and(|at| hosts[at].phase == HostPhase::Leaving)
+}
+
 impl AgentTraffic {
-    fn on_config(&mut self, active: Option<Arc<crate::shared::ActiveConfig>>) {
+    fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
         if let Some(active) = &active {
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
@@ -171,10 +193,6 @@
         }
     }
 
-    fn on_answer(&mut self, answer: AnswerEvent) {
-        self.desk.on_answer(answer);
-    }
-
     /// Reports the state at once where it decides who may send work here, else at a steady pace.
     fn report_state(&mut self) {
         let state = self.desk.state();
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -4,11 +4,15 @@
 use super::observer::RequestObserver;
 use crate::clock;
 use crate::link::LinkHandle;
-use buckthornwharf_core::config::TargetKind;
-use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, TargetState};
+use buckthornwharf_core::config::{ConfigDocument, TargetKind};
+use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, SuspectFrame, TargetState};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::attempt::{DriverAction, DriverEvent, TargetChoice};
 use buckthornwharf_core::request::budget::RetryBudget;
+use buckthornwharf_core::request::limit::{
+    AdmissionRequest, OrganisationLimit, OrganisationLimits,
+};
+use buckthornwharf_core::request::poison::{SuspectBook, SuspectVerdict};
 use buckthornwharf_core::request::{LinkId, RequestDriver};
 use buckthornwharf_core::routing::{PickAffinity, PickRequest, PickedTarget, TargetPicker};
 use rand::RngExt;
@@ -22,6 +26,7 @@
     affinity: PickAffinity,
     events: mpsc::UnboundedSender<CallerEvent>,
     attempt: Option<AttemptMark>,
+    parts: u32,
     observer: RequestObserver,
 }
 
@@ -47,6 +52,9 @@
     link_by_host: SortedTable<HostName, LinkId>,
     picker: TargetPicker,
     budget: RetryBudget,
+    limits: OrganisationLimits,
+    suspects: SuspectBook,
+    listed_leaving: Vec<HostName>,
     late_cancels: Vec<LateCancel>,
     pending: VecDeque<(RequestId, DriverAction)>,
 }
@@ -61,6 +69,9 @@
             link_by_host: SortedTable::new(),
             picker: TargetPicker::default(),
             budget: RetryBudget::new(),
+            limits: OrganisationLimits::new(),
+            suspects: SuspectBook::new(),
+            listed_leaving: Vec::new(),
             late_cancels: Vec::new(),
             pending: VecDeque::new(),
         }
@@ -86,22 +97,60 @@
         self.slots.values().any(|slot| slot.driver.host() == Some(host))
     }
 
+    /// Tells the limits of the organisations, from the configuration.
+    pub fn set_organisations(&mut self, document: &ConfigDocument) {
+        let now = clock::now();
+        for (name, organisation) in document.organisations.iter() {
+            let limit = OrganisationLimit {
+                max_in_flight: organisation.max_in_flight,
+                tokens_per_second: organisation.tokens_per_second,
+            };
+            self.limits.set_limit(now, name.clone(), limit);
+        }
+        self.limits.retain(|name| document.organisations.contains_key(name));
+    }
+
+    /// Tells what the platform's list says: how many entries are live and which hosts leave.
+    pub fn set_listed(&mut self, live_entries: u32, listed_leaving: Vec<HostName>) {
+        self.limits.set_live_entries(live_entries);
+        self.listed_leaving = listed_leaving;
+    }
+
     /// Starts a request; its answer comes through `events`.
+    ///
+    /// # Errors
+    ///
+    /// The code that the request is refused with at once: it is over a limit, or it crashed targets.
     pub fn submit(
         &mut self,
         id: RequestId,
         caller: CallerRequest,
         events: mpsc::UnboundedSender<CallerEvent>,
         observer: RequestObserver,
-    ) {
+    ) -> Result<(), ResultCode> {
         let now = clock::now();
+        let verdict = self.suspects.verdict(now, caller.prompt.fingerprint);
+        if verdict == SuspectVerdict::Poisonous {
+            return Err(ResultCode::Poisonous);
+        }
+        self.limits.admit(now, &admission_of(&caller))?;
         let affinity = caller.prompt.affinity;
-        let frame = submit_frame(id, &caller);
+        let mut frame = submit_frame(id, &caller);
+        frame.suspect = verdict == SuspectVerdict::Suspect;
         let (driver, actions) = RequestDriver::start(now, frame, &mut self.budget);
-        let slot = RequestSlot { driver, caller, affinity, events, attempt: None, observer };
+        let slot =
+            RequestSlot { driver, caller, affinity, events, attempt: None, parts: 0, observer };
         self.slots.insert(id, slot);
         self.queue_actions(id, actions);
         self.carry_out();
+        Ok(())
+    }
+
+    /// A peer told of requests that were in flight at crashes; what is new is passed on.
+    pub fn suspect_frame(&mut self, frame: &SuspectFrame) {
+        if let Some(news) = self.suspects.merge(clock::now(), frame) {
+            self.broadcast(&LinkFrame::Suspects(news));
+        }
     }
 
     /// The caller of a request closed its connection.
@@ -114,6 +163,9 @@
     pub fn link_up(&mut self, handle: LinkHandle) {
         let host = handle.peer.host.clone();
         self.send_late_cancels(&handle);
+        if let Some(suspects) = self.suspects.snapshot(clock::now()) {
+            handle.send(LinkFrame::Suspects(suspects));
+        }
         let choice = TargetChoice {
             host: host.clone(),
             incarnation: handle.peer.incarnation,
@@ -172,6 +224,7 @@
     /// Lets time pass for all requests.
     pub fn tick(&mut self) {
         let now = clock::now();
+        self.suspects.expire(now);
         let is_due = |slot: &RequestSlot| slot.driver.next_tick().is_some_and(|tick| tick <= now);
         for id in self.ids_where(is_due) {
             self.drive(id, DriverEvent::Tick);
@@ -213,6 +266,7 @@
                 DriverAction::ForwardBody(bytes) => {
                     let Some(slot) = self.slots.get_mut(&id) else { continue };
                     slot.observer.on_body(clock::now());
+                    slot.parts += 1;
                     let _ = slot.events.send(CallerEvent::Body(bytes));
                 }
                 DriverAction::Finish(code) => self.finish(id, code),
@@ -227,12 +281,17 @@
         if !avoid.is_empty() {
             slot.observer.on_retry();
         }
+        let verdict = self.suspects.verdict(now, slot.caller.prompt.fingerprint);
+        if verdict == SuspectVerdict::Poisonous {
+            return self.drive(id, DriverEvent::NoTarget(ResultCode::Poisonous));
+        }
+        let avoid = [avoid, &self.listed_leaving].concat();
         let request = PickRequest {
             service: &slot.caller.service,
             site: &self.site,
             affinity: slot.affinity,
             needs_digest: slot.caller.kind == TargetKind::Engine,
-            avoid,
+            avoid: &avoid,
         };
         let picked = self.picker.pick(now, &request, &mut rand::rng());
         let event = match picked.and_then(|picked| self.choice_of(picked)) {
@@ -273,6 +332,9 @@
         let now = clock::now();
         end_attempt(&mut self.picker, &mut slot, now, code);
         slot.observer.on_finish(now, code);
+        let estimated = slot.caller.prompt.cost_tokens;
+        let used = if slot.parts > 1 { slot.parts } else { estimated };
+        self.limits.release(&slot.caller.organisation, estimated, used);
         let organisation = &slot.caller.organisation;
         log::debug!("request={id} organisation={organisation} code={} ended", code.number());
         let _ = slot.events.send(CallerEvent::End(code));
@@ -299,6 +361,15 @@
     picker.on_end(now, &mark.host, code, now.since(mark.sent));
 }
 
+fn admission_of(caller: &CallerRequest) -> AdmissionRequest {
+    AdmissionRequest {
+        organisation: caller.organisation.clone(),
+        cost_tokens: caller.prompt.cost_tokens,
+        time_left: caller.deadline,
+        time_needed: Duration::ZERO,
+    }
+}
+
 fn submit_frame(id: RequestId, caller: &CallerRequest) -> SubmitFrame {
     SubmitFrame {
         id,
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -14,7 +14,7 @@
 use actix_rt::net::TcpListener;
 use anyhow::Result;
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame};
-use buckthornwharf_core::membership::{HostPhase, HostRecord};
+use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
 use buckthornwharf_core::routing::choose_links;
@@ -118,7 +118,9 @@
             caller.service.clone(),
             caller.organisation.clone(),
         );
-        traffic.table.submit(id, caller, sender, observer);
+        if let Err(code) = traffic.table.submit(id, caller, sender, observer) {
+            return refusal(id, code);
+        }
     }
     let on_gone = Box::new(move |id| traffic.borrow_mut().table.caller_gone(id));
     write_answer(receiver, CallerGuard::new(id, on_gone)).await
@@ -164,6 +166,7 @@
             let sites = active.document.sites.iter();
             let regions = sites.map(|(site, config)| (site.clone(), config.region.clone()));
             self.table.set_regions(regions.collect());
+            self.table.set_organisations(&active.document);
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
         self.exchange.set_active(active);
@@ -173,6 +176,9 @@
 
     fn choose_links(&mut self) {
         let hosts = self.hosts.borrow().clone();
+        let leaving = hosts.iter().filter(|host| host.phase == HostPhase::Leaving);
+        let leaving = leaving.map(|host| host.name.clone()).collect();
+        self.table.set_listed(live_entries(&hosts), leaving);
         let Some(active) = self.config.borrow().clone() else {
             // Without a configuration a few agents are dialled, which may have one.
             return self.dial(first_agents(&hosts, self.max_links));
@@ -215,6 +221,7 @@
             LinkFrame::Head(head) => self.table.request_frame(link, head.id, frame),
             LinkFrame::Body(body) => self.table.request_frame(link, body.id, frame),
             LinkFrame::End(end) => self.table.request_frame(link, end.id, frame),
+            LinkFrame::Suspects(suspects) => self.table.suspect_frame(suspects),
             LinkFrame::Config(config) => self.on_config_frame(link, config.clone()),
             _ => {}
         }
@@ -239,6 +246,12 @@
     }
 }
 
+fn live_entries(hosts: &[HostRecord]) -> u32 {
+    let live = hosts.iter().filter(|host| host.phase == HostPhase::Live);
+    let entries = live.filter(|host| host.role == HostRole::Entry);
+    u32::try_from(entries.count()).unwrap_or(u32::MAX)
+}
+
 fn address_of(hosts: &[HostRecord], host: HostName) -> Option<(HostName, SocketAddr)> {
     let at = hosts.binary_search_by(|record| record.name.cmp(&host)).ok()?;
     Some((host, hosts[at].link?))
