--- a/core/tests/routing_queue.rs
+++ b/core/tests/routing_queue.rs
@@ -33,20 +33,7 @@
     }
     assert_eq!(queue.push(MonoTime::ZERO, item(20, "small", 10)), []);
     let order = format!("{:?}", drain(&mut queue));
-    insta::assert_snapshot!(order, @r#"
-    [
-        10,
-        0,
-        20,
-        11,
-        12,
-        1,
-        2,
-        3,
-        4,
-        5,
-    ]
-    "#);
+    insta::assert_snapshot!(order, @"[10, 0, 20, 11, 12, 1, 2, 3, 4, 5]");
 }
 
 #[test]
@@ -63,18 +50,7 @@
     let order = drain(&mut queue);
     let places = order.iter().enumerate().filter(|(_, id)| **id >= 100);
     let places = format!("{:?}", places.collect::<Vec<_>>());
-    insta::assert_snapshot!(places, @r#"
-    [
-        (
-            10,
-            100,
-        ),
-        (
-            21,
-            101,
-        ),
-    ]
-    "#);
+    insta::assert_snapshot!(places, @"[(10, 100), (21, 101)]");
 }
 
 #[test]
