--- a/core/tests/request/differential.rs
+++ b/core/tests/request/differential.rs
@@ -1,8 +1,9 @@
 //! Random faults at random times, through the real machines and the naive ones.
 
+use crate::inject::Fault;
 use crate::naive::MachineKind;
 use crate::verdict::{check, check_caller, outcome, runs_of_key};
-use crate::world::{Fault, WorkKind, World, submit};
+use crate::world::{WorkKind, World, submit};
 use buckthornwharf_core::code::OutcomeClass;
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
--- a/core/tests/request/faults.rs
+++ b/core/tests/request/faults.rs
@@ -1,8 +1,9 @@
 //! Every fault at every step, for each kind of work.
 
+use crate::inject::{Fault, Step};
 use crate::naive::MachineKind;
 use crate::verdict::{check, outcome};
-use crate::world::{Fault, Step, WorkKind, World, submit};
+use crate::world::{WorkKind, World, submit};
 use buckthornwharf_core::prelude::*;
 use strum::IntoEnumIterator;
 
--- a/core/tests/request/hosts.rs
+++ b/core/tests/request/hosts.rs
@@ -1,8 +1,9 @@
 //! Fake hosts, each an agent's machines and a target that counts runs, and a fake key-value service.
 
+use crate::inject::Step;
 use crate::links::LinkState;
 use crate::naive::{AnyLedger, MachineKind};
-use crate::world::{Step, World, WorldEvent, answer_parts};
+use crate::world::{World, WorldEvent, answer_parts};
 use buckthornwharf_core::frame::SubmitFrame;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::claim::{ClaimAction, ClaimEvent, ClaimKeeper, ClaimKey};
--- a/core/tests/request/keyed.rs
+++ b/core/tests/request/keyed.rs
@@ -1,8 +1,9 @@
 //! Requests that carry the same idempotency key.
 
+use crate::inject::{Fault, Step};
 use crate::naive::MachineKind;
 use crate::verdict::{check, outcome, runs_of_key};
-use crate::world::{Fault, Step, WorkKind, World, submit};
+use crate::world::{WorkKind, World, submit};
 use buckthornwharf_core::prelude::*;
 
 const KEY: &str = "a";
--- a/core/tests/request_world.rs
+++ b/core/tests/request_world.rs
@@ -6,6 +6,8 @@
 mod faults;
 #[path = "request/hosts.rs"]
 mod hosts;
+#[path = "request/inject.rs"]
+mod inject;
 #[path = "request/keyed.rs"]
 mod keyed;
 #[path = "request/links.rs"]
