Refuse a field without a value in the configuration

An empty heading such as 'organisations:' in a later file read as null, so it removed every organisation, and no check of references would have found it. null and ~ remove a field as before; a field with nothing after its colon is an error with file, line and field. Four rows more in the table of wrong overlays.

--- a/core/src/config/merge.rs
+++ b/core/src/config/merge.rs
@@ -81,11 +81,11 @@
 }
 
 fn overlay_field(fields: &mut SortedTable<Arc<str>, ConfigNode>, key: Arc<str>, node: ConfigNode) {
-    if node.value == NodeValue::Null {
+    if matches!(node.value, NodeValue::Null { .. }) {
         fields.remove(&*key);
         return;
     }
     let origin = node.origin.clone();
-    let empty = || ConfigNode { value: NodeValue::Null, origin };
+    let empty = || ConfigNode { value: NodeValue::Null { is_written: true }, origin };
     overlay(fields.get_or_insert_with(key, empty), node);
 }
--- a/core/src/config/node.rs
+++ b/core/src/config/node.rs
@@ -29,7 +29,10 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum NodeValue {
     /// `null`, which removes a field.
-    Null,
+    Null {
+        /// Whether it was spelled out, and not left empty.
+        is_written: bool,
+    },
     /// `true` or `false`.
     Bool(bool),
     /// A whole number.
@@ -97,17 +100,41 @@
             })?;
         let source = SourceText { file, text };
         let node = source.node(raw);
-        match node.value {
-            NodeValue::Map(_) => Ok(node),
-            NodeValue::Null => Ok(ConfigNode { value: NodeValue::Map(SortedTable::new()), ..node }),
-            _ => Err(ConfigIssue::Field {
-                origin: node.origin,
-                field: "the file".to_owned(),
-                message: "a map is expected".to_owned(),
+        let node = match node.value {
+            NodeValue::Map(_) => node,
+            NodeValue::Null { .. } => {
+                ConfigNode { value: NodeValue::Map(SortedTable::new()), ..node }
+            }
+            _ => return Err(node.issue("the file", "a map is expected")),
+        };
+        match node.find_unwritten(String::new()) {
+            Some(issue) => Err(issue),
+            None => Ok(node),
+        }
+    }
+
+    /// The first field without any value, which is more often forgotten than meant to be removed.
+    fn find_unwritten(&self, path: String) -> Option<ConfigIssue> {
+        match &self.value {
+            NodeValue::Null { is_written: false } => {
+                Some(self.issue(&path, "a value is missing; `null` removes the field"))
+            }
+            NodeValue::Map(fields) => fields.iter().find_map(|(key, node)| {
+                let path = if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+                node.find_unwritten(path)
             }),
+            NodeValue::List(items) => {
+                items.iter().find_map(|item| item.find_unwritten(path.clone()))
+            }
+            _ => None,
         }
     }
 
+    fn issue(&self, field: &str, message: &str) -> ConfigIssue {
+        let origin = self.origin.clone();
+        ConfigIssue::Field { origin, field: field.to_owned(), message: message.to_owned() }
+    }
+
     /// The field below this value with this path.
     pub fn get(&self, path: &[&str]) -> Option<&ConfigNode> {
         let Some((first, rest)) = path.split_first() else { return Some(self) };
@@ -120,7 +147,7 @@
     /// What the value is called in messages.
     pub fn kind(&self) -> &'static str {
         match self {
-            NodeValue::Null => "null",
+            NodeValue::Null { .. } => "null",
             NodeValue::Bool(_) => "a boolean",
             NodeValue::Integer(_) => "a whole number",
             NodeValue::Float(_) => "a number",
@@ -155,7 +182,10 @@
     fn node(&self, raw: Spanned<RawNode>) -> ConfigNode {
         let origin = self.origin(&raw.referenced);
         let value = match raw.value {
-            RawNode::Null => NodeValue::Null,
+            RawNode::Null => {
+                let is_written = !self.written(&raw.defined, String::new()).is_empty();
+                NodeValue::Null { is_written }
+            }
             RawNode::Bool(value) => NodeValue::Bool(value),
             RawNode::Integer(value) => {
                 let text = self.written(&raw.defined, value.to_string());
--- a/core/src/config/render.rs
+++ b/core/src/config/render.rs
@@ -38,7 +38,7 @@
         NodeValue::List(items) if !items.is_empty() => None,
         NodeValue::Map(_) => Some("{}".to_owned()),
         NodeValue::List(_) => Some("[]".to_owned()),
-        NodeValue::Null => Some("null".to_owned()),
+        NodeValue::Null { .. } => Some("null".to_owned()),
         NodeValue::Bool(value) => Some(value.to_string()),
         NodeValue::Integer(number) => Some(number.text.to_string()),
         NodeValue::Float(number) => Some(number.text.to_string()),
--- a/core/src/config/typed.rs
+++ b/core/src/config/typed.rs
@@ -83,7 +83,7 @@
     fn deserialize_any<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, TypeError> {
         let node = self.0;
         let value = match &node.value {
-            NodeValue::Null => visitor.visit_unit(),
+            NodeValue::Null { .. } => visitor.visit_unit(),
             NodeValue::Bool(value) => visitor.visit_bool(*value),
             NodeValue::Integer(number) => visit_integer(number.value, visitor),
             NodeValue::Float(number) => visitor.visit_f64(number.value),
@@ -113,7 +113,7 @@
 
     fn deserialize_option<V: Visitor<'de>>(self, visitor: V) -> Result<V::Value, TypeError> {
         match self.0.value {
-            NodeValue::Null => visitor.visit_none(),
+            NodeValue::Null { .. } => visitor.visit_none(),
             _ => visitor.visit_some(self),
         }
     }
--- a/core/tests/config_merge.rs
+++ b/core/tests/config_merge.rs
@@ -132,6 +132,10 @@
         "objectives: {grant-llm: {availability: 99.9}}",
         "objectives: {gone: {availability: 0.9}}",
         "sites: null",
+        "organisations:",
+        "organisations:\n  tea:\n    priority:\n    weight: 2",
+        "routes: {ledger: {non_idempotent: [POST, ]}, again: }",
+        "routes:\n  ledger:\n    non_idempotent:\n      - POST\n      -",
         "sites: [",
         "sites: {a: {region: x}, a: {region: y}}",
         "[]",
@@ -222,6 +226,25 @@
     sites: null
     10-base.yaml:8:61: services.grant-llm.sites: there is no site `nbo-a`
 
+    organisations:
+    20-change.yaml:1:1: organisations: a value is missing; `null` removes the field
+
+    organisations:
+      tea:
+        priority:
+        weight: 2
+    20-change.yaml:3:5: organisations.tea.priority: a value is missing; `null` removes the field
+
+    routes: {ledger: {non_idempotent: [POST, ]}, again: }
+    20-change.yaml:1:46: routes.again: a value is missing; `null` removes the field
+
+    routes:
+      ledger:
+        non_idempotent:
+          - POST
+          -
+    20-change.yaml:5:8: routes.ledger.non_idempotent: a value is missing; `null` removes the field
+
     sites: [
     20-change.yaml: unclosed bracket '[' at line 1, column 8
 
