Take the end of a target's answer only from HTTP's own marks

Cause: the client library ends a body cleanly when the connection ends, so an answer of a target that died in the middle passed for whole. Kept connections add a second doubt: a request lost on a stale one cannot be told from one that ran. Ruled out: comparing lengths above the library, which does not see the end of chunked bodies; and probing kept connections, which only narrows the window. Each request now has a connection of its own, read by the HTTP codec, and a body whose end is not marked is refused. Conclusion: a short answer never passes for success.

--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -381,7 +381,7 @@
             DispatchedRequest { item, digest: submit.digest, cancel: Some(cancel), parts: 0 };
         self.dispatched.insert(id, request);
         self.publish_load();
-        let client = self.client.clone();
+        let client = self.client;
         let answers = self.answers.clone();
         actix_rt::spawn(client.run(submit.clone(), cancelled, answers));
     }
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,22 +1,19 @@
 //! Requests from an agent to its target.
 
+mod exchange;
+
 use super::answer_check::{AnswerChecker, AnswerFault, AnswerShape};
 use super::requests::AnswerEvent;
-use awc::http::{Method, StatusCode};
-use awc::{Client, ClientResponse, Connector};
+use actix_http::StatusCode;
 use buckthornwharf_core::frame::SubmitFrame;
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
-use futures_util::{Stream, StreamExt};
+use exchange::{TargetRequest, TargetResponse};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
 
-/// Time to open a connection to the target.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// An idle connection is not used again after this time, since the target may have lost it.
-const IDLE_LIMIT: Duration = Duration::from_secs(15);
-/// A target that sends nothing for this long while it answers is taken for dead.
-const TARGET_SILENCE_LIMIT: Duration = Duration::from_secs(20);
+/// Time for the target to answer a cancellation.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// What a target's answer brings.
@@ -50,6 +47,8 @@
     Silent,
     /// the answer comes from other weights, or is not whole
     BadAnswer,
+    /// the engine answered with a server error
+    ServerError,
     /// the request was cancelled
     Cancelled,
 }
@@ -67,20 +66,15 @@
 }
 
 /// Sends requests to one target.
-#[derive(Clone)]
+#[derive(Debug, Clone, Copy)]
 pub struct TargetClient {
-    client: Client,
     target: SocketAddr,
 }
 
 impl TargetClient {
-    /// A client for `target`, to be used on the thread that made it.
+    /// A client for `target`.
     pub fn new(target: SocketAddr) -> Self {
-        let connector =
-            Connector::new().timeout(CONNECT_TIMEOUT).conn_keep_alive(IDLE_LIMIT).limit(0);
-        let client =
-            Client::builder().connector(connector).disable_timeout().disable_redirects().finish();
-        Self { client, target }
+        Self { target }
     }
 
     /// Runs a request and reports its answer through `events`, until it ends or `cancel` is used.
@@ -93,24 +87,28 @@
         let events = AnswerReporter { id: frame.id, events };
         let result = tokio::select! {
             result = self.exchange(&frame, &events) => result,
-            _ = cancel => Err(TargetFailure::Cancelled),
-        };
-        let last = match result {
-            Ok(()) => TargetEvent::Whole,
-            Err(failure) => TargetEvent::Failed(failure),
+            Ok(()) = cancel => Err(TargetFailure::Cancelled),
         };
         let is_engine = frame.digest.is_some();
-        if is_engine && last == TargetEvent::Failed(TargetFailure::Cancelled) {
+        if is_engine && result == Err(TargetFailure::Cancelled) {
             self.cancel_engine(frame.id).await;
         }
-        events.send(last);
+        events.send(match result {
+            Ok(()) => TargetEvent::Whole,
+            Err(failure) => TargetEvent::Failed(failure),
+        });
     }
 
     async fn cancel_engine(&self, id: RequestId) {
-        let url = format!("http://{}/v1/requests/{id}", self.target);
-        let sent = self.client.delete(url).timeout(CONNECT_TIMEOUT).send().await;
-        if let Err(error) = sent {
-            log::warn!("request={id} can't cancel at the target: {error}");
+        let request = TargetRequest {
+            method: "DELETE".into(),
+            path: format!("/v1/requests/{id}").into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+            head_timeout: CANCEL_TIMEOUT,
+        };
+        if let Err(failure) = request.send(self.target).await {
+            log::warn!("request={id} can't cancel at the target: {failure}");
         }
     }
 
@@ -119,19 +117,19 @@
         frame: &SubmitFrame,
         events: &AnswerReporter,
     ) -> Result<(), TargetFailure> {
-        let response = self.send(frame).await?;
-        let content_type = header_of(&response, "content-type");
-        let shape = shape_of(frame, response.status(), &content_type);
-        let expected = if shape == AnswerShape::Opaque { None } else { frame.digest };
-        let head = TargetEvent::Head {
-            status: response.status().as_u16(),
-            content_type,
-            digest: expected,
-        };
-        let mut checker = AnswerChecker::new(shape, expected);
-        let mut head = Some(head);
-        let mut body = response.timeout(Duration::MAX);
-        while let Some(bytes) = next_part(&mut body).await? {
+        let mut response = target_request(frame).send(self.target).await?;
+        let is_engine = frame.digest.is_some();
+        if is_engine && response.status.is_server_error() {
+            return Err(TargetFailure::ServerError);
+        }
+        let mut checker = AnswerChecker::new(shape_of(frame, &response), frame.digest);
+        // An engine's refusal carries no fingerprint, and nothing that weights have produced.
+        let mut head = Some(TargetEvent::Head {
+            status: response.status.as_u16(),
+            content_type: response.content_type.clone(),
+            digest: frame.digest,
+        });
+        while let Some(bytes) = response.next_part().await? {
             let checked = checker.push(bytes).map_err(log_fault)?;
             pass_on(events, &mut head, checked);
         }
@@ -142,49 +140,20 @@
         }
         Ok(())
     }
-
-    async fn send(
-        &self,
-        frame: &SubmitFrame,
-    ) -> Result<
-        ClientResponse<impl Stream<Item = Result<Bytes, awc::error::PayloadError>> + use<>>,
-        TargetFailure,
-    > {
-        let method =
-            Method::from_bytes(frame.method.as_bytes()).map_err(|_| TargetFailure::Unreachable)?;
-        let url = format!("http://{}{}", self.target, frame.path);
-        let mut request = self
-            .client
-            .request(method, url)
-            .no_decompress()
-            .insert_header(("x-request-id", frame.id.to_string()))
-            .insert_header(("x-organisation", frame.organisation.as_str()))
-            .insert_header(("x-priority", frame.priority.to_string()));
-        if !frame.content_type.is_empty() {
-            request = request.insert_header(("content-type", &*frame.content_type));
-        }
-        let sent =
-            actix_rt::time::timeout(TARGET_SILENCE_LIMIT, request.send_body(frame.body.clone()));
-        match sent.await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(
-                awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_),
-            )) => Err(TargetFailure::Unreachable),
-            Ok(Err(_)) => Err(TargetFailure::Broken),
-            Err(_) => Err(TargetFailure::Silent),
-        }
-    }
 }
 
-async fn next_part<S>(body: &mut S) -> Result<Option<Bytes>, TargetFailure>
-where
-    S: Stream<Item = Result<Bytes, awc::error::PayloadError>> + Unpin,
-{
-    match actix_rt::time::timeout(TARGET_SILENCE_LIMIT, body.next()).await {
-        Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
-        Ok(Some(Err(_))) => Err(TargetFailure::Broken),
-        Ok(None) => Ok(None),
-        Err(_) => Err(TargetFailure::Silent),
+fn target_request(frame: &SubmitFrame) -> TargetRequest {
+    TargetRequest {
+        method: frame.method.clone(),
+        path: frame.path.clone(),
+        headers: vec![
+            ("x-request-id", frame.id.to_string()),
+            ("x-organisation", frame.organisation.to_string()),
+            ("x-priority", frame.priority.to_string()),
+            ("content-type", frame.content_type.to_string()),
+        ],
+        body: frame.body.clone(),
+        head_timeout: Duration::from_millis(frame.deadline_ms),
     }
 }
 
@@ -200,21 +169,16 @@
     events.send(TargetEvent::Body(bytes));
 }
 
-fn shape_of(frame: &SubmitFrame, status: StatusCode, content_type: &str) -> AnswerShape {
-    if frame.digest.is_none() || !status.is_success() {
+fn shape_of(frame: &SubmitFrame, response: &TargetResponse) -> AnswerShape {
+    if frame.digest.is_none() || response.status != StatusCode::OK {
         AnswerShape::Opaque
-    } else if content_type.starts_with(EVENT_STREAM) {
+    } else if response.content_type.starts_with(EVENT_STREAM) {
         AnswerShape::EventStream
     } else {
         AnswerShape::Json
     }
 }
 
-fn header_of<S>(response: &ClientResponse<S>, name: &str) -> Arc<str> {
-    let value = response.headers().get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().into()
-}
-
 fn log_fault(fault: AnswerFault) -> TargetFailure {
     log::warn!("answer refused: {fault}");
     TargetFailure::BadAnswer
--- /dev/null
+++ b/src/agent/target/exchange.rs
@@ -0,0 +1,131 @@
+//! One HTTP/1.1 exchange with a target, on a connection of its own.
+//!
+//! A kept connection may have gone silent or been closed by the other side, and a request that is
+//! lost on it cannot be told from one that ran. The end of an answer is taken only from HTTP's own
+//! marks, never from the end of the connection.
+
+use super::TargetFailure;
+use actix_codec::Framed;
+use actix_http::body::BodySize;
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{ConnectionType, Method, RequestHead, ResponseHead, StatusCode, Uri};
+use actix_rt::net::TcpStream;
+use buckthornwharf_core::prelude::*;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::net::SocketAddr;
+
+/// Time to open a connection to the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// A target that sends nothing for this long in the middle of an answer is taken for dead.
+const BODY_SILENCE_LIMIT: Duration = Duration::from_secs(20);
+
+/// A request to a target.
+#[derive(Debug, Clone)]
+pub struct TargetRequest {
+    /// HTTP method.
+    pub method: Arc<str>,
+    /// HTTP path with its query.
+    pub path: Arc<str>,
+    /// HTTP headers; those without a value are left out.
+    pub headers: Vec<(&'static str, String)>,
+    /// HTTP body.
+    pub body: Bytes,
+    /// Time for the start of the answer.
+    pub head_timeout: Duration,
+}
+
+/// An answer of a target whose body has not been read.
+pub struct TargetResponse {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// HTTP content type; empty if absent.
+    pub content_type: Arc<str>,
+    body: Option<Framed<TcpStream, ClientPayloadCodec>>,
+}
+
+impl TargetRequest {
+    /// Sends the request to `target` and reads the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// [`TargetFailure::Unreachable`] only if no byte was sent.
+    pub async fn send(self, target: SocketAddr) -> Result<TargetResponse, TargetFailure> {
+        let head = self.head(target).ok_or(TargetFailure::Unreachable)?;
+        let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target));
+        let Ok(Ok(stream)) = connecting.await else {
+            return Err(TargetFailure::Unreachable);
+        };
+        let _ = stream.set_nodelay(true);
+        let timeout = self.head_timeout;
+        match actix_rt::time::timeout(timeout, self.exchange(stream, head)).await {
+            Ok(response) => response,
+            Err(_) => Err(TargetFailure::Silent),
+        }
+    }
+
+    fn head(&self, target: SocketAddr) -> Option<RequestHead> {
+        let mut head = RequestHead::default();
+        head.method = Method::from_bytes(self.method.as_bytes()).ok()?;
+        head.uri = self.path.parse::<Uri>().ok()?;
+        head.set_connection_type(ConnectionType::Close);
+        let host = ("host", target.to_string());
+        for (name, value) in std::iter::once(&host).chain(&self.headers) {
+            if !value.is_empty() {
+                let value = HeaderValue::from_str(value).ok()?;
+                head.headers.insert(HeaderName::from_static(name), value);
+            }
+        }
+        Some(head)
+    }
+
+    async fn exchange(
+        self,
+        stream: TcpStream,
+        head: RequestHead,
+    ) -> Result<TargetResponse, TargetFailure> {
+        let mut framed = Framed::new(stream, ClientCodec::default());
+        let size = BodySize::Sized(self.body.len() as u64);
+        let item = Message::Item((head.into(), size));
+        framed.feed(item).await.map_err(|_| TargetFailure::Broken)?;
+        if !self.body.is_empty() {
+            let chunk = Message::Chunk(Some(self.body));
+            framed.feed(chunk).await.map_err(|_| TargetFailure::Broken)?;
+        }
+        framed.send(Message::Chunk(None)).await.map_err(|_| TargetFailure::Broken)?;
+        let Some(Ok(head)) = framed.next().await else {
+            return Err(TargetFailure::Broken);
+        };
+        let content_type = head.headers.get("content-type");
+        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let has_body = framed.codec_ref().message_type() != MessageType::None;
+        // The end of such a body could not be told from a broken connection.
+        if has_body && !has_end_mark(&head) {
+            return Err(TargetFailure::BadAnswer);
+        }
+        let body = has_body.then(|| framed.into_map_codec(ClientCodec::into_payload_codec));
+        Ok(TargetResponse { status: head.status, content_type: content_type.into(), body })
+    }
+}
+
+fn has_end_mark(head: &ResponseHead) -> bool {
+    head.headers.contains_key("content-length") || head.headers.contains_key("transfer-encoding")
+}
+
+impl TargetResponse {
+    /// The next bytes of the body; none at its marked end.
+    ///
+    /// # Errors
+    ///
+    /// [`TargetFailure::Broken`] if the connection ended before the body did,
+    /// [`TargetFailure::Silent`] if nothing came for too long.
+    pub async fn next_part(&mut self) -> Result<Option<Bytes>, TargetFailure> {
+        let Some(body) = &mut self.body else { return Ok(None) };
+        match actix_rt::time::timeout(BODY_SILENCE_LIMIT, body.next()).await {
+            Ok(Some(Ok(part))) => Ok(part),
+            Ok(Some(Err(_)) | None) => Err(TargetFailure::Broken),
+            Err(_) => Err(TargetFailure::Silent),
+        }
+    }
+}
--- /dev/null
+++ b/tests/target.rs
@@ -0,0 +1,83 @@
+//! The agent's client against targets whose connections end at the wrong moment.
+
+use buckthornwharf::agent::target::{TargetClient, TargetEvent, TargetFailure};
+use buckthornwharf_core::config::PriorityClass;
+use buckthornwharf_core::frame::SubmitFrame;
+use buckthornwharf_core::prelude::*;
+use bytes::Bytes;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::thread;
+use tokio::sync::{mpsc, oneshot};
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
+const SIZED: &str = "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhello";
+const ENDLESS: &str = "HTTP/1.1 200 OK\r\n\r\nhello";
+
+/// A target that gives `answer` to one request and closes the connection.
+fn serve_once(answer: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut buffer = [0; 4096];
+        let read = stream.read(&mut buffer).expect("a request");
+        assert!(read > 0);
+        stream.write_all(answer.as_bytes()).expect("an answer");
+    });
+    address
+}
+
+fn plain_request() -> SubmitFrame {
+    SubmitFrame {
+        id: RequestId(7),
+        organisation: "nails".into(),
+        weight: 1,
+        priority: PriorityClass::Normal,
+        service: "ledger".into(),
+        digest: None,
+        deadline_ms: 5_000,
+        idempotent: false,
+        idempotency_key: None,
+        fingerprint: 0,
+        suspect: false,
+        cost_tokens: 1,
+        method: "GET".into(),
+        path: "/".into(),
+        content_type: "".into(),
+        body: Bytes::new(),
+    }
+}
+
+/// The last event of an exchange with a target that gives `answer`.
+fn last_event(answer: &str) -> TargetEvent {
+    let target = serve_once(answer.to_owned());
+    actix_rt::System::new().block_on(async {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let (_cancel, cancelled) = oneshot::channel();
+        TargetClient::new(target).run(Arc::new(plain_request()), cancelled, sender).await;
+        let mut last = None;
+        while let Some((_, event)) = receiver.recv().await {
+            last = Some(event);
+        }
+        last.expect("an event")
+    })
+}
+
+#[test]
+fn a_body_with_its_end_mark_is_whole() {
+    assert_eq!(last_event(&format!("{CHUNKED}0\r\n\r\n")), TargetEvent::Whole);
+    assert_eq!(last_event(&format!("{SIZED}world")), TargetEvent::Whole);
+}
+
+#[test]
+fn a_cut_body_is_never_whole() {
+    let broken = TargetEvent::Failed(TargetFailure::Broken);
+    assert_eq!(last_event(CHUNKED), broken);
+    assert_eq!(last_event(SIZED), broken);
+}
+
+#[test]
+fn a_body_whose_end_is_not_marked_is_refused() {
+    assert_eq!(last_event(ENDLESS), TargetEvent::Failed(TargetFailure::BadAnswer));
+}
