Release the key of a request that was claimed but not dispatched

Cause: a claim stayed with its agent. When an outage or a shut gate refused the request after its claim, the key was "already claimed" at every other agent though nothing had run: a lost booking.

A key is now a log of positions, created if absent: claims and releases, with a nonce each. The usual booking still costs one write. The shell's events and actions are the same; each call must be answered exactly once. New code 208, key_released, for a gate that shuts between claim and dispatch: an entry does not try elsewhere before the release is written.

Ruled out: deleting the claim (a late delete may free a key won meanwhile) and compare-and-swap on the index of the first claim (every step needs the index).

Conclusion: what remains is an agent that dies between claim and dispatch; its key stays held.

--- a/core/src/code.rs
+++ b/core/src/code.rs
@@ -67,6 +67,8 @@
     DeadlineBefore = 206,
     /// the target serves another version than the one asked for; the work was not dispatched
     WrongVersion = 207,
+    /// the work was not dispatched, and its idempotency key is being released
+    KeyReleased = 208,
     /// the link to the target's host was lost and what became of the work is not known
     LinkLost = 300,
     /// the target failed while it ran the work
@@ -113,7 +115,8 @@
             | ResultCode::Leaving
             | ResultCode::NeverSeen
             | ResultCode::DeadlineBefore
-            | ResultCode::WrongVersion => 503,
+            | ResultCode::WrongVersion
+            | ResultCode::KeyReleased => 503,
             ResultCode::DeadlineDuring => 504,
             ResultCode::LinkLost
             | ResultCode::TargetFailed
@@ -127,9 +130,10 @@
     pub const fn retry_after_seconds(self) -> Option<u32> {
         match self {
             ResultCode::Overloaded | ResultCode::OverLimit | ResultCode::Leaving => Some(1),
-            ResultCode::NeverSeen | ResultCode::DeadlineBefore | ResultCode::WrongVersion => {
-                Some(1)
-            }
+            ResultCode::NeverSeen
+            | ResultCode::DeadlineBefore
+            | ResultCode::WrongVersion
+            | ResultCode::KeyReleased => Some(1),
             ResultCode::NotServing | ResultCode::PlatformDown => Some(5),
             _ => None,
         }
--- a/core/src/request/claim/record.rs
+++ b/core/src/request/claim/record.rs
@@ -1,6 +1,7 @@
 //! A claim as it stands in the key-value service, and as its agent remembers it.
 
-use super::{CLAIM_AGE, CLAIM_TIMEOUT, MAX_CLAIM_CALLS};
+use super::walk::{LogWalk, WalkGoal};
+use super::{CLAIM_TIMEOUT, MAX_CLAIM_CALLS};
 use crate::frame::SubmitFrame;
 use crate::prelude::*;
 use bytes::Bytes;
@@ -27,6 +28,14 @@
         Some(Self(format!("claim/{}/{hash}", submit.service).into()))
     }
 
+    /// The key of a position in the claim's log; the first one is the claim's own.
+    pub(super) fn at(&self, position: u32) -> Self {
+        match position {
+            0 => self.clone(),
+            _ => Self(format!("{}/{position}", self.0).into()),
+        }
+    }
+
     /// The key as text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -39,14 +48,16 @@
     }
 }
 
-/// The value of a claim in the key-value service.
+/// A position in the log of a key, in the key-value service.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimValue {
-    /// Random number of the process that created the claim, for this key.
+    /// Random number of the process that claims or releases the key.
     #[serde_as(as = "DisplayFromStr")]
     pub nonce: u128,
-    /// The request that the claim was created for.
+    /// Whether the key is released by the nonce, and not claimed.
+    pub is_release: bool,
+    /// The request that the key was claimed for.
     pub id: RequestId,
     /// The host of the agent.
     pub host: HostName,
@@ -68,99 +79,97 @@
 }
 
 /// How far a claim has come at its agent.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClaimPhase {
-    /// The key-value service is being asked.
-    Settling(ClaimSettling),
+    /// The key is being acquired for this request.
+    Acquiring(RequestId),
     /// The key was given to this request.
     Owned(RequestId),
-    /// No request was dispatched under the nonce.
-    Unused,
+    /// Nobody was dispatched under the nonce, which is being released; calls are in the name of
+    /// this request.
+    Releasing(RequestId),
+    /// Nothing of ours is in the log.
+    Free,
 }
 
-/// A claim that the key-value service is being asked about.
-#[derive(Debug, PartialEq, Eq)]
-pub(super) struct ClaimSettling {
-    pub first: RequestId,
-    pub waiting: Vec<RequestId>,
-    calls: u32,
+/// A request that waits until the claim is settled.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WaitingClaim {
+    pub id: RequestId,
+    pub nonce: u128,
+    pub fingerprint: u64,
+    pub since: MonoTime,
 }
 
 /// A claim as its agent remembers it.
 #[derive(Debug)]
 pub(super) struct LocalClaim {
-    pub nonce: u128,
     pub fingerprint: u64,
     pub phase: ClaimPhase,
-    /// Whether the key-value service is known to hold the nonce.
-    pub is_confirmed: bool,
+    pub walk: LogWalk,
+    pub waiting: Vec<WaitingClaim>,
+    calls: u32,
     since: MonoTime,
 }
 
 impl LocalClaim {
-    pub fn new(now: MonoTime, first: RequestId, nonce: u128, fingerprint: u64) -> Self {
-        let phase = ClaimPhase::Settling(ClaimSettling { first, waiting: Vec::new(), calls: 0 });
-        Self { nonce, fingerprint, phase, is_confirmed: false, since: now }
+    /// A claim that is to be acquired for a request.
+    pub fn new(first: &WaitingClaim) -> Self {
+        Self {
+            fingerprint: first.fingerprint,
+            phase: ClaimPhase::Acquiring(first.id),
+            walk: LogWalk::new(first.nonce),
+            waiting: Vec::new(),
+            calls: 0,
+            since: first.since,
+        }
     }
 
-    /// Gives an unused claim to another request.
-    pub fn restart(&mut self, now: MonoTime, first: RequestId, fingerprint: u64) {
-        let is_confirmed = self.is_confirmed;
-        *self = Self { is_confirmed, ..Self::new(now, first, self.nonce, fingerprint) };
+    /// Starts to acquire a free key for a request.
+    pub fn restart(&mut self, next: &WaitingClaim) {
+        self.fingerprint = next.fingerprint;
+        self.walk.restart(next.nonce);
+        self.set_phase(next.since, ClaimPhase::Acquiring(next.id));
     }
 
-    pub fn is_unused(&self) -> bool {
-        self.phase == ClaimPhase::Unused
+    pub fn set_phase(&mut self, now: MonoTime, phase: ClaimPhase) {
+        self.phase = phase;
+        self.calls = 0;
+        self.since = now;
     }
 
-    pub fn is_settled_by(&self, id: RequestId) -> bool {
-        matches!(&self.phase, ClaimPhase::Settling(settling) if settling.first == id)
+    /// Starts to release the nonce in the name of a request, if anything of it may be in the log.
+    pub fn abandon(&mut self, now: MonoTime, id: RequestId) {
+        self.walk.set_goal(WalkGoal::Release);
+        let is_written = self.walk.may_be_written() || self.walk.is_calling();
+        let phase = if is_written { ClaimPhase::Releasing(id) } else { ClaimPhase::Free };
+        self.set_phase(now, phase);
     }
 
-    /// Counts a call of the key-value service; `false` if no more may be made.
-    pub fn take_call(&mut self, now: MonoTime) -> bool {
-        let is_late = now.since(self.since) >= CLAIM_TIMEOUT;
-        let ClaimPhase::Settling(settling) = &mut self.phase else { return false };
-        if is_late || settling.calls == MAX_CLAIM_CALLS {
-            return false;
+    /// The request in whose name calls are made.
+    pub fn caller(&self) -> Option<RequestId> {
+        match self.phase {
+            ClaimPhase::Acquiring(id) | ClaimPhase::Releasing(id) => Some(id),
+            ClaimPhase::Owned(_) | ClaimPhase::Free => None,
         }
-        settling.calls += 1;
-        true
-    }
-
-    /// Gives the key to a request and returns those that wait for its answer.
-    pub fn own(&mut self, now: MonoTime, id: RequestId) -> Vec<RequestId> {
-        self.is_confirmed = true;
-        self.since = now;
-        self.replace_phase(ClaimPhase::Owned(id))
-    }
-
-    /// Notes that no request is dispatched under the nonce, and returns those that waited.
-    pub fn leave_unused(&mut self, now: MonoTime) -> Vec<RequestId> {
-        self.since = now;
-        self.replace_phase(ClaimPhase::Unused)
     }
 
-    fn replace_phase(&mut self, phase: ClaimPhase) -> Vec<RequestId> {
-        match std::mem::replace(&mut self.phase, phase) {
-            ClaimPhase::Settling(settling) => settling.waiting,
-            ClaimPhase::Owned(_) | ClaimPhase::Unused => Vec::new(),
+    /// Counts a call of the key-value service; `false` if no more may be made for now.
+    pub fn take_call(&mut self, now: MonoTime) -> bool {
+        if now.since(self.since) >= CLAIM_TIMEOUT || self.calls == MAX_CLAIM_CALLS {
+            return false;
         }
+        self.calls += 1;
+        true
     }
 
-    /// The request whose claim takes too long.
-    pub fn late_request(&self, now: MonoTime) -> Option<RequestId> {
-        match &self.phase {
-            ClaimPhase::Settling(settling) if now.since(self.since) >= CLAIM_TIMEOUT => {
-                Some(settling.first)
-            }
-            _ => None,
-        }
+    /// Whether the present phase has taken too long.
+    pub fn is_late(&self, now: MonoTime) -> bool {
+        self.caller().is_some() && now.since(self.since) >= CLAIM_TIMEOUT
     }
 
-    /// Whether the claim may be forgotten.
-    pub fn is_old(&self, now: MonoTime) -> bool {
-        let is_settled = !matches!(self.phase, ClaimPhase::Settling(_));
-        is_settled && now.since(self.since) >= CLAIM_AGE
+    /// Whether the claim may be forgotten, as it was settled that long ago.
+    pub fn is_older(&self, now: MonoTime, age: Duration) -> bool {
+        self.caller().is_none() && now.since(self.since) >= age
     }
 }
--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -62,6 +62,10 @@
             ClaimVerdict::Won => match refusal(record, now, gate) {
                 None => self.dispatch(id),
                 Some(code) => {
+                    // Another agent would find the key claimed until the release is written, so
+                    // the entry must not try elsewhere at once.
+                    let is_late = code == ResultCode::DeadlineBefore;
+                    let code = if is_late { code } else { ResultCode::KeyReleased };
                     self.actions.push(LedgerAction::ReleaseClaim(id));
                     self.finish(now, id, code);
                 }
--- a/core/tests/request/faults.rs
+++ b/core/tests/request/faults.rs
@@ -3,7 +3,8 @@
 use crate::inject::{Fault, Step};
 use crate::naive::MachineKind;
 use crate::verdict::{check, outcome};
-use crate::world::{WorkKind, World, submit};
+use crate::work::{WorkKind, submit};
+use crate::world::World;
 use buckthornwharf_core::prelude::*;
 use strum::IntoEnumIterator;
 
@@ -52,7 +53,9 @@
     idempotent lost_claim_answer ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     idempotent store_outage      ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     idempotent slow_store        ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
+    idempotent late_writes       ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     idempotent caller_gone       cancelled/0         cancelled/0         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1
+    idempotent gate_shut         ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     once       none              ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     once       kill_agent        ok/1                link_lost/0         link_lost/0         link_lost/0         link_lost/1         cut_short/1         cut_short/1         cut_short/1
     once       kill_host         ok/1                link_lost/0         link_lost/0         link_lost/0         link_lost/1         cut_short/1         cut_short/1         cut_short/1
@@ -70,7 +73,9 @@
     once       lost_claim_answer ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     once       store_outage      ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     once       slow_store        ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
+    once       late_writes       ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     once       caller_gone       cancelled/0         cancelled/0         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1
+    once       gate_shut         ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     keyed      none              ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     keyed      kill_agent        ok/1                link_lost/0         link_lost/0         link_lost/0         link_lost/1         cut_short/1         cut_short/1         cut_short/1
     keyed      kill_host         ok/1                link_lost/0         link_lost/0         link_lost/0         link_lost/1         cut_short/1         cut_short/1         cut_short/1
@@ -88,6 +93,8 @@
     keyed      lost_claim_answer ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1                ok/1
     keyed      store_outage      platform_down/0     platform_down/0     platform_down/0     platform_down/0     ok/1                ok/1                ok/1                ok/1
     keyed      slow_store        platform_down/0     platform_down/0     platform_down/0     platform_down/0     ok/1                ok/1                ok/1                ok/1
+    keyed      late_writes       platform_down/0     platform_down/0     platform_down/0     platform_down/0     ok/1                ok/1                ok/1                ok/1
     keyed      caller_gone       cancelled/0         cancelled/0         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1         cancelled/1
+    keyed      gate_shut         ok/1                ok/1                key_released/0      key_released/0      ok/1                ok/1                ok/1                ok/1
     "#);
 }
--- a/core/tests/request/inject.rs
+++ b/core/tests/request/inject.rs
@@ -31,7 +31,9 @@
     LostClaimAnswer,
     StoreOutage,
     SlowStore,
+    LateWrites,
     CallerGone,
+    GateShut,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, EnumIter, Display)]
@@ -91,7 +93,11 @@
             Fault::LostClaimAnswer => self.store.loses_next = true,
             Fault::StoreOutage => self.store.down_until = self.now + Duration::from_secs(5),
             Fault::SlowStore => self.store.slow_until = self.now + Duration::from_secs(5),
+            Fault::LateWrites => self.store.late_until = self.now + Duration::from_secs(5),
             Fault::CallerGone => self.drive(0, DriverEvent::CallerGone),
+            Fault::GateShut => {
+                hosts.iter().for_each(|host| self.after(MS, WorldEvent::ShutGate(*host)));
+            }
         }
     }
 
--- a/core/tests/request/keyed.rs
+++ b/core/tests/request/keyed.rs
@@ -3,7 +3,8 @@
 use crate::inject::{Fault, Step};
 use crate::naive::MachineKind;
 use crate::verdict::{check, outcome, runs_of_key};
-use crate::world::{WorkKind, World, submit};
+use crate::work::{WorkKind, submit};
+use crate::world::World;
 use buckthornwharf_core::prelude::*;
 
 const KEY: &str = "a";
@@ -45,6 +46,15 @@
             run(Fault::SlowStore, Step::Claimed, &[(0, 0), (6_000, 1)])
         ),
         format!("caller gone, again:    {}", run(Fault::CallerGone, Step::Dispatched, &after)),
+        format!("late writes:           {}", run(Fault::LateWrites, Step::Claimed, &during)),
+        format!(
+            "asked after late ones: {}",
+            run(Fault::LateWrites, Step::Claimed, &[(0, 0), (3_000, 1), (12_000, 1)])
+        ),
+        format!(
+            "gate shut after claim: {}",
+            run(Fault::GateShut, Step::Claimed, &[(0, 0), (1_000, 1), (2_000, 0)])
+        ),
     ];
     insta::assert_snapshot!(lines.join("\n"), @r#"
     during:                ok/1 ok/0 ok/0
@@ -58,5 +68,31 @@
     slow store:            platform_down/0 platform_down/0 platform_down/0
     asked after slowness:  platform_down/0 ok/1
     caller gone, again:    cancelled/1 ok/0 ok/0
+    late writes:           platform_down/0 platform_down/0 platform_down/0
+    asked after late ones: platform_down/0 platform_down/0 ok/1
+    gate shut after claim: key_released/0 ok/1 ok/0
+    "#);
+}
+
+#[test]
+fn a_key_that_was_refused_without_a_run_can_be_used_at_another_agent() {
+    let mut outcomes = Vec::new();
+    for fault in [Fault::SlowStore, Fault::LateWrites, Fault::StoreOutage] {
+        let mut world = World::new(MachineKind::Real, 2, Some((fault, Step::Claimed)));
+        for (number, at) in [(1, 0), (2, 3_000), (3, 15_000), (4, 16_000)] {
+            let submit = submit(number, WorkKind::Keyed, Some(KEY));
+            world.call(Duration::from_millis(at), 0, submit);
+        }
+        world.fault_at(Duration::from_secs(10), Fault::GateShut);
+        world.run();
+        assert_eq!(check(&world), Ok(()));
+        assert_eq!(runs_of_key(&world, KEY), 1, "{fault}");
+        let results: Vec<String> = (0..4).map(|caller| outcome(&world, caller)).collect();
+        outcomes.push(format!("{fault}: {}", results.join(" ")));
+    }
+    insta::assert_snapshot!(outcomes.join("\n"), @r#"
+    slow_store: platform_down/0 platform_down/0 ok/1 ok/0
+    late_writes: platform_down/0 platform_down/0 ok/1 ok/0
+    store_outage: platform_down/0 platform_down/0 ok/1 ok/0
     "#);
 }
--- a/core/tests/request/suspects.rs
+++ b/core/tests/request/suspects.rs
@@ -2,7 +2,8 @@
 
 use crate::naive::MachineKind;
 use crate::verdict::{check, outcome};
-use crate::world::{WorkKind, World, submit};
+use crate::work::{WorkKind, submit};
+use crate::world::World;
 use buckthornwharf_core::prelude::*;
 
 #[test]
--- a/core/tests/request/verdict.rs
+++ b/core/tests/request/verdict.rs
@@ -1,6 +1,7 @@
 //! What must hold of every caller, whatever happened.
 
-use crate::world::{Caller, World, answer_parts};
+use crate::work::answer_parts;
+use crate::world::{Caller, World};
 use buckthornwharf_core::code::OutcomeClass;
 use buckthornwharf_core::prelude::*;
 use strum::IntoStaticStr;
--- a/core/tests/request_world.rs
+++ b/core/tests/request_world.rs
@@ -18,5 +18,7 @@
 mod suspects;
 #[path = "request/verdict.rs"]
 mod verdict;
+#[path = "request/work.rs"]
+mod work;
 #[path = "request/world.rs"]
 mod world;
