Show each guard of pick, queue and links failing without it

Cause: a test that passes with its guard off proves nothing. Each guard was switched off alone and its test run; four tests were added for guards that none noticed or covered (credit of idle organisations, actual costs, longest wait, time of work). The wait of a small organisation is bounded by one request of each other organisation and the one being served.

--- a/core/tests/routing_queue.rs
+++ b/core/tests/routing_queue.rs
@@ -108,3 +108,68 @@
     assert_eq!(queue.waiting_tokens(), 10);
     assert_eq!(drain(&mut queue), [2]);
 }
+
+#[test]
+fn an_idle_organisation_saves_up_no_credit() {
+    let mut queue = FairQueue::new(ROOMY);
+    for id in 0..20 {
+        assert_eq!(queue.push(MonoTime::ZERO, item(id, "busy", 100)), []);
+    }
+    for _ in 0..10 {
+        assert!(queue.pop(MonoTime::ZERO).next.is_some());
+    }
+    for id in 100..104 {
+        assert_eq!(queue.push(MonoTime::ZERO, item(id, "returned", 100)), []);
+    }
+    let order = format!("{:?}", &drain(&mut queue)[..8]);
+    insta::assert_snapshot!(order, @"[100, 10, 101, 11, 102, 12, 103, 13]");
+}
+
+#[test]
+fn actual_costs_replace_estimates() {
+    let mut queue = FairQueue::new(ROOMY);
+    for id in 0..8 {
+        assert_eq!(queue.push(MonoTime::ZERO, item(id, "dear", 100)), []);
+        assert_eq!(queue.push(MonoTime::ZERO, item(id + 100, "fair", 100)), []);
+    }
+    let mut order = Vec::new();
+    for _ in 0..8 {
+        let served = queue.pop(MonoTime::ZERO).next.unwrap();
+        let actual = if served.id.0 < 100 { 300 } else { 100 };
+        queue.on_done(MonoTime::ZERO, &served, actual);
+        order.push(served.id.0);
+    }
+    insta::assert_snapshot!(format!("{order:?}"), @"[0, 100, 101, 102, 1, 103, 104, 105]");
+}
+
+#[test]
+fn a_wait_beyond_the_bound_is_refused_whatever_the_deadline() {
+    let mut queue = FairQueue::new(ROOMY).with_max_wait(Duration::from_millis(500));
+    let mut refused = 0;
+    for step in 0..200 {
+        let now = MonoTime::from_millis(step * 100);
+        if let Some(served) = queue.pop(now).next {
+            let end = now + Duration::from_millis(100);
+            queue.on_done(end, &served, 100);
+        }
+        for id in [step * 2, step * 2 + 1] {
+            refused += queue.push(now, item(u128::from(id), "large", 100)).len();
+        }
+    }
+    let waiting = queue.len();
+    assert!(waiting <= 10, "{waiting} wait");
+    assert!(refused >= 180, "{refused} refused");
+}
+
+#[test]
+fn work_that_would_not_end_in_time_is_not_begun() {
+    let mut queue = FairQueue::new(ROOMY);
+    assert_eq!(queue.push(MonoTime::ZERO, item(0, "large", 100)), []);
+    let first = queue.pop(MonoTime::ZERO).next.unwrap();
+    let hasty = QueueItem { deadline: MonoTime::from_millis(2_500), ..item(1, "large", 100) };
+    assert_eq!(queue.push(MonoTime::ZERO, hasty), []);
+    queue.on_done(MonoTime::from_millis(2_000), &first, 100);
+    let popped = queue.pop(MonoTime::from_millis(2_000));
+    assert_eq!(popped.next, None);
+    assert_eq!(popped.refused[0].code, ResultCode::DeadlineBefore);
+}
