Refuse an answer whose end is not marked

Ruled out: the codec's stream type, which stands for upgrades only. Before: a_body_whose_end_is_not_marked_is_refused failed with Whole. After: it passes, as do the other two and tests/path.rs. Conclusion: the answer's own headers decide.

--- a/src/agent/target/exchange.rs
+++ b/src/agent/target/exchange.rs
@@ -99,18 +99,21 @@
         };
         let content_type = head.headers.get("content-type");
         let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
-        let has_body = framed.codec_ref().message_type() != MessageType::None;
         // The end of such a body could not be told from a broken connection.
-        if has_body && !has_end_mark(&head) {
+        if self.method.as_ref() != "HEAD" && !has_end_mark(&head) {
             return Err(TargetFailure::BadAnswer);
         }
+        let has_body = framed.codec_ref().message_type() != MessageType::None;
         let body = has_body.then(|| framed.into_map_codec(ClientCodec::into_payload_codec));
         Ok(TargetResponse { status: head.status, content_type: content_type.into(), body })
     }
 }
 
 fn has_end_mark(head: &ResponseHead) -> bool {
-    head.headers.contains_key("content-length") || head.headers.contains_key("transfer-encoding")
+    let is_bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    is_bodiless
+        || head.headers.contains_key("content-length")
+        || head.headers.contains_key("transfer-encoding")
 }
 
 impl TargetResponse {
