Spread weights between agents, and order loads under a fence, a lease and a permit

Cause: the agent read every chunk from the origin, ordered with a constant fencing number and swapped without a permit. The fetcher now carries out the fetch machine's actions: chunks come from agents of the own region, from gateways across regions at their part of the allowance, or from the origin; bodies are read at a pace, and the hash is checked before a chunk is kept. Requests between agents carry a keyed hash of their path. The authority raises the target's counter in the key-value service and, for targets that do not check it, holds a lease; in an outage no swap starts. Uploads to other regions have places of their own, so that a busy region does not hold the others up.

--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -7,7 +7,7 @@
 use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
 use buckthornwharf_core::weights::{
     ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
-    PlanHost, SpreadPlan, UploadLimiter, VersionManifest,
+    PlanHost, SpreadPlan, UploadClass, UploadLimiter, VersionManifest,
 };
 use bytes::Bytes;
 
@@ -249,9 +249,13 @@
             return;
         }
         if let Some(from) = from {
+            let class = match self.hosts[from].region == self.hosts[host].region {
+                true => UploadClass::Region,
+                false => UploadClass::Crossing,
+            };
             let refused = if !self.hosts[from].machine.held().contains(order.chunk) {
                 Some(FetchFailure::NotHere)
-            } else if !self.hosts[from].uploads.start() {
+            } else if !self.hosts[from].uploads.start(class) {
                 Some(FetchFailure::Busy)
             } else {
                 None
--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -14,4 +14,4 @@
 pub use fetch::{ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine};
 pub use manifest::{ManifestError, VersionManifest};
 pub use plan::{PlanHost, SpreadPlan};
-pub use upload::UploadLimiter;
+pub use upload::{UploadClass, UploadLimiter};
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -134,6 +134,8 @@
     me: Option<HostIndex>,
     limits: FetchLimits,
     live_percent: u8,
+    gateway_patience: Duration,
+    home_patience: Duration,
     held: ChunkSet,
     peers: PeerLedger,
     lanes: LaneTable,
@@ -161,7 +163,7 @@
         seed: u64,
     ) -> Self {
         let count = manifest.chunks.len();
-        Self {
+        let mut machine = Self {
             me: plan.index_of(&name),
             peers: PeerLedger::new(&plan, count, &limits, now),
             lanes: LaneTable::new(plan.region_count()),
@@ -172,6 +174,8 @@
             name,
             limits,
             live_percent: 0,
+            gateway_patience: Duration::ZERO,
+            home_patience: Duration::ZERO,
             held,
             started: now,
             next_poll: now,
@@ -179,7 +183,9 @@
             polls: 0,
             draws: mix(seed),
             complete: false,
-        }
+        };
+        machine.set_patience();
+        machine
     }
 
     /// The chunks that are held.
@@ -203,7 +209,10 @@
             FetchEvent::HeldBy(peer, chunks) => self.held_by(now, &peer, chunks),
             FetchEvent::PollFailed(peer) => self.poll_failed(now, &peer),
             FetchEvent::Replanned(plan) => self.replanned(now, plan, &mut actions),
-            FetchEvent::LiveLoad(percent) => self.live_percent = percent.min(100),
+            FetchEvent::LiveLoad(percent) => {
+                self.live_percent = percent.min(100);
+                self.set_patience();
+            }
         }
         self.expire(now, &mut actions);
         if self.held.is_full() {
@@ -341,6 +350,7 @@
         }
         self.peers = peers;
         self.me = self.plan.index_of(&self.name);
+        self.set_patience();
         let mut gone = self.flights.retain_sources(&self.plan);
         if !self.plan.has_regions_of(&old) {
             self.lanes = LaneTable::new(self.plan.region_count());
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -273,7 +273,7 @@
     /// have failed or make no progress.
     fn is_acting_home(&self, now: MonoTime, chunk: usize, me: HostIndex) -> bool {
         let region = self.plan.region_of(me);
-        let patience = self.home_patience();
+        let patience = self.home_patience;
         let failed = |host: HostIndex, patience: Duration| {
             let record = &self.peers.hosts[host];
             record.is_suspect(now) || self.is_late(now, host, chunk, patience)
@@ -297,7 +297,7 @@
         region: RegionIndex,
         me: HostIndex,
     ) -> Option<HostIndex> {
-        let patience = self.gateway_patience();
+        let patience = self.gateway_patience;
         self.plan.gateway(chunk, region, |host| {
             host != me
                 && (self.peers.is_suspect(host, now) || self.is_late(now, host, chunk, patience))
@@ -310,15 +310,14 @@
         !record.known.contains(chunk) && now.since(record.progressed.max(self.started)) > patience
     }
 
-    fn home_patience(&self) -> Duration {
-        let rate = self.limits.origin_bytes_per_second as f64;
-        let seconds = PATIENCE_FACTOR * self.manifest.total_bytes as f64 / rate;
-        Duration::from_secs_f64(seconds).max(self.gateway_patience())
-    }
-
-    fn gateway_patience(&self) -> Duration {
-        let seconds = PATIENCE_FACTOR * self.manifest.chunk_bytes as f64 / self.lane_rate() as f64;
-        Duration::from_secs_f64(seconds).max(SHORTEST_PATIENCE)
+    /// Works out how long hosts may go without progress before others take over.
+    pub(super) fn set_patience(&mut self) {
+        let origin = self.limits.origin_bytes_per_second as f64;
+        let lane_seconds = self.manifest.chunk_bytes as f64 / self.lane_rate() as f64;
+        let home_seconds = self.manifest.total_bytes as f64 / origin;
+        let patience = |seconds: f64| Duration::from_secs_f64(PATIENCE_FACTOR * seconds);
+        self.gateway_patience = patience(lane_seconds).max(SHORTEST_PATIENCE);
+        self.home_patience = patience(home_seconds).max(self.gateway_patience);
     }
 
     fn peer(&self, host: HostIndex) -> ChunkSource {
--- a/core/src/weights/upload.rs
+++ b/core/src/weights/upload.rs
@@ -4,6 +4,18 @@
 pub const MAX_UPLOADS: u32 = 8;
 const LIVE_LOAD_STEP_PERCENT: u32 = 25;
 
+/// Further uploads at once to other regions, which a busy region must not hold up.
+pub const CROSSING_UPLOADS: u32 = 4;
+
+/// Who asks for a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UploadClass {
+    /// A host of the own region.
+    Region,
+    /// A gateway of another region.
+    Crossing,
+}
+
 /// Decides whether a host sends another chunk; one for each version that it holds.
 ///
 /// A host that has sent more than its share takes fewer uploads at once, so that the asking hosts
@@ -22,14 +34,24 @@
         Self { version_bytes, ..Self::default() }
     }
 
+    /// Counts anew for another version of `version_bytes`.
+    pub fn restart(&mut self, version_bytes: u64) {
+        self.sent_bytes = 0;
+        self.version_bytes = version_bytes;
+    }
+
     /// Sets how many percent of the host live requests take.
     pub fn set_live_load(&mut self, percent: u8) {
         self.live_percent = percent.min(100);
     }
 
     /// Takes a place for an upload; false if there is none.
-    pub fn start(&mut self) -> bool {
-        if self.active >= self.places() {
+    pub fn start(&mut self, class: UploadClass) -> bool {
+        let places = match class {
+            UploadClass::Region => self.places(),
+            UploadClass::Crossing => self.places() + CROSSING_UPLOADS,
+        };
+        if self.active >= places {
             return false;
         }
         self.active += 1;
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -1,20 +1,32 @@
 //! The weights side of an agent: fetches the wanted version, orders the target to load it, and
 //! moves the gate before the target.
 
+mod authority;
+mod body;
 mod chunk_store;
 mod fetcher;
 mod keeper;
+mod peer;
 mod service;
 
 pub use chunk_store::ChunkStore;
-pub use keeper::WeightKeeper;
+pub use peer::PROOF_HEADER;
 pub use service::{ChunkAnswer, ChunkService};
 
+use crate::platform::engine::EngineClient;
+use crate::platform::kv::KvClient;
+use crate::platform::store::StoreClient;
+use fetcher::{FetcherParts, VersionFetcher};
+use keeper::{KeeperTools, TargetGate, WeightKeeper};
+use peer::PeerClient;
+
 use crate::settings::ProcessSettings;
 use crate::shared::{ConfigReceiver, GateControl, HostsReceiver};
 use buckthornwharf_core::prelude::*;
 use tokio::sync::watch;
 
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What the weights side needs of the rest of the agent.
 pub struct KeeperParts {
     /// The settings of the process; those of an agent must be given.
@@ -42,9 +54,41 @@
 ///
 /// If the settings are not those of an agent.
 pub fn start(parts: KeeperParts) -> KeeperHandles {
+    let KeeperParts { settings, config, hosts, gate } = parts;
+    let agent = settings.agent.clone().expect("an agent's settings");
+    let key = settings.link_secret.key();
+    let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
+    let client = awc::Client::builder().connector(connector).finish();
     let store = ChunkStore::default();
-    let (serving, receiver) = watch::channel(None);
-    let keeper = WeightKeeper::new(parts, serving, store.clone());
-    actix_rt::spawn(keeper.run());
-    KeeperHandles { serving: receiver, chunks: ChunkService::new(store) }
+    let chunks = ChunkService::new(store.clone(), key);
+    let (wanted, wanted_receiver) = watch::channel(None);
+    let (held_sender, held) = watch::channel(None);
+    let (serving_sender, serving) = watch::channel(None);
+    let (live_load, live_load_receiver) = watch::channel(0);
+    let fetcher = FetcherParts {
+        settings: settings.clone(),
+        config: config.clone(),
+        hosts,
+        origin: StoreClient::new(settings.platform.store, client.clone()),
+        peers: PeerClient::new(client.clone(), key),
+        store: store.clone(),
+        wanted: wanted_receiver,
+        live_load: live_load_receiver,
+    };
+    actix_rt::spawn(VersionFetcher::new(fetcher, held_sender).run());
+    let keeper = KeeperTools {
+        host: settings.host,
+        engine: EngineClient::new(agent.target, client),
+        settings: agent,
+        config,
+        gate: TargetGate::new(gate, serving_sender),
+        store,
+        chunks: chunks.clone(),
+        kv: KvClient::new(settings.platform.kv),
+        wanted,
+        held,
+        live_load,
+    };
+    actix_rt::spawn(WeightKeeper::new(keeper).run());
+    KeeperHandles { serving, chunks }
 }
--- /dev/null
+++ b/src/agent/weights/body.rs
@@ -0,0 +1,63 @@
+//! Reads the body of an answer no faster than allowed.
+
+use actix_http::error::PayloadError;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fetch::FetchTicket;
+use buckthornwharf_core::weights::{FetchEvent, FetchFailure};
+use bytes::{Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How the body of one chunk is read.
+pub struct PacedBody {
+    /// The fetch, as its progress is told under.
+    pub ticket: FetchTicket,
+    /// Bytes of the chunk; a longer body is refused.
+    pub length: usize,
+    /// Most bytes a second.
+    pub bytes_per_second: u64,
+    /// Where progress is told.
+    pub events: UnboundedSender<FetchEvent>,
+}
+
+impl PacedBody {
+    /// Reads `stream` to its end.
+    ///
+    /// # Errors
+    ///
+    /// [`FetchFailure::Cut`] if the body breaks off or does not have the chunk's length.
+    pub async fn read<S>(self, mut stream: S) -> Result<Bytes, FetchFailure>
+    where
+        S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
+    {
+        let started = Instant::now();
+        let mut told = started;
+        let mut body = BytesMut::with_capacity(self.length);
+        while let Some(part) = stream.next().await {
+            let part = part.map_err(|_| FetchFailure::Cut)?;
+            if body.len() + part.len() > self.length {
+                return Err(FetchFailure::Cut);
+            }
+            body.extend_from_slice(&part);
+            if told.elapsed() >= PROGRESS_INTERVAL {
+                told = Instant::now();
+                let _ = self.events.send(FetchEvent::Progress(self.ticket, body.len() as u64));
+            }
+            self.pace(started, body.len()).await;
+        }
+        if body.len() != self.length {
+            return Err(FetchFailure::Cut);
+        }
+        Ok(body.freeze())
+    }
+
+    async fn pace(&self, started: Instant, bytes: usize) {
+        let due = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second.max(1) as f64);
+        if started.elapsed() < due {
+            tokio::time::sleep_until(started + due).await;
+        }
+    }
+}
--- a/src/agent/weights/chunk_store.rs
+++ b/src/agent/weights/chunk_store.rs
@@ -1,7 +1,7 @@
 //! The chunks that a host holds, in memory, and their service to other agents.
 
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::VersionManifest;
+use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
 use bytes::Bytes;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -42,6 +42,19 @@
         self.lock().chunks.get(hash).cloned()
     }
 
+    /// Which chunks of `digest` are held; none if its manifest is not.
+    pub fn held(&self, digest: &VersionDigest) -> Option<ChunkSet> {
+        let content = self.lock();
+        let manifest = content.manifests.get(digest)?;
+        let mut held = ChunkSet::new(manifest.chunks.len());
+        for (index, hash) in manifest.chunks.iter().enumerate() {
+            if content.chunks.contains_key(hash) {
+                held.insert(index);
+            }
+        }
+        Some(held)
+    }
+
     /// All chunks of `manifest` in order, without copies; none unless every one is held.
     pub fn whole(&self, manifest: &VersionManifest) -> Option<Vec<Bytes>> {
         let content = self.lock();
--- a/src/agent/weights/fetcher.rs
+++ b/src/agent/weights/fetcher.rs
@@ -1,52 +1,68 @@
-//! Fetches the chunks of the wanted version.
+//! Fetches the wanted version: finds its manifest and carries out what the fetch machine decides.
+
+mod search;
+mod tasks;
 
 use super::chunk_store::ChunkStore;
+use super::peer::PeerClient;
+use crate::clock;
 use crate::platform::store::StoreClient;
-use anyhow::{Context, Result};
+use crate::settings::ProcessSettings;
+use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
+use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::VersionManifest;
-use buckthornwharf_core::weights::manifest::hash_chunk;
-use futures_util::{StreamExt, TryStreamExt, stream};
+use buckthornwharf_core::weights::lifecycle::{FetchingVersion, HeldVersion, WantedVersion};
+use buckthornwharf_core::weights::{
+    ChunkSet, FetchAction, FetchEvent, FetchLimits, FetchMachine, PlanHost, SpreadPlan,
+};
 use log::{info, warn};
-use tokio::sync::watch;
+use rand::RngExt;
+use std::convert::Infallible;
+use std::future;
+use tasks::TaskTable;
+use tokio::sync::{mpsc, watch};
 
-const CHUNK_TIMEOUT: Duration = Duration::from_secs(30);
-const RETRY_DELAY: Duration = Duration::from_millis(200);
-const PARALLEL_FETCHES: usize = 4;
+/// What a fetcher works with.
+pub struct FetcherParts {
+    /// The settings of the process.
+    pub settings: ProcessSettings,
+    /// The configuration in force.
+    pub config: ConfigReceiver,
+    /// The hosts that the process believes in.
+    pub hosts: HostsReceiver,
+    /// The origin.
+    pub origin: StoreClient,
+    /// Other agents.
+    pub peers: PeerClient,
+    /// Where verified chunks are kept.
+    pub store: ChunkStore,
+    /// The version to fetch.
+    pub wanted: watch::Receiver<Option<VersionDigest>>,
+    /// Percent of the host that live requests take.
+    pub live_load: watch::Receiver<u8>,
+}
 
 /// Fetches the wanted version and tells when all of its chunks are held and verified.
 pub struct VersionFetcher {
-    origin: StoreClient,
-    store: ChunkStore,
-    wanted: watch::Receiver<Option<VersionDigest>>,
-    held: watch::Sender<Option<VersionDigest>>,
+    parts: FetcherParts,
+    held: watch::Sender<Option<HeldVersion>>,
 }
 
 impl VersionFetcher {
-    /// A fetcher that fills `store` with what `wanted` names and announces it on `held`.
-    pub fn new(
-        origin: StoreClient,
-        store: ChunkStore,
-        wanted: watch::Receiver<Option<VersionDigest>>,
-        held: watch::Sender<Option<VersionDigest>>,
-    ) -> Self {
-        Self { origin, store, wanted, held }
+    /// A fetcher that announces what it holds on `held`.
+    pub fn new(parts: FetcherParts, held: watch::Sender<Option<HeldVersion>>) -> Self {
+        Self { parts, held }
     }
 
     /// Runs until the keeper is gone. A version that is no longer wanted is dropped at once.
     pub async fn run(mut self) {
         loop {
-            let wanted = *self.wanted.borrow_and_update();
+            let wanted = *self.parts.wanted.borrow_and_update();
             self.held.send_replace(None);
-            let changed = match wanted {
-                Some(digest) => {
-                    let mut receiver = self.wanted.clone();
-                    tokio::select! {
-                        changed = receiver.changed() => changed,
-                        never = self.hold(digest) => never,
-                    }
-                }
-                None => self.wanted.changed().await,
+            let mut changes = self.parts.wanted.clone();
+            let changed = tokio::select! {
+                changed = changes.changed() => changed,
+                never = self.hold(wanted) => match never {},
             };
             if changed.is_err() {
                 return;
@@ -54,47 +70,137 @@
         }
     }
 
-    async fn hold(&self, digest: VersionDigest) -> Result<(), watch::error::RecvError> {
-        while let Err(error) = self.fetch(digest).await {
-            warn!("version {digest}: {error:#}");
-            actix_rt::time::sleep(RETRY_DELAY).await;
+    async fn hold(&mut self, wanted: Option<VersionDigest>) -> Infallible {
+        if let Some(digest) = wanted {
+            let held = self.fetch(WantedVersion::new(digest)).await;
+            self.parts.store.keep_only(&digest);
+            info!("version {digest} is held");
+            self.held.send_replace(Some(held));
         }
-        self.store.keep_only(&digest);
-        self.held.send_replace(Some(digest));
-        info!("version {digest} is held");
-        std::future::pending().await
+        future::pending().await
+    }
+
+    async fn fetch(&mut self, version: WantedVersion) -> HeldVersion {
+        let digest = version.digest();
+        let mut version = search::find_manifest(&self.parts, &version).await;
+        self.parts.store.insert_manifest(digest, version.manifest().clone());
+        loop {
+            let mut run = FetchRun::new(&self.parts, &version);
+            let held = run.finish(&mut self.parts).await;
+            match version.hold(&held) {
+                Ok(held) => return held,
+                Err(back) => version = back,
+            }
+        }
+    }
+}
+
+/// One machine with the tasks that carry out its actions.
+struct FetchRun {
+    machine: FetchMachine,
+    tasks: TaskTable,
+    events: mpsc::UnboundedReceiver<FetchEvent>,
+    version: FetchingVersion,
+}
+
+impl FetchRun {
+    fn new(parts: &FetcherParts, version: &FetchingVersion) -> Self {
+        let manifest = version.manifest().clone();
+        let plan = plan_of(parts, version);
+        let limits = limits_of(parts.config.borrow().as_deref());
+        let (sender, events) = mpsc::unbounded_channel();
+        let held = parts.store.held(&version.digest());
+        let held = held.unwrap_or_else(|| ChunkSet::new(manifest.chunks.len()));
+        let name = parts.settings.host.clone();
+        let seed = rand::rng().random();
+        let machine = FetchMachine::new(clock::now(), manifest, plan, name, limits, held, seed);
+        let tasks = TaskTable::new(parts, version, limits, sender);
+        Self { machine, tasks, events, version: version.clone() }
     }
 
-    async fn fetch(&self, digest: VersionDigest) -> Result<()> {
-        let manifest = self.manifest(digest).await?;
-        stream::iter(0..manifest.chunks.len())
-            .map(Ok)
-            .try_for_each_concurrent(PARALLEL_FETCHES, |index| self.chunk(&manifest, index))
-            .await
+    async fn finish(&mut self, parts: &mut FetcherParts) -> ChunkSet {
+        let mut event = FetchEvent::LiveLoad(*parts.live_load.borrow_and_update());
+        while !self.feed(&parts.store, event) {
+            event = self.next_event(parts).await;
+        }
+        self.machine.held().clone()
     }
 
-    async fn manifest(&self, digest: VersionDigest) -> Result<Arc<VersionManifest>> {
-        if let Some(manifest) = self.store.manifest(&digest) {
-            return Ok(manifest);
+    async fn next_event(&mut self, parts: &mut FetcherParts) -> FetchEvent {
+        let wake = self.machine.next_wake();
+        let pause = wake.map_or(Duration::ZERO, |wake| wake.since(clock::now()));
+        tokio::select! {
+            Some(event) = self.events.recv() => event,
+            Ok(()) = parts.hosts.changed() => {
+                self.tasks.set_hosts(parts.hosts.borrow_and_update().clone());
+                FetchEvent::Replanned(plan_of(parts, &self.version))
+            }
+            Ok(()) = parts.live_load.changed() => {
+                FetchEvent::LiveLoad(*parts.live_load.borrow_and_update())
+            }
+            () = actix_rt::time::sleep(pause) => FetchEvent::Tick,
         }
-        let json = self.origin.manifest(&digest, CHUNK_TIMEOUT).await?;
-        let manifest: VersionManifest =
-            serde_json::from_slice(&json).context("the manifest is malformed")?;
-        manifest.verify(&digest)?;
-        let manifest = Arc::new(manifest);
-        self.store.insert_manifest(digest, manifest.clone());
-        Ok(manifest)
     }
 
-    async fn chunk(&self, manifest: &VersionManifest, index: usize) -> Result<()> {
-        let hash = manifest.chunks[index];
-        if self.store.chunk(&hash).is_some() {
-            return Ok(());
+    /// Feeds the machine and carries out its actions; whether it is complete.
+    fn feed(&mut self, store: &ChunkStore, event: FetchEvent) -> bool {
+        let actions = self.machine.on_event(clock::now(), event);
+        let mut complete = false;
+        for action in actions {
+            match action {
+                FetchAction::Fetch(order) => self.tasks.fetch(order),
+                FetchAction::Cancel(ticket) => self.tasks.cancel(ticket),
+                FetchAction::Poll(peer) => self.tasks.poll(peer),
+                FetchAction::Keep(chunk, bytes) => {
+                    store.insert_chunk(self.version.manifest().chunks[chunk], bytes);
+                }
+                FetchAction::Corrupt(source, chunk) => {
+                    warn!("{source:?} sent chunk {chunk} corrupt");
+                }
+                FetchAction::Complete => complete = true,
+            }
         }
-        let length = usize::try_from(manifest.chunk_len(index))?;
-        let bytes = self.origin.chunk(&hash, length, CHUNK_TIMEOUT).await?;
-        anyhow::ensure!(hash_chunk(&bytes) == hash, "chunk {hash} arrived corrupt");
-        self.store.insert_chunk(hash, bytes);
-        Ok(())
+        complete
+    }
+}
+
+fn limits_of(config: Option<&ActiveConfig>) -> FetchLimits {
+    let allowances = config.map(|config| config.document.allowances.clone()).unwrap_or_default();
+    FetchLimits::new(
+        allowances.origin_bytes_per_second,
+        allowances.host_bytes_per_second,
+        allowances.region_pair_bytes_per_second,
+    )
+}
+
+fn plan_of(parts: &FetcherParts, version: &FetchingVersion) -> Arc<SpreadPlan> {
+    let (places, store_region) = places_of(parts, &version.digest());
+    Arc::new(SpreadPlan::new(version.manifest(), places, &store_region))
+}
+
+/// The hosts that want `digest`, this one among them, and the region that reads the origin.
+fn places_of(parts: &FetcherParts, digest: &VersionDigest) -> (Vec<PlanHost>, RegionName) {
+    let config = parts.config.borrow();
+    let region_of = |site: &SiteName| match &*config {
+        Some(config) => config.document.region_of(site),
+        None => RegionName::from(site.as_str()),
+    };
+    let wants = |host: &&HostRecord| {
+        let service = host.service.as_ref();
+        let wanted = config.as_ref().zip(service);
+        let wanted = wanted.and_then(|(config, service)| config.document.wanted_digest(service));
+        host.role == HostRole::Agent && host.phase == HostPhase::Live && wanted == Some(*digest)
+    };
+    let place =
+        |host: &HostRecord| PlanHost { name: host.name.clone(), region: region_of(&host.site) };
+    let mut places: Vec<PlanHost> = parts.hosts.borrow().iter().filter(wants).map(place).collect();
+    let own = &parts.settings;
+    if !places.iter().any(|place| place.name == own.host) {
+        places.push(PlanHost { name: own.host.clone(), region: region_of(&own.site) });
     }
+    places.sort_unstable();
+    let named = config.as_ref().and_then(|config| config.document.allowances.store_region.clone());
+    let first = places.iter().map(|place| &place.region).min();
+    let store_region = named.or_else(|| first.cloned());
+    (places, store_region.unwrap_or_else(|| region_of(&own.site)))
 }
--- /dev/null
+++ b/src/agent/weights/fetcher/tasks.rs
@@ -0,0 +1,156 @@
+//! The tasks that carry out a fetch machine's actions.
+
+use super::FetcherParts;
+use crate::agent::weights::body::PacedBody;
+use crate::agent::weights::peer::PeerClient;
+use crate::platform::store::{StoreClient, StoreFailure};
+use actix_rt::task::JoinHandle;
+use buckthornwharf_core::membership::HostRecord;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
+use buckthornwharf_core::weights::lifecycle::FetchingVersion;
+use buckthornwharf_core::weights::{
+    ChunkSet, ChunkSource, FetchEvent, FetchFailure, FetchLimits, VersionManifest,
+};
+use bytes::Bytes;
+use std::net::SocketAddr;
+use tokio::sync::mpsc::UnboundedSender;
+
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+const BODY_TIMEOUT: Duration = Duration::from_secs(3600);
+
+/// The running tasks; they end with the table.
+pub(super) struct TaskTable {
+    digest: VersionDigest,
+    manifest: Arc<VersionManifest>,
+    hosts: Arc<Vec<HostRecord>>,
+    limits: FetchLimits,
+    origin: StoreClient,
+    peers: PeerClient,
+    events: UnboundedSender<FetchEvent>,
+    fetches: SortedTable<FetchTicket, JoinHandle<()>>,
+    poll: Option<JoinHandle<()>>,
+}
+
+impl TaskTable {
+    pub fn new(
+        parts: &FetcherParts,
+        version: &FetchingVersion,
+        limits: FetchLimits,
+        events: UnboundedSender<FetchEvent>,
+    ) -> Self {
+        Self {
+            digest: version.digest(),
+            manifest: version.manifest().clone(),
+            hosts: parts.hosts.borrow().clone(),
+            limits,
+            origin: parts.origin.clone(),
+            peers: parts.peers.clone(),
+            events,
+            fetches: SortedTable::new(),
+            poll: None,
+        }
+    }
+
+    pub fn set_hosts(&mut self, hosts: Arc<Vec<HostRecord>>) {
+        self.hosts = hosts;
+    }
+
+    pub fn fetch(&mut self, order: FetchOrder) {
+        self.fetches.retain(|_, task| !task.is_finished());
+        let ticket = order.ticket;
+        let events = self.events.clone();
+        let hash = self.manifest.chunks[order.chunk];
+        let length = usize::try_from(self.manifest.chunk_len(order.chunk)).unwrap_or(usize::MAX);
+        let rate = order.bytes_per_second.unwrap_or_else(|| self.own_rate(&order.source));
+        let body = PacedBody { ticket, length, bytes_per_second: rate, events: events.clone() };
+        let source = match &order.source {
+            ChunkSource::Origin => None,
+            ChunkSource::Peer(name) => match self.address_of(name) {
+                Some(address) => Some(address),
+                None => {
+                    let _ = events.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
+                    return;
+                }
+            },
+        };
+        let crossing = order.bytes_per_second.is_some();
+        let (origin, peers) = (self.origin.clone(), self.peers.clone());
+        let task = actix_rt::spawn(async move {
+            let fetched = match source {
+                None => read_origin(&origin, &hash, body).await,
+                Some(address) => peers.chunk(address, &hash, crossing, body).await,
+            };
+            let _ = events.send(outcome(ticket, fetched));
+        });
+        self.fetches.insert(ticket, task);
+    }
+
+    pub fn cancel(&mut self, ticket: FetchTicket) {
+        if let Some(task) = self.fetches.remove(&ticket) {
+            task.abort();
+        }
+    }
+
+    pub fn poll(&mut self, peer: HostName) {
+        let events = self.events.clone();
+        let Some(address) = self.address_of(&peer) else {
+            let _ = events.send(FetchEvent::PollFailed(peer));
+            return;
+        };
+        let (peers, digest, count) = (self.peers.clone(), self.digest, self.manifest.chunks.len());
+        let task = actix_rt::spawn(async move {
+            let event = match peers.held(address, &digest).await {
+                Ok(bytes) => FetchEvent::HeldBy(peer, ChunkSet::from_bytes(&bytes, count)),
+                Err(FetchFailure::NotHere) => FetchEvent::HeldBy(peer, ChunkSet::new(count)),
+                Err(_) => FetchEvent::PollFailed(peer),
+            };
+            let _ = events.send(event);
+        });
+        if let Some(before) = self.poll.replace(task) {
+            before.abort();
+        }
+    }
+
+    fn address_of(&self, name: &HostName) -> Option<SocketAddr> {
+        self.hosts.iter().find(|host| host.name == *name).map(|host| host.admin)
+    }
+
+    fn own_rate(&self, source: &ChunkSource) -> u64 {
+        let fetches = match source {
+            ChunkSource::Origin => self.limits.origin_fetches,
+            ChunkSource::Peer(_) => self.limits.peer_fetches,
+        };
+        self.limits.host_bytes_per_second.div_ceil(fetches.max(1) as u64)
+    }
+}
+
+impl Drop for TaskTable {
+    fn drop(&mut self) {
+        self.fetches.values().for_each(JoinHandle::abort);
+        if let Some(poll) = &self.poll {
+            poll.abort();
+        }
+    }
+}
+
+async fn read_origin(
+    origin: &StoreClient,
+    hash: &ChunkHash,
+    body: PacedBody,
+) -> Result<Bytes, FetchFailure> {
+    let answer = origin.open_chunk(hash, ANSWER_TIMEOUT).await;
+    let response = answer.map_err(|failure| match failure {
+        StoreFailure::Unreachable => FetchFailure::Unreachable,
+        StoreFailure::NotHere => FetchFailure::NotHere,
+        StoreFailure::Busy => FetchFailure::Busy,
+    })?;
+    body.read(response.timeout(BODY_TIMEOUT)).await
+}
+
+fn outcome(ticket: FetchTicket, fetched: Result<Bytes, FetchFailure>) -> FetchEvent {
+    match fetched {
+        Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
+        Err(failure) => FetchEvent::Failed(ticket, failure),
+    }
+}
--- a/src/agent/weights/keeper.rs
+++ b/src/agent/weights/keeper.rs
@@ -1,32 +1,57 @@
 //! Keeps the target at the wanted version and the gate at what the target confirms.
 
-use super::KeeperParts;
+mod gate;
+mod swap;
+
+use super::authority::OrderAuthority;
 use super::chunk_store::ChunkStore;
-use super::fetcher::VersionFetcher;
-use crate::platform::engine::{EngineClient, LoadBody, OrderAnswer};
-use crate::platform::store::StoreClient;
+use super::service::ChunkService;
+use crate::platform::engine::EngineClient;
+use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
-use crate::shared::{ConfigReceiver, GateControl, GatePosition};
-use anyhow::{Context, Result, ensure};
+use crate::shared::{ConfigReceiver, GatePosition};
+use anyhow::Result;
 use buckthornwharf_core::config::TargetKind;
 use buckthornwharf_core::prelude::*;
-use log::{info, warn};
+use buckthornwharf_core::weights::lifecycle::{HeldVersion, ServingVersion};
+pub use gate::TargetGate;
+use log::{debug, warn};
 use tokio::sync::watch;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
-const ORDER_TIMEOUT: Duration = Duration::from_secs(120);
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What a keeper works with.
+pub struct KeeperTools {
+    /// The host's name.
+    pub host: HostName,
+    /// The settings of the agent.
+    pub settings: AgentSettings,
+    /// The configuration in force.
+    pub config: ConfigReceiver,
+    /// The gate, and what is announced of it.
+    pub gate: TargetGate,
+    /// The verified chunks.
+    pub store: ChunkStore,
+    /// Answers to other agents.
+    pub chunks: ChunkService,
+    /// The target.
+    pub engine: EngineClient,
+    /// The key-value service.
+    pub kv: KvClient,
+    /// The version to fetch.
+    pub wanted: watch::Sender<Option<VersionDigest>>,
+    /// The version that is held.
+    pub held: watch::Receiver<Option<HeldVersion>>,
+    /// Percent of the host that live requests take.
+    pub live_load: watch::Sender<u8>,
+}
 
 /// Runs on the control thread of an agent.
 pub struct WeightKeeper {
-    settings: AgentSettings,
-    config: ConfigReceiver,
-    gate: GateControl,
-    serving: watch::Sender<Option<VersionDigest>>,
-    store: ChunkStore,
-    engine: EngineClient,
-    wanted: watch::Sender<Option<VersionDigest>>,
-    held: watch::Receiver<Option<VersionDigest>>,
+    tools: KeeperTools,
+    authority: OrderAuthority,
+    serving: Option<ServingVersion>,
+    permit: Option<String>,
 }
 
 /// What the configuration wants of the target.
@@ -38,66 +63,43 @@
 }
 
 impl WeightKeeper {
-    /// A keeper, with its fetcher already at work.
-    ///
-    /// # Panics
-    ///
-    /// If the settings are not those of an agent.
-    pub fn new(
-        parts: KeeperParts,
-        serving: watch::Sender<Option<VersionDigest>>,
-        store: ChunkStore,
-    ) -> Self {
-        let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
-        let client = awc::Client::builder().connector(connector).finish();
-        let settings = parts.settings.agent.expect("an agent's settings");
-        let origin = StoreClient::new(parts.settings.platform.store, client.clone());
-        let engine = EngineClient::new(settings.target, client);
-        let (wanted, wanted_receiver) = watch::channel(None);
-        let (held_sender, held) = watch::channel(None);
-        let fetcher = VersionFetcher::new(origin, store.clone(), wanted_receiver, held_sender);
-        actix_rt::spawn(fetcher.run());
-        Self {
-            settings,
-            config: parts.config,
-            gate: parts.gate,
-            serving,
-            store,
-            engine,
-            wanted,
-            held,
-        }
+    /// A keeper that has given no order yet.
+    pub fn new(tools: KeeperTools) -> Self {
+        let settings = &tools.settings;
+        let checked = settings.target_checks_fence;
+        let authority = OrderAuthority::new(tools.kv.clone(), settings.target, checked);
+        Self { tools, authority, serving: None, permit: None }
     }
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
         loop {
             if let Err(error) = self.step().await {
-                warn!("target {}: {error:#}", self.settings.target);
+                warn!("target {}: {error:#}", self.tools.settings.target);
             }
+            self.tell_load();
             tokio::select! {
-                changed = self.config.changed() => {
+                changed = self.tools.config.changed() => {
                     if changed.is_err() {
                         return;
                     }
                 }
-                _ = self.held.changed() => {}
+                _ = self.tools.held.changed() => {}
                 () = actix_rt::time::sleep(POLL_INTERVAL) => {}
             }
         }
     }
 
     fn wish(&mut self) -> TargetWish {
-        let Some(config) = self.config.borrow_and_update().clone() else {
+        let Some(config) = self.tools.config.borrow_and_update().clone() else {
             return TargetWish::Nothing;
         };
-        let Some(service) = config.document.services.get(&self.settings.service) else {
-            return TargetWish::Nothing;
-        };
-        if service.kind == TargetKind::Plain {
+        let service = &self.tools.settings.service;
+        let kind = config.document.services.get(service).map(|service| service.kind);
+        if kind == Some(TargetKind::Plain) {
             return TargetWish::Plain;
         }
-        match config.document.wanted_digest(&self.settings.service) {
+        match config.document.wanted_digest(service) {
             Some(digest) => TargetWish::Version(digest),
             None => TargetWish::Nothing,
         }
@@ -106,11 +108,12 @@
     async fn step(&mut self) -> Result<()> {
         match self.wish() {
             TargetWish::Nothing => {
-                self.close();
+                self.serving = None;
+                self.tools.gate.close();
                 Ok(())
             }
             TargetWish::Plain => {
-                self.place(GatePosition::OpenPlain);
+                self.tools.gate.place(GatePosition::OpenPlain);
                 Ok(())
             }
             TargetWish::Version(wanted) => self.step_engine(wanted).await,
@@ -119,128 +122,58 @@
 
     async fn step_engine(&mut self, wanted: VersionDigest) -> Result<()> {
         self.want(wanted);
-        let loaded = match self.engine.models().await {
+        let loaded = match self.tools.engine.models().await {
             Ok(loaded) => loaded,
             Err(error) => {
-                self.close();
+                self.serving = None;
+                self.tools.gate.close();
                 return Err(error);
             }
         };
+        self.follow(wanted, &loaded);
+        if let Err(error) = self.authority.keep().await {
+            debug!("no right to give orders: {error:#}");
+        }
         if loaded.contains(&wanted) {
-            self.open(wanted);
+            self.return_permit().await;
             return self.retire(&loaded, wanted).await;
         }
-        // Copied out first: closing writes to the channel that the borrow would lock.
-        let serving = *self.serving.borrow();
-        if !serving.is_some_and(|current| loaded.contains(&current)) {
-            self.close();
-        }
-        if *self.held.borrow_and_update() == Some(wanted) {
-            self.swap(&loaded, wanted).await?;
-        }
-        Ok(())
-    }
-
-    /// Brings the wanted version, which is held, into the target.
-    async fn swap(&mut self, loaded: &[VersionDigest], wanted: VersionDigest) -> Result<()> {
-        let full = loaded.len() >= self.settings.target_holds as usize;
-        if full {
-            self.close();
-            self.drained(None).await;
-            for digest in loaded {
-                self.unload(digest).await?;
-            }
+        let held = self.tools.held.borrow_and_update().clone();
+        match held {
+            Some(held) if held.digest() == wanted => self.swap(held, &loaded).await,
+            _ => Ok(()),
         }
-        self.load(wanted).await?;
-        let loaded = self.engine.models().await?;
-        ensure!(loaded.contains(&wanted), "the target does not confirm version {wanted}");
-        self.open(wanted);
-        info!("version {wanted} is served");
-        Ok(())
     }
 
-    /// Unloads what is no longer wanted once no request runs under it.
-    async fn retire(&mut self, loaded: &[VersionDigest], wanted: VersionDigest) -> Result<()> {
-        for digest in loaded.iter().filter(|digest| **digest != wanted) {
-            if !self.is_drained(Some(digest)) {
-                continue;
-            }
-            self.unload(digest).await?;
-        }
-        Ok(())
-    }
-
-    async fn load(&self, digest: VersionDigest) -> Result<()> {
-        let manifest = self.store.manifest(&digest).context("the manifest is not held")?;
-        let chunks = self.store.whole(&manifest).context("the version is not held whole")?;
-        let body = LoadBody {
-            digest,
-            total_bytes: manifest.total_bytes,
-            chunk_bytes: manifest.chunk_bytes,
-            chunks,
-        };
-        let answer = self.engine.load(body, 1, ORDER_TIMEOUT).await?;
-        ensure!(answer == OrderAnswer::Done, "the target refuses to load {digest}: {answer:?}");
-        Ok(())
-    }
-
-    async fn unload(&self, digest: &VersionDigest) -> Result<()> {
-        let answer = self.engine.unload(digest, 1, ORDER_TIMEOUT).await?;
-        ensure!(answer == OrderAnswer::Done, "the target refuses to unload {digest}: {answer:?}");
-        info!("version {digest} is unloaded");
-        Ok(())
-    }
-
-    /// Whether the traffic side obeys the gate and runs nothing under `digest`, or nothing at all.
-    fn is_drained(&self, digest: Option<&VersionDigest>) -> bool {
-        let load = self.gate.in_flight.borrow();
-        if load.position != *self.gate.position.borrow() {
-            return false;
-        }
-        match digest {
-            Some(digest) => load.engine.get(digest).is_none_or(|count| *count == 0),
-            None => load.plain == 0 && load.engine.values().all(|count| *count == 0),
-        }
-    }
-
-    async fn drained(&mut self, digest: Option<&VersionDigest>) {
-        while !self.is_drained(digest) {
-            if self.gate.in_flight.changed().await.is_err() {
-                return;
-            }
+    /// Opens the gate for the wanted version if the target lists it, else keeps it open for the one
+    /// that was served before if the target still lists that one, else closes it.
+    fn follow(&mut self, wanted: VersionDigest, loaded: &[VersionDigest]) {
+        let before = self.serving.take().filter(|serving| serving.is_confirmed(loaded));
+        // After a restart the agent does not know what was served: any complete version will do.
+        let any = || loaded.iter().find_map(|digest| ServingVersion::find(*digest, loaded));
+        self.serving = ServingVersion::find(wanted, loaded).or(before).or_else(any);
+        match &self.serving {
+            Some(serving) => self.tools.gate.open(serving),
+            None => self.tools.gate.close(),
         }
     }
 
     fn want(&self, digest: VersionDigest) {
-        self.wanted.send_if_modified(|wanted| {
+        self.tools.wanted.send_if_modified(|wanted| {
             let changed = *wanted != Some(digest);
             *wanted = Some(digest);
             changed
         });
     }
 
-    fn open(&self, digest: VersionDigest) {
-        self.place(GatePosition::OpenEngine(digest));
-        self.announce(Some(digest));
-    }
-
-    fn close(&self) {
-        self.announce(None);
-        self.place(GatePosition::Closed);
-    }
-
-    fn place(&self, position: GatePosition) {
-        self.gate.position.send_if_modified(|current| {
-            let changed = *current != position;
-            *current = position;
-            changed
-        });
-    }
-
-    fn announce(&self, digest: Option<VersionDigest>) {
-        self.serving.send_if_modified(|current| {
-            let changed = *current != digest;
-            *current = digest;
+    fn tell_load(&self) {
+        let percent = self.tools.gate.load_percent(self.tools.settings.target_slots);
+        self.tools.chunks.set_live_load(percent);
+        self.tools.live_load.send_if_modified(|told| {
+            let changed = told.abs_diff(percent) >= 10;
+            if changed {
+                *told = percent;
+            }
             changed
         });
     }
--- /dev/null
+++ b/src/agent/weights/keeper/gate.rs
@@ -0,0 +1,77 @@
+//! The weights side's end of the gate.
+
+use crate::shared::{GateControl, GatePosition};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::lifecycle::ServingVersion;
+use tokio::sync::watch;
+
+/// Moves the gate, and announces what it is open for.
+pub struct TargetGate {
+    control: GateControl,
+    serving: watch::Sender<Option<VersionDigest>>,
+}
+
+impl TargetGate {
+    /// A gate that announces on `serving`.
+    pub fn new(control: GateControl, serving: watch::Sender<Option<VersionDigest>>) -> Self {
+        Self { control, serving }
+    }
+
+    /// Opens the gate for a version that the target confirmed.
+    pub fn open(&self, version: &ServingVersion) {
+        self.place(GatePosition::OpenEngine(version.digest()));
+        self.announce(Some(version.digest()));
+    }
+
+    /// Closes the gate and announces nothing.
+    pub fn close(&self) {
+        self.announce(None);
+        self.place(GatePosition::Closed);
+    }
+
+    /// Moves the gate.
+    pub fn place(&self, position: GatePosition) {
+        self.control.position.send_if_modified(|current| {
+            let changed = *current != position;
+            *current = position;
+            changed
+        });
+    }
+
+    fn announce(&self, digest: Option<VersionDigest>) {
+        self.serving.send_if_modified(|current| {
+            let changed = *current != digest;
+            *current = digest;
+            changed
+        });
+    }
+
+    /// Requests in flight under `digest`, or under any version if none is named; not known while
+    /// the traffic side does not obey the gate's position yet.
+    pub fn in_flight(&self, digest: Option<&VersionDigest>) -> Option<u32> {
+        let load = self.control.in_flight.borrow();
+        if load.position != *self.control.position.borrow() {
+            return None;
+        }
+        Some(match digest {
+            Some(digest) => load.engine.get(digest).copied().unwrap_or(0),
+            None => load.engine.values().sum(),
+        })
+    }
+
+    /// Waits until no request is in flight and the traffic side obeys the gate's position.
+    pub async fn drained(&mut self) {
+        while self.in_flight(None) != Some(0) {
+            if self.control.in_flight.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Percent of `slots` that requests in flight take.
+    pub fn load_percent(&self, slots: u32) -> u8 {
+        let running: u32 = self.control.in_flight.borrow().engine.values().sum();
+        let percent = 100 * running.min(slots) / slots.max(1);
+        u8::try_from(percent).unwrap_or(100)
+    }
+}
--- /dev/null
+++ b/src/agent/weights/keeper/swap.rs
@@ -0,0 +1,145 @@
+//! Orders to the target: loads, unloads and the swap of one version for another.
+
+use super::WeightKeeper;
+use crate::clock;
+use crate::platform::engine::{LoadBody, OrderAnswer};
+use anyhow::{Context, Result, bail, ensure};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fence::OrderStamp;
+use buckthornwharf_core::weights::lifecycle::{HeldVersion, LoadingVersion, ServingVersion};
+use buckthornwharf_core::weights::permit::{SwapWay, permit_keys};
+use log::{info, warn};
+
+/// Longest call of an order to a target that ignores fencing numbers; shorter than a lease.
+const LEASED_ORDER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest call of an order to a target that checks fencing numbers.
+const FENCED_ORDER_TIMEOUT: Duration = Duration::from_secs(300);
+
+impl WeightKeeper {
+    /// Brings a held version into the target.
+    pub(super) async fn swap(&mut self, held: HeldVersion, loaded: &[VersionDigest]) -> Result<()> {
+        self.tools.chunks.reset_uploads(held.digest(), held.manifest().total_bytes);
+        let stamp = self.authority.allow(self.order_timeout()).await?;
+        if SwapWay::choose(self.tools.settings.target_holds, loaded.len()) == SwapWay::InPlace {
+            self.take_permit().await?;
+            self.serving = None;
+            self.tools.gate.close();
+            self.tools.gate.drained().await;
+            for digest in loaded {
+                self.unload(digest).await?;
+            }
+        }
+        let stamp = match stamp.deadline > clock::now() + self.order_timeout() / 2 {
+            true => stamp,
+            false => self.authority.allow(self.order_timeout()).await?,
+        };
+        self.load(held.order(stamp)).await?;
+        self.return_permit().await;
+        Ok(())
+    }
+
+    /// Unloads what is no longer wanted once no request runs under it.
+    pub(super) async fn retire(
+        &mut self,
+        loaded: &[VersionDigest],
+        wanted: VersionDigest,
+    ) -> Result<()> {
+        for digest in loaded.iter().filter(|digest| **digest != wanted) {
+            let draining = ServingVersion::find(*digest, loaded).map(ServingVersion::drain);
+            let in_flight = self.tools.gate.in_flight(Some(digest));
+            let Some((draining, in_flight)) = draining.zip(in_flight) else {
+                continue;
+            };
+            if let Ok(dropped) = draining.finish(in_flight) {
+                self.unload(&dropped.digest()).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn load(&mut self, version: LoadingVersion) -> Result<()> {
+        let manifest = version.manifest();
+        let chunks = self.tools.store.whole(manifest).context("the version is not held whole")?;
+        let body = LoadBody {
+            digest: version.digest(),
+            total_bytes: manifest.total_bytes,
+            chunk_bytes: manifest.chunk_bytes,
+            chunks,
+        };
+        let stamp = version.stamp();
+        let answer = self.tools.engine.load(body, stamp.fence, time_left(stamp)).await;
+        // Whatever was answered, only the target's own list tells what it has loaded.
+        let loaded = self.tools.engine.models().await?;
+        match version.confirm(&loaded) {
+            Ok(serving) => {
+                info!("version {} is served", serving.digest());
+                self.tools.gate.open(&serving);
+                self.serving = Some(serving);
+                Ok(())
+            }
+            Err(held) => self.check(answer?, &held.digest()),
+        }
+    }
+
+    async fn unload(&mut self, digest: &VersionDigest) -> Result<()> {
+        let stamp = self.authority.allow(self.order_timeout()).await?;
+        let answer = self.tools.engine.unload(digest, stamp.fence, time_left(stamp)).await?;
+        ensure!(answer == OrderAnswer::Done, self.check(answer, digest).unwrap_err());
+        info!("version {digest} is unloaded");
+        Ok(())
+    }
+
+    /// An order whose effect the target does not show is an error, whatever was answered.
+    fn check(&mut self, answer: OrderAnswer, digest: &VersionDigest) -> Result<()> {
+        if answer == OrderAnswer::FencedOff {
+            self.authority.fenced_off();
+        }
+        bail!("the target did not carry out an order about version {digest}: {answer:?}")
+    }
+
+    fn order_timeout(&self) -> Duration {
+        match self.tools.settings.target_checks_fence {
+            true => FENCED_ORDER_TIMEOUT,
+            false => LEASED_ORDER_TIMEOUT,
+        }
+    }
+
+    /// Takes one of the service's permits; a service that nothing else serves needs one as well.
+    async fn take_permit(&mut self) -> Result<()> {
+        if self.permit.is_some() && self.authority.renew().await? {
+            return Ok(());
+        }
+        self.permit = None;
+        let service = &self.tools.settings.service;
+        let config = self.tools.config.borrow().clone();
+        let config = config.as_ref().and_then(|config| config.document.services.get(service));
+        let most = config.map_or(1, |config| config.max_out_of_service);
+        let session = self.authority.session().await?;
+        for key in permit_keys(service, &self.tools.host, most) {
+            let value = self.tools.host.as_str().to_owned().into();
+            if self.tools.kv.acquire(&key, value, &session).await? {
+                self.permit = Some(key);
+                return Ok(());
+            }
+        }
+        bail!("all permits of service {service} are taken")
+    }
+
+    /// Gives the permit back, if one is held; it lapses with the session if that fails.
+    pub(super) async fn return_permit(&mut self) {
+        let Some(key) = self.permit.take() else {
+            return;
+        };
+        let Ok(session) = self.authority.session().await else {
+            return;
+        };
+        if let Err(error) = self.tools.kv.release(&key, &session).await {
+            warn!("permit {key} is not returned yet: {error}");
+            self.permit = Some(key);
+        }
+    }
+}
+
+fn time_left(stamp: OrderStamp) -> Duration {
+    stamp.deadline.since(clock::now())
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,7 +1,10 @@
 //! Client of the platform's weight store, the origin of weights.
 
+use actix_http::Payload;
+use actix_http::encoding::Decoder;
 use anyhow::{Context, Result, bail};
-use awc::Client;
+use awc::http::StatusCode;
+use awc::{Client, ClientResponse};
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
 use std::net::SocketAddr;
@@ -9,6 +12,22 @@
 /// Most bytes of a manifest's JSON.
 pub const MAX_MANIFEST_BYTES: usize = 32 * 1024 * 1024;
 
+/// An answer whose body is still to be read.
+pub type StoreAnswer = ClientResponse<Decoder<Payload>>;
+
+/// Why the store brought no chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
+pub enum StoreFailure {
+    /// the weight store does not answer
+    Unreachable,
+    /// the weight store does not know the chunk
+    NotHere,
+    /// the weight store has no room for another reader
+    Busy,
+}
+
+impl std::error::Error for StoreFailure {}
+
 /// Reads manifests and chunks from the weight store.
 #[derive(Clone)]
 pub struct StoreClient {
@@ -32,13 +51,25 @@
         self.get(&path, MAX_MANIFEST_BYTES, timeout).await
     }
 
-    /// The bytes of the chunk with `hash`, at most `limit` of them; not verified.
+    /// The answer that carries the bytes of the chunk with `hash`; to be read by the caller.
     ///
     /// # Errors
     ///
-    /// The store does not know the chunk, does not answer in time or sends more than `limit`.
-    pub async fn chunk(&self, hash: &ChunkHash, limit: usize, timeout: Duration) -> Result<Bytes> {
-        self.get(&format!("/v1/chunks/{hash}"), limit, timeout).await
+    /// [`StoreFailure`] tells whether the store answered at all.
+    pub async fn open_chunk(
+        &self,
+        hash: &ChunkHash,
+        timeout: Duration,
+    ) -> Result<StoreAnswer, StoreFailure> {
+        let url = format!("http://{}/v1/chunks/{hash}", self.address);
+        let request = self.client.get(&url).no_decompress().timeout(timeout);
+        let response = request.send().await.map_err(|_| StoreFailure::Unreachable)?;
+        match response.status() {
+            StatusCode::OK => Ok(response),
+            StatusCode::NOT_FOUND => Err(StoreFailure::NotHere),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreFailure::Busy),
+            _ => Err(StoreFailure::Unreachable),
+        }
     }
 
     async fn get(&self, path: &str, limit: usize, timeout: Duration) -> Result<Bytes> {
