Test the spread under faults and mend its takeover

Cause: over modelled links with faulty sources two tests failed: a host whose uploads fail but whose answers about chunks arrive was trusted again at each answer, and a chunk whose home failed was asked of no one where the gateway that brought it came next in the order of takeover. A failed pair of chunk and source is now avoided for a while, counts as failed in the order of takeover, an answer about chunks gives back only some trust, and a gateway may be asked by all once it answers for the chunk. A link that fails one chunk goes on with others for a second. Ruled out: longer suspicion alone (the pair still came back after each answer).

--- a/benches/burst.rs
+++ b/benches/burst.rs
@@ -1,6 +1,8 @@
 //! The spread of one version in virtual time, beside the spread in which every host reads the
 //! origin. Prints `name value target` lines.
 
+// Faults of single sources are used by core/tests/weights_spread.rs, which shares the model.
+#[allow(dead_code)]
 #[path = "burst/model.rs"]
 mod model;
 
--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -31,6 +31,8 @@
     pub alive: bool,
     /// When it held every chunk.
     pub complete: Option<MonoTime>,
+    /// What was kept, in the order of arrival.
+    pub kept: Vec<Bytes>,
     /// Units sent to other hosts.
     pub uploaded: f64,
     /// Control messages sent.
@@ -42,6 +44,21 @@
     wake: MonoTime,
 }
 
+/// What is wrong with a source of chunks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum SourceFault {
+    /// It does not answer.
+    Down,
+    /// Nothing that it sends arrives.
+    Stall,
+    /// Its chunks break off.
+    Cut,
+    /// Its chunks have other bytes.
+    Corrupt,
+    /// It sends at this part of its rate.
+    Slow(f64),
+}
+
 struct ModelFlow {
     to: usize,
     from: Option<usize>,
@@ -60,10 +77,8 @@
     pub now: MonoTime,
     /// Units that the origin sent.
     pub origin_units: f64,
-    /// The chunks that the origin and these hosts send corrupt: every one of a host's.
-    pub corrupting: Vec<usize>,
-    /// Whether the origin answers.
-    pub origin_up: bool,
+    /// What is wrong with sources; the origin is none.
+    pub faults: SortedTable<Option<usize>, SourceFault>,
     manifest: Arc<VersionManifest>,
     content: Bytes,
     limits: FetchLimits,
@@ -101,6 +116,7 @@
             ),
             alive: true,
             complete: None,
+            kept: Vec::new(),
             uploaded: 0.0,
             messages: 0,
             control_bytes: 0,
@@ -113,8 +129,7 @@
             hosts,
             now: MonoTime::ZERO,
             origin_units: 0.0,
-            corrupting: Vec::new(),
-            origin_up: true,
+            faults: SortedTable::new(),
             manifest,
             content,
             limits,
@@ -128,6 +143,11 @@
         }
     }
 
+    /// The content that every host is to hold.
+    pub fn content(&self) -> &Bytes {
+        &self.content
+    }
+
     /// Units of one copy.
     pub fn copy_units(&self) -> f64 {
         self.manifest.total_bytes as f64
@@ -181,7 +201,8 @@
             FetchAction::Cancel(ticket) => self.end_flow(host, ticket),
             FetchAction::Poll(peer) => self.poll(host, &peer),
             FetchAction::Complete => self.hosts[host].complete = Some(self.now),
-            FetchAction::Keep(..) | FetchAction::Corrupt(..) => {}
+            FetchAction::Keep(_, bytes) => self.hosts[host].kept.push(bytes),
+            FetchAction::Corrupt(..) => {}
         }
     }
 
@@ -242,7 +263,8 @@
             ChunkSource::Origin => None,
             ChunkSource::Peer(name) => Some(self.index_of(name)),
         };
-        let up = from.map_or(self.origin_up, |from| self.hosts[from].alive);
+        let up = from.is_none_or(|from| self.hosts[from].alive);
+        let up = up && self.faults.get(&from) != Some(&SourceFault::Down);
         if !up || !self.is_reachable(host, from) {
             let event = FetchEvent::Failed(order.ticket, FetchFailure::Unreachable);
             self.post(CONNECT_TIMEOUT, host, event);
@@ -300,7 +322,12 @@
         for flow in &mut flows {
             let from_alive = flow.from.is_none_or(|from| self.hosts[from].alive);
             let cut = !self.is_reachable(flow.to, flow.from);
-            if !from_alive || cut || (flow.from.is_none() && !self.origin_up) {
+            let factor = match self.faults.get(&flow.from) {
+                Some(SourceFault::Down | SourceFault::Stall) => 0.0,
+                Some(SourceFault::Slow(part)) => *part,
+                _ => 1.0,
+            };
+            if !from_alive || cut {
                 continue;
             }
             let source = match flow.from {
@@ -311,7 +338,7 @@
             let between = pair_of(self, flow).map(|pair| pairs[pair]);
             let between = between
                 .map_or(f64::INFINITY, |flows| limits.region_pair_bytes_per_second as f64 / flows);
-            let moved = source.min(sink).min(between).min(flow.cap) * seconds;
+            let moved = source.min(sink).min(between).min(flow.cap) * seconds * factor;
             flow.left -= moved;
             match flow.from {
                 None => self.origin_units += moved,
@@ -319,7 +346,7 @@
             }
             if flow.left <= 0.0 {
                 done.push((flow.to, flow.ticket));
-            } else if self.now.since(flow.told) >= PROGRESS_INTERVAL {
+            } else if factor > 0.0 && self.now.since(flow.told) >= PROGRESS_INTERVAL {
                 flow.told = self.now;
                 let bytes = (self.manifest.chunk_len(flow.chunk) as f64 - flow.left) as u64;
                 self.mail.push((self.now, flow.to, FetchEvent::Progress(flow.ticket, bytes)));
@@ -341,11 +368,12 @@
         let length = self.manifest.chunk_bytes as usize;
         let start = flow.chunk * length;
         let end = (start + length).min(self.content.len());
-        let mut bytes = self.content.slice(start..end);
-        if flow.from.is_some_and(|from| self.corrupting.contains(&from)) {
-            bytes = vec![0; end - start].into();
-        }
-        self.feed(host, FetchEvent::Arrived(ticket, bytes));
+        let event = match self.faults.get(&flow.from) {
+            Some(SourceFault::Cut) => FetchEvent::Failed(ticket, FetchFailure::Cut),
+            Some(SourceFault::Corrupt) => FetchEvent::Arrived(ticket, vec![0; end - start].into()),
+            _ => FetchEvent::Arrived(ticket, self.content.slice(start..end)),
+        };
+        self.feed(host, event);
     }
 
     fn deliver(&mut self) {
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -19,6 +19,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+const LANE_RETRY_PAUSE: Duration = Duration::from_secs(1);
+const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
+const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
 const CORRUPT_LIMIT: u32 = 2;
 
 /// Where a chunk is fetched from.
@@ -276,7 +279,7 @@
 
     fn corrupt(&mut self, now: MonoTime, flight: &ChunkFlight, actions: &mut Vec<FetchAction>) {
         actions.push(FetchAction::Corrupt(flight.source.clone(), flight.chunk));
-        self.flights.avoid(flight.chunk, &flight.source);
+        self.flights.avoid(now, flight.chunk, &flight.source, now + CORRUPT_AVOID_TIME);
         if let Some(record) = self.record_mut(&flight.source) {
             record.corrupted(now);
         }
@@ -294,8 +297,13 @@
         if let Some(region) = flight.lane {
             self.lanes.failed(now, region, failure);
         }
-        self.retries[flight.chunk] = (now + POLL_INTERVAL, flight.lane);
+        // Longer than a link's own pause, so that the link is used for other chunks meanwhile.
+        let pause = if flight.lane.is_some() { LANE_RETRY_PAUSE } else { POLL_INTERVAL };
+        self.retries[flight.chunk] = (now + pause, flight.lane);
         let chunk = flight.chunk;
+        if matches!(failure, FetchFailure::Cut | FetchFailure::Unreachable) {
+            self.flights.avoid(now, chunk, &flight.source, now + FAILURE_AVOID_TIME);
+        }
         if let Some(record) = self.record_mut(&flight.source) {
             record.failed(now, failure, chunk);
         }
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -38,7 +38,7 @@
             }
             let due = self.origin_due(now);
             let duty = |chunk: &usize| {
-                self.is_open(now, *chunk, None) && self.is_acting_home(now, *chunk, me)
+                self.is_open(now, *chunk, None) && self.acting_home(now, *chunk, me) == Some(me)
             };
             let next = self.held.missing().take_while(|chunk| *chunk < due).find(duty);
             let Some(chunk) = next else {
@@ -87,7 +87,8 @@
 
     fn lane_source(&self, now: MonoTime, chunk: usize, other: RegionIndex) -> Option<ChunkSource> {
         let unfit = |host: HostIndex| {
-            self.peers.is_suspect(host, now) || self.flights.avoids(chunk, self.plan.name_of(host))
+            self.peers.is_suspect(host, now)
+                || self.flights.avoids(now, chunk, self.plan.name_of(host))
         };
         match self.plan.home(chunk, other, unfit) {
             Some(host) if self.peers.hosts[host].is_ready(now) => Some(self.peer(host)),
@@ -144,7 +145,7 @@
                 && *host != me
                 && record.is_ready(now)
                 && record.in_flight < FETCHES_PER_PEER
-                && !self.flights.avoids(chunk, self.plan.name_of(*host))
+                && !self.flights.avoids(now, chunk, self.plan.name_of(*host))
                 && (gateway != Some(*host) || self.may_ask_gateway(now, chunk, *host, me))
         };
         let candidates = drawn.chain(homes).chain(gateway);
@@ -160,9 +161,11 @@
         gateway: HostIndex,
         me: HostIndex,
     ) -> bool {
-        self.peers.hosts[gateway].known.is_full()
-            || self.plan.homes(chunk, self.plan.region_of(me))[0] == gateway
-            || self.is_acting_home(now, chunk, me)
+        if self.peers.hosts[gateway].known.is_full() {
+            return true;
+        }
+        let home = self.acting_home(now, chunk, me);
+        home == Some(me) || home == Some(gateway)
     }
 
     fn fill_poll(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
@@ -269,25 +272,20 @@
         (retry_at <= now || failed_lane != lane) && !self.flights.holds_chunk(chunk)
     }
 
-    /// Whether this host answers for `chunk` in its region: all before it in the order of takeover
-    /// have failed or make no progress.
-    fn is_acting_home(&self, now: MonoTime, chunk: usize, me: HostIndex) -> bool {
+    /// The host that answers for `chunk` in the own region: the first in the order of takeover that
+    /// has not failed and makes progress.
+    fn acting_home(&self, now: MonoTime, chunk: usize, me: HostIndex) -> Option<HostIndex> {
         let region = self.plan.region_of(me);
-        let patience = self.home_patience;
         let failed = |host: HostIndex, patience: Duration| {
-            let record = &self.peers.hosts[host];
-            record.is_suspect(now) || self.is_late(now, host, chunk, patience)
+            host != me
+                && (self.peers.is_suspect(host, now)
+                    || self.is_late(now, host, chunk, patience)
+                    || self.flights.avoids(now, chunk, self.plan.name_of(host)))
         };
-        for host in self.plan.homes(chunk, region) {
-            if *host == me {
-                return true;
-            }
-            if !failed(*host, patience) {
-                return false;
-            }
-        }
-        let failed = |host| host != me && failed(host, patience * LAST_PATIENCE);
-        self.plan.home(chunk, region, failed) == Some(me)
+        let homes = self.plan.homes(chunk, region).iter().copied();
+        let first = homes.into_iter().find(|host| !failed(*host, self.home_patience));
+        let last_patience = self.home_patience * LAST_PATIENCE;
+        first.or_else(|| self.plan.home(chunk, region, |host| failed(host, last_patience)))
     }
 
     fn acting_gateway(
@@ -300,7 +298,9 @@
         let patience = self.gateway_patience;
         self.plan.gateway(chunk, region, |host| {
             host != me
-                && (self.peers.is_suspect(host, now) || self.is_late(now, host, chunk, patience))
+                && (self.peers.is_suspect(host, now)
+                    || self.is_late(now, host, chunk, patience)
+                    || self.flights.avoids(now, chunk, self.plan.name_of(host)))
         })
     }
 
--- a/core/src/weights/fetch/flights.rs
+++ b/core/src/weights/fetch/flights.rs
@@ -18,11 +18,18 @@
     pub bytes: u64,
 }
 
-/// All started fetches, and the sources that sent a chunk corrupt.
+#[derive(Debug)]
+struct AvoidedSource {
+    chunk: usize,
+    host: HostName,
+    until: MonoTime,
+}
+
+/// All started fetches, and the sources that failed a chunk.
 #[derive(Debug, Default)]
 pub(super) struct FlightTable {
     flights: Vec<ChunkFlight>,
-    avoided: Vec<(usize, ChunkSource)>,
+    avoided: Vec<AvoidedSource>,
     next_ticket: FetchTicket,
 }
 
@@ -88,15 +95,18 @@
         self.flights.extract_if(.., crossing).map(|flight| flight.ticket).collect()
     }
 
-    /// Notes that `source` sent `chunk` corrupt.
-    pub fn avoid(&mut self, chunk: usize, source: &ChunkSource) {
-        self.avoided.push((chunk, source.clone()));
+    /// Notes that `source` failed `chunk` and is not asked for it again before `until`.
+    pub fn avoid(&mut self, now: MonoTime, chunk: usize, source: &ChunkSource, until: MonoTime) {
+        self.avoided.retain(|avoided| avoided.until > now);
+        if let ChunkSource::Peer(host) = source {
+            self.avoided.push(AvoidedSource { chunk, host: host.clone(), until });
+        }
     }
 
-    /// Whether `source` sent `chunk` corrupt.
-    pub fn avoids(&self, chunk: usize, source: &HostName) -> bool {
-        let same = |avoided: &(usize, ChunkSource)| {
-            avoided.0 == chunk && matches!(&avoided.1, ChunkSource::Peer(name) if name == source)
+    /// Whether `host` failed `chunk` lately.
+    pub fn avoids(&self, now: MonoTime, chunk: usize, host: &HostName) -> bool {
+        let same = |avoided: &AvoidedSource| {
+            avoided.chunk == chunk && avoided.until > now && avoided.host == *host
         };
         self.avoided.iter().any(same)
     }
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -73,7 +73,8 @@
             self.progressed = now;
         }
         self.known = chunks;
-        self.trust(now);
+        // An answer about chunks does not show that chunks arrive: only some trust comes back.
+        self.failures /= 2;
     }
 
     pub fn corrupted(&mut self, now: MonoTime) {
--- /dev/null
+++ b/core/tests/weights_lifecycle.rs
@@ -0,0 +1,96 @@
+//! The life cycle of a version: what each state refuses.
+
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fence::OrderStamp;
+use buckthornwharf_core::weights::lifecycle::{HeldVersion, ServingVersion, WantedVersion};
+use buckthornwharf_core::weights::{
+    ChunkSet, ManifestError, UploadClass, UploadLimiter, VersionManifest,
+};
+
+fn manifest(seed: u8) -> VersionManifest {
+    VersionManifest::of_content(&[seed; 40], 16)
+}
+
+fn full_set(len: usize) -> ChunkSet {
+    let mut set = ChunkSet::new(len);
+    (0..len).for_each(|index| {
+        set.insert(index);
+    });
+    set
+}
+
+fn held() -> HeldVersion {
+    let manifest = manifest(1);
+    let wanted = WantedVersion::new(manifest.digest());
+    let fetching = wanted.fetch(manifest).expect("its own manifest");
+    fetching.hold(&full_set(3)).expect("every chunk is there")
+}
+
+fn stamp() -> OrderStamp {
+    OrderStamp { fence: 1, deadline: MonoTime::from_millis(1) }
+}
+
+#[test]
+fn another_versions_manifest_is_refused() {
+    let wanted = WantedVersion::new(manifest(1).digest());
+    assert_eq!(wanted.fetch(manifest(2)), Err(ManifestError::WrongDigest));
+}
+
+#[test]
+fn a_version_with_a_missing_chunk_is_not_held() {
+    let manifest = manifest(1);
+    let fetching = WantedVersion::new(manifest.digest()).fetch(manifest).expect("its manifest");
+    let mut partial = ChunkSet::new(3);
+    partial.insert(0);
+    partial.insert(2);
+    let fetching = fetching.hold(&partial).expect_err("a chunk is missing");
+    let fetching = fetching.hold(&full_set(2)).expect_err("another manifest's set");
+    assert!(fetching.hold(&full_set(3)).is_ok());
+}
+
+#[test]
+fn only_the_targets_own_list_makes_a_version_served() {
+    let other = manifest(2).digest();
+    let held = held().order(stamp()).confirm(&[other]).expect_err("the target lists another");
+    let digest = held.digest();
+    let serving = held.order(stamp()).confirm(&[other, digest]).expect("the target lists it");
+    assert!(serving.is_confirmed(&[digest]));
+    assert!(!serving.is_confirmed(&[other]));
+    assert_eq!(ServingVersion::find(digest, &[]), None);
+}
+
+#[test]
+fn a_version_is_dropped_only_without_requests() {
+    let digest = manifest(1).digest();
+    let serving = ServingVersion::find(digest, &[digest]).expect("the target lists it");
+    let draining = serving.drain().finish(2).expect_err("two requests run");
+    assert_eq!(draining.finish(0).expect("none runs").digest(), digest);
+}
+
+#[test]
+fn chunk_sets_survive_their_encoding() {
+    let mut set = ChunkSet::new(70);
+    let added = [0, 1, 63, 64, 69, 70].map(|index| set.insert(index));
+    assert_eq!(added, [true, true, true, true, true, false]);
+    let decoded = ChunkSet::from_bytes(&set.to_bytes(), 70);
+    assert_eq!(decoded, set);
+    assert_eq!(decoded.count(), 5);
+    assert_eq!(ChunkSet::from_bytes(&[0xff; 100], 70).count(), 70);
+    assert_eq!(ChunkSet::from_bytes(&[], 70).count(), 0);
+}
+
+#[test]
+fn a_host_that_has_sent_much_takes_fewer_uploads() {
+    let places = |sent: u64, live_percent: u8, class: UploadClass| {
+        let mut limiter = UploadLimiter::new(100);
+        limiter.set_live_load(live_percent);
+        assert!(limiter.start(class));
+        limiter.end(sent);
+        (0..100).take_while(|_| limiter.start(class)).count()
+    };
+    let rows = [(0, 0), (100, 0), (125, 0), (200, 0), (0, 50), (0, 100)];
+    let regional = rows.map(|(sent, live)| places(sent, live, UploadClass::Region));
+    let crossing = rows.map(|(sent, live)| places(sent, live, UploadClass::Crossing));
+    insta::assert_compact_debug_snapshot!(regional, @"[8, 4, 2, 1, 2, 1]");
+    insta::assert_compact_debug_snapshot!(crossing, @"[12, 8, 6, 5, 6, 5]");
+}
--- /dev/null
+++ b/core/tests/weights_plan.rs
@@ -0,0 +1,111 @@
+//! The plan of the spread: agreement, balance and takeover.
+
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::{PlanHost, SpreadPlan, VersionManifest};
+use proptest::prelude::*;
+
+const CHUNKS: usize = 64;
+
+fn manifest() -> VersionManifest {
+    let content: Vec<u8> = (0..CHUNKS * 8).map(|index| (index / 8) as u8).collect();
+    VersionManifest::of_content(&content, 8)
+}
+
+fn places(numbers: impl IntoIterator<Item = usize>, regions: usize) -> Vec<PlanHost> {
+    let place = |index: usize| PlanHost {
+        name: HostName::from(format!("host-{index:03}")),
+        region: RegionName::from(format!("region-{}", index % regions)),
+    };
+    numbers.into_iter().map(place).collect()
+}
+
+fn plan(places: Vec<PlanHost>) -> SpreadPlan {
+    SpreadPlan::new(&manifest(), places, &RegionName::from("region-0"))
+}
+
+#[test]
+fn chunks_are_split_evenly_over_links_and_homes() {
+    let plan = plan(places(0..40, 4));
+    let from = |to: usize, from: usize| {
+        (0..CHUNKS).filter(|chunk| plan.source_region(*chunk, to) == Some(from)).count()
+    };
+    let links: Vec<[usize; 4]> = (0..4).map(|to| [0, 1, 2, 3].map(|r| from(to, r))).collect();
+    insta::assert_compact_debug_snapshot!(
+        links,
+        @"[[0, 0, 0, 0], [22, 0, 21, 21], [21, 22, 0, 21], [21, 22, 21, 0]]"
+    );
+    for region in 0..4 {
+        let homes =
+            |host: usize| (0..CHUNKS).filter(|chunk| plan.homes(*chunk, region)[0] == host).count();
+        let most = plan.members(region).iter().map(|host| homes(*host)).max();
+        assert!(most <= Some(CHUNKS.div_ceil(10)), "{most:?}");
+    }
+}
+
+#[test]
+fn the_reader_is_the_first_region_if_the_stores_has_no_host() {
+    let plan = SpreadPlan::new(&manifest(), places(0..6, 3), &RegionName::from("elsewhere"));
+    assert_eq!(plan.region_name(plan.reader()).as_str(), "region-0");
+}
+
+#[test]
+fn the_manifest_is_asked_of_the_origin_by_one_host_first() {
+    let hosts = places(0..12, 3);
+    let (digest, store) = (manifest().digest(), RegionName::from("region-0"));
+    let sources = |me: &PlanHost| SpreadPlan::manifest_sources(&digest, me, &hosts, &store);
+    let first = hosts.iter().filter(|me| sources(me).is_empty()).count();
+    assert_eq!(first, 1);
+    assert!(hosts.iter().all(|me| !sources(me).contains(&me.name)));
+}
+
+proptest! {
+    #[test]
+    fn plans_agree_on_equal_lists_in_any_order(
+        numbers in proptest::collection::vec(0_usize..60, 1..40),
+        regions in 1_usize..5,
+    ) {
+        let mut reversed = numbers.clone();
+        reversed.reverse();
+        prop_assert_eq!(plan(places(numbers, regions)), plan(places(reversed, regions)));
+    }
+
+    #[test]
+    fn plans_converge_once_the_lists_are_equal(
+        numbers in proptest::collection::btree_set(0_usize..60, 2..40),
+        missing in 0_usize..40,
+    ) {
+        let late = numbers.iter().copied().filter(|number| *number != missing);
+        let late = plan(places(late.collect::<Vec<_>>(), 3));
+        let own = plan(places(numbers.clone(), 3));
+        let changed = (0..CHUNKS).filter(|chunk| {
+            let home = |plan: &SpreadPlan| {
+                let region = plan.reader();
+                plan.home(*chunk, region, |_| false).map(|host| plan.name_of(host).clone())
+            };
+            home(&own) != home(&late)
+        });
+        // A host more or less moves its own chunks and those that the bound on loads pushes on.
+        let members = own.members(own.reader()).len();
+        prop_assert!(changed.count() <= CHUNKS.min(4 * CHUNKS.div_ceil(members) + 8 * 4));
+        prop_assert_eq!(plan(places(numbers.clone(), 3)), own);
+    }
+
+    #[test]
+    fn every_chunk_has_a_home_and_a_gateway_while_one_host_lives(
+        dead in proptest::collection::btree_set(0_usize..12, 0..12),
+    ) {
+        let plan = plan(places(0..12, 3));
+        let suspect = |host: usize| dead.contains(&host);
+        for region in 0..plan.region_count() {
+            let lives = plan.members(region).iter().any(|host| !suspect(*host));
+            for chunk in 0..CHUNKS {
+                let home = plan.home(chunk, region, suspect);
+                prop_assert_eq!(home.is_some(), lives);
+                prop_assert!(home.is_none_or(|host| !suspect(host)));
+                let gateway = plan.gateway(chunk, region, suspect);
+                prop_assert_eq!(gateway.is_some(), lives);
+                prop_assert!(gateway.is_none_or(|host| !suspect(host)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/weights_spread.rs
@@ -0,0 +1,182 @@
+//! The spread of a version under faults, over modelled links, beside the naive spread.
+
+#[allow(dead_code)]
+#[path = "../../benches/burst/model.rs"]
+mod model;
+
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::{ChunkSource, FetchLimits, PlanHost};
+use model::{FleetModel, SourceFault};
+use proptest::prelude::*;
+
+const CHUNKS: usize = 24;
+const CHUNK_UNITS: usize = 64;
+const LIMITS: (u64, u64, u64) = (400, 400, 120);
+const LONGEST_RUN: Duration = Duration::from_secs(900);
+
+fn fleet(hosts: usize, regions: usize) -> FleetModel {
+    let place = |index: usize| PlanHost {
+        name: HostName::from(format!("host-{index:02}")),
+        region: RegionName::from(format!("region-{}", index % regions)),
+    };
+    let limits = FetchLimits::new(LIMITS.0, LIMITS.1, LIMITS.2);
+    FleetModel::new((0..hosts).map(place).collect(), CHUNKS, CHUNK_UNITS, limits)
+}
+
+/// Steps until `condition` holds or the longest run is over; whether it holds.
+fn step_until(model: &mut FleetModel, mut condition: impl FnMut(&FleetModel) -> bool) -> bool {
+    while !condition(model) {
+        if model.now.since(MonoTime::ZERO) > LONGEST_RUN {
+            return false;
+        }
+        model.step();
+    }
+    true
+}
+
+/// The chunks of a host, whose order of arrival does not matter.
+fn holdings(chunks: &[bytes::Bytes]) -> Vec<bytes::Bytes> {
+    let mut chunks = chunks.to_vec();
+    chunks.sort();
+    chunks
+}
+
+/// What a host holds that read every chunk from the origin.
+fn naive_holdings(model: &FleetModel) -> Vec<bytes::Bytes> {
+    let chunks: Vec<_> = model.content().chunks(CHUNK_UNITS).collect();
+    let copies: Vec<bytes::Bytes> = chunks.into_iter().map(|c| c.to_vec().into()).collect();
+    holdings(&copies)
+}
+
+fn assert_all_hold(model: &mut FleetModel) {
+    let done = step_until(model, FleetModel::is_done);
+    assert!(done, "not held everywhere: {}", missing(model));
+    let expected = naive_holdings(model);
+    for host in model.hosts.iter().filter(|host| host.alive) {
+        assert_eq!(holdings(&host.kept), expected, "{}", host.place.name);
+    }
+}
+
+/// The faults, and the chunks that each living host lacks.
+fn missing(model: &FleetModel) -> String {
+    let mut text = format!("{:?}", model.faults);
+    for host in model.hosts.iter().filter(|host| host.alive && host.complete.is_none()) {
+        let chunks: Vec<usize> = host.machine.held().missing().collect();
+        text += &format!(" {} {} {chunks:?}", host.place.region, host.place.name);
+    }
+    text
+}
+
+fn origin_copies(model: &FleetModel) -> f64 {
+    model.origin_units / model.copy_units()
+}
+
+#[test]
+fn without_faults_all_hosts_hold_what_the_naive_spread_gives_from_one_copy() {
+    let mut model = fleet(12, 3);
+    assert_all_hold(&mut model);
+    assert!(origin_copies(&model) < 1.1, "{} copies", origin_copies(&model));
+}
+
+#[test]
+fn one_host_alone_reads_the_origin() {
+    let mut model = fleet(1, 1);
+    assert_all_hold(&mut model);
+}
+
+#[test]
+fn a_host_that_dies_after_any_number_of_chunks_stops_no_other() {
+    for chunks in [0, 1, CHUNKS / 2, CHUNKS - 1, CHUNKS] {
+        for host in 0..12 {
+            let mut model = fleet(12, 3);
+            step_until(&mut model, |model| model.hosts[host].machine.held().count() >= chunks);
+            model.kill(host);
+            assert_all_hold(&mut model);
+            assert!(origin_copies(&model) < 1.3, "{} copies", origin_copies(&model));
+        }
+    }
+}
+
+#[test]
+fn a_source_with_any_fault_is_worked_round() {
+    let faults = [
+        SourceFault::Down,
+        SourceFault::Stall,
+        SourceFault::Cut,
+        SourceFault::Corrupt,
+        SourceFault::Slow(0.02),
+    ];
+    for fault in faults {
+        for host in 0..9 {
+            let mut model = fleet(9, 3);
+            model.faults.insert(Some(host), fault);
+            assert_all_hold(&mut model);
+        }
+    }
+}
+
+#[test]
+fn a_source_of_corrupt_chunks_is_counted_and_shunned() {
+    let mut model = fleet(6, 1);
+    model.faults.insert(Some(2), SourceFault::Corrupt);
+    assert_all_hold(&mut model);
+    let source = ChunkSource::Peer(HostName::from("host-02"));
+    let counts: Vec<u32> =
+        model.hosts.iter().map(|host| host.machine.corrupt_count(&source)).collect();
+    assert!(counts.iter().any(|count| *count > 0), "{counts:?}");
+    // Two fetches may be under way when the second corrupt chunk arrives.
+    assert!(counts.iter().all(|count| *count <= 3), "{counts:?}");
+}
+
+#[test]
+fn an_origin_with_a_fault_only_delays_the_spread() {
+    let faults = [SourceFault::Down, SourceFault::Stall, SourceFault::Cut, SourceFault::Corrupt];
+    for fault in faults {
+        let mut model = fleet(9, 3);
+        model.faults.insert(None, fault);
+        step_until(&mut model, |model| model.now >= MonoTime::from_millis(20_000));
+        assert!(model.hosts.iter().all(|host| host.kept.is_empty()), "{fault:?}");
+        model.faults.remove(&None);
+        assert_all_hold(&mut model);
+    }
+    let mut model = fleet(9, 3);
+    model.faults.insert(None, SourceFault::Slow(0.1));
+    assert_all_hold(&mut model);
+    assert!(origin_copies(&model) < 1.3, "{} copies", origin_copies(&model));
+}
+
+#[test]
+fn a_cut_between_any_two_regions_is_worked_round() {
+    for (a, b) in [(0, 1), (0, 2), (1, 2)] {
+        let mut model = fleet(12, 3);
+        model.cut(a, b);
+        assert_all_hold(&mut model);
+    }
+}
+
+#[test]
+fn two_faults_at_once_are_worked_round() {
+    for host in 0..12 {
+        let mut model = fleet(12, 3);
+        model.cut(0, 1);
+        model.faults.insert(Some((host + 5) % 12), SourceFault::Corrupt);
+        step_until(&mut model, |model| model.hosts[host].machine.held().count() >= 3);
+        model.kill(host);
+        assert_all_hold(&mut model);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_set_of_dead_hosts_leaves_the_others_a_source(
+        dead in proptest::collection::btree_set(0_usize..9, 0..8),
+        after in 0_u64..20,
+    ) {
+        let mut model = fleet(9, 3);
+        step_until(&mut model, |model| model.now >= MonoTime::from_millis(after * 1_000));
+        dead.iter().for_each(|host| model.kill(*host));
+        prop_assert!(step_until(&mut model, FleetModel::is_done));
+    }
+}
