--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -19,6 +19,9 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+const LANE_RETRY_PAUSE: Duration = Duration::from_secs(1);
+const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
+const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
 const CORRUPT_LIMIT: u32 = 2;
 
 /// Where a chunk is fetched from.
@@ -134,6 +137,8 @@
     me: Option<HostIndex>,
     limits: FetchLimits,
     live_percent: u8,
+    gateway_patience: Duration,
+    home_patience: Duration,
     held: ChunkSet,
     peers: PeerLedger,
     lanes: LaneTable,
@@ -161,7 +166,7 @@
         seed: u64,
     ) -> Self {
         let count = manifest.chunks.len();
-        Self {
+        let mut machine = Self {
             me: plan.index_of(&name),
             peers: PeerLedger::new(&plan, count, &limits, now),
             lanes: LaneTable::new(plan.region_count()),
@@ -172,6 +177,8 @@
             name,
             limits,
             live_percent: 0,
+            gateway_patience: Duration::ZERO,
+            home_patience: Duration::ZERO,
             held,
             started: now,
             next_poll: now,
@@ -179,7 +186,9 @@
             polls: 0,
             draws: mix(seed),
             complete: false,
-        }
+        };
+        machine.set_patience();
+        machine
     }
 
     /// The chunks that are held.
@@ -203,7 +212,10 @@
             FetchEvent::HeldBy(peer, chunks) => self.held_by(now, &peer, chunks),
             FetchEvent::PollFailed(peer) => self.poll_failed(now, &peer),
             FetchEvent::Replanned(plan) => self.replanned(now, plan, &mut actions),
-            FetchEvent::LiveLoad(percent) => self.live_percent = percent.min(100),
+            FetchEvent::LiveLoad(percent) => {
+                self.live_percent = percent.min(100);
+                self.set_patience();
+            }
         }
         self.expire(now, &mut actions);
         if self.held.is_full() {
@@ -267,7 +279,7 @@
 
     fn corrupt(&mut self, now: MonoTime, flight: &ChunkFlight, actions: &mut Vec<FetchAction>) {
         actions.push(FetchAction::Corrupt(flight.source.clone(), flight.chunk));
-        self.flights.avoid(flight.chunk, &flight.source);
+        self.flights.avoid(now, flight.chunk, &flight.source, now + CORRUPT_AVOID_TIME);
         if let Some(record) = self.record_mut(&flight.source) {
             record.corrupted(now);
         }
@@ -285,8 +297,13 @@
         if let Some(region) = flight.lane {
             self.lanes.failed(now, region, failure);
         }
-        self.retries[flight.chunk] = (now + POLL_INTERVAL, flight.lane);
+        // Longer than a link's own pause, so that the link is used for other chunks meanwhile.
+        let pause = if flight.lane.is_some() { LANE_RETRY_PAUSE } else { POLL_INTERVAL };
+        self.retries[flight.chunk] = (now + pause, flight.lane);
         let chunk = flight.chunk;
+        if matches!(failure, FetchFailure::Cut | FetchFailure::Unreachable) {
+            self.flights.avoid(now, chunk, &flight.source, now + FAILURE_AVOID_TIME);
+        }
         if let Some(record) = self.record_mut(&flight.source) {
             record.failed(now, failure, chunk);
         }
@@ -341,6 +358,7 @@
         }
         self.peers = peers;
         self.me = self.plan.index_of(&self.name);
+        self.set_patience();
         let mut gone = self.flights.retain_sources(&self.plan);
         if !self.plan.has_regions_of(&old) {
             self.lanes = LaneTable::new(self.plan.region_count());
