Give back the places of hung work and of waiting suspects

Cause: work that must not be repeated is never cancelled, so a target that never answers kept its place for good; and a suspect that waits for an idle target kept all others from their turns for as long as the longest stream ran.

Ruled out: cancelling at the deadline (a slow booking would be cut off though it may still succeed), and letting others pass a waiting suspect (it would never run alone under load).

Before: work_that_hangs_past_its_deadline_gives_its_place_back: left: 1, right: 0; a_suspect_does_not_hold_the_others_up_for_long: assertion failed: agent.ledger.takes_turns(). After: both pass, and all tests of core. Conclusion: places are given back a minute past the deadline, and a suspect is refused after five seconds.

--- a/core/src/request/ledger.rs
+++ b/core/src/request/ledger.rs
@@ -20,6 +20,10 @@
 pub const LEDGER_TICK: Duration = Duration::from_millis(250);
 /// Time that idempotent work goes on after its link was lost and nobody asked for it again.
 pub const ORPHAN_GRACE: Duration = Duration::from_secs(10);
+/// Time past its deadline after which dispatched work that must not be repeated counts as hung.
+pub const HUNG_GRACE: Duration = Duration::from_mins(1);
+/// Time that a suspect waits for the target to become idle, while nothing else has its turn.
+pub const HOLD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that a recent answer is kept.
 pub const ANSWER_AGE: Duration = Duration::from_mins(2);
 /// Most bytes kept of one answer; the oldest are dropped first.
@@ -39,7 +43,8 @@
 ///   newer one of the same entry has superseded is ignored, however late.
 /// - The loss of a link stops nothing at once; the entry may ask on its next link and gets the
 ///   answer from the position it has.
-/// - What must not be repeated is never cancelled once it was dispatched.
+/// - What must not be repeated is not cancelled once it was dispatched, unless it hangs for
+///   [`HUNG_GRACE`] past its deadline.
 /// - A request that was in flight at a crash of any target runs alone, and after a second crash it
 ///   is refused. The ledger tells all entries, and passes on what they tell.
 #[derive(Debug)]
@@ -53,6 +58,7 @@
     suspects: SuspectBook,
     busy: u32,
     alone: Option<RequestId>,
+    held_at: MonoTime,
     actions: Vec<LedgerAction>,
 }
 
@@ -68,6 +74,7 @@
             suspects: SuspectBook::new(),
             busy: 0,
             alone: None,
+            held_at: MonoTime::ZERO,
             actions: Vec::new(),
         }
     }
@@ -200,12 +207,23 @@
         for id in ids {
             self.give_up(now, id);
         }
+        self.refuse_long_held(now);
         self.drop_old_answers(now);
         self.barred.expire(now);
         self.forgotten.expire(now);
         self.suspects.expire(now);
     }
 
+    /// Refuses a suspect that waited too long for an idle target, so that others get their turns.
+    fn refuse_long_held(&mut self, now: MonoTime) {
+        let Some(id) = self.alone else { return };
+        let Some(record) = self.records.get(&id) else { return };
+        let is_held = record.phase == RecordPhase::Waiting;
+        if is_held && now.since(self.held_at) >= HOLD_TIMEOUT {
+            self.finish(now, id, ResultCode::Overloaded);
+        }
+    }
+
     /// Ends a request whose deadline passed or whose link was lost for too long.
     fn give_up(&mut self, now: MonoTime, id: RequestId) {
         let Some(record) = self.records.get(&id) else { return };
@@ -221,6 +239,10 @@
                 self.actions.push(LedgerAction::CancelTarget(id));
                 self.finish(now, id, code);
             }
+            RecordPhase::Running if now >= record.deadline + HUNG_GRACE => {
+                self.actions.push(LedgerAction::CancelTarget(id));
+                self.finish(now, id, ResultCode::DeadlineDuring);
+            }
             RecordPhase::Following => self.finish(now, id, ResultCode::DeadlineDuring),
             RecordPhase::Running | RecordPhase::Claiming | RecordPhase::Done(_) => {}
         }
--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -27,6 +27,7 @@
         }
         if record.submit.suspect || verdict == SuspectVerdict::Suspect {
             self.alone = Some(id);
+            self.held_at = now;
             if self.busy > 0 {
                 return self.actions.push(LedgerAction::Hold(id));
             }
--- a/core/tests/request_ledger.rs
+++ b/core/tests/request_ledger.rs
@@ -274,3 +274,35 @@
     End(EndFrame { id: RequestId(1), code: LinkLost, length: 0 }) on 1
     "#);
 }
+
+#[test]
+fn work_that_hangs_past_its_deadline_gives_its_place_back() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, false, false));
+    agent.ready(1);
+    agent.lines.clear();
+    agent.later(Duration::from_secs(80));
+    assert_eq!(agent.ledger.running(), 1);
+    agent.later(Duration::from_secs(10));
+    assert_eq!(agent.ledger.running(), 0);
+    agent.answer(1);
+    insta::assert_snapshot!(agent.story(), @r#"
+    CancelTarget(RequestId(1))
+    End(EndFrame { id: RequestId(1), code: DeadlineDuring, length: 0 }) on 1
+    "#);
+}
+
+#[test]
+fn a_suspect_does_not_hold_the_others_up_for_long() {
+    let mut agent = TestAgent::new();
+    agent.frame(FIRST, submit(1, true, false));
+    agent.frame(FIRST, submit(2, true, true));
+    agent.ready(1);
+    agent.ready(2);
+    assert!(!agent.ledger.takes_turns());
+    agent.lines.clear();
+    agent.later(Duration::from_secs(4));
+    agent.later(Duration::from_secs(1));
+    assert!(agent.ledger.takes_turns());
+    insta::assert_snapshot!(agent.story(), @"End(EndFrame { id: RequestId(2), code: Overloaded, length: 0 }) on 1");
+}
