Test that only the holder of a key can release it

Cause: with one guard taken out at a time, the tests noticed all but this one in the log of a key: a release counts only with the nonce that holds the key. Conclusion: each guard of a claim's log has a test that needs it.

--- a/core/tests/request_parts.rs
+++ b/core/tests/request_parts.rs
@@ -3,7 +3,7 @@
 use buckthornwharf_core::config::PriorityClass;
 use buckthornwharf_core::frame::SubmitFrame;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::request::claim::{ClaimAction, ClaimEvent, ClaimKeeper};
+use buckthornwharf_core::request::claim::{ClaimAction, ClaimEvent, ClaimKeeper, ClaimValue};
 use buckthornwharf_core::request::limit::{
     AdmissionRequest, OrganisationLimit, OrganisationLimits,
 };
@@ -193,3 +193,42 @@
     ];
     insta::assert_compact_debug_snapshot!(lines, @r#"["create for 1", "1: Won", "create for 1", "", "create for 2"]"#);
 }
+
+/// The verdict on a request whose key has this log of nonces, each a claim or a release.
+fn verdict_on_log(log: &[(u128, bool)]) -> String {
+    let mut keeper = ClaimKeeper::new("host".into());
+    let mut last = claim(&mut keeper, ClaimEvent::Begin { submit: keyed(1, 7), nonce: 1 });
+    let id = RequestId(1);
+    for position in 0..=log.len() {
+        if last.starts_with("create") && position < log.len() {
+            last = claim(&mut keeper, ClaimEvent::Exists(id));
+        }
+        if last.starts_with("create") {
+            last = claim(&mut keeper, ClaimEvent::Created(id));
+        }
+        if !last.starts_with("read") {
+            break;
+        }
+        let value = log.get(position).map(|(nonce, is_release)| {
+            let host = "other".into();
+            ClaimValue { nonce: *nonce, is_release: *is_release, id: RequestId(2), host }.encode()
+        });
+        last = claim(&mut keeper, ClaimEvent::Read { id, value });
+    }
+    last
+}
+
+#[test]
+fn a_log_gives_the_key_to_one_holder_at_a_time() {
+    let (claimed, released) = (false, true);
+    let logs: [&[(u128, bool)]; 6] = [
+        &[],
+        &[(2, claimed)],
+        &[(2, claimed), (2, released)],
+        &[(2, claimed), (3, released)],
+        &[(2, released)],
+        &[(2, claimed), (2, released), (3, claimed)],
+    ];
+    let verdicts = logs.map(verdict_on_log);
+    insta::assert_compact_debug_snapshot!(verdicts, @r#"["1: Won", "1: Refused(AlreadyClaimed)", "1: Won", "1: Refused(AlreadyClaimed)", "1: Won", "1: Refused(AlreadyClaimed)"]"#);
+}
