--- a/benches/requests/cost.rs
+++ b/benches/requests/cost.rs
@@ -1,8 +1,8 @@
 //! What one decision costs.
 
 use crate::fleet::host_record;
+use crate::policy::target_state;
 use buckthornwharf_core::config::{ConfigDocument, PriorityClass};
-use buckthornwharf_core::frame::TargetState;
 use buckthornwharf_core::membership::HostRole;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::routing::{
@@ -38,7 +38,7 @@
     let mut rng = StdRng::seed_from_u64(1);
     for number in 0..targets {
         let host = HostName::from(format!("agent-{number:04}"));
-        picker.on_state(MonoTime::ZERO, &host, &site, &state(&service));
+        picker.on_state(MonoTime::ZERO, &host, &site, &target_state(&service, 0, 0));
     }
     let start = Instant::now();
     for step in 0..STEPS {
@@ -61,19 +61,6 @@
     start.elapsed().as_nanos() as f64 / STEPS as f64
 }
 
-fn state(service: &ServiceName) -> TargetState {
-    TargetState {
-        service: service.clone(),
-        serving: Some(VersionDigest::from_bytes([1; 32])),
-        accepting: true,
-        leaving: false,
-        running: 0,
-        waiting: 0,
-        waiting_tokens: 0,
-        serving_for_ms: 600_000,
-    }
-}
-
 /// Nanoseconds of a push, a pop and the note that the work ended, with 1,000 requests waiting.
 fn queue_nanos(organisations: u64) -> f64 {
     let limits = QueueLimits { max_items: 2_000, max_tokens: u64::MAX };
--- a/benches/requests/model.rs
+++ b/benches/requests/model.rs
@@ -1,9 +1,8 @@
-//! Entries, agents and engines in virtual time, round the product's own decisions.
+//! Entries, links and engines in virtual time, round the product's own decisions.
 
 use crate::fleet::{ModelSetup, SLOWNESS, TargetFate};
-use crate::policy::{AgentQueue, EntryPolicy, PolicyKind, Submission};
+use crate::policy::{AgentQueue, EntryPolicy, PolicyKind, Submission, target_state};
 use crate::workload::{ModelRequest, Workload};
-use buckthornwharf_core::frame::TargetState;
 use buckthornwharf_core::prelude::*;
 use hdrhistogram::Histogram;
 use rand::SeedableRng;
@@ -11,9 +10,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
-/// Pace of the agents' reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
-/// One-way time within a site and between sites.
 const NEAR_LATENCY: Duration = Duration::from_millis(1);
 const FAR_LATENCY: Duration = Duration::from_millis(2);
 /// Prefixes that an engine caches.
@@ -42,22 +39,18 @@
 }
 
 struct ModelAgent {
-    host: HostName,
-    site: SiteName,
-    fate: TargetFate,
     queue: AgentQueue,
     running: u32,
     cache: VecDeque<u64>,
-    served_tokens: u64,
 }
 
 /// What a run showed.
 pub struct ModelResult {
     pub good_tokens: Vec<u64>,
+    pub served_tokens: Vec<u64>,
     pub first_token: Histogram<u64>,
     pub requests: u64,
     pub attempts: u64,
-    pub served_tokens: Vec<u64>,
     pub cache_hits: u64,
 }
 
@@ -79,16 +72,9 @@
 impl<'a> ModelRun<'a> {
     /// Runs `setup` under `policy` to its end.
     pub fn run(setup: &'a ModelSetup, policy: PolicyKind) -> ModelResult {
-        let agents = setup.agents.iter().map(|(host, site, fate)| ModelAgent {
-            host: host.clone(),
-            site: site.clone(),
-            fate: *fate,
-            queue: AgentQueue::new(policy),
-            running: 0,
-            cache: VecDeque::new(),
-            served_tokens: 0,
-        });
-        let entries = (0..setup.entries.len()).map(|entry| EntryPolicy::new(policy, setup, entry));
+        let agent =
+            || ModelAgent { queue: AgentQueue::new(policy), running: 0, cache: VecDeque::new() };
+        let first_token = Histogram::new_with_bounds(1, 60_000_000, 3);
         let mut run = Self {
             setup,
             now: MonoTime::ZERO,
@@ -96,39 +82,31 @@
             event_count: 0,
             rng: StdRng::seed_from_u64(setup.seed),
             workload: Workload::new(setup),
-            entries: entries.collect(),
-            agents: agents.collect(),
+            entries: (0..setup.entries.len())
+                .map(|at| EntryPolicy::new(policy, setup, at))
+                .collect(),
+            agents: setup.agents.iter().map(|_| agent()).collect(),
             requests: Vec::new(),
             attempts: Vec::new(),
             result: ModelResult {
                 good_tokens: vec![0; setup.demands.len()],
-                first_token: Histogram::new_with_bounds(1, 60_000_000, 3)
-                    .expect("three digits are supported"),
+                served_tokens: vec![0; setup.agents.len()],
+                first_token: first_token.expect("the bounds are valid"),
                 requests: 0,
                 attempts: 0,
-                served_tokens: Vec::new(),
                 cache_hits: 0,
             },
         };
-        run.play();
-        run.result.served_tokens = run.agents.iter().map(|agent| agent.served_tokens).collect();
-        run.result
-    }
-
-    fn play(&mut self) {
-        for agent in 0..self.agents.len() {
-            self.report(agent);
-        }
-        for organisation in 0..self.setup.demands.len() {
-            self.schedule_arrival(organisation);
-        }
-        while let Some(Reverse((at, _, event))) = self.events.pop() {
-            if at > MonoTime::ZERO + self.setup.span {
-                return;
+        (0..setup.agents.len()).for_each(|agent| run.report(agent));
+        (0..setup.demands.len()).for_each(|organisation| run.schedule_arrival(organisation));
+        while let Some(Reverse((at, _, event))) = run.events.pop() {
+            if at > MonoTime::ZERO + setup.span {
+                break;
             }
-            self.now = at;
-            self.step(event);
+            run.now = at;
+            run.step(event);
         }
+        run.result
     }
 
     fn step(&mut self, event: ModelEvent) {
@@ -156,9 +134,8 @@
     fn arrive(&mut self, organisation: usize) {
         self.schedule_arrival(organisation);
         let request = self.workload.request(organisation, self.now);
-        let entry = request.entry;
+        self.entries[request.entry].note_request();
         self.requests.push(request);
-        self.entries[entry].note_request();
         self.result.requests += 1;
         let request = self.requests.len() - 1;
         self.schedule(self.setup.patience, ModelEvent::Deadline(request));
@@ -172,19 +149,17 @@
             request.is_over = true;
             return;
         };
+        let is_blind = entry.is_blind();
         request.attempts += 1;
         self.result.attempts += 1;
-        self.attempts.push(ModelAttempt {
-            request: at,
-            agent,
-            sent_at: self.now,
-            first_token: self.now,
-            is_over: false,
-            is_running: false,
-        });
+        let (sent_at, first_token) = (self.now, self.now);
+        let (is_over, is_running) = (false, false);
+        let attempt =
+            ModelAttempt { request: at, agent, sent_at, first_token, is_over, is_running };
+        self.attempts.push(attempt);
         let attempt = self.attempts.len() - 1;
         self.schedule(self.latency(attempt), ModelEvent::Deliver(attempt));
-        if self.entries[self.requests[at].entry].is_blind() {
+        if is_blind {
             self.schedule(BLIND_TIMEOUT, ModelEvent::BlindTimeout(attempt));
         }
     }
@@ -192,29 +167,25 @@
     fn latency(&self, attempt: usize) -> Duration {
         let attempt = &self.attempts[attempt];
         let entry = &self.setup.entries[self.requests[attempt.request].entry];
-        if entry.1 == self.agents[attempt.agent].site { NEAR_LATENCY } else { FAR_LATENCY }
+        let is_near = entry.1 == self.setup.agents[attempt.agent].1;
+        if is_near { NEAR_LATENCY } else { FAR_LATENCY }
     }
 
     fn deliver(&mut self, attempt: usize) {
         let agent = self.attempts[attempt].agent;
-        if self.agents[agent].fate == TargetFate::Dead {
-            self.answer(attempt, ResultCode::TargetFailed);
-            return;
-        }
-        let request = &self.requests[self.attempts[attempt].request];
-        let submission = Submission::new(attempt, request);
-        for (refused, code) in self.agents[agent].queue.push(self.now, submission) {
-            self.answer(refused, code);
+        if self.setup.agents[agent].2 == TargetFate::Dead {
+            return self.answer(attempt, ResultCode::TargetFailed);
         }
+        let submission = Submission::new(attempt, &self.requests[self.attempts[attempt].request]);
+        let refused = self.agents[agent].queue.push(self.now, submission);
+        refused.into_iter().for_each(|(attempt, code)| self.answer(attempt, code));
         self.fill_slots(agent);
     }
 
     fn fill_slots(&mut self, agent: usize) {
         while self.agents[agent].running < self.setup.slots {
             let (next, refused) = self.agents[agent].queue.pop(self.now);
-            for (attempt, code) in refused {
-                self.answer(attempt, code);
-            }
+            refused.into_iter().for_each(|(attempt, code)| self.answer(attempt, code));
             let Some(attempt) = next else { return };
             self.start(attempt, agent);
         }
@@ -222,14 +193,14 @@
 
     fn start(&mut self, attempt: usize, agent: usize) {
         let request = &self.requests[self.attempts[attempt].request];
-        let target = &mut self.agents[agent];
-        let slowness = if target.fate == TargetFate::Slow { SLOWNESS } else { 1 };
-        let hit = target.cache.contains(&request.prefix);
+        let slowness = if self.setup.agents[agent].2 == TargetFate::Slow { SLOWNESS } else { 1 };
+        let engine = &mut self.agents[agent];
+        let hit = engine.cache.contains(&request.prefix);
         self.result.cache_hits += u64::from(hit);
-        target.cache.retain(|prefix| *prefix != request.prefix);
-        target.cache.push_front(request.prefix);
-        target.cache.truncate(CACHED_PREFIXES);
-        target.running += 1;
+        engine.cache.retain(|prefix| *prefix != request.prefix);
+        engine.cache.push_front(request.prefix);
+        engine.cache.truncate(CACHED_PREFIXES);
+        engine.running += 1;
         let (prefill, decode) = request.work(hit);
         self.attempts[attempt].first_token = self.now + prefill * slowness;
         self.attempts[attempt].is_running = true;
@@ -241,11 +212,9 @@
         if !attempt.is_running {
             return;
         }
-        let agent = attempt.agent;
-        let request = &self.requests[attempt.request];
-        self.agents[agent].served_tokens += u64::from(request.tokens());
-        let actual = request.tokens();
-        self.free_slot(at, actual);
+        let tokens = self.requests[attempt.request].tokens();
+        self.result.served_tokens[attempt.agent] += u64::from(tokens);
+        self.free_slot(at, tokens);
         self.answer(at, ResultCode::Ok);
     }
 
@@ -272,18 +241,17 @@
         if request.is_over {
             return;
         }
+        request.is_over = true;
         if code == ResultCode::Ok {
-            request.is_over = true;
             self.result.good_tokens[request.organisation] += u64::from(request.tokens());
             let first_token = attempt.first_token.since(request.arrived).as_micros() as u64;
             self.result.first_token.saturating_record(first_token);
         } else if entry.may_retry(request) {
-            let (retried, agent) = (attempt.request, attempt.agent);
-            request.avoid.push(self.agents[agent].host.clone());
+            request.is_over = false;
+            request.avoid.push(self.setup.agents[attempt.agent].0.clone());
             request.last_code = Some(code);
+            let retried = attempt.request;
             self.submit(retried);
-        } else {
-            request.is_over = true;
         }
     }
 
@@ -292,10 +260,9 @@
         if std::mem::replace(&mut self.requests[at].is_over, true) {
             return;
         }
-        let Some(last) = self.attempts.iter().rposition(|attempt| attempt.request == at) else {
-            return;
-        };
-        if self.entries[self.requests[at].entry].is_blind() || self.attempts[last].is_over {
+        let last = self.attempts.iter().rposition(|attempt| attempt.request == at);
+        let Some(last) = last.filter(|last| !self.attempts[*last].is_over) else { return };
+        if self.entries[self.requests[at].entry].is_blind() {
             return;
         }
         self.outcome(last, ResultCode::DeadlineDuring);
@@ -309,26 +276,16 @@
         let attempt = &self.attempts[at];
         let request = &self.requests[attempt.request];
         let waits = !attempt.is_over && !request.is_over;
-        if waits && self.entries[request.entry].may_retry(&self.requests[attempt.request]) {
-            self.submit(self.attempts[at].request);
+        if waits && self.entries[request.entry].may_retry(request) {
+            self.submit(attempt.request);
         }
     }
 
     fn report(&mut self, at: usize) {
         self.schedule(REPORT_INTERVAL, ModelEvent::Report(at));
         let agent = &self.agents[at];
-        let state = TargetState {
-            service: self.setup.service.clone(),
-            serving: Some(VersionDigest::from_bytes([1; 32])),
-            accepting: true,
-            leaving: false,
-            running: agent.running,
-            waiting: agent.queue.len() as u32,
-            waiting_tokens: 0,
-            serving_for_ms: 600_000,
-        };
-        for entry in &mut self.entries {
-            entry.on_state(self.now, at, &agent.host, &agent.site, &state);
-        }
+        let state = target_state(&self.setup.service, agent.running, agent.queue.len());
+        let (host, site, _) = &self.setup.agents[at];
+        self.entries.iter_mut().for_each(|entry| entry.on_state(self.now, at, host, site, &state));
     }
 }
--- a/benches/requests/policy.rs
+++ b/benches/requests/policy.rs
@@ -258,3 +258,17 @@
 fn refused_attempts(refused: Vec<RefusedItem>) -> Vec<RefusedAttempt> {
     refused.into_iter().map(|refused| (refused.item.id.0 as usize, refused.code)).collect()
 }
+
+/// What an agent reports of a target that has long served.
+pub fn target_state(service: &ServiceName, running: u32, waiting: usize) -> TargetState {
+    TargetState {
+        service: service.clone(),
+        serving: Some(VersionDigest::from_bytes([1; 32])),
+        accepting: true,
+        leaving: false,
+        running,
+        waiting: waiting as u32,
+        waiting_tokens: 0,
+        serving_for_ms: 600_000,
+    }
+}
