--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -12,7 +12,7 @@
 
 pub use client::{FleetClient, HttpReply, StreamReply};
 pub use node::{AgentNode, AgentPlan, EntryNode, PlatformPlaces};
-pub use platform::{StandinProcess, StandinProgram};
+pub use platform::{RelayProcess, StandinProcess, StandinProgram};
 pub use process::{FleetProcess, ReadyAddresses};
 pub use sample::{
     CHAT_PATH, ENGINE_SERVICE, ORGANISATION_KEY, PLAIN_PATH, PLAIN_SERVICE, SAMPLE_SITES,
--- a/standin/src/fleet/platform.rs
+++ b/standin/src/fleet/platform.rs
@@ -21,6 +21,15 @@
     pub address: SocketAddr,
 }
 
+/// A relay that runs.
+#[derive(Debug)]
+pub struct RelayProcess {
+    /// The stand-in, whose address takes the switches.
+    pub standin: StandinProcess,
+    /// Where it takes connections.
+    pub address: SocketAddr,
+}
+
 impl StandinProgram {
     /// The stand-ins of `program`, with their output in `folder`.
     pub fn new(program: &Path, folder: &Path) -> Self {
--- a/standin/src/fleet/system.rs
+++ b/standin/src/fleet/system.rs
@@ -2,8 +2,9 @@
 
 use super::client::FleetClient;
 use super::node::{AgentNode, AgentPlan, EntryNode, PlatformPlaces};
-use super::platform::{StandinProcess, StandinProgram};
+use super::platform::{RelayProcess, StandinProcess, StandinProgram};
 use super::process::FleetProcess;
+use crate::relay::RelayCounts;
 use anyhow::{Context, Result, bail};
 use buckthornwharf_core::membership::{HostPhase, HostRecord};
 use buckthornwharf_core::prelude::*;
@@ -11,6 +12,7 @@
 use std::cell::Cell;
 use std::ffi::OsStr;
 use std::fs::{create_dir, write};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use tempfile::TempDir;
 
@@ -95,6 +97,18 @@
         self.standins.start(name, "plain", &[]).await
     }
 
+    /// Starts a relay to `to`.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the log of the relay where it does not get ready.
+    pub async fn start_relay(&self, name: &str, to: SocketAddr) -> Result<RelayProcess> {
+        let target = to.to_string();
+        let standin = self.standins.start(name, "relay", &["--to", &target]).await?;
+        let counts: RelayCounts = self.client.counts(standin.address).await?;
+        Ok(RelayProcess { standin, address: counts.address })
+    }
+
     /// Starts an entry and adds it to the list of hosts.
     ///
     /// # Errors
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod kv;
 pub mod outage;
 pub mod plain;
+pub mod relay;
 pub mod runs;
 pub mod server;
 pub mod store;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -6,6 +6,7 @@
 use buckthornwharf_standin::hosts::HostsService;
 use buckthornwharf_standin::kv::KvService;
 use buckthornwharf_standin::plain::PlainService;
+use buckthornwharf_standin::relay::RelayService;
 use buckthornwharf_standin::server::{ConnectionTable, serve_role};
 use buckthornwharf_standin::store::StoreService;
 use std::net::SocketAddr;
@@ -48,6 +49,15 @@
         #[bpaf(external)]
         listen: SocketAddr,
     },
+    /// A relay to another process; its counters tell where it takes connections.
+    #[bpaf(command)]
+    Relay {
+        #[bpaf(external)]
+        listen: SocketAddr,
+        /// The process that connections lead to.
+        #[bpaf(argument("ADDRESS"))]
+        to: SocketAddr,
+    },
 }
 
 /// What an engine is started with.
@@ -110,6 +120,9 @@
             let service = PlainService::new(connections.clone());
             serve_role(service, listen, connections).await
         }
+        StandinCommand::Relay { listen, to } => {
+            serve_role(RelayService::start(to).await?, listen, connections).await
+        }
     }
 }
 
--- /dev/null
+++ b/standin/src/relay.rs
@@ -0,0 +1,215 @@
+//! A relay between two processes whose connections can be silenced, cut or delayed.
+
+use crate::call::{CallAnswer, CallError, HttpCall, unknown_call};
+use crate::server::StandinRole;
+use crate::switches::patch_switches;
+use actix_rt::net::{TcpListener, TcpStream};
+use anyhow::Result;
+use buckthornwharf_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::future::pending;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::task::AbortHandle;
+use tokio::time::sleep;
+
+/// Bytes that are passed on at once.
+const PART_BYTES: usize = 16 * 1024;
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The direction in which open connections go silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SilenceMode {
+    /// None.
+    #[default]
+    Off,
+    /// Both.
+    Both,
+    /// From the side that connected to the other one.
+    Forward,
+    /// Back to the side that connected.
+    Back,
+}
+
+/// Fault switches of a relay.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySwitches {
+    /// Silences the connections that are open now, for good: neither bytes nor their ends pass.
+    /// Connections that are opened later work.
+    pub silence: SilenceMode,
+    /// Closes the connections that are open now.
+    pub cut: bool,
+    /// Milliseconds by which each part is late.
+    pub delay_ms: u64,
+}
+
+/// Counters of a relay.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayCounts {
+    /// Where the relay takes connections.
+    pub address: SocketAddr,
+    /// Connections that were opened.
+    pub opened: u64,
+    /// Connections that were silenced.
+    pub silenced: u64,
+    /// Connections that were cut.
+    pub cut: u64,
+}
+
+/// Which directions of a connection are silent.
+#[derive(Debug, Default)]
+struct SilentWays {
+    forward: Cell<bool>,
+    back: Cell<bool>,
+}
+
+#[derive(Debug)]
+struct OpenConnection {
+    silent: Rc<SilentWays>,
+    task: AbortHandle,
+}
+
+/// A relay to one address.
+#[derive(Debug)]
+pub struct RelayService {
+    target: SocketAddr,
+    switches: RefCell<RelaySwitches>,
+    open: RefCell<Vec<OpenConnection>>,
+    counts: RefCell<RelayCounts>,
+}
+
+impl SilentWays {
+    fn is_any(&self) -> bool {
+        self.forward.get() || self.back.get()
+    }
+
+    fn add(&self, mode: SilenceMode) {
+        let is_both = mode == SilenceMode::Both;
+        self.forward.set(self.forward.get() || is_both || mode == SilenceMode::Forward);
+        self.back.set(self.back.get() || is_both || mode == SilenceMode::Back);
+    }
+}
+
+impl RelayService {
+    /// Starts a relay to `target` on a free port of loopback.
+    ///
+    /// # Errors
+    ///
+    /// Fails where no port can be bound.
+    pub async fn start(target: SocketAddr) -> Result<Rc<Self>> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let counts = RelayCounts { address, opened: 0, silenced: 0, cut: 0 };
+        let relay = Rc::new(Self {
+            target,
+            switches: RefCell::default(),
+            open: RefCell::default(),
+            counts: RefCell::new(counts),
+        });
+        actix_rt::spawn(relay.clone().accept(listener));
+        Ok(relay)
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((near, _)) = listener.accept().await else {
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            let silent = Rc::new(SilentWays::default());
+            let task = actix_rt::spawn(self.clone().relay(near, silent.clone())).abort_handle();
+            self.counts.borrow_mut().opened += 1;
+            let mut open = self.open.borrow_mut();
+            open.retain(|connection| !connection.task.is_finished());
+            open.push(OpenConnection { silent, task });
+        }
+    }
+
+    async fn relay(self: Rc<Self>, near: TcpStream, silent: Rc<SilentWays>) {
+        let Ok(far) = TcpStream::connect(self.target).await else { return };
+        if near.set_nodelay(true).is_err() || far.set_nodelay(true).is_err() {
+            return;
+        }
+        let (near_reader, near_writer) = near.into_split();
+        let (far_reader, far_writer) = far.into_split();
+        tokio::select! {
+            () = self.copy(near_reader, far_writer, &silent, &silent.forward) => {}
+            () = self.copy(far_reader, near_writer, &silent, &silent.back) => {}
+        }
+    }
+
+    /// Passes on one direction until it ends. The end of a connection that is silent either way is
+    /// kept from the other side.
+    async fn copy(
+        &self,
+        mut reader: impl AsyncRead + Unpin,
+        mut writer: impl AsyncWrite + Unpin,
+        silent: &SilentWays,
+        is_silent: &Cell<bool>,
+    ) {
+        let mut part = vec![0; PART_BYTES];
+        loop {
+            let length = reader.read(&mut part).await.unwrap_or(0);
+            let delay_ms = self.switches.borrow().delay_ms;
+            if delay_ms > 0 {
+                sleep(Duration::from_millis(delay_ms)).await;
+            }
+            let is_over = length == 0 && silent.is_any();
+            if is_silent.get() || is_over {
+                pending::<()>().await;
+            }
+            if length == 0 || writer.write_all(&part[..length]).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn silence(&self, mode: SilenceMode) {
+        for OpenConnection { silent, task } in &*self.open.borrow() {
+            if task.is_finished() {
+                continue;
+            }
+            silent.add(mode);
+            self.counts.borrow_mut().silenced += 1;
+        }
+    }
+
+    fn cut(&self) {
+        for connection in std::mem::take(&mut *self.open.borrow_mut()) {
+            connection.task.abort();
+            self.counts.borrow_mut().cut += 1;
+        }
+    }
+}
+
+impl StandinRole for RelayService {
+    const NAME: &'static str = "relay";
+    const MAX_BODY_BYTES: usize = PART_BYTES;
+
+    async fn answer(self: Rc<Self>, call: HttpCall) -> Result<CallAnswer, CallError> {
+        Err(unknown_call(&call))
+    }
+
+    fn patch_switches(&self, patch: &[u8]) -> Result<(), CallError> {
+        let mut switches = self.switches.borrow_mut();
+        patch_switches(&mut *switches, patch)?;
+        let silence = std::mem::take(&mut switches.silence);
+        if silence != SilenceMode::Off {
+            self.silence(silence);
+        }
+        if std::mem::take(&mut switches.cut) {
+            self.cut();
+        }
+        Ok(())
+    }
+
+    fn counts(&self) -> Value {
+        json!(*self.counts.borrow())
+    }
+}
