--- a/tests/requests/proof_fleet.rs
+++ b/tests/requests/proof_fleet.rs
@@ -6,7 +6,7 @@
 use buckthornwharf_standin::engine::EngineCounts;
 use buckthornwharf_standin::fleet::{RelayProcess, SampleFleet, wait_until};
 use buckthornwharf_standin::runs::RunCounts;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
 use tokio::sync::{Semaphore, SemaphorePermit};
