--- a/tests/config.rs
+++ b/tests/config.rs
@@ -185,7 +185,10 @@
 
 impl ConfigFleet {
     async fn start() -> Result<Self> {
-        let system = FleetSystem::start(product()).await?;
+        Self::start_on(FleetSystem::start(product()).await?).await
+    }
+
+    async fn start_on(system: FleetSystem) -> Result<Self> {
         let plain = system.start_plain("plain").await?;
         let mut fleet = Self { system, plain, entries: Vec::new(), agents: Vec::new() };
         for site in SAMPLE_SITES {
@@ -321,6 +324,26 @@
     fleet.wait_for_all(2).await
 }
 
+#[actix_rt::test]
+async fn watches_that_went_silent_are_replaced() -> Result<()> {
+    let mut system = FleetSystem::start(product()).await?;
+    let direct = system.kv.address;
+    let relay = system.start_relay("relay-kv", direct).await?;
+    system.kv.address = relay.address;
+    let mut fleet = ConfigFleet::start_on(system).await?;
+    fleet.system.kv.address = direct;
+    fleet.apply(1).await?;
+    fleet.wait_for_all(1).await?;
+    let watching = fleet.records().len() as u64;
+    let is_watched =
+        async || counts(&fleet.system).await.is_ok_and(|now| now.waiting_watches == watching);
+    wait_until("every process watches", LIMIT, is_watched).await?;
+    let silence = json!({ "silence": "both" });
+    fleet.system.client.set_faults(relay.standin.address, &silence).await?;
+    fleet.apply(2).await?;
+    fleet.wait_for_all(2).await
+}
+
 fn kv_client(system: &FleetSystem) -> KvClient {
     KvClient::new(system.kv.address)
 }
