Remember ids by their deadlines, and prove nothing after a long silence

Cause: each id was remembered for 20 minutes, so an agent with more than about 105 requests a second would have refused everything as overloaded after that time. Ids are now remembered until a minute past their deadlines. A minute is enough for entries whose clocks run; one that was suspended with its clock has lost its link, so "never seen" is said only within 30 s of that loss.

Ruled out: a larger memory (64 bits of clock and id for each request of 20 minutes), and sequences for each entry (a change of every frame).

Conclusion: the memory of ids bounds an agent at about 1,000 requests a second with deadlines of a minute.

--- a/core/src/request/claim.rs
+++ b/core/src/request/claim.rs
@@ -231,9 +231,10 @@
         let waiting = std::mem::take(&mut claim.waiting);
         self.settle(id, ClaimVerdict::Won);
         for joined in waiting {
-            let verdict = match joined.fingerprint == fingerprint {
-                true => ClaimVerdict::Join(id),
-                false => ClaimVerdict::Refused(ResultCode::AlreadyClaimed),
+            let verdict = if joined.fingerprint == fingerprint {
+                ClaimVerdict::Join(id)
+            } else {
+                ClaimVerdict::Refused(ResultCode::AlreadyClaimed)
             };
             self.settle(joined.id, verdict);
         }
@@ -279,7 +280,9 @@
             let next = claim.waiting.remove(0);
             claim.restart(&next);
         }
-        released.map(|id| self.keys.remove(&id));
+        if let Some(id) = released {
+            self.keys.remove(&id);
+        }
         self.call(now, key);
     }
 
--- a/core/src/request/id_book.rs
+++ b/core/src/request/id_book.rs
@@ -1,25 +1,16 @@
-//! A bounded memory of ids, by age.
+//! A bounded memory of ids, each until a time of its own.
 
-use super::MAX_REQUEST_DEADLINE;
 use crate::prelude::*;
-use std::collections::VecDeque;
 
-/// Time that ids are remembered at least: no question about a request comes later than its deadline
-/// and the time to resolve it.
-const MIN_ID_AGE: Duration = Duration::from_mins(2 * MAX_REQUEST_DEADLINE.as_secs() / 60);
-const SLICE_AGE: Duration = Duration::from_mins(1);
+const SLICE_SPAN: Duration = Duration::from_mins(1);
 
-#[derive(Debug)]
-struct IdSlice {
-    started: MonoTime,
-    ids: Vec<RequestId>,
-}
-
-/// Remembers ids for at least twice the longest deadline. Each slice of time has its own sorted
-/// vector, so an insertion moves few ids and expiry drops whole slices.
+/// Remembers ids at least until a time that is told for each. The ids whose times lie within one
+/// slice have a sorted vector of their own, so an insertion moves few ids and expiry drops whole
+/// slices.
 #[derive(Debug)]
 pub(super) struct IdBook {
-    slices: VecDeque<IdSlice>,
+    /// Ids by the end of their slice.
+    slices: SortedTable<MonoTime, Vec<RequestId>>,
     len: usize,
     capacity: usize,
 }
@@ -27,25 +18,25 @@
 impl IdBook {
     /// An empty book for at most `capacity` ids.
     pub fn new(capacity: usize) -> Self {
-        Self { slices: VecDeque::new(), len: 0, capacity }
+        Self { slices: SortedTable::new(), len: 0, capacity }
     }
 
     /// Whether `id` is remembered.
     pub fn contains(&self, id: RequestId) -> bool {
-        self.slices.iter().any(|slice| slice.ids.binary_search(&id).is_ok())
+        self.slices.values().any(|ids| ids.binary_search(&id).is_ok())
     }
 
-    /// Remembers `id` from now on; `false` if the book is full and the id is not in it.
+    /// Remembers `id` until `until`; `false` if the book is full and the id is not in it.
     #[must_use]
-    pub fn insert(&mut self, now: MonoTime, id: RequestId) -> bool {
-        if self.contains(id) {
+    pub fn insert(&mut self, now: MonoTime, id: RequestId, until: MonoTime) -> bool {
+        if until <= now || self.contains(id) {
             return true;
         }
         self.expire(now);
         if self.len == self.capacity {
             return false;
         }
-        let ids = self.current_slice(now);
+        let ids = self.slices.get_or_insert_with(slice_end(until), Vec::new);
         let Err(at) = ids.binary_search(&id) else { return true };
         ids.insert(at, id);
         self.len += 1;
@@ -57,20 +48,14 @@
         self.len
     }
 
-    /// Drops the ids that are old enough.
+    /// Drops the ids whose time is over.
     pub fn expire(&mut self, now: MonoTime) {
-        let is_old = |slice: &IdSlice| now.since(slice.started) > MIN_ID_AGE + SLICE_AGE;
-        while self.slices.front().is_some_and(is_old) {
-            self.len -= self.slices.pop_front().map_or(0, |slice| slice.ids.len());
-        }
+        self.slices.retain(|end, _| *end > now);
+        self.len = self.slices.values().map(Vec::len).sum();
     }
+}
 
-    fn current_slice(&mut self, now: MonoTime) -> &mut Vec<RequestId> {
-        let is_current = |slice: &IdSlice| now.since(slice.started) < SLICE_AGE;
-        if !self.slices.back().is_some_and(is_current) {
-            self.slices.push_back(IdSlice { started: now, ids: Vec::new() });
-        }
-        let last = self.slices.len() - 1;
-        &mut self.slices[last].ids
-    }
+fn slice_end(until: MonoTime) -> MonoTime {
+    let span = u64::try_from(SLICE_SPAN.as_micros()).unwrap_or(u64::MAX);
+    MonoTime::from_micros(until.as_micros().div_ceil(span).saturating_mul(span))
 }
--- a/core/src/request/ledger.rs
+++ b/core/src/request/ledger.rs
@@ -32,15 +32,26 @@
 pub const MAX_RECENT_BYTES: u64 = 16 * 1024 * 1024;
 /// Most ended requests whose answers are kept.
 pub const MAX_RECENT_ANSWERS: usize = 4_096;
+/// Time past its deadline that an ended request's id is remembered. Its entry asks about it no later
+/// than at the deadline, and believes no answer that comes after it.
+pub const ID_GRACE: Duration = Duration::from_mins(1);
+/// Time from the loss of an entry's link in which "never seen" may be said on its next one. Shorter
+/// than [`ID_GRACE`], by more than an entry may be silent before its link counts as lost.
+pub const VOUCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Most runs of entries whose last lost link is remembered.
+const MAX_ENTRY_RUNS: usize = 1_024;
 /// Most ids that are remembered as run or barred, each.
 pub const MAX_REMEMBERED_IDS: usize = 1 << 17;
 
+/// One run of an entry's process.
+type EntryRun = (HostName, HostIncarnation);
+
 /// The agent's side of the requests of all entries.
 ///
 /// - An id is dispatched at most once, whatever is doubled, late or crossed.
 /// - An id for which "never seen" or a refusal was said is never dispatched after it: the id is
-///   remembered for at least twice the longest deadline, and a request that comes on a link which a
-///   newer one of the same entry has superseded is ignored, however late.
+///   remembered past its deadline, which is the longest one if it is not known, and a request that
+///   comes on a link which a newer one of the same entry has superseded is ignored, however late.
 /// - The loss of a link stops nothing at once; the entry may ask on its next link and gets the
 ///   answer from the position it has.
 /// - What must not be repeated is not cancelled once it was dispatched, unless it hangs for
@@ -49,7 +60,8 @@
 ///   is refused. The ledger tells all entries, and passes on what they tell.
 #[derive(Debug)]
 pub struct RequestLedger {
-    links: SortedTable<LinkId, (HostName, HostIncarnation)>,
+    links: SortedTable<LinkId, EntryRun>,
+    links_lost: SortedTable<EntryRun, MonoTime>,
     records: SortedTable<RequestId, Box<RequestRecord>>,
     recent: VecDeque<(MonoTime, RequestId)>,
     recent_bytes: u64,
@@ -66,6 +78,7 @@
     fn default() -> Self {
         Self {
             links: SortedTable::new(),
+            links_lost: SortedTable::new(),
             records: SortedTable::new(),
             recent: VecDeque::new(),
             recent_bytes: 0,
@@ -189,11 +202,12 @@
     fn forget(&mut self, now: MonoTime, id: RequestId) {
         let Some(record) = self.records.remove(&id) else { return };
         self.recent_bytes -= record.answer.held_bytes();
+        let until = record.deadline + ID_GRACE;
         let is_barred = record.result().is_some_and(|code| code.class() == OutcomeClass::NotRun)
-            && self.barred.insert(now, id);
+            && self.barred.insert(now, id, until);
         if !is_barred {
             // Room was kept when the request was taken.
-            let _ = self.forgotten.insert(now, id);
+            let _ = self.forgotten.insert(now, id, until);
         }
     }
 
--- a/core/src/request/ledger/inbound.rs
+++ b/core/src/request/ledger/inbound.rs
@@ -2,13 +2,13 @@
 
 use super::event::LedgerAction;
 use super::record::{RecordPhase, RequestRecord};
-use super::{MAX_REMEMBERED_IDS, RequestLedger};
+use super::{ID_GRACE, MAX_ENTRY_RUNS, MAX_REMEMBERED_IDS, RequestLedger, VOUCH_TIMEOUT};
 use crate::frame::{
     EndFrame, LinkFrame, RequestKnowledge, ResolveFrame, ResolvedFrame, SubmitFrame,
 };
 use crate::prelude::*;
-use crate::request::LinkId;
 use crate::request::poison::SuspectVerdict;
+use crate::request::{LinkId, MAX_REQUEST_DEADLINE};
 
 impl RequestLedger {
     pub(super) fn on_link_opened(
@@ -31,7 +31,10 @@
     }
 
     pub(super) fn on_link_lost(&mut self, now: MonoTime, link: LinkId) {
-        self.links.remove(&link);
+        if let Some(owner) = self.links.remove(&link) {
+            self.links_lost.insert(owner, now);
+            self.forget_oldest_loss();
+        }
         for record in self.records.values_mut() {
             if record.link == Some(link) {
                 record.lose_link(now);
@@ -103,16 +106,21 @@
 
     /// Refuses a request that the ledger does not know; "not run" only if the id can be barred.
     fn refuse_new(&mut self, now: MonoTime, link: LinkId, id: RequestId, code: ResultCode) {
-        let is_barred = self.barred.insert(now, id);
+        let is_barred = self.bar(now, id);
         let code = if is_barred { code } else { ResultCode::LinkLost };
         self.send_end(link, id, code);
     }
 
+    /// Bars an id whose deadline is not known; `false` if there is no room.
+    fn bar(&mut self, now: MonoTime, id: RequestId) -> bool {
+        self.barred.insert(now, id, now + MAX_REQUEST_DEADLINE + ID_GRACE)
+    }
+
     fn on_cancel(&mut self, now: MonoTime, id: RequestId) {
         let Some(record) = self.records.get_mut(&id) else {
             if !self.forgotten.contains(id) {
                 // Without room the request may still come and run, which its entry allows for.
-                let _ = self.barred.insert(now, id);
+                let _ = self.bar(now, id);
             }
             return;
         };
@@ -134,7 +142,8 @@
     fn on_resolve(&mut self, now: MonoTime, link: LinkId, resolve: ResolveFrame) {
         let ResolveFrame { id, has_head, position } = resolve;
         let Some(record) = self.records.get_mut(&id) else {
-            let is_barred = !self.forgotten.contains(id) && self.barred.insert(now, id);
+            let is_barred =
+                self.can_vouch(now, link) && !self.forgotten.contains(id) && self.bar(now, id);
             let knowledge =
                 if is_barred { RequestKnowledge::NeverSeen } else { RequestKnowledge::Forgotten };
             return self.send_resolved(link, id, knowledge);
@@ -152,6 +161,23 @@
         self.send_all(link, frames);
     }
 
+    /// Whether every request that came on earlier links of the same entry is still remembered. An
+    /// entry that was suspended with its clock may ask much later than it believes.
+    fn can_vouch(&self, now: MonoTime, link: LinkId) -> bool {
+        let lost_at = self.links.get(&link).and_then(|owner| self.links_lost.get(owner));
+        lost_at.is_none_or(|lost| now.since(*lost) <= VOUCH_TIMEOUT)
+    }
+
+    fn forget_oldest_loss(&mut self) {
+        if self.links_lost.len() <= MAX_ENTRY_RUNS {
+            return;
+        }
+        let oldest = self.links_lost.iter().min_by_key(|(_, lost)| **lost);
+        if let Some(owner) = oldest.map(|(owner, _)| owner.clone()) {
+            self.links_lost.remove(&owner);
+        }
+    }
+
     fn send_all(&mut self, link: LinkId, frames: Vec<LinkFrame>) {
         for frame in frames {
             self.send(Some(link), frame);
