Notice at once that a caller of a held answer went away

Cause: the HTTP server let callers close their sending half and go on reading, so a closed connection was not noticed while an answer was held for its result code; the engine worked on for nobody. Ruled out: the agent's cancellation (a streamed answer's run was cancelled). Before: the_work_of_a_caller_that_went_away_is_cancelled failed after 60 s with 'gone, streamed false'. After: it passes in 3.5 s. A caller that closes its sending half now counts as gone.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -37,6 +37,7 @@
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(HEAD_TIMEOUT)
         .tcp_nodelay(true)
+        .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || stopped(stop_signal.clone()))
         .finish(move |request: Request| {
             let answer = handler(request);
