--- a/core/tests/request_world.rs
+++ b/core/tests/request_world.rs
@@ -6,6 +6,8 @@
 mod faults;
 #[path = "request/hosts.rs"]
 mod hosts;
+#[path = "request/inject.rs"]
+mod inject;
 #[path = "request/keyed.rs"]
 mod keyed;
 #[path = "request/links.rs"]
@@ -16,5 +18,7 @@
 mod suspects;
 #[path = "request/verdict.rs"]
 mod verdict;
+#[path = "request/work.rs"]
+mod work;
 #[path = "request/world.rs"]
 mod world;
