Tell a connection that ended under a call from one that never opened

Cause: the HTTP client reports the end of a connection under a call as a failed connect (`Connect(Disconnected)`). The agent took that for "did not run": it saw no crash of its target where no byte of an answer had come, so suspects were never noted. The client of the key-value service took it for "no effect", so a claim whose answer was lost was refused.

Ruled out: the crash window and the retry budget; the agents' logs showed "no connection could be opened" for requests that the engine had counted as run.

Conclusion: `is_never_sent` holds the one rule, for both clients.

--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -2,6 +2,7 @@
 
 use super::answer_check::{AnswerChecker, AnswerFault, AnswerShape};
 use super::requests::AnswerEvent;
+use crate::platform::http::is_never_sent;
 use awc::http::{Method, StatusCode};
 use awc::{Client, ClientResponse, Connector};
 use buckthornwharf_core::frame::SubmitFrame;
@@ -167,9 +168,7 @@
             actix_rt::time::timeout(TARGET_SILENCE_LIMIT, request.send_body(frame.body.clone()));
         match sent.await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(
-                awc::error::SendRequestError::Connect(_) | awc::error::SendRequestError::Url(_),
-            )) => Err(TargetFailure::Unreachable),
+            Ok(Err(error)) if is_never_sent(&error) => Err(TargetFailure::Unreachable),
             Ok(Err(_)) => Err(TargetFailure::Broken),
             Err(_) => Err(TargetFailure::Silent),
         }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,7 +1,7 @@
 //! HTTP calls with a deadline for the whole call and a limit on the answer's body.
 
 use awc::Client;
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use std::time::Duration;
@@ -78,9 +78,18 @@
 }
 
 fn describe_send_error(error: SendRequestError) -> HttpError {
+    if is_never_sent(&error) {
+        return HttpError::Unreached(error.to_string());
+    }
+    HttpError::Broken(error.to_string())
+}
+
+/// Whether nothing of a call that failed with `error` can have reached the other side.
+pub fn is_never_sent(error: &SendRequestError) -> bool {
     match error {
-        SendRequestError::Connect(error) => HttpError::Unreached(error.to_string()),
-        SendRequestError::Url(error) => HttpError::Unreached(error.to_string()),
-        error => HttpError::Broken(error.to_string()),
+        // The client says so when a connection ends after the call was written to it.
+        SendRequestError::Connect(ConnectError::Disconnected) => false,
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        _ => false,
     }
 }
--- a/tests/requests.rs
+++ b/tests/requests.rs
@@ -9,6 +9,8 @@
 mod links;
 #[path = "requests/once.rs"]
 mod once;
+#[path = "requests/poison.rs"]
+mod poison;
 #[path = "requests/proof_fleet.rs"]
 mod proof_fleet;
 #[path = "requests/refusals.rs"]
--- a/tests/requests/once.rs
+++ b/tests/requests/once.rs
@@ -1,6 +1,6 @@
 //! Work that must not be repeated runs at most once, and did not run where the answer says so.
 
-use super::asked::{AskedRequest, code_of, says_not_run};
+use super::asked::{AskedRequest, class_of, code_of, says_not_run};
 use super::proof_fleet::{LIMIT, ProofFleet};
 use anyhow::Result;
 use buckthornwharf_core::prelude::*;
@@ -65,6 +65,10 @@
         self.fault(self.fleet.plain.address, switches).await
     }
 
+    async fn fault_kv(&self, switches: Value) -> Result<()> {
+        self.fault(self.fleet.system.kv.address, switches).await
+    }
+
     /// Waits until both entries reach the plain service.
     async fn wait_booking(&self, body: &str) -> Result<()> {
         for entry in 0..self.fleet.entries.len() {
@@ -176,3 +180,34 @@
     assert_eq!(fleet.body_runs("another body").await?, 0);
     Ok(())
 }
+
+#[actix_rt::test]
+async fn a_key_in_an_outage_is_refused_and_a_lost_claim_answer_runs_once() -> Result<()> {
+    let mut fleet = ProofFleet::start(0, &[]).await?;
+    for down in ["refuse", "hang"] {
+        fleet.fault_kv(json!({ "down": down })).await?;
+        let reply = fleet.ask_booking(0, down, down).reply().await?;
+        assert_eq!(code_of(&reply), "203 platform_down", "{down}");
+        assert_eq!(reply.header("retry-after"), Some("5"));
+        assert_eq!(class_of(&reply)?, "not_run");
+        fleet.fault_kv(json!({ "down": "off" })).await?;
+    }
+    for loss in ["close"] {
+        fleet.fault_kv(json!({ "loss": loss, "lose_answers": 1 })).await?;
+        let reply = fleet.ask_booking(0, loss, loss).reply().await?;
+        assert_eq!(code_of(&reply), "0 ok", "{loss}");
+        assert_eq!(fleet.body_runs(loss).await?, 1, "{loss}");
+    }
+    // The agent dies while its claim is under way.
+    fleet.fault_kv(json!({ "slow_ms": 1_500 })).await?;
+    let asked = fleet.ask_booking(0, "killed when claiming", "k2");
+    sleep(Duration::from_millis(500)).await;
+    fleet.fleet.plain_agent.process.kill()?;
+    let mut bookings = BookingList::default();
+    bookings.add("killed when claiming", asked).await;
+    fleet.fault_kv(json!({ "slow_ms": 0 })).await?;
+    replace_agent(&mut fleet).await?;
+    bookings.check(&fleet).await?;
+    assert_eq!([fleet.body_runs("refuse").await?, fleet.body_runs("hang").await?], [0, 0]);
+    Ok(())
+}
