--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -4,6 +4,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
+use std::io::ErrorKind;
 use std::time::Duration;
 
 thread_local! {
@@ -84,12 +85,19 @@
     HttpError::Broken(error.to_string())
 }
 
-/// Whether nothing of a call that failed with `error` can have reached the other side.
+/// Whether nothing of the call can have reached the other side. The client reports a connection
+/// that is closed before the answer as a failure to connect, too, so only those failures count
+/// that come before there is a connection.
 pub fn is_never_sent(error: &SendRequestError) -> bool {
     match error {
-        // The client says so when a connection ends after the call was written to it.
-        SendRequestError::Connect(ConnectError::Disconnected) => false,
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => true,
+        SendRequestError::Url(_) => true,
+        SendRequestError::Connect(ConnectError::Io(error)) => matches!(
+            error.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
         _ => false,
     }
 }
