Report service-level burn, and feed the metrics that are listed

Several metrics of the agent were registered and never fed.

The entry's recorder counts every request, refused ones as well, in its metrics and in a burn ledger; agents count the time until a version is live. Both give the counts at GET /burn. The traffic thread answers for its ledger by a message, so no lock is shared. The site that serves is taken from the link that accepted the request.

--- /dev/null
+++ b/examples/pages.rs
@@ -0,0 +1,22 @@
+//! Writes the pages that are generated from the arguments: the man page and the completions.
+//!
+//! `cargo build && cargo run --example pages` writes them into `man/` and `completions/`.
+
+#[path = "pages/render.rs"]
+mod render;
+
+use anyhow::{Context, Result};
+use std::fs::{create_dir_all, write};
+use std::path::Path;
+
+fn main() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let example = std::env::current_exe()?;
+    let folder = example.parent().and_then(Path::parent).context("no folder of programs")?;
+    for page in render::all_pages(&folder.join(render::PROGRAM))? {
+        let path = root.join(page.path);
+        create_dir_all(path.parent().context("no folder")?)?;
+        write(path, page.text)?;
+    }
+    Ok(())
+}
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,6 +2,7 @@
 
 pub mod answer_check;
 pub mod claims;
+pub mod live_times;
 pub mod requests;
 pub mod target;
 pub mod traffic;
@@ -21,6 +22,7 @@
 use anyhow::{Context, Result};
 use buckthornwharf_core::membership::HostRole;
 use buckthornwharf_core::prelude::*;
+use live_times::{LiveParts, LiveTimes};
 use rand::RngExt;
 use tokio::sync::{mpsc, watch};
 use traffic::TrafficParts;
@@ -51,6 +53,7 @@
     let (position_sender, position) = watch::channel(GatePosition::Closed);
     let (load_sender, load) = watch::channel(GateLoad::default());
     let gate = GateControl { position: position_sender, in_flight: load };
+    let service = agent.service.clone();
     let parts = TrafficParts {
         identity: LinkIdentity {
             host: settings.host.clone(),
@@ -72,7 +75,14 @@
     let traffic = process::start_traffic(move || traffic::run_traffic(parts));
     let keeper = KeeperParts { settings: settings.clone(), config: config.clone(), hosts, gate };
     let handles = weights::start(keeper);
-    let status = StatusSource { settings, config, leaving, metrics, handles };
+    let live = LiveTimes::start(LiveParts {
+        service,
+        site: settings.site.clone(),
+        config: config.clone(),
+        serving: handles.serving.clone(),
+        time_to_live: metrics.time_to_live.clone(),
+    });
+    let status = StatusSource { settings, config, leaving, metrics, handles, live };
     admin::start_admin(admin, move |request| status.clone().answer(request))?;
     process::join_traffic(traffic).await
 }
@@ -85,6 +95,7 @@
     leaving: watch::Receiver<bool>,
     metrics: AgentMetrics,
     handles: KeeperHandles,
+    live: LiveTimes,
 }
 
 impl StatusSource {
@@ -92,6 +103,7 @@
         match request.path() {
             "/status" => json_response(&self.status()),
             "/metrics" => text_response(StatusCode::OK, self.metrics.process.render()),
+            "/burn" => json_response(&self.live.burn_counts()),
             path if path.starts_with("/weights/") => self.chunk(path).await,
             _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -22,8 +22,8 @@
 use buckthornwharf_core::membership::HostRole;
 use buckthornwharf_core::prelude::*;
 use rand::RngExt;
-use tokio::sync::{mpsc, watch};
-use traffic::TrafficParts;
+use tokio::sync::{mpsc, oneshot, watch};
+use traffic::{BurnQuery, TrafficParts};
 
 /// Runs an entry until it is told to leave and every request has ended.
 ///
@@ -49,6 +49,7 @@
         kv: KvClient::new(settings.platform.kv),
     };
     let config = ConfigFollower::start(follow, hosts.clone(), frame_receiver);
+    let (burn_queries, query_receiver) = mpsc::unbounded_channel();
     let parts = TrafficParts {
         identity: LinkIdentity {
             host: settings.host.clone(),
@@ -64,13 +65,11 @@
         config_frames: frame_sender,
         leaving: leaving.clone(),
         metrics: metrics.clone(),
+        burn_queries: query_receiver,
     };
     let traffic = process::start_traffic(move || traffic::run_traffic(parts));
-    let status = StatusSource { settings, config, leaving, metrics };
-    admin::start_admin(admin, move |request| {
-        let answer = status.answer(&request);
-        async move { answer }
-    })?;
+    let status = StatusSource { settings, config, leaving, metrics, burn_queries };
+    admin::start_admin(admin, move |request| status.clone().answer(request))?;
     process::join_traffic(traffic).await
 }
 
@@ -81,17 +80,28 @@
     config: ConfigReceiver,
     leaving: watch::Receiver<bool>,
     metrics: EntryMetrics,
+    burn_queries: mpsc::UnboundedSender<BurnQuery>,
 }
 
 impl StatusSource {
-    fn answer(&self, request: &Request) -> Response<BoxBody> {
+    async fn answer(self, request: Request) -> Response<BoxBody> {
         match request.path() {
             "/status" => json_response(&self.status()),
             "/metrics" => text_response(StatusCode::OK, self.metrics.process.render()),
+            "/burn" => self.burn().await,
             _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
         }
     }
 
+    async fn burn(&self) -> Response<BoxBody> {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.burn_queries.send(sender);
+        match receiver.await {
+            Ok(counts) => json_response(&counts),
+            Err(_) => text_response(StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        }
+    }
+
     fn status(&self) -> ProcessStatus {
         ProcessStatus {
             host: self.settings.host.clone(),
--- a/src/entry/observer.rs
+++ b/src/entry/observer.rs
@@ -1,55 +1,182 @@
-//! Measures one caller's request.
+//! Measures callers' requests: metrics, and the burn of objectives.
 
+use crate::clock;
 use crate::metrics::EntryMetrics;
+use buckthornwharf_core::burn::{BurnCounts, BurnLedger, BurnSample};
+use buckthornwharf_core::config::{ConfigDocument, PriorityClass};
 use buckthornwharf_core::prelude::*;
+use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Feeds the metrics with what happens to one request.
+/// Label of a request whose service or class is not known.
+const UNKNOWN_LABEL: &str = "unknown";
+
+/// Counts what becomes of an entry's requests.
+pub struct RequestRecorder {
+    site: SiteName,
+    metrics: EntryMetrics,
+    ledger: RefCell<BurnLedger>,
+    serving_sites: RefCell<SortedTable<RequestId, SiteName>>,
+}
+
+/// Whose request it is.
+#[derive(Debug, Clone)]
+pub struct RequestSubject {
+    /// The request.
+    pub id: RequestId,
+    /// The service that was asked.
+    pub service: ServiceName,
+    /// The organisation that asked.
+    pub organisation: OrganisationName,
+    /// The class of the organisation.
+    pub class: PriorityClass,
+}
+
+/// Measures one request; it counts as in flight until this is dropped.
 pub struct RequestObserver {
-    metrics: Rc<EntryMetrics>,
-    service: ServiceName,
-    organisation: OrganisationName,
+    recorder: Rc<RequestRecorder>,
+    subject: RequestSubject,
     started: MonoTime,
+    gap_limit: Option<Duration>,
+    first_body: Option<MonoTime>,
     last_body: Option<MonoTime>,
+    gaps_kept: u32,
+    gaps_late: u32,
+}
+
+impl RequestRecorder {
+    /// A recorder of an entry in `site`, which starts now.
+    pub fn new(site: SiteName, metrics: EntryMetrics) -> Self {
+        Self {
+            site,
+            metrics,
+            ledger: RefCell::new(BurnLedger::new(clock::now())),
+            serving_sites: RefCell::new(SortedTable::new()),
+        }
+    }
+
+    /// Tells the objectives, from the configuration.
+    pub fn set_objectives(&self, document: &ConfigDocument) {
+        self.ledger.borrow_mut().set_objectives(document.objectives.clone());
+    }
+
+    /// The burn so far.
+    pub fn burn_counts(&self) -> BurnCounts {
+        self.ledger.borrow_mut().counts(clock::now())
+    }
+
+    /// An agent in `site` took the request, if it has not ended.
+    pub fn on_served_by(&self, id: RequestId, site: &SiteName) {
+        if let Some(serving) = self.serving_sites.borrow_mut().get_mut(&id) {
+            *serving = site.clone();
+        }
+    }
+
+    /// A request was refused before it was known whose it is.
+    pub fn on_refused(&self, service: Option<&ServiceName>, code: ResultCode) {
+        let service = service.map_or(UNKNOWN_LABEL, ServiceName::as_str);
+        self.count(service, UNKNOWN_LABEL, code);
+    }
+
+    /// A request was refused before it was submitted.
+    pub fn on_not_submitted(&self, subject: &RequestSubject, code: ResultCode) {
+        self.count(subject.service.as_str(), class_label(subject.class), code);
+        let sample = BurnSample {
+            service: &subject.service,
+            organisation: &subject.organisation,
+            site: &self.site,
+            code,
+            first_token: None,
+            gaps_kept: 0,
+            gaps_late: 0,
+        };
+        self.ledger.borrow_mut().record(clock::now(), &sample);
+    }
+
+    fn count(&self, service: &str, class: &str, code: ResultCode) {
+        let code: &'static str = code.into();
+        self.metrics.requests.with_label_values(&[service, class, code]).inc();
+    }
 }
 
 impl RequestObserver {
     /// An observer of a request that starts now.
-    pub fn start(
-        metrics: Rc<EntryMetrics>,
-        now: MonoTime,
-        service: ServiceName,
-        organisation: OrganisationName,
-    ) -> Self {
-        metrics.in_flight.inc();
-        Self { metrics, service, organisation, started: now, last_body: None }
+    pub fn start(recorder: Rc<RequestRecorder>, now: MonoTime, subject: RequestSubject) -> Self {
+        recorder.metrics.in_flight.inc();
+        let site = recorder.site.clone();
+        recorder.serving_sites.borrow_mut().insert(subject.id, site);
+        let gap_limit = recorder.ledger.borrow().gap_limit(&subject.service);
+        Self {
+            recorder,
+            subject,
+            started: now,
+            gap_limit,
+            first_body: None,
+            last_body: None,
+            gaps_kept: 0,
+            gaps_late: 0,
+        }
     }
 
     /// Another attempt starts.
     pub fn on_retry(&self) {
-        self.metrics.retries.inc();
+        self.recorder.metrics.retries.inc();
     }
 
     /// Bytes of the body are passed on.
     pub fn on_body(&mut self, now: MonoTime) {
-        let service = &[self.service.as_str()];
         match self.last_body.replace(now) {
-            None => {
-                let seconds = now.since(self.started).as_secs_f64();
-                self.metrics.first_token.with_label_values(service).observe(seconds);
-            }
-            Some(last) => {
-                let seconds = now.since(last).as_secs_f64();
-                self.metrics.between_tokens.with_label_values(service).observe(seconds);
-            }
+            None => self.on_first_body(now),
+            Some(last) => self.on_gap(now.since(last)),
         }
     }
 
     /// The request ended.
-    pub fn on_finish(&self, _now: MonoTime, code: ResultCode) {
-        self.metrics.in_flight.dec();
-        let code: &'static str = code.into();
-        let labels = &[self.service.as_str(), self.organisation.as_str(), code];
-        self.metrics.requests.with_label_values(labels).inc();
+    pub fn on_finish(&self, now: MonoTime, code: ResultCode) {
+        let subject = &self.subject;
+        self.recorder.count(subject.service.as_str(), class_label(subject.class), code);
+        let sites = self.recorder.serving_sites.borrow();
+        let sample = BurnSample {
+            service: &subject.service,
+            organisation: &subject.organisation,
+            site: sites.get(&subject.id).unwrap_or(&self.recorder.site),
+            code,
+            first_token: self.first_body.map(|first| first.since(self.started)),
+            gaps_kept: self.gaps_kept,
+            gaps_late: self.gaps_late,
+        };
+        self.recorder.ledger.borrow_mut().record(now, &sample);
+    }
+
+    fn on_first_body(&mut self, now: MonoTime) {
+        self.first_body = Some(now);
+        let seconds = now.since(self.started).as_secs_f64();
+        let histogram = &self.recorder.metrics.first_token;
+        histogram.with_label_values(&[self.subject.service.as_str()]).observe(seconds);
+    }
+
+    fn on_gap(&mut self, gap: Duration) {
+        let histogram = &self.recorder.metrics.between_tokens;
+        histogram.with_label_values(&[self.subject.service.as_str()]).observe(gap.as_secs_f64());
+        if self.gap_limit.is_some_and(|limit| gap > limit) {
+            self.gaps_late += 1;
+        } else {
+            self.gaps_kept += 1;
+        }
+    }
+}
+
+impl Drop for RequestObserver {
+    fn drop(&mut self) {
+        self.recorder.metrics.in_flight.dec();
+        self.recorder.serving_sites.borrow_mut().remove(&self.subject.id);
+    }
+}
+
+fn class_label(class: PriorityClass) -> &'static str {
+    match class {
+        PriorityClass::Low => "low",
+        PriorityClass::Normal => "normal",
+        PriorityClass::High => "high",
     }
 }
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -1,8 +1,8 @@
 //! The traffic thread of an entry: callers' connections, links, and the requests between them.
 
-use super::caller::{CallerGuard, read_request, refusal, write_answer};
+use super::caller::{CallerGuard, CallerRequest, read_request, refusal, write_answer};
 use super::links::LinkKeeper;
-use super::observer::RequestObserver;
+use super::observer::{RequestObserver, RequestRecorder, RequestSubject};
 use super::requests::{RequestTable, random_id};
 use crate::clock;
 use crate::http_server::serve_http;
@@ -13,6 +13,7 @@
 use actix_http::{Request, Response};
 use actix_rt::net::TcpListener;
 use anyhow::Result;
+use buckthornwharf_core::burn::BurnCounts;
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame};
 use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
 use buckthornwharf_core::prelude::*;
@@ -21,11 +22,14 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 /// Pace at which time passes for requests.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Asks the traffic thread for the burn so far.
+pub type BurnQuery = oneshot::Sender<BurnCounts>;
+
 /// What the traffic thread of an entry is made of.
 pub struct TrafficParts {
     /// What the entry says of itself on links.
@@ -46,6 +50,8 @@
     pub leaving: watch::Receiver<bool>,
     /// The entry's metrics.
     pub metrics: EntryMetrics,
+    /// Brings questions for the burn so far.
+    pub burn_queries: mpsc::UnboundedReceiver<BurnQuery>,
 }
 
 /// The state of the traffic thread.
@@ -60,7 +66,8 @@
     config: ConfigReceiver,
     hosts: HostsReceiver,
     config_frames: mpsc::UnboundedSender<ConfigFrame>,
-    metrics: Rc<EntryMetrics>,
+    metrics: EntryMetrics,
+    recorder: Rc<RequestRecorder>,
 }
 
 type SharedTraffic = Rc<RefCell<EntryTraffic>>;
@@ -78,6 +85,7 @@
         host: parts.identity.host.clone(),
         max_links: parts.max_links,
         default_deadline: parts.default_deadline,
+        recorder: Rc::new(RequestRecorder::new(site.clone(), parts.metrics.clone())),
         table: RequestTable::new(site),
         keeper: LinkKeeper::new(parts.identity, event_sender),
         handles: SortedTable::new(),
@@ -85,12 +93,13 @@
         config: parts.config.clone(),
         hosts: parts.hosts.clone(),
         config_frames: parts.config_frames,
-        metrics: Rc::new(parts.metrics),
+        metrics: parts.metrics,
     }));
     actix_rt::spawn(follow_links(traffic.clone(), event_receiver));
     actix_rt::spawn(follow_config(traffic.clone(), parts.config));
     actix_rt::spawn(follow_hosts(traffic.clone(), parts.hosts));
     actix_rt::spawn(follow_time(traffic.clone()));
+    actix_rt::spawn(answer_burn(traffic.borrow().recorder.clone(), parts.burn_queries));
     let handler_traffic = traffic.clone();
     serve_http(listener, parts.leaving, move |request| answer(handler_traffic.clone(), request))
         .await
@@ -98,34 +107,53 @@
 
 async fn answer(traffic: SharedTraffic, mut request: Request) -> Response<BoxBody> {
     let id = random_id();
-    let (config, default_deadline) = {
+    let (config, default_deadline, recorder) = {
         let traffic = traffic.borrow();
-        (traffic.config.borrow().clone(), traffic.default_deadline)
+        let config = traffic.config.borrow().clone();
+        (config, traffic.default_deadline, traffic.recorder.clone())
     };
     let Some(config) = config else {
+        recorder.on_refused(None, ResultCode::NotServing);
         return refusal(id, ResultCode::NotServing);
     };
     let caller = match read_request(&mut request, &config, default_deadline).await {
         Ok(caller) => caller,
-        Err(code) => return refusal(id, code),
-    };
-    let (sender, receiver) = mpsc::unbounded_channel();
-    {
-        let mut traffic = traffic.borrow_mut();
-        let observer = RequestObserver::start(
-            traffic.metrics.clone(),
-            clock::now(),
-            caller.service.clone(),
-            caller.organisation.clone(),
-        );
-        if let Err(code) = traffic.table.submit(id, caller, sender, observer) {
+        Err(code) => {
+            let route = config.document.route_for(request.path());
+            recorder.on_refused(route.map(|route| &route.service), code);
             return refusal(id, code);
         }
+    };
+    let (sender, receiver) = mpsc::unbounded_channel();
+    let subject = subject_of(id, &caller);
+    let observer = RequestObserver::start(recorder.clone(), clock::now(), subject.clone());
+    let submitted = traffic.borrow_mut().table.submit(id, caller, sender, observer);
+    if let Err(code) = submitted {
+        recorder.on_not_submitted(&subject, code);
+        return refusal(id, code);
     }
     let on_gone = Box::new(move |id| traffic.borrow_mut().table.caller_gone(id));
     write_answer(receiver, CallerGuard::new(id, on_gone)).await
 }
 
+fn subject_of(id: RequestId, caller: &CallerRequest) -> RequestSubject {
+    RequestSubject {
+        id,
+        service: caller.service.clone(),
+        organisation: caller.organisation.clone(),
+        class: caller.organisation_config.priority,
+    }
+}
+
+async fn answer_burn(
+    recorder: Rc<RequestRecorder>,
+    mut queries: mpsc::UnboundedReceiver<BurnQuery>,
+) {
+    while let Some(query) = queries.recv().await {
+        let _ = query.send(recorder.burn_counts());
+    }
+}
+
 async fn follow_links(traffic: SharedTraffic, mut events: mpsc::UnboundedReceiver<LinkEvent>) {
     while let Some(event) = events.recv().await {
         traffic.borrow_mut().on_link_event(event);
@@ -167,6 +195,7 @@
             let regions = sites.map(|(site, config)| (site.clone(), config.region.clone()));
             self.table.set_regions(regions.collect());
             self.table.set_organisations(&active.document);
+            self.recorder.set_objectives(&active.document);
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
         self.exchange.set_active(active);
@@ -216,7 +245,12 @@
     fn on_frame(&mut self, link: LinkId, frame: LinkFrame) {
         match &frame {
             LinkFrame::State(state) => self.table.target_state(link, state),
-            LinkFrame::Accepted(id) => self.table.request_frame(link, *id, frame),
+            LinkFrame::Accepted(id) => {
+                if let Some(handle) = self.handles.get(&link) {
+                    self.recorder.on_served_by(*id, &handle.peer.site);
+                }
+                self.table.request_frame(link, *id, frame);
+            }
             LinkFrame::Resolved(resolved) => self.table.request_frame(link, resolved.id, frame),
             LinkFrame::Head(head) => self.table.request_frame(link, head.id, frame),
             LinkFrame::Body(body) => self.table.request_frame(link, body.id, frame),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -51,7 +51,7 @@
 pub struct EntryMetrics {
     /// Metrics that every process has.
     pub process: ProcessMetrics,
-    /// Ended requests by service, organisation and result code.
+    /// Ended requests by service, class of the organisation and result code.
     pub requests: IntCounterVec,
     /// Requests that have not ended.
     pub in_flight: IntGauge,
@@ -76,7 +76,7 @@
             registry,
             "requests_total",
             "Ended requests by result code",
-            &["service", "organisation", "code"],
+            &["service", "class", "code"],
         )?;
         let in_flight = gauge(registry, "requests_in_flight", "Requests that have not ended")?;
         let retries = counter(registry, "retries_total", "Attempts after the first one")?;
@@ -105,14 +105,8 @@
     pub waiting: IntGauge,
     /// Requests in the target.
     pub running: IntGauge,
-    /// Ended requests by organisation and result code.
-    pub requests: IntCounterVec,
     /// Claims on idempotency keys by outcome.
     pub claims: IntCounterVec,
-    /// Bytes of weights by source: origin or peer.
-    pub weight_bytes: IntCounterVec,
-    /// Chunks refused because their hash was wrong, by source.
-    pub chunks_refused: IntCounterVec,
     /// Seconds from the wish for a version until it is live.
     pub time_to_live: Histogram,
     /// Crashes of the target while requests were in flight.
@@ -130,22 +124,8 @@
         let registry = &process.registry;
         let waiting = gauge(registry, "requests_waiting", "Requests that wait for the target")?;
         let running = gauge(registry, "requests_running", "Requests in the target")?;
-        let requests = counters(
-            registry,
-            "requests_total",
-            "Ended requests by result code",
-            &["organisation", "code"],
-        )?;
         let claims =
             counters(registry, "claims_total", "Claims on idempotency keys", &["outcome"])?;
-        let weight_bytes =
-            counters(registry, "weight_bytes_total", "Bytes of weights fetched", &["source"])?;
-        let chunks_refused = counters(
-            registry,
-            "chunks_refused_total",
-            "Chunks refused because their hash was wrong",
-            &["source"],
-        )?;
         let time_to_live = Histogram::with_opts(
             HistogramOpts::new("time_to_live_seconds", "Time until a wanted version is live")
                 .buckets(TIME_TO_LIVE_BUCKETS.to_vec()),
@@ -153,17 +133,7 @@
         registry.register(Box::new(time_to_live.clone()))?;
         let target_crashes =
             counter(registry, "target_crashes_total", "Crashes of the target under requests")?;
-        Ok(Self {
-            process,
-            waiting,
-            running,
-            requests,
-            claims,
-            weight_bytes,
-            chunks_refused,
-            time_to_live,
-            target_crashes,
-        })
+        Ok(Self { process, waiting, running, claims, time_to_live, target_crashes })
     }
 }
 
