Limit the depth of configuration files and keep the secret out of errors

Cause: the reader of configuration calls itself once a level and overflowed its stack on a deeply nested file; an error in the settings quoted the lines round it, and the secret with them. Cancellations that wait for a host that never returns were kept for ever. Ruled out: a reader without recursion, for files that are never deep. Waiting cancellations are dropped after the longest deadline (no test of its own).

--- a/core/src/config/node.rs
+++ b/core/src/config/node.rs
@@ -5,6 +5,9 @@
 use serde_saphyr::{Location, Spanned};
 use std::fmt;
 
+/// Most levels of maps and lists in one file.
+const MAX_DEPTH: usize = 32;
+
 /// Where a value was written.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeOrigin {
@@ -158,9 +161,13 @@
     }
 }
 
-/// Only `true` and `false` are booleans, so that names such as `no` and `y` stay names.
+/// Only `true` and `false` are booleans, so that names such as `no` and `y` stay names; and the
+/// depth is limited, because the reader calls itself once for each level.
 fn yaml_options() -> serde_saphyr::Options {
-    serde_saphyr::options! { strict_booleans: true }
+    serde_saphyr::options! {
+        strict_booleans: true,
+        budget: serde_saphyr::budget! { max_depth: MAX_DEPTH },
+    }
 }
 
 enum RawNode {
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -13,7 +13,7 @@
     AdmissionRequest, OrganisationLimit, OrganisationLimits,
 };
 use buckthornwharf_core::request::poison::{SuspectBook, SuspectVerdict};
-use buckthornwharf_core::request::{LinkId, RequestDriver};
+use buckthornwharf_core::request::{LinkId, MAX_REQUEST_DEADLINE, RequestDriver};
 use buckthornwharf_core::routing::{PickAffinity, PickRequest, PickedTarget, TargetPicker};
 use rand::RngExt;
 use std::collections::VecDeque;
@@ -42,6 +42,7 @@
     id: RequestId,
     host: HostName,
     incarnation: HostIncarnation,
+    noted: MonoTime,
 }
 
 /// All requests of one entry that have not ended, and the links that carry them.
@@ -225,6 +226,7 @@
     pub fn tick(&mut self) {
         let now = clock::now();
         self.suspects.expire(now);
+        self.late_cancels.retain(|cancel| now.since(cancel.noted) < MAX_REQUEST_DEADLINE);
         let is_due = |slot: &RequestSlot| slot.driver.next_tick().is_some_and(|tick| tick <= now);
         for id in self.ids_where(is_due) {
             self.drive(id, DriverEvent::Tick);
@@ -258,7 +260,8 @@
                 DriverAction::Pick { avoid } => self.pick(id, &avoid),
                 DriverAction::Send { link, frame } => self.send(id, link, frame),
                 DriverAction::CancelLater { host, incarnation } => {
-                    self.late_cancels.push(LateCancel { id, host, incarnation });
+                    let noted = clock::now();
+                    self.late_cancels.push(LateCancel { id, host, incarnation, noted });
                 }
                 DriverAction::ForwardHead { status, content_type } => {
                     self.forward_head(id, status, content_type);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a process, read once from a YAML file.
 
-use anyhow::{Context, Result, bail};
+use anyhow::{Context, Result, anyhow, bail};
 use buckthornwharf_core::prelude::*;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -133,7 +133,9 @@
     ///
     /// Names the line and field where something is wrong.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self = serde_saphyr::from_str(text)?;
+        // Without the excerpt of the text, which may hold the secret.
+        let settings: Self =
+            serde_saphyr::from_str(text).map_err(|error| anyhow!("{}", error.without_snippet()))?;
         if settings.entry.is_some() == settings.agent.is_some() {
             bail!("exactly one of `entry` and `agent` must be given");
         }
--- a/tests/edges.rs
+++ b/tests/edges.rs
@@ -104,7 +104,6 @@
 }
 
 #[test]
-#[ignore = "known red"]
 fn a_deeply_nested_configuration_is_an_error() {
     assert!(!merge_text("[".repeat(DEPTH)));
     assert!(!merge_text(format!("sites: {}", "{a: ".repeat(DEPTH))));
@@ -123,7 +122,6 @@
 }
 
 #[test]
-#[ignore = "known red"]
 fn an_error_in_the_settings_does_not_show_the_secret() -> Result<()> {
     let text = settings_text().replace("site: nbo-a", "sit: nbo-a");
     let error = ProcessSettings::parse(&text).err().context("taken")?;
