Test the spread as processes, and spare the gateways of a region

Cause: tests/burst.rs drives ten faults over separate processes. Found and mended by it: a woken agent whose target had been taken over kept a swap permit for good, so the new agent's swap never started; and uploads were counted against a version of no bytes until the version was held, so that a host that fetches took few requests of others. A superseded agent returns its permit, and every order reads the counter first; the count of uploads starts with the manifest; gateways are asked only for chunks that they are home to, and by homes. Guard off, one at a time: without the permit no_swap_of_a_full_target_starts_in_an_outage fails at its check of the loaded versions; with it, it passes. Taking up a superseded version later than at once is not seen by its test, because the keeper also compares the digest before an order.

--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -146,14 +146,20 @@
                 && record.is_ready(now)
                 && record.in_flight < FETCHES_PER_PEER
                 && !self.flights.avoids(now, chunk, self.plan.name_of(*host))
-                && (gateway != Some(*host) || self.may_ask_gateway(now, chunk, *host, me))
+                && (!self.is_gateway(*host) || self.may_ask_gateway(now, chunk, *host, me))
         };
         let candidates = drawn.chain(homes).chain(gateway);
         candidates.filter(fit).min_by_key(|host| self.peers.hosts[*host].in_flight)
     }
 
-    /// Whether `chunk` may be asked from the gateway that brought it: by the home, by all if the
-    /// gateway is the home, and once the gateway holds the whole version.
+    /// Whether `host` brings chunks from other regions, and so sends more than others already.
+    fn is_gateway(&self, host: HostIndex) -> bool {
+        let region = self.plan.region_of(host);
+        region != self.plan.reader() && self.plan.gateways(region).contains(&host)
+    }
+
+    /// Whether `chunk` may be asked from a gateway: by the home, and by all if the gateway is the
+    /// home.
     fn may_ask_gateway(
         &self,
         now: MonoTime,
@@ -161,9 +167,6 @@
         gateway: HostIndex,
         me: HostIndex,
     ) -> bool {
-        if self.peers.hosts[gateway].known.is_full() {
-            return true;
-        }
         let home = self.acting_home(now, chunk, me);
         home == Some(me) || home == Some(gateway)
     }
--- a/core/src/weights/plan.rs
+++ b/core/src/weights/plan.rs
@@ -143,6 +143,11 @@
         self.regions[region].members.len().min(GATEWAYS_PER_REGION)
     }
 
+    /// The gateways of `region` while none has failed.
+    pub fn gateways(&self, region: RegionIndex) -> &[HostIndex] {
+        &self.regions[region].gateways[..self.gateway_count(region)]
+    }
+
     /// The gateway that brings `chunk` into `region`: the first in the order of takeover that is
     /// not `suspect`.
     pub fn gateway(
--- a/core/src/weights/upload.rs
+++ b/core/src/weights/upload.rs
@@ -18,14 +18,16 @@
 
 /// Decides whether a host sends another chunk; one for each version that it holds.
 ///
-/// A host that has sent more than its share takes fewer uploads at once, so that the asking hosts
-/// go to others; it always takes one, for it may be the only holder.
+/// A host that has sent more than its share takes fewer uploads at once and only some of the
+/// requests, so that the asking hosts go to others; it goes on to take some, for it may be the only
+/// holder.
 #[derive(Debug, Clone, Default)]
 pub struct UploadLimiter {
     active: u32,
     sent_bytes: u64,
     version_bytes: u64,
     live_percent: u8,
+    requests: u64,
 }
 
 impl UploadLimiter {
@@ -47,6 +49,9 @@
 
     /// Takes a place for an upload; false if there is none.
     pub fn start(&mut self, class: UploadClass) -> bool {
+        if class == UploadClass::Region && !self.is_turn() {
+            return false;
+        }
         let places = match class {
             UploadClass::Region => self.places(),
             UploadClass::Crossing => self.places() + CROSSING_UPLOADS,
@@ -69,9 +74,25 @@
         self.sent_bytes
     }
 
+    /// Whether this request is one of the few that a host takes that has sent much.
+    fn is_turn(&mut self) -> bool {
+        let requests_per_turn = match self.sent_quarters() {
+            0..=4 => 1,
+            5 => 4,
+            6 => 16,
+            _ => 64,
+        };
+        self.requests += 1;
+        self.requests.is_multiple_of(requests_per_turn)
+    }
+
+    /// Quarters of a copy that were sent.
+    fn sent_quarters(&self) -> u64 {
+        4 * self.sent_bytes / self.version_bytes.max(1)
+    }
+
     fn places(&self) -> u32 {
-        let quarters = 4 * self.sent_bytes / self.version_bytes.max(1);
-        let by_share = match quarters {
+        let by_share = match self.sent_quarters() {
             0..=3 => MAX_UPLOADS,
             4 => MAX_UPLOADS / 2,
             5 => MAX_UPLOADS / 4,
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -72,6 +72,7 @@
         origin: StoreClient::new(settings.platform.store, client.clone()),
         peers: PeerClient::new(client.clone(), key),
         store: store.clone(),
+        chunks: chunks.clone(),
         wanted: wanted_receiver,
         live_load: live_load_receiver,
     };
--- a/src/agent/weights/authority.rs
+++ b/src/agent/weights/authority.rs
@@ -55,20 +55,29 @@
         Ok(())
     }
 
-    /// Allows an order whose call takes `longest` at most. For a target that does not check the
-    /// number, the counter is read first.
+    /// Allows an order whose call takes `longest` at most. The counter is read first, so that an
+    /// agent whose target was taken over notices; a target that checks numbers does without.
     ///
     /// # Errors
     ///
     /// The right is not there, or cannot be shown to be.
     pub async fn allow(&mut self, longest: Duration) -> Result<OrderStamp> {
-        if self.fence.needs_lease() {
-            let row = self.read_row().await?.context("the fencing counter is gone")?;
-            self.fence.counter_read(row.0.fence);
+        match self.read_row().await {
+            Ok(row) => {
+                let (row, _) = row.context("the fencing counter is gone")?;
+                self.fence.counter_read(row.fence);
+            }
+            Err(error) if self.fence.needs_lease() => return Err(error),
+            Err(_) => {}
         }
         Ok(self.fence.allow(clock::now(), longest)?)
     }
 
+    /// Whether another agent has taken over the target.
+    pub fn is_superseded(&self) -> bool {
+        self.fence.is_superseded()
+    }
+
     /// Takes in that the target refused an order as too old.
     pub fn fenced_off(&mut self) {
         self.fence.fenced_off();
--- a/src/agent/weights/fetcher.rs
+++ b/src/agent/weights/fetcher.rs
@@ -5,6 +5,7 @@
 
 use super::chunk_store::ChunkStore;
 use super::peer::PeerClient;
+use super::service::ChunkService;
 use crate::clock;
 use crate::platform::store::StoreClient;
 use crate::settings::ProcessSettings;
@@ -36,6 +37,8 @@
     pub peers: PeerClient,
     /// Where verified chunks are kept.
     pub store: ChunkStore,
+    /// Answers to other agents.
+    pub chunks: ChunkService,
     /// The version to fetch.
     pub wanted: watch::Receiver<Option<VersionDigest>>,
     /// Percent of the host that live requests take.
@@ -83,6 +86,7 @@
     async fn fetch(&mut self, version: WantedVersion) -> HeldVersion {
         let digest = version.digest();
         let mut version = search::find_manifest(&self.parts, &version).await;
+        self.parts.chunks.reset_uploads(digest, version.manifest().total_bytes);
         self.parts.store.insert_manifest(digest, version.manifest().clone());
         loop {
             let mut run = FetchRun::new(&self.parts, &version);
--- a/src/agent/weights/keeper.rs
+++ b/src/agent/weights/keeper.rs
@@ -134,8 +134,13 @@
         if let Err(error) = self.authority.keep().await {
             debug!("no right to give orders: {error:#}");
         }
-        if loaded.contains(&wanted) {
+        if loaded.contains(&wanted) || self.authority.is_superseded() {
             self.return_permit().await;
+        }
+        if self.authority.is_superseded() {
+            return Ok(());
+        }
+        if loaded.contains(&wanted) {
             return self.retire(&loaded, wanted).await;
         }
         let held = self.tools.held.borrow_and_update().clone();
--- a/src/agent/weights/keeper/swap.rs
+++ b/src/agent/weights/keeper/swap.rs
@@ -18,7 +18,6 @@
 impl WeightKeeper {
     /// Brings a held version into the target.
     pub(super) async fn swap(&mut self, held: HeldVersion, loaded: &[VersionDigest]) -> Result<()> {
-        self.tools.chunks.reset_uploads(held.digest(), held.manifest().total_bytes);
         let stamp = self.authority.allow(self.order_timeout()).await?;
         if SwapWay::choose(self.tools.settings.target_holds, loaded.len()) == SwapWay::InPlace {
             self.take_permit().await?;
--- /dev/null
+++ b/tests/burst.rs
@@ -0,0 +1,323 @@
+//! The spread of weights as separate processes, under faults.
+
+use anyhow::Result;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_standin::engine::{EngineCounts, EngineOrder, OrderKind};
+use buckthornwharf_standin::fleet::{
+    AgentNode, AgentPlan, ConfigFile, ENGINE_SERVICE, FleetSystem, POLL_PACE, SAMPLE_SITES,
+    StandinProcess, sample_config, wait_until,
+};
+use buckthornwharf_standin::store::StoreCounts;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use std::path::Path;
+use tokio::time::sleep;
+
+const LIVE_LIMIT: Duration = Duration::from_secs(90);
+const MODEL_BYTES: usize = 1024 * 1024;
+const CHUNK_BYTES: u64 = 64 * 1024;
+const SLOW_STORE: u64 = 256 * 1024;
+const FAST_STORE: u64 = 0;
+
+/// How the targets of a fleet behave.
+#[derive(Debug, Clone, Copy)]
+struct TargetTraits {
+    checks_fence: bool,
+    holds: u32,
+}
+
+const CHECKING: TargetTraits = TargetTraits { checks_fence: true, holds: 1 };
+
+/// Engines with an agent each, in turn on both sites.
+struct BurstFleet {
+    system: FleetSystem,
+    engines: Vec<StandinProcess>,
+    plans: Vec<AgentPlan>,
+    agents: Vec<AgentNode>,
+}
+
+impl BurstFleet {
+    async fn start(engines: usize, traits: TargetTraits) -> Result<Self> {
+        let system = FleetSystem::start(Path::new(env!("CARGO_BIN_EXE_buckthornwharf"))).await?;
+        let holds = traits.holds.to_string();
+        let mut options = vec!["--holds", holds.as_str()];
+        if traits.checks_fence {
+            options.push("--checks-fence");
+        }
+        let mut fleet = Self { system, engines: vec![], plans: vec![], agents: vec![] };
+        for number in 0..engines {
+            let engine = fleet.system.start_engine(&format!("engine-{number}"), &options).await?;
+            let plan = AgentPlan {
+                host: format!("agent-{number}").into(),
+                site: SAMPLE_SITES[number % SAMPLE_SITES.len()].into(),
+                service: ENGINE_SERVICE.into(),
+                target: engine.address,
+                target_checks_fence: traits.checks_fence,
+                target_holds: traits.holds,
+            };
+            fleet.agents.push(fleet.system.start_agent(plan.clone()).await?);
+            fleet.engines.push(engine);
+            fleet.plans.push(plan);
+        }
+        Ok(fleet)
+    }
+
+    async fn publish(&self, seed: u64) -> Result<VersionDigest> {
+        let mut content = vec![0; MODEL_BYTES];
+        SmallRng::seed_from_u64(seed).fill_bytes(&mut content);
+        self.system.client.publish(self.system.store.address, content, CHUNK_BYTES).await
+    }
+
+    async fn apply(&self, digest: VersionDigest) -> Result<()> {
+        let allowances = "allowances:\n  region_pair_bytes_per_second: 20000000\n";
+        let mut files = sample_config(digest);
+        files.push(ConfigFile { name: "60-allowances.yaml".into(), text: allowances.into() });
+        self.system.apply(&files).await
+    }
+
+    async fn store_fault(&self, switches: Value) -> Result<()> {
+        self.system.client.set_faults(self.system.store.address, &switches).await
+    }
+
+    async fn kv_fault(&self, switches: Value) -> Result<()> {
+        self.system.client.set_faults(self.system.kv.address, &switches).await
+    }
+
+    async fn engine_counts(&self, engine: usize) -> Result<EngineCounts> {
+        self.system.client.counts(self.engines[engine].address).await
+    }
+
+    async fn loads(&self, engine: usize) -> Result<Vec<EngineOrder>> {
+        let orders = self.engine_counts(engine).await?.orders;
+        Ok(orders.into_iter().filter(|order| order.kind == OrderKind::Load).collect())
+    }
+
+    async fn store_counts(&self) -> Result<StoreCounts> {
+        self.system.client.counts(self.system.store.address).await
+    }
+
+    async fn store_bytes(&self) -> Result<u64> {
+        Ok(self.store_counts().await?.chunk_bytes)
+    }
+
+    /// What the agent advertises; null if nothing, or if it does not answer.
+    async fn advertised(&self, agent: &AgentNode) -> Value {
+        let reply = self.system.client.get(agent.record.admin, "/status").await;
+        let status = reply.and_then(|reply| reply.ok()?.json::<Value>());
+        status.map_or(Value::Null, |status| status["serving"].clone())
+    }
+
+    async fn is_live(&self, agent: &AgentNode, digest: VersionDigest) -> bool {
+        self.advertised(agent).await == json!(digest)
+    }
+
+    async fn wait_live(&self, agents: &[usize], digest: VersionDigest) -> Result<()> {
+        let all_live = async || {
+            for agent in agents {
+                if !self.is_live(&self.agents[*agent], digest).await {
+                    return false;
+                }
+            }
+            true
+        };
+        let waited = wait_until("the agents serve the version", LIVE_LIMIT, all_live).await;
+        waited.inspect_err(|_| {
+            for agent in agents {
+                eprintln!("{}", self.agents[*agent].process.log());
+            }
+        })
+    }
+
+    /// Checks that each engine holds just this version, and was never sent another body under its
+    /// digest.
+    async fn check_engines(&self, engines: &[usize], digest: VersionDigest) -> Result<()> {
+        for engine in engines {
+            let counts = self.engine_counts(*engine).await?;
+            assert_eq!(counts.versions, [digest], "engine {engine}");
+            assert!(counts.orders.iter().all(|order| order.status != 422), "engine {engine}");
+        }
+        Ok(())
+    }
+}
+
+#[actix_rt::test]
+async fn a_burst_reaches_every_engine_from_one_origin_copy() -> Result<()> {
+    let fleet = BurstFleet::start(6, CHECKING).await?;
+    let all = [0, 1, 2, 3, 4, 5];
+    // The first version also waits until each agent has seen the whole list of hosts.
+    let (first, second) = (fleet.publish(1).await?, fleet.publish(16).await?);
+    fleet.apply(first).await?;
+    fleet.wait_live(&all, first).await?;
+    let before = fleet.store_bytes().await?;
+    fleet.apply(second).await?;
+    fleet.wait_live(&all, second).await?;
+    fleet.check_engines(&all, second).await?;
+    let copies = (fleet.store_bytes().await? - before) as f64 / MODEL_BYTES as f64;
+    assert!(copies <= 1.1, "{copies} copies from the origin");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn corrupt_and_truncated_chunks_of_the_origin_are_not_kept() -> Result<()> {
+    let fleet = BurstFleet::start(3, CHECKING).await?;
+    let digest = fleet.publish(2).await?;
+    fleet.store_fault(json!({ "corrupt": 3, "truncate": 3 })).await?;
+    fleet.apply(digest).await?;
+    fleet.wait_live(&[0, 1, 2], digest).await?;
+    fleet.check_engines(&[0, 1, 2], digest).await
+}
+
+#[actix_rt::test]
+async fn an_agent_killed_in_the_middle_of_a_transfer_stops_no_other() -> Result<()> {
+    let mut fleet = BurstFleet::start(5, CHECKING).await?;
+    let digest = fleet.publish(3).await?;
+    fleet.store_fault(json!({ "bytes_per_second": SLOW_STORE })).await?;
+    fleet.apply(digest).await?;
+    let begun = async || fleet.store_bytes().await.is_ok_and(|bytes| bytes > 4 * CHUNK_BYTES);
+    wait_until("a part of the version is fetched", LIVE_LIMIT, begun).await?;
+    fleet.agents[0].process.kill()?;
+    fleet.store_fault(json!({ "bytes_per_second": FAST_STORE })).await?;
+    fleet.wait_live(&[1, 2, 3, 4], digest).await?;
+    fleet.check_engines(&[1, 2, 3, 4], digest).await?;
+    assert!(fleet.loads(0).await?.is_empty(), "an agent ordered what it did not hold");
+    fleet.agents[0] = fleet.system.start_agent(fleet.plans[0].clone()).await?;
+    fleet.wait_live(&[0], digest).await?;
+    fleet.check_engines(&[0], digest).await
+}
+
+#[actix_rt::test]
+async fn an_agent_that_is_restarted_advertises_what_its_target_still_serves() -> Result<()> {
+    let mut fleet = BurstFleet::start(2, CHECKING).await?;
+    let digest = fleet.publish(4).await?;
+    fleet.apply(digest).await?;
+    fleet.wait_live(&[0, 1], digest).await?;
+    fleet.agents[0].process.kill()?;
+    fleet.agents[0] = fleet.system.start_agent(fleet.plans[0].clone()).await?;
+    fleet.wait_live(&[0], digest).await?;
+    assert_eq!(fleet.loads(0).await?.len(), 1, "the version was loaded twice");
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn a_version_that_is_superseded_on_its_way_is_never_loaded() -> Result<()> {
+    let fleet = BurstFleet::start(4, CHECKING).await?;
+    let (first, second) = (fleet.publish(5).await?, fleet.publish(6).await?);
+    fleet.store_fault(json!({ "bytes_per_second": SLOW_STORE })).await?;
+    fleet.apply(first).await?;
+    let begun = async || fleet.store_bytes().await.is_ok_and(|bytes| bytes > 2 * CHUNK_BYTES);
+    wait_until("a part of the version is fetched", LIVE_LIMIT, begun).await?;
+    fleet.apply(second).await?;
+    fleet.store_fault(json!({ "bytes_per_second": FAST_STORE })).await?;
+    fleet.wait_live(&[0, 1, 2, 3], second).await?;
+    for engine in 0..4 {
+        let loads = fleet.loads(engine).await?;
+        assert!(loads.iter().all(|order| order.digest == second), "engine {engine}: {loads:?}");
+    }
+    Ok(())
+}
+
+#[actix_rt::test]
+async fn no_swap_of_a_full_target_starts_in_an_outage() -> Result<()> {
+    let fleet = BurstFleet::start(2, CHECKING).await?;
+    let (first, second) = (fleet.publish(7).await?, fleet.publish(8).await?);
+    fleet.apply(first).await?;
+    fleet.wait_live(&[0, 1], first).await?;
+    let before = fleet.store_counts().await?;
+    fleet.store_fault(json!({ "down": "refuse" })).await?;
+    fleet.apply(second).await?;
+    let wanted = async || {
+        let asked = fleet.store_counts().await.map(|counts| counts.manifest_requests);
+        asked.is_ok_and(|asked| asked > before.manifest_requests)
+    };
+    wait_until("an agent wants the second version", LIVE_LIMIT, wanted).await?;
+    fleet.kv_fault(json!({ "down": "refuse" })).await?;
+    fleet.store_fault(json!({ "down": "off" })).await?;
+    let fetched = async || {
+        let bytes = fleet.store_counts().await.map(|counts| counts.chunk_bytes);
+        bytes.is_ok_and(|bytes| bytes >= before.chunk_bytes + MODEL_BYTES as u64)
+    };
+    wait_until("the second version is fetched", LIVE_LIMIT, fetched).await?;
+    // A swap would start within one poll of the target after the last chunk.
+    for _ in 0..50 {
+        for engine in 0..2 {
+            assert_eq!(fleet.engine_counts(engine).await?.versions, [first]);
+            assert!(fleet.is_live(&fleet.agents[engine], first).await);
+        }
+        sleep(POLL_PACE).await;
+    }
+    fleet.kv_fault(json!({ "down": "off" })).await?;
+    fleet.wait_live(&[0, 1], second).await?;
+    fleet.check_engines(&[0, 1], second).await
+}
+
+#[actix_rt::test]
+async fn a_target_with_room_serves_one_of_both_versions_all_the_time() -> Result<()> {
+    let fleet = BurstFleet::start(1, TargetTraits { checks_fence: true, holds: 2 }).await?;
+    let (first, second) = (fleet.publish(9).await?, fleet.publish(10).await?);
+    fleet.apply(first).await?;
+    fleet.wait_live(&[0], first).await?;
+    fleet.apply(second).await?;
+    let moved = async || {
+        let advertised = fleet.advertised(&fleet.agents[0]).await;
+        assert_ne!(advertised, Value::Null, "nothing is served");
+        advertised == json!(second)
+    };
+    wait_until("the gate is moved", LIVE_LIMIT, moved).await?;
+    let unloaded =
+        async || fleet.engine_counts(0).await.is_ok_and(|counts| counts.versions == [second]);
+    wait_until("the first version is unloaded", LIVE_LIMIT, unloaded).await
+}
+
+#[actix_rt::test]
+async fn lost_answers_of_the_key_value_service_leave_one_fencing_number_each() -> Result<()> {
+    let mut fleet = BurstFleet::start(1, CHECKING).await?;
+    let digest = fleet.publish(11).await?;
+    fleet.apply(digest).await?;
+    fleet.wait_live(&[0], digest).await?;
+    fleet.agents[0].process.kill()?;
+    fleet.kv_fault(json!({ "lose_answers": 1 })).await?;
+    fleet.agents[0] = fleet.system.start_agent(fleet.plans[0].clone()).await?;
+    fleet.wait_live(&[0], digest).await?;
+    let second = fleet.publish(12).await?;
+    fleet.apply(second).await?;
+    fleet.wait_live(&[0], second).await?;
+    let fences: Vec<Option<u64>> = fleet.loads(0).await?.iter().map(|order| order.fence).collect();
+    assert_eq!(fences, [Some(1), Some(2)]);
+    Ok(())
+}
+
+/// A paused agent wakes after another one took its target over: its orders must not take effect.
+async fn check_paused_holder(traits: TargetTraits) -> Result<()> {
+    let mut fleet = BurstFleet::start(1, traits).await?;
+    let (first, second) = (fleet.publish(13).await?, fleet.publish(14).await?);
+    fleet.apply(first).await?;
+    fleet.wait_live(&[0], first).await?;
+    fleet.agents[0].process.freeze()?;
+    let heir = AgentPlan { host: "heir".into(), ..fleet.plans[0].clone() };
+    fleet.agents.push(fleet.system.start_agent(heir).await?);
+    fleet.apply(second).await?;
+    fleet.wait_live(&[1], second).await?;
+    let before = fleet.engine_counts(0).await?.orders.len();
+    fleet.agents[0].process.resume()?;
+    // The woken agent learns of the version that it would bring in, and finds it served already.
+    fleet.wait_live(&[0], second).await?;
+    let third = fleet.publish(15).await?;
+    fleet.apply(third).await?;
+    fleet.wait_live(&[1], third).await?;
+    let orders = fleet.engine_counts(0).await?.orders;
+    let newest = orders.iter().filter_map(|order| order.fence).max();
+    let stale = |order: &&EngineOrder| order.fence < newest && (200..300).contains(&order.status);
+    assert_eq!(orders[before..].iter().find(stale), None, "an old agent's order took effect");
+    fleet.check_engines(&[0], third).await
+}
+
+#[actix_rt::test]
+async fn a_paused_agent_orders_nothing_of_a_target_that_checks_numbers() -> Result<()> {
+    check_paused_holder(CHECKING).await
+}
+
+#[actix_rt::test]
+async fn a_paused_agent_orders_nothing_of_a_target_that_ignores_numbers() -> Result<()> {
+    check_paused_holder(TargetTraits { checks_fence: false, holds: 1 }).await
+}
