--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -27,6 +27,7 @@
         }
         if record.submit.suspect || verdict == SuspectVerdict::Suspect {
             self.alone = Some(id);
+            self.held_at = now;
             if self.busy > 0 {
                 return self.actions.push(LedgerAction::Hold(id));
             }
@@ -62,6 +63,10 @@
             ClaimVerdict::Won => match refusal(record, now, gate) {
                 None => self.dispatch(id),
                 Some(code) => {
+                    // Another agent would find the key claimed until the release is written, so
+                    // the entry must not try elsewhere at once.
+                    let is_late = code == ResultCode::DeadlineBefore;
+                    let code = if is_late { code } else { ResultCode::KeyReleased };
                     self.actions.push(LedgerAction::ReleaseClaim(id));
                     self.finish(now, id, code);
                 }
