--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -4,10 +4,15 @@
 //! tells when it wants [`FetchEvent::Tick`] if nothing else happens before.
 
 mod choose;
+mod event;
 mod flights;
 mod lanes;
 mod peers;
 
+pub use event::{
+    ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchOrder, FetchTicket,
+};
+
 use crate::prelude::*;
 use crate::weights::manifest::hash_chunk;
 use crate::weights::plan::{HostIndex, RegionIndex, SpreadPlan, mix};
@@ -24,110 +29,6 @@
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
 const CORRUPT_LIMIT: u32 = 2;
 
-/// Where a chunk is fetched from.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub enum ChunkSource {
-    /// The platform's weight store.
-    Origin,
-    /// Another host.
-    Peer(HostName),
-}
-
-/// Names one fetch of a machine.
-pub type FetchTicket = u64;
-
-/// A chunk to be fetched.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct FetchOrder {
-    /// Names the fetch in events and in [`FetchAction::Cancel`].
-    pub ticket: FetchTicket,
-    /// Position of the chunk in the manifest.
-    pub chunk: usize,
-    /// Where to fetch it.
-    pub source: ChunkSource,
-    /// Most bytes a second; none if only the host's own cap applies.
-    pub bytes_per_second: Option<u64>,
-}
-
-/// Why a fetch brought nothing.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FetchFailure {
-    /// The source does not answer.
-    Unreachable,
-    /// The answer broke off or was too long.
-    Cut,
-    /// The source does not hold the chunk.
-    NotHere,
-    /// The source has no room for another upload.
-    Busy,
-}
-
-/// What happened.
-#[derive(Debug, Clone)]
-pub enum FetchEvent {
-    /// Time has passed.
-    Tick,
-    /// So many bytes of a chunk have arrived.
-    Progress(FetchTicket, u64),
-    /// All bytes of a chunk have arrived; not verified yet.
-    Arrived(FetchTicket, Bytes),
-    /// A fetch brought nothing.
-    Failed(FetchTicket, FetchFailure),
-    /// A host told which chunks it holds.
-    HeldBy(HostName, ChunkSet),
-    /// A host did not tell which chunks it holds.
-    PollFailed(HostName),
-    /// The list of hosts or the configuration changed.
-    Replanned(Arc<SpreadPlan>),
-    /// Live requests take so many percent of what the host can do.
-    LiveLoad(u8),
-}
-
-/// What is to be done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum FetchAction {
-    /// Fetch a chunk.
-    Fetch(FetchOrder),
-    /// Break a fetch off; no event of it is expected any more.
-    Cancel(FetchTicket),
-    /// Ask a host which chunks it holds.
-    Poll(HostName),
-    /// Keep a chunk, which is verified, and pass it on to whoever asks.
-    Keep(usize, Bytes),
-    /// A source sent bytes that are not those of the chunk.
-    Corrupt(ChunkSource, usize),
-    /// Every chunk is kept.
-    Complete,
-}
-
-/// What the spread may take of each link, in bytes a second, and how much may run at once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct FetchLimits {
-    /// From the origin, over all hosts.
-    pub origin_bytes_per_second: u64,
-    /// Up or down the host's link.
-    pub host_bytes_per_second: u64,
-    /// One way between two regions, over all hosts.
-    pub region_pair_bytes_per_second: u64,
-    /// Fetches from the origin at once.
-    pub origin_fetches: usize,
-    /// Fetches from hosts of the own region at once.
-    pub peer_fetches: usize,
-}
-
-impl FetchLimits {
-    /// Limits under these allowances, with the usual number of fetches at once.
-    pub fn new(origin: u64, host: u64, region_pair: u64) -> Self {
-        Self {
-            origin_bytes_per_second: origin.max(1),
-            host_bytes_per_second: host.max(1),
-            region_pair_bytes_per_second: region_pair.max(1),
-            origin_fetches: 2,
-            peer_fetches: 6,
-        }
-    }
-}
-
 /// Fetches one version. Dropping it is the way to give up a superseded version.
 #[derive(Debug)]
 pub struct FetchMachine {
--- a/tests/burst.rs
+++ b/tests/burst.rs
@@ -1,6 +1,7 @@
 //! The spread of weights as separate processes, under faults.
 
 use anyhow::Result;
+use awc::http::Method;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_standin::engine::{EngineCounts, EngineOrder, OrderKind};
 use buckthornwharf_standin::fleet::{
@@ -287,6 +288,41 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn a_target_that_lost_its_weights_is_closed_and_loaded_again() -> Result<()> {
+    let fleet = BurstFleet::start(1, CHECKING).await?;
+    let digest = fleet.publish(17).await?;
+    fleet.apply(digest).await?;
+    fleet.wait_live(&[0], digest).await?;
+    let slow_load = json!({ "load_ms": 1_000 });
+    fleet.system.client.set_faults(fleet.engines[0].address, &slow_load).await?;
+    let path = format!("/v1/models/{digest}");
+    let fence = [("X-Fence", "1")];
+    let target = fleet.engines[0].address;
+    fleet.system.client.send(Method::DELETE, target, &path, &fence, "").await?.ok()?;
+    let closed = async || fleet.advertised(&fleet.agents[0]).await == Value::Null;
+    wait_until("the agent advertises nothing", LIVE_LIMIT, closed).await?;
+    fleet.wait_live(&[0], digest).await?;
+    assert_eq!(fleet.loads(0).await?.len(), 2);
+    fleet.check_engines(&[0], digest).await
+}
+
+#[actix_rt::test]
+async fn an_agent_killed_while_its_order_runs_is_followed_by_one_that_reads_back() -> Result<()> {
+    let mut fleet = BurstFleet::start(2, CHECKING).await?;
+    let digest = fleet.publish(18).await?;
+    let slow_load = json!({ "load_ms": 1_500 });
+    fleet.system.client.set_faults(fleet.engines[0].address, &slow_load).await?;
+    fleet.apply(digest).await?;
+    let ordered = async || fleet.loads(0).await.is_ok_and(|loads| !loads.is_empty());
+    wait_until("the load is ordered", LIVE_LIMIT, ordered).await?;
+    assert_eq!(fleet.advertised(&fleet.agents[0]).await, Value::Null, "not confirmed yet");
+    fleet.agents[0].process.kill()?;
+    fleet.agents[0] = fleet.system.start_agent(fleet.plans[0].clone()).await?;
+    fleet.wait_live(&[0, 1], digest).await?;
+    fleet.check_engines(&[0, 1], digest).await
+}
+
 /// A paused agent wakes after another one took its target over: its orders must not take effect.
 async fn check_paused_holder(traits: TargetTraits) -> Result<()> {
     let mut fleet = BurstFleet::start(1, traits).await?;
