Wait for a lost link where no other host takes the request

Cause: when a link was lost before the first byte, idempotent work was given up at once and another host was picked. Where there was none, the caller got "link lost" although the agent still ran the work and could be asked.

Now the attempt is given up only once another host is chosen; without one the request waits for its host's next link and asks what became of it.

Ruled out: to wait before every pick, which would cost seconds of first-token time whenever a host dies.

Conclusion: a service on a single host keeps its requests over a silent link.

--- a/core/src/request/driver.rs
+++ b/core/src/request/driver.rs
@@ -36,6 +36,8 @@
     deadline: MonoTime,
     state: DriverState,
     tried: Vec<TargetChoice>,
+    /// The attempt whose link was lost, while another host is looked for.
+    lost: Option<Box<HostAttempt>>,
     may_have_run: bool,
     head_forwarded: bool,
     position: u64,
@@ -57,6 +59,7 @@
             deadline: now + allowed,
             state: DriverState::Picking,
             tried: Vec::new(),
+            lost: None,
             may_have_run: false,
             head_forwarded: false,
             position: 0,
@@ -151,6 +154,7 @@
         if !matches!(self.state, DriverState::Picking) {
             return;
         }
+        self.give_up_lost();
         let known = |tried: &TargetChoice| {
             tried.host == choice.host && tried.incarnation == choice.incarnation
         };
@@ -167,8 +171,12 @@
     }
 
     fn on_no_target(&mut self, code: ResultCode) {
-        if matches!(self.state, DriverState::Picking) {
-            self.finish(code);
+        if !matches!(self.state, DriverState::Picking) {
+            return;
+        }
+        match self.lost.take() {
+            Some(attempt) => self.state = DriverState::Trying(*attempt),
+            None => self.finish(code),
         }
     }
 
@@ -179,9 +187,25 @@
         }
         attempt.phase = AttemptPhase::Disconnected(now + RESOLVE_TIMEOUT);
         if self.may_repeat() && self.can_retry(now) && budget.take_retry() {
-            self.cancel_attempt();
-            self.pick_again(true);
+            self.look_elsewhere();
+        }
+    }
+
+    /// Picks another host. The attempt is given up only if there is one; otherwise its host is asked
+    /// on its next link what became of it.
+    fn look_elsewhere(&mut self) {
+        let state = std::mem::replace(&mut self.state, DriverState::Picking);
+        if let DriverState::Trying(attempt) = state {
+            self.lost = Some(Box::new(attempt));
         }
+        self.push_pick();
+    }
+
+    fn give_up_lost(&mut self) {
+        let Some(lost) = self.lost.take() else { return };
+        self.may_have_run = true;
+        let TargetChoice { host, incarnation, .. } = lost.choice;
+        self.actions.push(DriverAction::CancelLater { host, incarnation });
     }
 
     fn on_reopened(&mut self, now: MonoTime, choice: TargetChoice, budget: &mut RetryBudget) {
@@ -223,11 +247,13 @@
             _ => ResultCode::DeadlineDuring,
         };
         self.may_have_run |= self.attempt().is_some();
+        self.give_up_lost();
         self.cancel_attempt();
         self.finish(code);
     }
 
     fn on_caller_gone(&mut self) {
+        self.give_up_lost();
         self.cancel_attempt();
         self.finish(ResultCode::Cancelled);
     }
@@ -268,6 +294,10 @@
     fn pick_again(&mut self, may_have_run: bool) {
         self.may_have_run |= may_have_run;
         self.state = DriverState::Picking;
+        self.push_pick();
+    }
+
+    fn push_pick(&mut self) {
         let avoid = self.tried.iter().map(|choice| choice.host.clone()).collect();
         self.actions.push(DriverAction::Pick { avoid });
     }
--- a/core/tests/request_driver.rs
+++ b/core/tests/request_driver.rs
@@ -136,8 +136,8 @@
     insta::assert_snapshot!(run(true, &mut RetryBudget::new(), events.clone()), @r#"
     pick, not []
     submit on 1
-    cancel later on a
     pick, not [HostName("a")]
+    cancel later on a
     submit on 2
     pick, not [HostName("a"), HostName("b")]
     "#);
@@ -147,6 +147,24 @@
     "#);
 }
 
+#[test]
+fn a_lost_link_is_waited_for_where_no_other_host_takes_the_work() {
+    let events = vec![
+        DriverEvent::LinkLost(FIRST),
+        DriverEvent::NoTarget(ResultCode::NotServing),
+        DriverEvent::LinkReopened(choice("a", SECOND)),
+        DriverEvent::CallerGone,
+    ];
+    insta::assert_snapshot!(run(true, &mut RetryBudget::new(), events), @r#"
+    pick, not []
+    submit on 1
+    pick, not [HostName("a")]
+    Resolve(ResolveFrame { id: RequestId(7), has_head: false, position: 0 }) on 2
+    Cancel(RequestId(7)) on 2
+    finish cancelled
+    "#);
+}
+
 #[test]
 fn other_work_waits_for_the_new_link_and_asks() {
     let events = vec![
@@ -177,8 +195,8 @@
     insta::assert_snapshot!(run(true, &mut RetryBudget::new(), events), @r#"
     pick, not []
     submit on 1
-    cancel later on a
     pick, not [HostName("a")]
+    cancel later on a
     submit on 2
     pick, not [HostName("a"), HostName("b")]
     finish link_lost
--- a/tests/requests/links.rs
+++ b/tests/requests/links.rs
@@ -7,6 +7,8 @@
 use serde_json::{Value, json};
 
 const TOKENS: u32 = 80;
+/// Long enough that a silent link is replaced before the first token.
+const LATE_TOKEN_MS: u64 = 4_000;
 
 async fn opened(fleet: &ProofFleet, relay: &RelayProcess) -> Result<u64> {
     let counts: RelayCounts = fleet.fleet.system.client.counts(relay.standin.address).await?;
@@ -45,6 +47,22 @@
     fault_in_the_middle(&fleet, json!({ "silence": "both" }), false).await
 }
 
+#[actix_rt::test]
+async fn a_link_silent_before_the_first_byte_loses_no_answer() -> Result<()> {
+    let fleet = ProofFleet::start(1, &[]).await?;
+    for stream in [true, false] {
+        let prompt = format!("silent before the first byte, streamed {stream}");
+        fleet.fault_engines(json!({ "token_gap_ms": LATE_TOKEN_MS })).await?;
+        let asked = fleet.ask(0, &prompt, TOKENS, stream);
+        fleet.wait_prompt(&prompt).await?;
+        fleet.fault_engines(json!({ "token_gap_ms": 1 })).await?;
+        fleet.fault(fleet.relays[0].standin.address, json!({ "silence": "both" })).await?;
+        fleet.check_whole(&asked.reply().await?, &prompt, TOKENS)?;
+        assert_eq!(fleet.prompt_runs(&prompt).await?, [1], "{prompt}");
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn a_frozen_agent_goes_on_with_its_answers() -> Result<()> {
     let mut fleet = ProofFleet::start(1, &["--token-gap-ms", "50"]).await?;
