Cancel the work of a caller that went away before its answer began

Cause: the HTTP server let callers close their sending side and wait on, so a caller that went away was noticed only when bytes were written to it. The work of an answer that is not streamed went on to its end.

Ruled out: the agent and the engine's cancel; the entry's log showed no end of the request.

Conclusion: a caller that closes its side has gone; work that must not be repeated still runs to its end, as the ledger decides.

--- a/src/http_server.rs
+++ b/src/http_server.rs
@@ -37,6 +37,8 @@
         .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
         .client_request_timeout(HEAD_TIMEOUT)
         .tcp_nodelay(true)
+        // A caller that closed its side is gone: the work for it is to be cancelled.
+        .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || stopped(stop_signal.clone()))
         .finish(move |request: Request| {
             let answer = handler(request);
