Prove that an engine's refusal reaches its caller

Cause: a malformed chat request ended as 502 "link lost": the engine's 400 bears no digest, was taken for an answer of other weights and tried elsewhere.

Ruled out: a check of the body at the entry, which would have to follow the engine's rules.

After: "malformed: 400 0 ok".

Conclusion: an engine's refusal is an answer.

--- a/tests/requests/refusals.rs
+++ b/tests/requests/refusals.rs
@@ -40,6 +40,7 @@
         ("too large", CHAT_PATH, &[], "x".repeat(TOO_LARGE)),
         ("empty idempotency key", "/portal/book", &[("Idempotency-Key", "")], chat()),
         ("bad deadline", CHAT_PATH, &[("X-Deadline-Ms", "soon")], chat()),
+        ("malformed", CHAT_PATH, &[], "{".to_owned()),
         ("no time left", CHAT_PATH, &[("X-Deadline-Ms", "0")], chat()),
     ] {
         let reply = send(entry, Method::POST, path, headers, body).await?;
@@ -77,6 +78,7 @@
     too large: 400 100 bad_request, retry after -
     empty idempotency key: 400 100 bad_request, retry after -
     bad deadline: 400 100 bad_request, retry after -
+    malformed: 400 0 ok, retry after -
     no time left: 503 206 deadline_before, retry after 1
     over the limit: 429 202 over_limit, retry after 1
     no serving target: 503 200 not_serving, retry after 5
