Write the last answers of a leaving agent before it exits

Cause: the agent's traffic ended as soon as no request was left, while the last frames were still queued for its links. The process exited under them: streams were cut at their end, or asked for again elsewhere and run twice.

Now the links are closed first, each once all that was sent on it is written, and the agent waits for that, five seconds at most.

Ruled out: a longer grace after the notice, which only moves the race.

--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Closes every link once what was sent on it is written, and returns how many there were.
+    pub fn close_links(&mut self) -> usize {
+        std::mem::take(&mut self.links).len()
+    }
+
     /// Sends a frame on every link.
     pub fn broadcast(&self, frame: &LinkFrame) {
         self.links.values().for_each(|handle| handle.send(frame.clone()));
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -22,6 +22,8 @@
 const STATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a leaving agent stays after its notice, so that no entry still sends it work.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Time that the links of a leaving agent have to write the last answers.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -126,11 +128,27 @@
         let is_over = left_at.is_some_and(|at| clock::now().since(at) >= LEAVE_GRACE);
         if is_over && traffic.desk.is_idle() {
             accepting.abort();
+            let open = traffic.desk.close_links();
+            wait_closed(events, open).await;
             return Ok(());
         }
     }
 }
 
+/// Waits until `open` links have written what was sent on them and are closed, for a while at most.
+async fn wait_closed(mut events: mpsc::UnboundedReceiver<LinkEvent>, mut open: usize) {
+    let closing = async {
+        while open > 0
+            && let Some(event) = events.recv().await
+        {
+            open -= usize::from(matches!(event, LinkEvent::Down(_)));
+        }
+    };
+    if actix_rt::time::timeout(CLOSE_LIMIT, closing).await.is_err() {
+        log::warn!("{open} links did not close in time");
+    }
+}
+
 async fn accept_links(
     listener: TcpListener,
     identity: LinkIdentity,
