Send only what changed of a configuration over links

Cause: the exchange of configurations stood twice, in core with patches and in src/link without; the one without was in use. Ruled out: patches in the link module, since when to send one is a decision. Conclusion: one exchange, in core.

--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -4,13 +4,14 @@
 use super::requests::{CRASH_WINDOW, DeskParts, RequestDesk};
 use super::target::TargetClient;
 use crate::clock;
-use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkIdentity, accept_link, run_link};
+use crate::link::{LinkEvent, LinkIdentity, accept_link, run_link};
 use crate::metrics::AgentMetrics;
 use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
 use crate::shared::{ActiveConfig, ConfigReceiver, GateLoad, GatePosition, HostsReceiver};
 use actix_rt::net::TcpListener;
 use anyhow::Result;
+use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
 use buckthornwharf_core::membership::{HostPhase, HostRecord};
 use buckthornwharf_core::prelude::*;
@@ -122,7 +123,7 @@
                 let listed = is_listed_leaving(&hosts.borrow_and_update(), &host);
                 traffic.desk.set_leaving(listed || left_at.is_some());
             }
-            _ = tick.tick() => traffic.desk.tick(),
+            _ = tick.tick() => traffic.on_tick(),
         }
         traffic.report_state();
         let is_over = left_at.is_some_and(|at| clock::now().since(at) >= LEAVE_GRACE);
@@ -183,12 +184,19 @@
 impl AgentTraffic {
     fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
         if let Some(active) = &active {
+            self.exchange.set_active(active.generation, active.body.clone());
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
-        self.exchange.set_active(active);
         self.desk.broadcast(&LinkFrame::Config(self.exchange.announcement()));
     }
 
+    fn on_tick(&mut self) {
+        self.desk.tick();
+        if let Some(frame) = self.exchange.ask_again(clock::now()) {
+            self.desk.broadcast(&LinkFrame::Config(frame));
+        }
+    }
+
     fn on_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up(handle) => {
@@ -202,7 +210,7 @@
     }
 
     fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
-        match self.exchange.on_frame(frame) {
+        match self.exchange.on_frame(clock::now(), frame) {
             ExchangeStep::Nothing => {}
             ExchangeStep::Reply(reply) => self.desk.send(link, LinkFrame::Config(reply)),
             ExchangeStep::Deliver(frame) => {
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -6,7 +6,7 @@
 use super::requests::{RequestTable, random_id};
 use crate::clock;
 use crate::http_server::serve_http;
-use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkHandle, LinkIdentity};
+use crate::link::{LinkEvent, LinkHandle, LinkIdentity};
 use crate::metrics::EntryMetrics;
 use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
 use actix_http::body::BoxBody;
@@ -14,6 +14,7 @@
 use actix_rt::net::TcpListener;
 use anyhow::Result;
 use buckthornwharf_core::burn::BurnCounts;
+use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame};
 use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
 use buckthornwharf_core::prelude::*;
@@ -191,6 +192,7 @@
 impl EntryTraffic {
     fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
         if let Some(active) = &active {
+            self.exchange.set_active(active.generation, active.body.clone());
             let sites = active.document.sites.iter();
             let regions = sites.map(|(site, config)| (site.clone(), config.region.clone()));
             self.table.set_regions(regions.collect());
@@ -198,7 +200,6 @@
             self.recorder.set_objectives(&active.document);
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
-        self.exchange.set_active(active);
         self.table.broadcast(&LinkFrame::Config(self.exchange.announcement()));
         self.choose_links();
     }
@@ -262,7 +263,7 @@
     }
 
     fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
-        match self.exchange.on_frame(frame) {
+        match self.exchange.on_frame(clock::now(), frame) {
             ExchangeStep::Nothing => {}
             ExchangeStep::Reply(reply) => {
                 if let Some(handle) = self.handles.get(&link) {
@@ -277,6 +278,9 @@
 
     fn on_tick(&mut self) {
         self.table.tick();
+        if let Some(frame) = self.exchange.ask_again(clock::now()) {
+            self.table.broadcast(&LinkFrame::Config(frame));
+        }
     }
 }
 
--- a/src/link.rs
+++ b/src/link.rs
@@ -5,10 +5,8 @@
 //!
 //! [`LinkFrame`]: buckthornwharf_core::frame::LinkFrame
 
-mod config_exchange;
 mod connection;
 mod handshake;
 
-pub use config_exchange::{ConfigExchange, ExchangeStep};
 pub use connection::{LinkEvent, LinkHandle, run_link};
 pub use handshake::{LinkIdentity, LinkSocket, PeerIdentity, accept_link, dial_link};
