--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -7,7 +7,7 @@
 use buckthornwharf::cmd::ExitStatus;
 use buckthornwharf::metrics::{AgentMetrics, EntryMetrics, ProcessMetrics};
 use buckthornwharf_core::prelude::*;
-use std::fs::read_to_string;
+use std::fs::{read_dir, read_to_string};
 use std::path::Path;
 use strum::IntoEnumIterator;
 
@@ -112,3 +112,31 @@
     assert_eq!(listed_metrics("Agent")?, rendered(&agent.process, &common));
     Ok(())
 }
+
+/// The text of all Rust files below `folder`.
+fn sources(folder: &Path) -> Result<String> {
+    let mut text = String::new();
+    for entry in read_dir(folder)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            text.push_str(&sources(&path)?);
+        } else if path.extension().is_some_and(|end| end == "rs") {
+            text.push_str(&read_to_string(&path)?);
+        }
+    }
+    Ok(text)
+}
+
+#[test]
+fn the_fault_matrix_names_tests_that_exist() -> Result<()> {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let tests = sources(&root.join("core/tests"))? + &sources(&root.join("tests"))?;
+    let text = page("docs/fault-matrix.md")?;
+    let quoted = text.split('`').skip(1).step_by(2);
+    let names: Vec<&str> = quoted.filter(|name| !name.contains([' ', '/', '.'])).collect();
+    assert!(!names.is_empty());
+    for name in names {
+        assert!(tests.contains(&format!("fn {name}(")), "no test is called {name}");
+    }
+    Ok(())
+}
