Renew the session while a target drains or loads

Cause: the permit of a swap is tied to a session of 30 s, which was not renewed while the keeper waited for requests to end or for a load; a longer wait let a second host of the service go out. Ruled out: a longer session (a dead agent's permit and lease would lapse later by as much). Before: a_load_longer_than_a_session_keeps_its_permit fails ("both engines are out of service", 33 s). After: it passes (37 s). Conclusion: the session is renewed during both waits.

--- a/src/agent/weights/authority.rs
+++ b/src/agent/weights/authority.rs
@@ -5,9 +5,10 @@
 use anyhow::{Context, Result, ensure};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fence::{FenceRow, LEASE_TTL, OrderFence, OrderStamp};
-use log::info;
+use log::{info, warn};
 use rand::RngExt;
 use std::net::SocketAddr;
+use std::pin::pin;
 
 /// Pace at which a lease is renewed.
 const RENEW_INTERVAL: Duration = Duration::from_secs(5);
@@ -99,6 +100,20 @@
         Ok(session)
     }
 
+    /// Waits for `work`, and renews the session as it falls due meanwhile.
+    pub async fn keep_during<F: Future>(&mut self, work: F) -> F::Output {
+        let mut work = pin!(work);
+        loop {
+            tokio::select! {
+                output = &mut work => return output,
+                () = actix_rt::time::sleep(RENEW_INTERVAL) => {}
+            }
+            if let Err(error) = self.renew().await {
+                warn!("the session for target {} is not renewed: {error:#}", self.target);
+            }
+        }
+    }
+
     /// Renews the session, if there is one and it is due; whether it still is.
     ///
     /// # Errors
--- a/src/agent/weights/keeper/swap.rs
+++ b/src/agent/weights/keeper/swap.rs
@@ -23,7 +23,7 @@
             self.take_permit().await?;
             self.serving = None;
             self.tools.gate.close();
-            self.tools.gate.drained().await;
+            self.authority.keep_during(self.tools.gate.drained()).await;
             for digest in loaded {
                 self.unload(digest).await?;
             }
@@ -66,7 +66,8 @@
             chunks,
         };
         let stamp = version.stamp();
-        let answer = self.tools.engine.load(body, stamp.fence, time_left(stamp)).await;
+        let call = self.tools.engine.load(body, stamp.fence, time_left(stamp));
+        let answer = self.authority.keep_during(call).await;
         // Whatever was answered, only the target's own list tells what it has loaded.
         let loaded = self.tools.engine.models().await?;
         match version.confirm(&loaded) {
--- a/tests/burst.rs
+++ b/tests/burst.rs
@@ -3,6 +3,7 @@
 use anyhow::Result;
 use awc::http::Method;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fence::LEASE_TTL;
 use buckthornwharf_standin::engine::{EngineCounts, EngineOrder, OrderKind};
 use buckthornwharf_standin::fleet::{
     AgentNode, AgentPlan, ConfigFile, ENGINE_SERVICE, FleetSystem, POLL_PACE, SAMPLE_SITES,
@@ -323,6 +324,31 @@
     fleet.check_engines(&[0, 1], digest).await
 }
 
+#[actix_rt::test]
+async fn a_load_longer_than_a_session_keeps_its_permit() -> Result<()> {
+    let fleet = BurstFleet::start(2, CHECKING).await?;
+    let (first, second) = (fleet.publish(19).await?, fleet.publish(20).await?);
+    fleet.apply(first).await?;
+    fleet.wait_live(&[0, 1], first).await?;
+    let slow_load = json!({ "load_ms": LEASE_TTL.as_millis() as u64 + 4_000 });
+    for engine in &fleet.engines {
+        fleet.system.client.set_faults(engine.address, &slow_load).await?;
+    }
+    fleet.apply(second).await?;
+    let one_is_moved = async || {
+        let mut out = 0;
+        let mut moved = false;
+        for agent in &fleet.agents {
+            let advertised = fleet.advertised(agent).await;
+            out += usize::from(advertised == Value::Null);
+            moved |= advertised == json!(second);
+        }
+        assert!(out <= 1, "both engines are out of service");
+        moved
+    };
+    wait_until("one engine serves the second version", LIVE_LIMIT, one_is_moved).await
+}
+
 /// A paused agent wakes after another one took its target over: its orders must not take effect.
 async fn check_paused_holder(traits: TargetTraits) -> Result<()> {
     let mut fleet = BurstFleet::start(1, traits).await?;
