--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -4,13 +4,14 @@
 use super::requests::{CRASH_WINDOW, DeskParts, RequestDesk};
 use super::target::TargetClient;
 use crate::clock;
-use crate::link::{ConfigExchange, ExchangeStep, LinkEvent, LinkIdentity, accept_link, run_link};
+use crate::link::{LinkEvent, LinkIdentity, accept_link, run_link};
 use crate::metrics::AgentMetrics;
 use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
 use crate::shared::{ActiveConfig, ConfigReceiver, GateLoad, GatePosition, HostsReceiver};
 use actix_rt::net::TcpListener;
 use anyhow::Result;
+use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
 use buckthornwharf_core::membership::{HostPhase, HostRecord};
 use buckthornwharf_core::prelude::*;
@@ -22,6 +23,8 @@
 const STATE_INTERVAL: Duration = Duration::from_secs(1);
 /// Time that a leaving agent stays after its notice, so that no entry still sends it work.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
+/// Time that the links of a leaving agent have to write the last answers.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -120,17 +123,33 @@
                 let listed = is_listed_leaving(&hosts.borrow_and_update(), &host);
                 traffic.desk.set_leaving(listed || left_at.is_some());
             }
-            _ = tick.tick() => traffic.desk.tick(),
+            _ = tick.tick() => traffic.on_tick(),
         }
         traffic.report_state();
         let is_over = left_at.is_some_and(|at| clock::now().since(at) >= LEAVE_GRACE);
         if is_over && traffic.desk.is_idle() {
             accepting.abort();
+            let open = traffic.desk.close_links();
+            wait_closed(events, open).await;
             return Ok(());
         }
     }
 }
 
+/// Waits until `open` links have written what was sent on them and are closed, for a while at most.
+async fn wait_closed(mut events: mpsc::UnboundedReceiver<LinkEvent>, mut open: usize) {
+    let closing = async {
+        while open > 0
+            && let Some(event) = events.recv().await
+        {
+            open -= usize::from(matches!(event, LinkEvent::Down(_)));
+        }
+    };
+    if actix_rt::time::timeout(CLOSE_LIMIT, closing).await.is_err() {
+        log::warn!("{open} links did not close in time");
+    }
+}
+
 async fn accept_links(
     listener: TcpListener,
     identity: LinkIdentity,
@@ -165,12 +184,19 @@
 impl AgentTraffic {
     fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
         if let Some(active) = &active {
+            self.exchange.set_active(active.generation, active.body.clone());
             self.metrics.process.config_generation.set(active.generation.0 as i64);
         }
-        self.exchange.set_active(active);
         self.desk.broadcast(&LinkFrame::Config(self.exchange.announcement()));
     }
 
+    fn on_tick(&mut self) {
+        self.desk.tick();
+        if let Some(frame) = self.exchange.ask_again(clock::now()) {
+            self.desk.broadcast(&LinkFrame::Config(frame));
+        }
+    }
+
     fn on_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up(handle) => {
@@ -184,7 +210,7 @@
     }
 
     fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
-        match self.exchange.on_frame(frame) {
+        match self.exchange.on_frame(clock::now(), frame) {
             ExchangeStep::Nothing => {}
             ExchangeStep::Reply(reply) => self.desk.send(link, LinkFrame::Config(reply)),
             ExchangeStep::Deliver(frame) => {
