Show the guards of requests failing when they are off

Cause: two tests passed also without their guard. Bookings had one host only, so a blind retry had nowhere to go; and answers in flight ended so soon after an agent's notice that its exit was taken for obedience.

Bookings now meet a target that drops every answer with a second host linked, while a read beside them is tried at both; and the agent must still run once new work has stopped.

Ruled out: nothing for the claim's nonce and the limit of silence, which were not switched off; that is left.

--- a/tests/requests/leaving.rs
+++ b/tests/requests/leaving.rs
@@ -5,7 +5,8 @@
 use anyhow::Result;
 use buckthornwharf_standin::fleet::wait_until;
 
-const TOKENS: u32 = 60;
+/// Enough that answers outlast the notice by far.
+const TOKENS: u32 = 200;
 const ASKED: usize = 12;
 
 fn prompt(number: usize) -> String {
@@ -53,6 +54,7 @@
     })
     .await?;
     assert_eq!(runs_beside(&fleet, 12).await?, 0);
+    assert!(fleet.fleet.agents[0].process.is_running(), "the agent left before its work ended");
     check_all(&fleet, asked).await?;
     let status = fleet.fleet.agents[0].process.wait_exit(LIMIT).await?;
     assert!(status.success(), "{status}");
@@ -76,7 +78,7 @@
 
 #[actix_rt::test]
 async fn an_entry_that_leaves_finishes_its_answers() -> Result<()> {
-    let mut fleet = ProofFleet::start(2, &["--token-gap-ms", "50"]).await?;
+    let mut fleet = ProofFleet::start(2, &["--token-gap-ms", "30"]).await?;
     let asked = ask_many(&fleet).await?;
     fleet.fleet.entries[0].process.terminate()?;
     wait_until("the entry takes no new connection", LIMIT, async || {
--- a/tests/requests/once.rs
+++ b/tests/requests/once.rs
@@ -1,10 +1,11 @@
 //! Work that must not be repeated runs at most once, and did not run where the answer says so.
 
-use super::asked::{AskedRequest, class_of, code_of, says_not_run};
+use super::asked::{AskedRequest, class_of, code_of, says_not_run, send};
 use super::proof_fleet::{LIMIT, ProofFleet};
 use anyhow::Result;
+use awc::http::Method;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_standin::fleet::{AgentPlan, HttpReply, PLAIN_SERVICE, wait_until};
+use buckthornwharf_standin::fleet::{AgentNode, AgentPlan, HttpReply, PLAIN_SERVICE, wait_until};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
@@ -45,18 +46,23 @@
     }
 }
 
-/// Starts the plain service's agent again, as a replaced host of the same name.
-async fn replace_agent(fleet: &mut ProofFleet) -> Result<()> {
-    let old = fleet.fleet.plain_agent.record.clone();
+/// Starts an agent beside the plain service.
+async fn start_agent(fleet: &ProofFleet, host: HostName) -> Result<AgentNode> {
     let plan = AgentPlan {
-        host: old.name,
-        site: old.site,
+        host,
+        site: fleet.fleet.plain_agent.record.site.clone(),
         service: PLAIN_SERVICE.into(),
         target: fleet.fleet.plain.address,
         target_checks_fence: false,
         target_holds: 1,
     };
-    fleet.fleet.plain_agent = fleet.fleet.system.start_agent(plan).await?;
+    fleet.fleet.system.start_agent(plan).await
+}
+
+/// Starts the plain service's agent again, as a replaced host of the same name.
+async fn replace_agent(fleet: &mut ProofFleet) -> Result<()> {
+    let host = fleet.fleet.plain_agent.record.name.clone();
+    fleet.fleet.plain_agent = start_agent(fleet, host).await?;
     fleet.wait_booking("ready again").await
 }
 
@@ -155,6 +161,31 @@
     Ok(())
 }
 
+#[actix_rt::test]
+async fn a_booking_that_may_have_run_is_not_tried_at_another_host() -> Result<()> {
+    let fleet = ProofFleet::start(0, &[]).await?;
+    let _second = start_agent(&fleet, "agent-plain-2".into()).await?;
+    for entry in &fleet.fleet.entries {
+        let client = &fleet.fleet.system.client;
+        wait_until("the entry has links to both agents", LIMIT, async || {
+            let metrics = client.get(entry.record.admin, "/metrics").await;
+            metrics.is_ok_and(|metrics| metrics.text().contains("links_open 2"))
+        })
+        .await?;
+    }
+    fleet.fault_plain(json!({ "drop": "after" })).await?;
+    // A read may be repeated, which shows that the other host is reached.
+    let reply = send(fleet.entry(0), Method::GET, "/portal/read", &[], "read".to_owned()).await?;
+    assert_eq!((code_of(&reply), fleet.body_runs("read").await?), ("103 poisonous", 2));
+    for number in 0..4 {
+        let body = format!("booked {number}");
+        let reply = fleet.ask_booking(1, &body, "").reply().await?;
+        assert_eq!(code_of(&reply), "301 target_failed");
+        assert_eq!(fleet.body_runs(&body).await?, 1, "{body}");
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn a_key_is_used_once_by_duplicates_at_any_entry() -> Result<()> {
     let mut fleet = ProofFleet::start(0, &[]).await?;
