Use what the routing core offers, and prove requests for chunks

Cause: chunk requests between agents carried a proof that nobody checked; a refusal for want of room was retried at hosts that were full too; waits in a queue were bounded by deadlines only; an organisation stayed charged for work that was dropped after its turn; and a plain service that closed two connections under one body had it refused as poisonous for ten minutes. Ruled out: asking an engine after a crash whether it still serves: it may be loaded again by then, and a trial of it let a third engine crash (tests/requests.rs, poison). A plain service is asked whether it listens. Before: GET to a plain service that drops every connection ended as 103 poisonous after two runs.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -18,7 +18,7 @@
 use crate::settings::{AgentSettings, ProcessSettings};
 use crate::shared::{ConfigReceiver, GateControl, GateLoad, GatePosition};
 use actix_http::body::BoxBody;
-use actix_http::{Request, Response, StatusCode};
+use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use anyhow::{Context, Result};
 use buckthornwharf_core::membership::HostRole;
 use buckthornwharf_core::prelude::*;
@@ -104,13 +104,15 @@
             "/status" => json_response(&self.status()),
             "/metrics" => text_response(StatusCode::OK, self.metrics.process.render()),
             "/burn" => json_response(&self.live.burn_counts()),
-            path if path.starts_with("/weights/") => self.chunk(path).await,
+            path if path.starts_with("/weights/") => self.chunk(&request).await,
             _ => text_response(StatusCode::NOT_FOUND, "not found\n"),
         }
     }
 
-    async fn chunk(&self, path: &str) -> Response<BoxBody> {
-        match self.handles.chunks.answer(path).await {
+    async fn chunk(&self, request: &Request) -> Response<BoxBody> {
+        let proof = request.headers().get(weights::PROOF_HEADER);
+        let proof = proof.and_then(|proof| proof.to_str().ok());
+        match self.handles.chunks.answer_proven(request.path(), proof).await {
             ChunkAnswer::Manifest(json) => with_type(StatusCode::OK, "application/json", json),
             ChunkAnswer::Chunk(bytes) => {
                 with_type(StatusCode::OK, "application/octet-stream", bytes)
--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -19,6 +19,8 @@
 const MAX_WAITING: usize = 1_024;
 /// Most estimated tokens that wait at one agent.
 const MAX_WAITING_TOKENS: u64 = 1_000_000;
+/// Longest wait that a request is queued for; beyond it another host is the better choice.
+const MAX_QUEUE_WAIT: Duration = Duration::from_secs(2);
 /// Requests whose connections break within this time are taken to break together.
 pub const CRASH_WINDOW: Duration = Duration::from_millis(50);
 
@@ -49,6 +51,7 @@
     popped: SortedTable<RequestId, QueueItem>,
     dispatched: SortedTable<RequestId, DispatchedRequest>,
     broken: BrokenSet,
+    probed: Vec<RequestId>,
     claims: ClaimDesk,
     client: TargetClient,
     answers: mpsc::UnboundedSender<AnswerEvent>,
@@ -87,10 +90,11 @@
             service: parts.service,
             slots: parts.slots,
             ledger: RequestLedger::new(),
-            queue: FairQueue::new(limits),
+            queue: FairQueue::new(limits).with_max_wait(MAX_QUEUE_WAIT),
             popped: SortedTable::new(),
             dispatched: SortedTable::new(),
             broken: BrokenSet::default(),
+            probed: Vec::new(),
             claims: parts.claims,
             client: parts.client,
             answers: parts.answers,
@@ -209,6 +213,7 @@
                 self.apply(LedgerEvent::TargetBody { id, bytes });
             }
             TargetEvent::Whole => self.end_target(id, ResultCode::Ok),
+            TargetEvent::Probed(crashed) => self.on_probed(crashed),
             TargetEvent::Failed(TargetFailure::Broken) => self.note_broken(id),
             TargetEvent::Failed(TargetFailure::BadAnswer) => {
                 self.end_target(id, ResultCode::AnswerDiscarded);
@@ -232,19 +237,34 @@
         self.broken.ids.push(id);
     }
 
-    /// If every dispatched request broke within the window, the target crashed; otherwise only
-    /// these requests failed.
+    /// If every dispatched request broke within the window, the target may have crashed; otherwise
+    /// only these requests failed. An engine holds its connections for as long as it lives. A plain
+    /// service may close them for reasons of its own, so it is asked whether it still listens.
     fn settle_broken(&mut self) {
         let now = clock::now();
         if self.broken.since.is_none_or(|since| now.since(since) < CRASH_WINDOW) {
             return;
         }
-        let broken = std::mem::take(&mut self.broken);
-        let is_crash = self.dispatched.keys().all(|id| broken.ids.contains(id));
-        if is_crash {
+        let ids = std::mem::take(&mut self.broken).ids;
+        let all_broke = self.dispatched.keys().all(|id| ids.contains(id));
+        if !all_broke {
+            return ids.into_iter().for_each(|id| self.end_target(id, ResultCode::TargetFailed));
+        }
+        let Some(&first) = ids.first() else { return };
+        let is_engine = self.dispatched.values().any(|request| request.digest.is_some());
+        self.probed.extend(ids);
+        if is_engine {
+            self.on_probed(true);
+        } else {
+            actix_rt::spawn(self.client.probe(first, self.answers.clone()));
+        }
+    }
+
+    fn on_probed(&mut self, crashed: bool) {
+        if crashed {
             self.apply(LedgerEvent::TargetCrashed);
         }
-        for id in broken.ids {
+        for id in std::mem::take(&mut self.probed) {
             self.end_target(id, ResultCode::TargetFailed);
         }
     }
@@ -278,7 +298,7 @@
             LedgerAction::Enqueue(submit) => self.enqueue(&submit),
             LedgerAction::Dequeue(id) => {
                 self.queue.remove(id);
-                self.popped.remove(&id);
+                self.drop_popped(id);
             }
             LedgerAction::Hold(_) => {}
             LedgerAction::Recheck(id) => self.feed_ready(id),
@@ -287,6 +307,7 @@
                 self.settle_claims(settled);
             }
             LedgerAction::ReleaseClaim(id) => {
+                self.drop_popped(id);
                 let settled = self.claims.on_event(ClaimEvent::Released(id));
                 self.settle_claims(settled);
             }
@@ -357,6 +378,13 @@
         self.feed(LedgerEvent::Ready { id, gate });
     }
 
+    /// A request that had its turn will not run: its organisation is not charged for it.
+    fn drop_popped(&mut self, id: RequestId) {
+        if let Some(item) = self.popped.remove(&id) {
+            self.queue.on_done(clock::now(), &item, 0);
+        }
+    }
+
     fn gate(&self) -> TargetGate {
         match self.position {
             GatePosition::Closed => TargetGate::Closed,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -5,6 +5,7 @@
 use super::answer_check::{AnswerChecker, AnswerFault, AnswerShape};
 use super::requests::AnswerEvent;
 use actix_http::StatusCode;
+use actix_rt::net::TcpStream;
 use buckthornwharf_core::frame::SubmitFrame;
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
@@ -14,6 +15,8 @@
 
 /// Time for the target to answer a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for the target to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 const EVENT_STREAM: &str = "text/event-stream";
 
 /// What a target's answer brings.
@@ -34,6 +37,8 @@
     Whole,
     /// The answer failed.
     Failed(TargetFailure),
+    /// The answer to [`TargetClient::probe`]: whether the target takes no connection.
+    Probed(bool),
 }
 
 /// How a request to a target failed.
@@ -99,6 +104,13 @@
         });
     }
 
+    /// Asks whether the target takes connections after its connections broke.
+    pub async fn probe(self, id: RequestId, events: mpsc::UnboundedSender<AnswerEvent>) {
+        let connecting = actix_rt::time::timeout(PROBE_TIMEOUT, TcpStream::connect(self.target));
+        let crashed = !matches!(connecting.await, Ok(Ok(_)));
+        let _ = events.send((id, TargetEvent::Probed(crashed)));
+    }
+
     async fn cancel_engine(&self, id: RequestId) {
         let request = TargetRequest {
             method: "DELETE".into(),
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -280,6 +280,8 @@
     fn pick(&mut self, id: RequestId, avoid: &[HostName]) {
         let now = clock::now();
         let Some(slot) = self.slots.get_mut(&id) else { return };
+        let was_full =
+            slot.attempt.as_ref().is_some_and(|mark| mark.end_code == Some(ResultCode::Overloaded));
         end_attempt(&mut self.picker, slot, now, ResultCode::LinkLost);
         if !avoid.is_empty() {
             slot.observer.on_retry();
@@ -296,10 +298,16 @@
             needs_digest: slot.caller.kind == TargetKind::Engine,
             avoid: &avoid,
         };
-        let picked = self.picker.pick(now, &request, &mut rand::rng());
+        // After a refusal for want of room only a host where nothing waits is worth a retry.
+        let (picked, refusal) = if was_full {
+            let picked = self.picker.pick_free(now, &request, &mut rand::rng());
+            (picked, ResultCode::Overloaded)
+        } else {
+            (self.picker.pick(now, &request, &mut rand::rng()), ResultCode::NotServing)
+        };
         let event = match picked.and_then(|picked| self.choice_of(picked)) {
             Some(choice) => DriverEvent::TargetChosen(choice),
-            None => DriverEvent::NoTarget(ResultCode::NotServing),
+            None => DriverEvent::NoTarget(refusal),
         };
         self.drive(id, event);
     }
