Tell membership what links show, and report an unchanged state less often

Cause: the merge of the list with signs of links stood in core and nothing fed it; an agent reported its state each second to every entry although nothing had changed, and a heartbeat beside it. Ruled out: a sign for each frame; states are enough, every 4 s at the longest where a link counts as alive for 5 s. A sign that changes nothing returns before the records are built again. Before: only the list spoke; 1 report a second per link. After: leaving notices of links count at once, and an idle link has a report every 4 s. core's membership tests, tests/path.rs and tests/requests.rs pass (8, 1, 17). Not measured: bytes per link after this. A host whose mark of leaving is taken back stays leaving for the entries that heard of it until its process is restarted.

--- a/core/src/membership/merge.rs
+++ b/core/src/membership/merge.rs
@@ -88,6 +88,9 @@
         match event {
             MembershipEvent::List(records) => self.on_list(now, records),
             MembershipEvent::Alive { host, incarnation } => {
+                if self.refresh_sign(now, &host, incarnation) {
+                    return false;
+                }
                 self.on_sign(now, host, incarnation, false);
             }
             MembershipEvent::Leaving { host, incarnation } => {
@@ -134,6 +137,22 @@
         }
     }
 
+    /// Notes another sign of a run that is known and stays; `false` if it is not. Signs come often,
+    /// and such a one changes no record.
+    fn refresh_sign(
+        &mut self,
+        now: MonoTime,
+        host: &HostName,
+        incarnation: HostIncarnation,
+    ) -> bool {
+        let known = self.signs.get_mut(host);
+        let Some(sign) = known.filter(|sign| sign.incarnation == incarnation) else {
+            return false;
+        };
+        sign.seen_at = now;
+        true
+    }
+
     fn on_sign(
         &mut self,
         now: MonoTime,
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -23,7 +23,7 @@
 use peers::{PeerLedger, SourceRecord};
 
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
-const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+const POLL_TIMEOUT: Duration = Duration::from_secs(3);
 const LANE_RETRY_PAUSE: Duration = Duration::from_secs(1);
 const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -19,8 +19,10 @@
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
 
-/// Pace at which the state of the target is reported while nothing urgent changes.
-const STATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Pace at which the state of the target is reported while only its load changes.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
+/// Pace at which the state of the target is reported while nothing changes.
+const STATE_INTERVAL: Duration = Duration::from_secs(4);
 /// Time that a leaving agent stays after its notice, so that no entry still sends it work.
 const LEAVE_GRACE: Duration = Duration::from_secs(1);
 /// Time that the links of a leaving agent have to write the last answers.
@@ -223,12 +225,8 @@
     fn report_state(&mut self) {
         let state = self.desk.state();
         let now = clock::now();
-        let is_urgent = self.reported.as_ref().is_none_or(|reported| {
-            reported.serving != state.serving
-                || reported.accepting != state.accepting
-                || reported.leaving != state.leaving
-        });
-        if !is_urgent && now.since(self.reported_at) < STATE_INTERVAL {
+        let pace = self.reported.as_ref().map_or(Duration::ZERO, |old| report_pace(old, &state));
+        if now.since(self.reported_at) < pace {
             return;
         }
         self.desk.broadcast(&LinkFrame::State(state.clone()));
@@ -236,3 +234,17 @@
         self.reported_at = now;
     }
 }
+
+/// How long after the report `old` the state `new` is to be reported.
+fn report_pace(old: &TargetState, new: &TargetState) -> Duration {
+    let is_urgent =
+        old.serving != new.serving || old.accepting != new.accepting || old.leaving != new.leaving;
+    let is_load = old.running != new.running
+        || old.waiting != new.waiting
+        || old.waiting_tokens != new.waiting_tokens;
+    match (is_urgent, is_load) {
+        (true, _) => Duration::ZERO,
+        (false, true) => LOAD_INTERVAL,
+        (false, false) => STATE_INTERVAL,
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -42,7 +42,9 @@
     println!("ready entry http={} admin={}", http.local_addr()?, admin.local_addr()?);
     let metrics = EntryMetrics::new()?;
     let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
-    let hosts = HostsFollower::start(HostsClient::new(settings.platform.hosts));
+    let (sign_sender, sign_receiver) = mpsc::unbounded_channel();
+    let client = HostsClient::new(settings.platform.hosts);
+    let hosts = HostsFollower::start_with_signs(client, sign_receiver);
     let follow = FollowSettings {
         host: settings.host.clone(),
         site: settings.site.clone(),
@@ -62,6 +64,7 @@
         default_deadline: Duration::from_millis(entry.deadline_ms),
         config: config.clone(),
         hosts,
+        signs: sign_sender,
         config_frames: frame_sender,
         leaving: leaving.clone(),
         metrics: metrics.clone(),
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -15,8 +15,8 @@
 use anyhow::Result;
 use buckthornwharf_core::burn::BurnCounts;
 use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
-use buckthornwharf_core::frame::{ConfigFrame, LinkFrame};
-use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole};
+use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
+use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole, MembershipEvent};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
 use buckthornwharf_core::routing::choose_links;
@@ -45,6 +45,8 @@
     pub config: ConfigReceiver,
     /// The hosts that the process believes in.
     pub hosts: HostsReceiver,
+    /// Takes what links tell of their peers.
+    pub signs: mpsc::UnboundedSender<MembershipEvent>,
     /// Takes the configurations that peers send.
     pub config_frames: mpsc::UnboundedSender<ConfigFrame>,
     /// Turns true when the process is to leave.
@@ -66,6 +68,7 @@
     exchange: ConfigExchange,
     config: ConfigReceiver,
     hosts: HostsReceiver,
+    signs: mpsc::UnboundedSender<MembershipEvent>,
     config_frames: mpsc::UnboundedSender<ConfigFrame>,
     metrics: EntryMetrics,
     recorder: Rc<RequestRecorder>,
@@ -93,6 +96,7 @@
         exchange: ConfigExchange::default(),
         config: parts.config.clone(),
         hosts: parts.hosts.clone(),
+        signs: parts.signs,
         config_frames: parts.config_frames,
         metrics: parts.metrics,
     }));
@@ -245,7 +249,7 @@
 
     fn on_frame(&mut self, link: LinkId, frame: LinkFrame) {
         match &frame {
-            LinkFrame::State(state) => self.table.target_state(link, state),
+            LinkFrame::State(state) => self.on_state(link, state),
             LinkFrame::Accepted(id) => {
                 if let Some(handle) = self.handles.get(&link) {
                     self.recorder.on_served_by(*id, &handle.peer.site);
@@ -262,6 +266,16 @@
         }
     }
 
+    fn on_state(&mut self, link: LinkId, state: &TargetState) {
+        self.table.target_state(link, state);
+        let Some(handle) = self.handles.get(&link) else { return };
+        let (host, incarnation) = (handle.peer.host.clone(), handle.peer.incarnation);
+        let _ = self.signs.send(match state.leaving {
+            true => MembershipEvent::Leaving { host, incarnation },
+            false => MembershipEvent::Alive { host, incarnation },
+        });
+    }
+
     fn on_config_frame(&mut self, link: LinkId, frame: ConfigFrame) {
         match self.exchange.on_frame(clock::now(), frame) {
             ExchangeStep::Nothing => {}
