Test the proof for chunks, and split the tables of requests

Ruled out: a change of behaviour; crash detection, cancellations that wait and the way in of a request moved to files of their own.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -2,6 +2,7 @@
 
 pub mod answer_check;
 pub mod claims;
+pub mod crash;
 pub mod live_times;
 pub mod requests;
 pub mod target;
--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -1,6 +1,7 @@
 //! The requests at an agent: from the links through the queue to the target, and back.
 
 use super::claims::{ClaimDesk, SettledClaim};
+use super::crash::{CrashDetector, CrashVerdict};
 use super::target::{TargetClient, TargetEvent, TargetFailure};
 use crate::clock;
 use crate::link::LinkHandle;
@@ -21,8 +22,6 @@
 const MAX_WAITING_TOKENS: u64 = 1_000_000;
 /// Longest wait that a request is queued for; beyond it another host is the better choice.
 const MAX_QUEUE_WAIT: Duration = Duration::from_secs(2);
-/// Requests whose connections break within this time are taken to break together.
-pub const CRASH_WINDOW: Duration = Duration::from_millis(50);
 
 /// An event of the target's answer to a request.
 pub type AnswerEvent = (RequestId, TargetEvent);
@@ -35,13 +34,6 @@
     parts: u32,
 }
 
-/// Requests whose connections to the target broke, until it is clear whether it crashed.
-#[derive(Default)]
-struct BrokenSet {
-    since: Option<MonoTime>,
-    ids: Vec<RequestId>,
-}
-
 /// All requests of one agent, and the links that they came on.
 pub struct RequestDesk {
     service: ServiceName,
@@ -50,8 +42,7 @@
     queue: FairQueue,
     popped: SortedTable<RequestId, QueueItem>,
     dispatched: SortedTable<RequestId, DispatchedRequest>,
-    broken: BrokenSet,
-    probed: Vec<RequestId>,
+    crashes: CrashDetector,
     claims: ClaimDesk,
     client: TargetClient,
     answers: mpsc::UnboundedSender<AnswerEvent>,
@@ -93,8 +84,7 @@
             queue: FairQueue::new(limits).with_max_wait(MAX_QUEUE_WAIT),
             popped: SortedTable::new(),
             dispatched: SortedTable::new(),
-            broken: BrokenSet::default(),
-            probed: Vec::new(),
+            crashes: CrashDetector::default(),
             claims: parts.claims,
             client: parts.client,
             answers: parts.answers,
@@ -214,7 +204,7 @@
             }
             TargetEvent::Whole => self.end_target(id, ResultCode::Ok),
             TargetEvent::Probed(crashed) => self.on_probed(crashed),
-            TargetEvent::Failed(TargetFailure::Broken) => self.note_broken(id),
+            TargetEvent::Failed(TargetFailure::Broken) => self.crashes.note(clock::now(), id),
             TargetEvent::Failed(TargetFailure::BadAnswer) => {
                 self.end_target(id, ResultCode::AnswerDiscarded);
             }
@@ -225,38 +215,27 @@
         }
     }
 
-    /// Lets time pass; to be called at least every [`CRASH_WINDOW`].
+    /// Lets time pass; to be called at least every
+    /// [`CRASH_WINDOW`](super::crash::CRASH_WINDOW).
     pub fn tick(&mut self) {
         self.settle_broken();
         self.on_claim(ClaimEvent::Tick);
         self.apply(LedgerEvent::Tick);
     }
 
-    fn note_broken(&mut self, id: RequestId) {
-        self.broken.since.get_or_insert_with(clock::now);
-        self.broken.ids.push(id);
-    }
-
-    /// If every dispatched request broke within the window, the target may have crashed; otherwise
-    /// only these requests failed. An engine holds its connections for as long as it lives. A plain
-    /// service may close them for reasons of its own, so it is asked whether it still listens.
+    /// Decides about the requests whose connections broke, when the time has come.
     fn settle_broken(&mut self) {
-        let now = clock::now();
-        if self.broken.since.is_none_or(|since| now.since(since) < CRASH_WINDOW) {
-            return;
-        }
-        let ids = std::mem::take(&mut self.broken).ids;
-        let all_broke = self.dispatched.keys().all(|id| ids.contains(id));
-        if !all_broke {
-            return ids.into_iter().for_each(|id| self.end_target(id, ResultCode::TargetFailed));
-        }
-        let Some(&first) = ids.first() else { return };
         let is_engine = self.dispatched.values().any(|request| request.digest.is_some());
-        self.probed.extend(ids);
-        if is_engine {
-            self.on_probed(true);
-        } else {
-            actix_rt::spawn(self.client.probe(first, self.answers.clone()));
+        match self.crashes.settle(clock::now(), self.dispatched.keys(), is_engine) {
+            CrashVerdict::Nothing => {}
+            CrashVerdict::Alive(ids) => self.end_broken(ids),
+            CrashVerdict::Crashed(ids) => {
+                self.apply(LedgerEvent::TargetCrashed);
+                self.end_broken(ids);
+            }
+            CrashVerdict::Probe(first) => {
+                actix_rt::spawn(self.client.probe(first, self.answers.clone()));
+            }
         }
     }
 
@@ -264,7 +243,12 @@
         if crashed {
             self.apply(LedgerEvent::TargetCrashed);
         }
-        for id in std::mem::take(&mut self.probed) {
+        let ids = self.crashes.take_probed();
+        self.end_broken(ids);
+    }
+
+    fn end_broken(&mut self, ids: Vec<RequestId>) {
+        for id in ids {
             self.end_target(id, ResultCode::TargetFailed);
         }
     }
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -1,7 +1,8 @@
 //! The traffic thread of an agent: links from entries, and the requests they bring.
 
 use super::claims::ClaimDesk;
-use super::requests::{CRASH_WINDOW, DeskParts, RequestDesk};
+use super::crash::CRASH_WINDOW;
+use super::requests::{DeskParts, RequestDesk};
 use super::target::TargetClient;
 use crate::clock;
 use crate::link::{LinkEvent, LinkIdentity, accept_link, run_link};
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,10 +1,12 @@
 //! The entry: takes callers' requests and passes them to agents.
 
 pub mod caller;
+pub mod late_cancels;
 pub mod links;
 pub mod observer;
 pub mod prompt;
 pub mod requests;
+pub mod submission;
 pub mod traffic;
 
 use crate::admin::{self, ProcessStatus, json_response, text_response};
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -1,21 +1,20 @@
 //! The requests of an entry's callers: drives each through its attempts.
 
 use super::caller::{CallerEvent, CallerRequest};
+use super::late_cancels::LateCancels;
 use super::observer::RequestObserver;
+use super::submission::{admission_of, submit_frame};
 use crate::clock;
 use crate::link::LinkHandle;
 use buckthornwharf_core::config::{ConfigDocument, TargetKind};
-use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, SuspectFrame, TargetState};
+use buckthornwharf_core::frame::{LinkFrame, SuspectFrame, TargetState};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::attempt::{DriverAction, DriverEvent, TargetChoice};
 use buckthornwharf_core::request::budget::RetryBudget;
-use buckthornwharf_core::request::limit::{
-    AdmissionRequest, OrganisationLimit, OrganisationLimits,
-};
+use buckthornwharf_core::request::limit::{OrganisationLimit, OrganisationLimits};
 use buckthornwharf_core::request::poison::{SuspectBook, SuspectVerdict};
-use buckthornwharf_core::request::{LinkId, MAX_REQUEST_DEADLINE, RequestDriver};
+use buckthornwharf_core::request::{LinkId, RequestDriver};
 use buckthornwharf_core::routing::{PickAffinity, PickRequest, PickedTarget, TargetPicker};
-use rand::RngExt;
 use std::collections::VecDeque;
 use tokio::sync::mpsc;
 
@@ -37,14 +36,6 @@
     end_code: Option<ResultCode>,
 }
 
-/// A cancellation that waits for a link to the host's same run.
-struct LateCancel {
-    id: RequestId,
-    host: HostName,
-    incarnation: HostIncarnation,
-    noted: MonoTime,
-}
-
 /// All requests of one entry that have not ended, and the links that carry them.
 pub struct RequestTable {
     site: SiteName,
@@ -56,7 +47,7 @@
     limits: OrganisationLimits,
     suspects: SuspectBook,
     listed_leaving: Vec<HostName>,
-    late_cancels: Vec<LateCancel>,
+    late_cancels: LateCancels,
     pending: VecDeque<(RequestId, DriverAction)>,
 }
 
@@ -73,7 +64,7 @@
             limits: OrganisationLimits::new(),
             suspects: SuspectBook::new(),
             listed_leaving: Vec::new(),
-            late_cancels: Vec::new(),
+            late_cancels: LateCancels::default(),
             pending: VecDeque::new(),
         }
     }
@@ -163,7 +154,7 @@
     /// A link opened.
     pub fn link_up(&mut self, handle: LinkHandle) {
         let host = handle.peer.host.clone();
-        self.send_late_cancels(&handle);
+        self.late_cancels.send(&handle);
         if let Some(suspects) = self.suspects.snapshot(clock::now()) {
             handle.send(LinkFrame::Suspects(suspects));
         }
@@ -226,7 +217,7 @@
     pub fn tick(&mut self) {
         let now = clock::now();
         self.suspects.expire(now);
-        self.late_cancels.retain(|cancel| now.since(cancel.noted) < MAX_REQUEST_DEADLINE);
+        self.late_cancels.expire(now);
         let is_due = |slot: &RequestSlot| slot.driver.next_tick().is_some_and(|tick| tick <= now);
         for id in self.ids_where(is_due) {
             self.drive(id, DriverEvent::Tick);
@@ -260,8 +251,7 @@
                 DriverAction::Pick { avoid } => self.pick(id, &avoid),
                 DriverAction::Send { link, frame } => self.send(id, link, frame),
                 DriverAction::CancelLater { host, incarnation } => {
-                    let noted = clock::now();
-                    self.late_cancels.push(LateCancel { id, host, incarnation, noted });
+                    self.late_cancels.note(clock::now(), id, host, incarnation);
                 }
                 DriverAction::ForwardHead { status, content_type } => {
                     self.forward_head(id, status, content_type);
@@ -350,19 +340,6 @@
         log::debug!("request={id} organisation={organisation} code={} ended", code.number());
         let _ = slot.events.send(CallerEvent::End(code));
     }
-
-    fn send_late_cancels(&mut self, handle: &LinkHandle) {
-        let peer = &handle.peer;
-        self.late_cancels.retain(|cancel| {
-            if cancel.host != peer.host {
-                return true;
-            }
-            if cancel.incarnation == peer.incarnation {
-                handle.send(LinkFrame::Cancel(cancel.id));
-            }
-            false
-        });
-    }
 }
 
 /// Tells the picker how the current attempt ended, once.
@@ -371,38 +348,3 @@
     let code = mark.end_code.unwrap_or(code);
     picker.on_end(now, &mark.host, code, now.since(mark.sent));
 }
-
-fn admission_of(caller: &CallerRequest) -> AdmissionRequest {
-    AdmissionRequest {
-        organisation: caller.organisation.clone(),
-        cost_tokens: caller.prompt.cost_tokens,
-        time_left: caller.deadline,
-        time_needed: Duration::ZERO,
-    }
-}
-
-fn submit_frame(id: RequestId, caller: &CallerRequest) -> SubmitFrame {
-    SubmitFrame {
-        id,
-        organisation: caller.organisation.clone(),
-        weight: caller.organisation_config.weight,
-        priority: caller.organisation_config.priority,
-        service: caller.service.clone(),
-        digest: None,
-        deadline_ms: u64::try_from(caller.deadline.as_millis()).unwrap_or(u64::MAX),
-        idempotent: caller.idempotent,
-        idempotency_key: caller.idempotency_key.clone(),
-        fingerprint: caller.prompt.fingerprint,
-        suspect: false,
-        cost_tokens: caller.prompt.cost_tokens,
-        method: caller.method.clone(),
-        path: caller.path.clone(),
-        content_type: caller.content_type.clone(),
-        body: caller.body.clone(),
-    }
-}
-
-/// An id for a new request.
-pub fn random_id() -> RequestId {
-    RequestId(rand::rng().random())
-}
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -3,7 +3,8 @@
 use super::caller::{CallerGuard, CallerRequest, read_request, refusal, write_answer};
 use super::links::LinkKeeper;
 use super::observer::{RequestObserver, RequestRecorder, RequestSubject};
-use super::requests::{RequestTable, random_id};
+use super::requests::RequestTable;
+use super::submission::random_id;
 use crate::clock;
 use crate::http_server::serve_http;
 use crate::link::{LinkEvent, LinkHandle, LinkIdentity};
--- a/tests/burst.rs
+++ b/tests/burst.rs
@@ -60,6 +60,18 @@
     fleet.check_engines(&[0], digest).await
 }
 
+#[actix_rt::test]
+async fn chunks_are_given_only_for_a_proof_of_the_secret() -> Result<()> {
+    let fleet = BurstFleet::start(1, CHECKING).await?;
+    let digest = fleet.publish(17).await?;
+    fleet.apply(digest).await?;
+    fleet.wait_live(&[0], digest).await?;
+    let path = format!("/weights/manifests/{digest}");
+    let reply = fleet.system.client.get(fleet.agents[0].record.admin, &path).await?;
+    assert_eq!(reply.status, 404);
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn an_agent_that_is_restarted_advertises_what_its_target_still_serves() -> Result<()> {
     let mut fleet = BurstFleet::start(2, CHECKING).await?;
