Let a leaving agent stay until its last answers are delivered

Cause: a leaving agent left a second after its last request had ended. If the link had gone silent, the entry noticed only after 3 s, and the answer was gone with the agent. Ruled out: acknowledgements of answers, a frame more for each request; the agent stays for the time in which an entry notices a silent link, opens another and asks (5 s after the last end; 1 s if nothing ran). Before: an_agent_that_leaves_over_a_silent_link_cuts_nothing failed with 300 link_lost. After: it passes, streamed and held; the other tests of leaving pass (3 of 3), and a_killed_entry_leaves_a_broken_answer (it passed at once).

--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -11,6 +11,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::claim::ClaimEvent;
 use buckthornwharf_core::request::ledger::{ClaimVerdict, LedgerAction, LedgerEvent, TargetGate};
+use buckthornwharf_core::request::silence::SILENCE_TIMEOUT;
 use buckthornwharf_core::request::{LinkId, RequestLedger};
 use buckthornwharf_core::routing::{FairQueue, QueueItem, QueueLimits, RefusedItem};
 use std::collections::VecDeque;
@@ -23,6 +24,9 @@
 /// Longest wait that a request is queued for; beyond it another host is the better choice.
 const MAX_QUEUE_WAIT: Duration = Duration::from_secs(2);
 
+/// Time in which an entry notices that its link is silent, opens another and asks for an answer.
+const DELIVERY_TIME: Duration = SILENCE_TIMEOUT.saturating_add(Duration::from_secs(2));
+
 /// An event of the target's answer to a request.
 pub type AnswerEvent = (RequestId, TargetEvent);
 
@@ -42,6 +46,7 @@
     queue: FairQueue,
     popped: SortedTable<RequestId, QueueItem>,
     dispatched: SortedTable<RequestId, DispatchedRequest>,
+    last_end: Option<MonoTime>,
     crashes: CrashDetector,
     claims: ClaimDesk,
     client: TargetClient,
@@ -84,6 +89,7 @@
             queue: FairQueue::new(limits).with_max_wait(MAX_QUEUE_WAIT),
             popped: SortedTable::new(),
             dispatched: SortedTable::new(),
+            last_end: None,
             crashes: CrashDetector::default(),
             claims: parts.claims,
             client: parts.client,
@@ -98,9 +104,11 @@
         }
     }
 
-    /// Whether no request waits or runs.
-    pub fn is_idle(&self) -> bool {
-        self.ledger.in_flight() == 0
+    /// Whether no request waits or runs, and the last answers had the time to reach their entries,
+    /// over new links if need be.
+    pub fn is_settled(&self) -> bool {
+        let is_delivered = |ended: MonoTime| clock::now().since(ended) >= DELIVERY_TIME;
+        self.ledger.in_flight() == 0 && self.last_end.is_none_or(is_delivered)
     }
 
     /// What is reported to the entries.
@@ -254,6 +262,7 @@
     }
 
     fn end_target(&mut self, id: RequestId, code: ResultCode) {
+        self.last_end = Some(clock::now());
         if let Some(request) = self.dispatched.remove(&id)
             && let Some(item) = &request.item
         {
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -130,7 +130,7 @@
         }
         traffic.report_state();
         let is_over = left_at.is_some_and(|at| clock::now().since(at) >= LEAVE_GRACE);
-        if is_over && traffic.desk.is_idle() {
+        if is_over && traffic.desk.is_settled() {
             accepting.abort();
             let open = traffic.desk.close_links();
             wait_closed(events, open).await;
--- a/tests/requests/leaving.rs
+++ b/tests/requests/leaving.rs
@@ -4,9 +4,12 @@
 use super::proof_fleet::{LIMIT, ProofFleet};
 use anyhow::Result;
 use buckthornwharf_standin::fleet::wait_until;
+use serde_json::json;
 
 /// Enough that answers outlast the notice by far.
 const TOKENS: u32 = 200;
+/// Few enough that the target ends its answer before a silent link is noticed.
+const SILENT_TOKENS: u32 = 30;
 const ASKED: usize = 12;
 
 fn prompt(number: usize) -> String {
@@ -76,6 +79,25 @@
     check_all(&fleet, asked).await
 }
 
+#[actix_rt::test]
+async fn an_agent_that_leaves_over_a_silent_link_cuts_nothing() -> Result<()> {
+    let mut fleet = ProofFleet::start(1, &["--token-gap-ms", "20"]).await?;
+    for stream in [true, false] {
+        let prompt = format!("silent at the end, streamed {stream}");
+        let asked = fleet.ask(0, &prompt, SILENT_TOKENS, stream);
+        fleet.wait_prompt(&prompt).await?;
+        fleet.fault(fleet.relays[0].standin.address, json!({ "silence": "both" })).await?;
+        fleet.fleet.agents[0].process.terminate()?;
+        fleet.check_whole(&asked.reply().await?, &prompt, SILENT_TOKENS)?;
+        let status = fleet.fleet.agents[0].process.wait_exit(LIMIT).await?;
+        assert!(status.success(), "{status}");
+        if stream {
+            fleet = ProofFleet::start(1, &["--token-gap-ms", "20"]).await?;
+        }
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn an_entry_that_leaves_finishes_its_answers() -> Result<()> {
     let mut fleet = ProofFleet::start(2, &["--token-gap-ms", "30"]).await?;
--- a/tests/requests/whole.rs
+++ b/tests/requests/whole.rs
@@ -58,6 +58,28 @@
     fleet.check_whole(&asked.reply().await?, "asked again elsewhere", TOKENS)
 }
 
+#[actix_rt::test]
+async fn a_killed_entry_leaves_a_broken_answer() -> Result<()> {
+    let mut fleet = ProofFleet::start(1, &["--token-gap-ms", "40"]).await?;
+    for stream in [true, false] {
+        let prompt = format!("the entry dies, streamed {stream}");
+        let entry = usize::from(stream);
+        let asked = fleet.ask(entry, &prompt, LONG_TOKENS, stream);
+        fleet.wait_prompt(&prompt).await?;
+        fleet.wait_tokens(0, 3).await?;
+        if stream {
+            fleet.fleet.entries[entry].process.kill()?;
+            fleet.check_broken(asked.reply().await, &prompt, LONG_TOKENS)?;
+            let again = fleet.ask(0, "asked at the other entry", TOKENS, true).reply().await?;
+            fleet.check_whole(&again, "asked at the other entry", TOKENS)?;
+        } else {
+            fleet.fleet.entries[entry].process.kill()?;
+            assert!(asked.reply().await.is_err());
+        }
+    }
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn answers_from_other_weights_are_discarded() -> Result<()> {
     let fleet = ProofFleet::start(2, &["--token-gap-ms", "2"]).await?;
