Count the weights that are fetched, by source

Cause: the bytes drawn from the origin are one of two measures that the users name, and no process told them. Ruled out: counts of started fetches, which a cut one would inflate. Before: docs/metrics.md listed both as not measured. After: an agent that fetched alone counts exactly the version's bytes from the origin (tests/burst.rs), and tests/pages.rs holds the page to the registry.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -74,7 +74,13 @@
         metrics: metrics.clone(),
     };
     let traffic = process::start_traffic(move || traffic::run_traffic(parts));
-    let keeper = KeeperParts { settings: settings.clone(), config: config.clone(), hosts, gate };
+    let keeper = KeeperParts {
+        settings: settings.clone(),
+        config: config.clone(),
+        hosts,
+        gate,
+        metrics: metrics.weights.clone(),
+    };
     let handles = weights::start(keeper);
     let live = LiveTimes::start(LiveParts {
         service,
--- a/src/agent/weights.rs
+++ b/src/agent/weights.rs
@@ -13,16 +13,16 @@
 pub use peer::PROOF_HEADER;
 pub use service::{ChunkAnswer, ChunkService};
 
+use crate::metrics::WeightMetrics;
 use crate::platform::engine::EngineClient;
 use crate::platform::kv::KvClient;
 use crate::platform::store::StoreClient;
-use fetcher::{FetcherParts, VersionFetcher};
-use keeper::{KeeperTools, TargetGate, WeightKeeper};
-use peer::PeerClient;
-
 use crate::settings::ProcessSettings;
 use crate::shared::{ConfigReceiver, GateControl, HostsReceiver};
 use buckthornwharf_core::prelude::*;
+use fetcher::{FetcherParts, VersionFetcher};
+use keeper::{KeeperTools, TargetGate, WeightKeeper};
+use peer::PeerClient;
 use tokio::sync::watch;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -37,6 +37,8 @@
     pub hosts: HostsReceiver,
     /// The gate before the target.
     pub gate: GateControl,
+    /// What is counted of fetches.
+    pub metrics: WeightMetrics,
 }
 
 /// What the rest of the agent gets from the weights side.
@@ -54,7 +56,7 @@
 ///
 /// If the settings are not those of an agent.
 pub fn start(parts: KeeperParts) -> KeeperHandles {
-    let KeeperParts { settings, config, hosts, gate } = parts;
+    let KeeperParts { settings, config, hosts, gate, metrics } = parts;
     let agent = settings.agent.clone().expect("an agent's settings");
     let key = settings.link_secret.key();
     let connector = awc::Connector::new().timeout(CONNECT_TIMEOUT);
@@ -75,6 +77,7 @@
         chunks: chunks.clone(),
         wanted: wanted_receiver,
         live_load: live_load_receiver,
+        metrics,
     };
     actix_rt::spawn(VersionFetcher::new(fetcher, held_sender).run());
     let keeper = KeeperTools {
--- a/src/agent/weights/fetcher.rs
+++ b/src/agent/weights/fetcher.rs
@@ -7,6 +7,7 @@
 use super::peer::PeerClient;
 use super::service::ChunkService;
 use crate::clock;
+use crate::metrics::WeightMetrics;
 use crate::platform::store::StoreClient;
 use crate::settings::ProcessSettings;
 use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
@@ -14,7 +15,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::lifecycle::{FetchingVersion, HeldVersion, WantedVersion};
 use buckthornwharf_core::weights::{
-    ChunkSet, FetchAction, FetchEvent, FetchLimits, FetchMachine, PlanHost, SpreadPlan,
+    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchLimits, FetchMachine, PlanHost, SpreadPlan,
 };
 use log::{info, warn};
 use rand::RngExt;
@@ -43,6 +44,8 @@
     pub wanted: watch::Receiver<Option<VersionDigest>>,
     /// Percent of the host that live requests take.
     pub live_load: watch::Receiver<u8>,
+    /// What is counted of fetches.
+    pub metrics: WeightMetrics,
 }
 
 /// Fetches the wanted version and tells when all of its chunks are held and verified.
@@ -105,6 +108,7 @@
     tasks: TaskTable,
     events: mpsc::UnboundedReceiver<FetchEvent>,
     version: FetchingVersion,
+    metrics: WeightMetrics,
 }
 
 impl FetchRun {
@@ -119,7 +123,8 @@
         let seed = rand::rng().random();
         let machine = FetchMachine::new(clock::now(), manifest, plan, name, limits, held, seed);
         let tasks = TaskTable::new(parts, version, limits, sender);
-        Self { machine, tasks, events, version: version.clone() }
+        let metrics = parts.metrics.clone();
+        Self { machine, tasks, events, version: version.clone(), metrics }
     }
 
     async fn finish(&mut self, parts: &mut FetcherParts) -> ChunkSet {
@@ -160,6 +165,7 @@
                 }
                 FetchAction::Corrupt(source, chunk) => {
                     warn!("{source:?} sent chunk {chunk} corrupt");
+                    self.metrics.refused.with_label_values(&[source_label(&source)]).inc();
                 }
                 FetchAction::Complete => complete = true,
             }
@@ -168,6 +174,14 @@
     }
 }
 
+/// The source as metrics name it.
+fn source_label(source: &ChunkSource) -> &'static str {
+    match source {
+        ChunkSource::Origin => "origin",
+        ChunkSource::Peer(_) => "peer",
+    }
+}
+
 fn limits_of(config: Option<&ActiveConfig>) -> FetchLimits {
     let allowances = config.map(|config| config.document.allowances.clone()).unwrap_or_default();
     FetchLimits::new(
--- a/src/agent/weights/fetcher/tasks.rs
+++ b/src/agent/weights/fetcher/tasks.rs
@@ -1,6 +1,6 @@
 //! The tasks that carry out a fetch machine's actions.
 
-use super::FetcherParts;
+use super::{FetcherParts, source_label};
 use crate::agent::weights::body::PacedBody;
 use crate::agent::weights::peer::PeerClient;
 use crate::platform::store::{StoreClient, StoreFailure};
@@ -13,6 +13,7 @@
     ChunkSet, ChunkSource, FetchEvent, FetchFailure, FetchLimits, VersionManifest,
 };
 use bytes::Bytes;
+use prometheus::IntCounterVec;
 use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -28,6 +29,7 @@
     origin: StoreClient,
     peers: PeerClient,
     events: UnboundedSender<FetchEvent>,
+    bytes: IntCounterVec,
     fetches: SortedTable<FetchTicket, JoinHandle<()>>,
     poll: Option<JoinHandle<()>>,
 }
@@ -47,6 +49,7 @@
             origin: parts.origin.clone(),
             peers: parts.peers.clone(),
             events,
+            bytes: parts.metrics.bytes.clone(),
             fetches: SortedTable::new(),
             poll: None,
         }
@@ -74,6 +77,7 @@
                 }
             },
         };
+        let counter = self.bytes.with_label_values(&[source_label(&order.source)]);
         let crossing = order.bytes_per_second.is_some();
         let (origin, peers) = (self.origin.clone(), self.peers.clone());
         let task = actix_rt::spawn(async move {
@@ -81,6 +85,9 @@
                 None => read_origin(&origin, &hash, body).await,
                 Some(address) => peers.chunk(address, &hash, crossing, body).await,
             };
+            if let Ok(bytes) = &fetched {
+                counter.inc_by(bytes.len() as u64);
+            }
             let _ = events.send(outcome(ticket, fetched));
         });
         self.fetches.insert(ticket, task);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -96,6 +96,15 @@
     }
 }
 
+/// Metrics of the weights that an agent fetches, by source: `origin` or `peer`.
+#[derive(Debug, Clone)]
+pub struct WeightMetrics {
+    /// Bytes that arrived whole.
+    pub bytes: IntCounterVec,
+    /// Chunks whose hash was wrong.
+    pub refused: IntCounterVec,
+}
+
 /// Metrics of an agent.
 #[derive(Debug, Clone)]
 pub struct AgentMetrics {
@@ -107,6 +116,8 @@
     pub running: IntGauge,
     /// Claims on idempotency keys by outcome.
     pub claims: IntCounterVec,
+    /// The weights that were fetched.
+    pub weights: WeightMetrics,
     /// Seconds from the wish for a version until it is live.
     pub time_to_live: Histogram,
     /// Crashes of the target while requests were in flight.
@@ -126,6 +137,20 @@
         let running = gauge(registry, "requests_running", "Requests in the target")?;
         let claims =
             counters(registry, "claims_total", "Claims on idempotency keys", &["outcome"])?;
+        let weights = WeightMetrics {
+            bytes: counters(
+                registry,
+                "weight_bytes_total",
+                "Bytes of weights that arrived",
+                &["source"],
+            )?,
+            refused: counters(
+                registry,
+                "chunks_refused_total",
+                "Chunks whose hash was wrong",
+                &["source"],
+            )?,
+        };
         let time_to_live = Histogram::with_opts(
             HistogramOpts::new("time_to_live_seconds", "Time until a wanted version is live")
                 .buckets(TIME_TO_LIVE_BUCKETS.to_vec()),
@@ -133,7 +158,7 @@
         registry.register(Box::new(time_to_live.clone()))?;
         let target_crashes =
             counter(registry, "target_crashes_total", "Crashes of the target under requests")?;
-        Ok(Self { process, waiting, running, claims, time_to_live, target_crashes })
+        Ok(Self { process, waiting, running, claims, weights, time_to_live, target_crashes })
     }
 }
 
--- a/tests/burst.rs
+++ b/tests/burst.rs
@@ -61,14 +61,17 @@
 }
 
 #[actix_rt::test]
-async fn chunks_are_given_only_for_a_proof_of_the_secret() -> Result<()> {
+async fn chunks_are_counted_and_given_only_for_a_proof_of_the_secret() -> Result<()> {
     let fleet = BurstFleet::start(1, CHECKING).await?;
     let digest = fleet.publish(17).await?;
     fleet.apply(digest).await?;
     fleet.wait_live(&[0], digest).await?;
     let path = format!("/weights/manifests/{digest}");
-    let reply = fleet.system.client.get(fleet.agents[0].record.admin, &path).await?;
-    assert_eq!(reply.status, 404);
+    let admin = fleet.agents[0].record.admin;
+    assert_eq!(fleet.system.client.get(admin, &path).await?.status, 404);
+    let metrics = fleet.system.client.get(admin, "/metrics").await?.text();
+    let counted = format!("weight_bytes_total{{source=\"origin\"}} {MODEL_BYTES}\n");
+    assert!(metrics.contains(&counted), "{metrics}");
     Ok(())
 }
 
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -109,6 +109,8 @@
     assert_eq!(listed_metrics("Entry")?, rendered(&entry.process, &common));
     let agent = AgentMetrics::new()?;
     agent.claims.with_label_values(&["granted"]).inc();
+    agent.weights.bytes.with_label_values(&["origin"]).inc();
+    agent.weights.refused.with_label_values(&["origin"]).inc();
     assert_eq!(listed_metrics("Agent")?, rendered(&agent.process, &common));
     Ok(())
 }
