Take a host at another address for a new run, and start processes alike

Cause: since links feed membership, a process that was restarted elsewhere under its name stayed leaving for the 30 s of the old run's notice, and no entry linked to it meanwhile. Ruled out: the longer stay of leaving agents (5 s for each that answered requests; none did here); a shorter notice, which a lagging list needs. Now another address in the list ends the notice, and an entry goes on dialling a leaving host, so that its next run at the old address shows itself at once.

--- a/core/src/membership/merge.rs
+++ b/core/src/membership/merge.rs
@@ -106,6 +106,13 @@
     fn on_list(&mut self, now: MonoTime, records: Vec<HostRecord>) {
         let rows = records.into_iter().map(|record| (record.name.clone(), record));
         let next: SortedTable<HostName, HostRecord> = rows.collect();
+        // Another address is another run of the process: a notice of the run before is over.
+        for (name, record) in next.iter() {
+            let before = self.listed.get(name);
+            if before.is_some_and(|b| b.link != record.link || b.admin != record.admin) {
+                self.signs.remove(name);
+            }
+        }
         let known = self.listed.len() + self.held.len();
         let mut dropped = std::mem::replace(&mut self.listed, next);
         dropped.retain(|name, _| !self.listed.contains_key(name));
--- a/core/tests/membership_merge.rs
+++ b/core/tests/membership_merge.rs
@@ -77,6 +77,24 @@
     ");
 }
 
+#[test]
+fn a_host_at_another_address_is_a_new_run() {
+    let mut moved = record("a", HostPhase::Live);
+    moved.admin = "127.0.0.1:2".parse().expect("an address");
+    let events = vec![
+        (0, "list", list(&["a"])),
+        (1, "a says it leaves", leaving("a", OLD_RUN)),
+        (2, "the list lags", list(&["a"])),
+        (3, "a is elsewhere", MembershipEvent::List(vec![moved])),
+    ];
+    insta::assert_snapshot!(run(events), @"
+    0 s, list: a
+    1 s, a says it leaves: (a)
+    2 s, the list lags: (a)
+    3 s, a is elsewhere: a
+    ");
+}
+
 #[test]
 fn a_notice_expires_where_no_link_shows_the_next_run() {
     let hold = NOTICE_HOLD.as_secs();
--- a/src/agent.rs
+++ b/src/agent.rs
@@ -10,11 +10,9 @@
 pub mod weights;
 
 use crate::admin::{self, ProcessStatus, json_response, text_response, with_type};
-use crate::follow::{ConfigFollower, FollowSettings, HostsFollower};
+use crate::follow::ControlState;
 use crate::link::LinkIdentity;
 use crate::metrics::AgentMetrics;
-use crate::platform::hosts::HostsClient;
-use crate::platform::kv::KvClient;
 use crate::process;
 use crate::settings::{AgentSettings, ProcessSettings};
 use crate::shared::{ConfigReceiver, GateControl, GateLoad, GatePosition};
@@ -22,10 +20,8 @@
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use anyhow::{Context, Result};
 use buckthornwharf_core::membership::HostRole;
-use buckthornwharf_core::prelude::*;
 use live_times::{LiveParts, LiveTimes};
-use rand::RngExt;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use traffic::TrafficParts;
 use weights::{ChunkAnswer, KeeperHandles, KeeperParts};
 
@@ -45,29 +41,20 @@
     let leaving = process::leave_signal()?;
     println!("ready agent link={} admin={}", link.local_addr()?, admin.local_addr()?);
     let metrics = AgentMetrics::new()?;
-    let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
-    let hosts = HostsFollower::start(HostsClient::new(settings.platform.hosts));
-    let kv = KvClient::new(settings.platform.kv);
-    let follow =
-        FollowSettings { host: settings.host.clone(), site: settings.site.clone(), kv: kv.clone() };
-    let config = ConfigFollower::start(follow, hosts.clone(), frame_receiver);
+    let state = ControlState::start(&settings);
+    let config = state.config;
     let (position_sender, position) = watch::channel(GatePosition::Closed);
     let (load_sender, load) = watch::channel(GateLoad::default());
     let gate = GateControl { position: position_sender, in_flight: load };
     let service = agent.service.clone();
     let parts = TrafficParts {
-        identity: LinkIdentity {
-            host: settings.host.clone(),
-            site: settings.site.clone(),
-            incarnation: HostIncarnation(rand::rng().random()),
-            key: settings.link_secret.key(),
-        },
+        identity: LinkIdentity::of(&settings),
         settings: agent,
         listener: link,
         config: config.clone(),
-        hosts: hosts.clone(),
-        kv,
-        config_frames: frame_sender,
+        hosts: state.hosts.clone(),
+        kv: state.kv,
+        config_frames: state.config_frames,
         position,
         load: load_sender,
         leaving: leaving.clone(),
@@ -77,7 +64,7 @@
     let keeper = KeeperParts {
         settings: settings.clone(),
         config: config.clone(),
-        hosts,
+        hosts: state.hosts,
         gate,
         metrics: metrics.weights.clone(),
     };
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -10,11 +10,9 @@
 pub mod traffic;
 
 use crate::admin::{self, ProcessStatus, json_response, text_response};
-use crate::follow::{ConfigFollower, FollowSettings, HostsFollower};
+use crate::follow::ControlState;
 use crate::link::LinkIdentity;
 use crate::metrics::EntryMetrics;
-use crate::platform::hosts::HostsClient;
-use crate::platform::kv::KvClient;
 use crate::process;
 use crate::settings::{EntrySettings, ProcessSettings};
 use crate::shared::ConfigReceiver;
@@ -23,7 +21,6 @@
 use anyhow::{Context, Result};
 use buckthornwharf_core::membership::HostRole;
 use buckthornwharf_core::prelude::*;
-use rand::RngExt;
 use tokio::sync::{mpsc, oneshot, watch};
 use traffic::{BurnQuery, TrafficParts};
 
@@ -43,36 +40,23 @@
     let leaving = process::leave_signal()?;
     println!("ready entry http={} admin={}", http.local_addr()?, admin.local_addr()?);
     let metrics = EntryMetrics::new()?;
-    let (frame_sender, frame_receiver) = mpsc::unbounded_channel();
-    let (sign_sender, sign_receiver) = mpsc::unbounded_channel();
-    let client = HostsClient::new(settings.platform.hosts);
-    let hosts = HostsFollower::start_with_signs(client, sign_receiver);
-    let follow = FollowSettings {
-        host: settings.host.clone(),
-        site: settings.site.clone(),
-        kv: KvClient::new(settings.platform.kv),
-    };
-    let config = ConfigFollower::start(follow, hosts.clone(), frame_receiver);
+    let state = ControlState::start(&settings);
     let (burn_queries, query_receiver) = mpsc::unbounded_channel();
     let parts = TrafficParts {
-        identity: LinkIdentity {
-            host: settings.host.clone(),
-            site: settings.site.clone(),
-            incarnation: HostIncarnation(rand::rng().random()),
-            key: settings.link_secret.key(),
-        },
+        identity: LinkIdentity::of(&settings),
         listener: http,
         max_links: entry.max_links,
         default_deadline: Duration::from_millis(entry.deadline_ms),
-        config: config.clone(),
-        hosts,
-        signs: sign_sender,
-        config_frames: frame_sender,
+        config: state.config.clone(),
+        hosts: state.hosts,
+        signs: state.signs,
+        config_frames: state.config_frames,
         leaving: leaving.clone(),
         metrics: metrics.clone(),
         burn_queries: query_receiver,
     };
     let traffic = process::start_traffic(move || traffic::run_traffic(parts));
+    let config = state.config;
     let status = StatusSource { settings, config, leaving, metrics, burn_queries };
     admin::start_admin(admin, move |request| status.clone().answer(request))?;
     process::join_traffic(traffic).await
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -224,8 +224,10 @@
     }
 
     fn dial(&mut self, wanted: SortedTable<HostName, SocketAddr>) {
+        let hosts = self.hosts.borrow().clone();
         for host in self.keeper.set_wanted(&wanted) {
-            if !self.table.needs_host(&host) {
+            // A leaving host is dialled on, so that its next run shows itself at once.
+            if !self.table.needs_host(&host) && !is_leaving(&hosts, &host) {
                 self.keeper.drop_link(&host);
             }
         }
@@ -305,6 +307,11 @@
     u32::try_from(entries.count()).unwrap_or(u32::MAX)
 }
 
+fn is_leaving(hosts: &[HostRecord], host: &HostName) -> bool {
+    let found = hosts.binary_search_by(|record| record.name.cmp(host));
+    found.is_ok_and(|at| hosts[at].phase == HostPhase::Leaving)
+}
+
 fn address_of(hosts: &[HostRecord], host: HostName) -> Option<(HostName, SocketAddr)> {
     let at = hosts.binary_search_by(|record| record.name.cmp(&host)).ok()?;
     Some((host, hosts[at].link?))
--- a/src/follow/hosts.rs
+++ b/src/follow/hosts.rs
@@ -19,14 +19,9 @@
 }
 
 impl HostsFollower {
-    /// Starts to follow the list on this thread's runtime.
-    pub fn start(client: HostsClient) -> HostsReceiver {
-        let (_, signs) = mpsc::unbounded_channel();
-        Self::start_with_signs(client, signs)
-    }
-
-    /// As [`HostsFollower::start`]; `signs` are what links tell of their peers.
-    pub fn start_with_signs(
+    /// Starts to follow the list on this thread's runtime; `signs` are what links tell of their
+    /// peers.
+    pub fn start(
         client: HostsClient,
         signs: mpsc::UnboundedReceiver<MembershipEvent>,
     ) -> HostsReceiver {
--- a/src/link/handshake.rs
+++ b/src/link/handshake.rs
@@ -1,5 +1,6 @@
 //! Opening a link: each side signs the other's random challenge with the shared secret.
 
+use crate::settings::ProcessSettings;
 use anyhow::{Context, Result, bail};
 use buckthornwharf_core::frame::{HelloFrame, LinkFrame, MAX_FRAME_BYTES, PROTOCOL_VERSION};
 use buckthornwharf_core::prelude::*;
@@ -46,6 +47,16 @@
 }
 
 impl LinkIdentity {
+    /// The identity of a process with these settings, as a run of its own.
+    pub fn of(settings: &ProcessSettings) -> Self {
+        Self {
+            host: settings.host.clone(),
+            site: settings.site.clone(),
+            incarnation: HostIncarnation(rand::rng().random()),
+            key: settings.link_secret.key(),
+        }
+    }
+
     fn hello(&self, challenge: [u8; 32], proof: [u8; 32]) -> HelloFrame {
         HelloFrame {
             protocol: PROTOCOL_VERSION,
