Ask in one place whether a host is leaving

Cause: entry and agent searched the list of hosts for it in two functions of the same lines. Ruled out: a change of behaviour. Before: two functions.

--- a/core/src/membership.rs
+++ b/core/src/membership.rs
@@ -53,3 +53,9 @@
     /// Whether the host is leaving.
     pub phase: HostPhase,
 }
+
+/// Whether `hosts`, sorted by name, say that `host` leaves.
+pub fn is_leaving(hosts: &[HostRecord], host: &HostName) -> bool {
+    let found = hosts.binary_search_by(|record| record.name.cmp(host));
+    found.is_ok_and(|at| hosts[at].phase == HostPhase::Leaving)
+}
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -14,7 +14,7 @@
 use anyhow::Result;
 use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
-use buckthornwharf_core::membership::{HostPhase, HostRecord};
+use buckthornwharf_core::membership::is_leaving;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
 use std::rc::Rc;
@@ -123,7 +123,7 @@
                 }
             }
             Ok(()) = hosts.changed() => {
-                let listed = is_listed_leaving(&hosts.borrow_and_update(), &host);
+                let listed = is_leaving(&hosts.borrow_and_update(), &host);
                 traffic.desk.set_leaving(listed || left_at.is_some());
             }
             _ = tick.tick() => traffic.on_tick(),
@@ -178,12 +178,6 @@
     }
 }
 
-/// Whether the platform's list says that `host` leaves.
-fn is_listed_leaving(hosts: &[HostRecord], host: &HostName) -> bool {
-    let found = hosts.binary_search_by(|record| record.name.cmp(host));
-    found.is_ok_and(|at| hosts[at].phase == HostPhase::Leaving)
-}
-
 impl AgentTraffic {
     fn on_config(&mut self, active: Option<Arc<ActiveConfig>>) {
         if let Some(active) = &active {
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -17,7 +17,9 @@
 use buckthornwharf_core::burn::BurnCounts;
 use buckthornwharf_core::config::{ConfigExchange, ExchangeStep};
 use buckthornwharf_core::frame::{ConfigFrame, LinkFrame, TargetState};
-use buckthornwharf_core::membership::{HostPhase, HostRecord, HostRole, MembershipEvent};
+use buckthornwharf_core::membership::{
+    HostPhase, HostRecord, HostRole, MembershipEvent, is_leaving,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
 use buckthornwharf_core::routing::choose_links;
@@ -307,11 +309,6 @@
     u32::try_from(entries.count()).unwrap_or(u32::MAX)
 }
 
-fn is_leaving(hosts: &[HostRecord], host: &HostName) -> bool {
-    let found = hosts.binary_search_by(|record| record.name.cmp(host));
-    found.is_ok_and(|at| hosts[at].phase == HostPhase::Leaving)
-}
-
 fn address_of(hosts: &[HostRecord], host: HostName) -> Option<(HostName, SocketAddr)> {
     let at = hosts.binary_search_by(|record| record.name.cmp(&host)).ok()?;
     Some((host, hosts[at].link?))
