--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    env_logger::init_from_env(env_logger::Env::default().default_filter_or("warn,buckthornwharf=info"));
+    env_logger::init_from_env(
+        env_logger::Env::default().default_filter_or("warn,buckthornwharf=info"),
+    );
     match command().run().run() {
         Ok(code) => code,
         Err(error) => {
