Keep the entry's links in one place, and its unproven answers private

Cause: the entry's traffic held a second table of the links that its table of requests holds already, kept in step by hand; and the answer to a chunk request that has not been proven was open to callers outside its module. Ruled out: a change of behaviour. Before: two tables, one public way round the proof.

--- a/src/agent/weights/service.rs
+++ b/src/agent/weights/service.rs
@@ -94,7 +94,7 @@
     }
 
     /// Answers a `GET` of `path`, which must have been proven before.
-    pub async fn answer(&self, path: &str) -> ChunkAnswer {
+    async fn answer(&self, path: &str) -> ChunkAnswer {
         if let Some(digest) = path.strip_prefix(MANIFEST_PREFIX) {
             return self.manifest(digest);
         }
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -225,6 +225,16 @@
         self.carry_out();
     }
 
+    /// An open link.
+    pub fn link(&self, link: LinkId) -> Option<&LinkHandle> {
+        self.links.get(&link)
+    }
+
+    /// Links that are open.
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
     /// Sends a frame on every open link.
     pub fn broadcast(&self, frame: &LinkFrame) {
         self.links.values().for_each(|handle| handle.send(frame.clone()));
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -7,7 +7,7 @@
 use super::submission::random_id;
 use crate::clock;
 use crate::http_server::serve_http;
-use crate::link::{LinkEvent, LinkHandle, LinkIdentity};
+use crate::link::{LinkEvent, LinkIdentity};
 use crate::metrics::EntryMetrics;
 use crate::shared::{ActiveConfig, ConfigReceiver, HostsReceiver};
 use actix_http::body::BoxBody;
@@ -67,7 +67,6 @@
     default_deadline: Duration,
     table: RequestTable,
     keeper: LinkKeeper,
-    handles: SortedTable<LinkId, LinkHandle>,
     exchange: ConfigExchange,
     config: ConfigReceiver,
     hosts: HostsReceiver,
@@ -95,7 +94,6 @@
         recorder: Rc::new(RequestRecorder::new(site.clone(), parts.metrics.clone())),
         table: RequestTable::new(site),
         keeper: LinkKeeper::new(parts.identity, event_sender),
-        handles: SortedTable::new(),
         exchange: ConfigExchange::default(),
         config: parts.config.clone(),
         hosts: parts.hosts.clone(),
@@ -239,14 +237,12 @@
         match event {
             LinkEvent::Up(handle) => {
                 handle.send(LinkFrame::Config(self.exchange.announcement()));
-                self.handles.insert(handle.id, handle.clone());
-                self.metrics.process.links_open.set(self.handles.len() as i64);
                 self.table.link_up(handle);
+                self.metrics.process.links_open.set(self.table.link_count() as i64);
             }
             LinkEvent::Down(link) => {
-                self.handles.remove(&link);
-                self.metrics.process.links_open.set(self.handles.len() as i64);
                 self.table.link_down(link);
+                self.metrics.process.links_open.set(self.table.link_count() as i64);
             }
             LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
         }
@@ -256,7 +252,7 @@
         match &frame {
             LinkFrame::State(state) => self.on_state(link, state),
             LinkFrame::Accepted(id) => {
-                if let Some(handle) = self.handles.get(&link) {
+                if let Some(handle) = self.table.link(link) {
                     self.recorder.on_served_by(*id, &handle.peer.site);
                 }
                 self.table.request_frame(link, *id, frame);
@@ -273,7 +269,7 @@
 
     fn on_state(&mut self, link: LinkId, state: &TargetState) {
         self.table.target_state(link, state);
-        let Some(handle) = self.handles.get(&link) else { return };
+        let Some(handle) = self.table.link(link) else { return };
         let (host, incarnation) = (handle.peer.host.clone(), handle.peer.incarnation);
         let _ = self.signs.send(match state.leaving {
             true => MembershipEvent::Leaving { host, incarnation },
@@ -285,7 +281,7 @@
         match self.exchange.on_frame(clock::now(), frame) {
             ExchangeStep::Nothing => {}
             ExchangeStep::Reply(reply) => {
-                if let Some(handle) = self.handles.get(&link) {
+                if let Some(handle) = self.table.link(link) {
                     handle.send(LinkFrame::Config(reply));
                 }
             }
