--- /dev/null
+++ b/core/src/direct/places.rs
@@ -0,0 +1,245 @@
+//! Which target a request goes to, how long it may wait for a place, and when it is refused.
+//!
+//! The load that this answers: each target works on a fixed number of requests at once, several
+//! entries send to the same targets, and the offered load exceeds what the targets can take for
+//! seconds at a time. A request waits only as long as an answer in time is still to be expected.
+
+mod load;
+mod queue;
+
+use super::{TargetPhase, TargetRecord};
+use crate::prelude::*;
+use load::TargetLoad;
+use queue::{ServiceQueue, Waiter};
+
+/// Time for which a target that was not reached, or broke off, is passed over at first.
+const FIRST_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for which a target is passed over after failures in a row.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Time for which a target that had no room is passed over.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+/// Shortest and longest time after which a refused caller may come back.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(2000));
+/// Share of a target in another region that is used while its real load is not known, in percent.
+const BLIND_REMOTE_PERCENT: u32 = 40;
+
+/// Names a waiting request.
+pub type PlaceTicket = u64;
+
+/// A request that wants a place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// The service that answers it.
+    pub service: ServiceName,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// How long it may wait.
+    pub patience: Duration,
+    /// The targets that it must not go to again.
+    pub tried: Vec<Arc<str>>,
+    /// The version that the target must have loaded, if that is asked for.
+    pub version: Option<(ModelName, u64)>,
+}
+
+/// A place that a request got; it must be given back by [`PlaceBook::release`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceGrant {
+    /// The target.
+    pub target: Arc<TargetRecord>,
+    /// Requests of this entry that the target works on, this one included.
+    pub own: u32,
+}
+
+/// What becomes of a request that wants a place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Admission {
+    /// It goes to a target at once.
+    Place(PlaceGrant),
+    /// It waits.
+    Wait(PlaceTicket),
+    /// It cannot be served in time; the caller may come back after the span.
+    Refuse(Duration),
+}
+
+/// How a target did with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlaceOutcome {
+    /// It answered, or the caller left.
+    Answered,
+    /// It had no room.
+    Full,
+    /// It was not reached, or the exchange failed.
+    Failed,
+}
+
+/// How an entry stands among the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryShare {
+    /// Live entries.
+    pub entries: u32,
+    /// Live entries of the same region.
+    pub in_region: u32,
+}
+
+/// The places at targets that this entry uses, and the requests that wait for one.
+#[derive(Debug)]
+pub struct PlaceBook {
+    own_sites: Vec<SiteName>,
+    share: EntryShare,
+    targets: SortedTable<Arc<str>, TargetLoad>,
+    queues: SortedTable<ServiceName, ServiceQueue>,
+    next_ticket: PlaceTicket,
+}
+
+impl PlaceBook {
+    /// A book of an entry that prefers targets in `own_sites`.
+    pub fn new(own_sites: Vec<SiteName>) -> Self {
+        Self {
+            own_sites,
+            share: EntryShare { entries: 1, in_region: 1 },
+            targets: SortedTable::new(),
+            queues: SortedTable::new(),
+            next_ticket: 0,
+        }
+    }
+
+    /// Takes in how many entries share the targets.
+    pub fn set_share(&mut self, share: EntryShare) {
+        self.share = share;
+    }
+
+    /// Takes in the targets.
+    pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<TargetRecord>>) {
+        let mut known: Vec<Arc<str>> = Vec::new();
+        for record in records {
+            known.push(record.id.clone());
+            match self.targets.get_mut(&record.id) {
+                Some(load) => load.set_record(record.clone()),
+                None => {
+                    let local = self.own_sites.contains(&record.site);
+                    self.targets.insert(record.id.clone(), TargetLoad::new(record.clone(), local));
+                }
+            }
+        }
+        known.sort_unstable();
+        self.targets.retain(|id, load| load.own > 0 || known.binary_search(id).is_ok());
+        for load in self.targets.values_mut() {
+            load.listed = known.binary_search(&load.record.id).is_ok();
+        }
+    }
+
+    /// Takes in what a target says of its load: requests of all entries that it runs or keeps, and
+    /// whether it takes more.
+    pub fn set_load(&mut self, now: MonoTime, id: &str, requests: u32, accepting: bool) {
+        if let Some(load) = self.targets.get_mut(id) {
+            load.set_reported(now, requests, accepting);
+        }
+    }
+
+    /// Finds a place for a request, lets it wait, or refuses it.
+    pub fn request(&mut self, now: MonoTime, request: PlaceRequest) -> Admission {
+        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
+        let ahead = queue.ahead_of(request.rank);
+        if ahead == 0
+            && let Some(grant) = self.place(now, &request)
+        {
+            return Admission::Place(grant);
+        }
+        let usable = self.usable_places(&request.service);
+        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
+        let wait = queue.expected_wait(now, ahead, usable);
+        if wait > request.patience {
+            let (least, most) = RETRY_AFTER_RANGE;
+            return Admission::Refuse(wait.clamp(least, most));
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        queue.push(Waiter { ticket, until: now + request.patience, request });
+        Admission::Wait(ticket)
+    }
+
+    /// Gives a place back.
+    pub fn release(&mut self, now: MonoTime, id: &str, outcome: PlaceOutcome) {
+        let Some(load) = self.targets.get_mut(id) else {
+            return;
+        };
+        load.release(now, outcome);
+        if outcome == PlaceOutcome::Answered {
+            let service = load.record.service.clone();
+            self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now);
+        }
+    }
+
+    /// Takes a waiting request out of the queue.
+    pub fn cancel(&mut self, ticket: PlaceTicket) {
+        for queue in self.queues.values_mut() {
+            queue.remove(ticket);
+        }
+    }
+
+    /// The waiting requests that get a place now.
+    pub fn grants(&mut self, now: MonoTime) -> Vec<(PlaceTicket, PlaceGrant)> {
+        let mut grants = Vec::new();
+        let services: Vec<ServiceName> = self
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for service in services {
+            let Some(mut queue) = self.queues.remove(&service) else {
+                continue;
+            };
+            queue.take_where(|request| self.place(now, request), &mut grants);
+            self.queues.insert(service, queue);
+        }
+        grants
+    }
+
+    /// The waiting requests whose patience has ended, with the time after which each caller may
+    /// come back.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<(PlaceTicket, Duration)> {
+        let (least, _) = RETRY_AFTER_RANGE;
+        let expired = self.queues.values_mut().flat_map(|queue| queue.expire(now));
+        expired.map(|ticket| (ticket, least)).collect()
+    }
+
+    /// When [`PlaceBook::expire`] or [`PlaceBook::grants`] is due next, if nothing happens before.
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        let expiry = self.queues.values().filter_map(ServiceQueue::next_expiry).min()?;
+        let pause = self.targets.values().filter_map(|load| load.paused_until()).min();
+        Some(pause.map_or(expiry, |pause| pause.min(expiry)))
+    }
+
+    /// Requests that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(ServiceQueue::len).sum()
+    }
+
+    /// Requests of this entry that are at targets.
+    pub fn in_flight(&self) -> u32 {
+        self.targets.values().map(|load| load.own).sum()
+    }
+
+    fn place(&mut self, now: MonoTime, request: &PlaceRequest) -> Option<PlaceGrant> {
+        let share = self.share;
+        let fits = |load: &&TargetLoad| load.takes(now, request) && load.room(now, share) > 0;
+        let candidates = self.targets.values().filter(fits);
+        let best = candidates.min_by_key(|load| load.cost(now, share))?;
+        let id = best.record.id.clone();
+        let load = self.targets.get_mut(&id)?;
+        load.own += 1;
+        Some(PlaceGrant { target: load.record.clone(), own: load.own })
+    }
+
+    /// Places at the targets of `service` that this entry counts on.
+    fn usable_places(&self, service: &ServiceName) -> u32 {
+        let of_service = |load: &&TargetLoad| {
+            load.listed
+                && load.record.service == *service
+                && load.record.phase == TargetPhase::Ready
+        };
+        self.targets.values().filter(of_service).map(|load| load.limit(self.share)).sum()
+    }
+}
--- /dev/null
+++ b/core/src/direct/places/load.rs
@@ -0,0 +1,129 @@
+//! What an entry knows of the load of one target.
+
+use super::{
+    BLIND_REMOTE_PERCENT, EntryShare, FIRST_PAUSE, FULL_PAUSE, LONGEST_PAUSE, PlaceOutcome,
+    PlaceRequest,
+};
+use crate::direct::{TargetPhase, TargetRecord};
+use crate::prelude::*;
+
+/// Time for which what a target said of its load is believed.
+const REPORT_LIFETIME: Duration = Duration::from_millis(1000);
+/// Cost of leaving the own region, in thousandths of a full target.
+const REMOTE_COST: u64 = 400;
+
+/// One target, with the requests of this entry that it works on.
+#[derive(Debug, Clone)]
+pub(super) struct TargetLoad {
+    pub record: Arc<TargetRecord>,
+    pub own: u32,
+    /// Whether the target is still registered.
+    pub listed: bool,
+    local: bool,
+    others: u32,
+    accepting: bool,
+    reported_at: Option<MonoTime>,
+    paused_until: MonoTime,
+    failures: u32,
+}
+
+impl TargetLoad {
+    pub fn new(record: Arc<TargetRecord>, local: bool) -> Self {
+        Self {
+            record,
+            own: 0,
+            listed: true,
+            local,
+            others: 0,
+            accepting: true,
+            reported_at: None,
+            paused_until: MonoTime::ZERO,
+            failures: 0,
+        }
+    }
+
+    pub fn set_record(&mut self, record: Arc<TargetRecord>) {
+        if record.born != self.record.born || record.address != self.record.address {
+            self.paused_until = MonoTime::ZERO;
+            self.failures = 0;
+            self.reported_at = None;
+        }
+        self.record = record;
+    }
+
+    pub fn set_reported(&mut self, now: MonoTime, requests: u32, accepting: bool) {
+        self.others = requests.saturating_sub(self.own);
+        self.accepting = accepting;
+        self.reported_at = Some(now);
+    }
+
+    pub fn release(&mut self, now: MonoTime, outcome: PlaceOutcome) {
+        self.own = self.own.saturating_sub(1);
+        match outcome {
+            PlaceOutcome::Answered => self.failures = 0,
+            PlaceOutcome::Full => self.pause(now, FULL_PAUSE),
+            PlaceOutcome::Failed => {
+                let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(8));
+                self.failures += 1;
+                self.pause(now, pause.min(LONGEST_PAUSE));
+            }
+        }
+    }
+
+    fn pause(&mut self, now: MonoTime, span: Duration) {
+        self.paused_until = self.paused_until.max(now + span);
+    }
+
+    pub fn paused_until(&self) -> Option<MonoTime> {
+        (self.paused_until > MonoTime::ZERO).then_some(self.paused_until)
+    }
+
+    /// Whether the target may get `request`, room aside.
+    pub fn takes(&self, now: MonoTime, request: &PlaceRequest) -> bool {
+        self.listed
+            && self.record.service == request.service
+            && self.record.phase == TargetPhase::Ready
+            && self.paused_until <= now
+            && (self.accepting || !self.is_reported(now))
+            && !request.tried.contains(&self.record.id)
+            && self.has_version(request)
+    }
+
+    fn has_version(&self, request: &PlaceRequest) -> bool {
+        let Some((model, version)) = &request.version else {
+            return true;
+        };
+        let models = &self.record.models;
+        models.iter().any(|loaded| loaded.model == *model && loaded.version >= *version)
+    }
+
+    /// Requests of this entry that the target may have at once while its real load is unknown.
+    pub fn limit(&self, share: EntryShare) -> u32 {
+        if self.local {
+            return self.record.slots.div_ceil(share.in_region.max(1));
+        }
+        let part = self.record.slots * BLIND_REMOTE_PERCENT / 100;
+        (part / share.entries.max(1)).max(1)
+    }
+
+    /// Further requests that the target may get from this entry.
+    pub fn room(&self, now: MonoTime, share: EntryShare) -> u32 {
+        if self.is_reported(now) {
+            return self.record.slots.saturating_sub(self.own + self.others);
+        }
+        self.limit(share).saturating_sub(self.own)
+    }
+
+    /// How dear it is to send a further request there; lower is better.
+    pub fn cost(&self, now: MonoTime, share: EntryShare) -> u64 {
+        let used = match self.is_reported(now) {
+            true => u64::from(self.own + self.others) * 1000 / u64::from(self.record.slots.max(1)),
+            false => u64::from(self.own) * 1000 / u64::from(self.limit(share).max(1)),
+        };
+        used + if self.local { 0 } else { REMOTE_COST }
+    }
+
+    fn is_reported(&self, now: MonoTime) -> bool {
+        self.reported_at.is_some_and(|at| now.since(at) < REPORT_LIFETIME)
+    }
+}
--- /dev/null
+++ b/core/src/direct/rollout.rs
@@ -0,0 +1,35 @@
+//! When each host puts a new version into its target, so that the others serve meanwhile.
+
+use crate::prelude::*;
+
+/// Time that a target may take from the order to the end of the requests that it runs, kept free
+/// before the time at which the old version must not be used any more.
+const ORDER_MARGIN: Duration = Duration::from_millis(1500);
+
+/// One host's part in a roll.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RolloutTurn {
+    /// When the version was declared, as far as this host knows.
+    pub declared_at: MonoTime,
+    /// When this host held the version whole.
+    pub held_at: MonoTime,
+    /// Time from the declaration to the end of the old version.
+    pub allowed: Duration,
+    /// The host's place in the order of the hosts of its service.
+    pub turn: usize,
+    /// Hosts of its service.
+    pub hosts: usize,
+}
+
+impl RolloutTurn {
+    /// When the host orders its target to load the version. The hosts' turns are spread evenly over
+    /// the time that is left once the version is held.
+    pub fn start_at(&self) -> MonoTime {
+        let latest = self.declared_at + self.allowed - ORDER_MARGIN;
+        if latest <= self.held_at {
+            return self.held_at;
+        }
+        let span = latest.since(self.held_at);
+        self.held_at + span * self.turn as u32 / self.hosts.max(1) as u32
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod code;
 pub mod config;
+pub mod direct;
 pub mod frame;
 pub mod membership;
 pub mod name;
--- a/core/src/name.rs
+++ b/core/src/name.rs
@@ -129,7 +129,7 @@
     VersionDigest
 );
 digest_type!(
-    /// The BLAKE3 hash of one chunk of weights.
+    /// The hash of one chunk of weights; its manifest tells which function made it.
     ChunkHash
 );
 
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -14,7 +14,6 @@
 };
 
 use crate::prelude::*;
-use crate::weights::manifest::hash_chunk;
 use crate::weights::plan::{HostIndex, RegionIndex, SpreadPlan, mix};
 use crate::weights::{ChunkSet, VersionManifest};
 use bytes::Bytes;
@@ -161,7 +160,7 @@
             return;
         };
         self.landed(&flight);
-        if hash_chunk(&bytes) != self.manifest.chunks[flight.chunk] {
+        if !self.manifest.has_chunk(flight.chunk, &bytes) {
             self.corrupt(now, &flight, actions);
             return;
         }
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -32,6 +32,9 @@
     }
 
     fn fill_origin(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
+        if now.since(self.started) < self.limits.origin_delay {
+            return;
+        }
         while self.flights.origin_count() < self.limits.origin_fetches {
             if !self.peers.origin.is_ready(now) {
                 return;
--- a/core/src/weights/fetch/event.rs
+++ b/core/src/weights/fetch/event.rs
@@ -94,6 +94,8 @@
     pub origin_fetches: usize,
     /// Fetches from hosts of the own region at once.
     pub peer_fetches: usize,
+    /// Time for which the origin is left alone, because other hosts hold the version.
+    pub origin_delay: Duration,
 }
 
 impl FetchLimits {
@@ -105,6 +107,7 @@
             region_pair_bytes_per_second: region_pair.max(1),
             origin_fetches: 2,
             peer_fetches: 6,
+            origin_delay: Duration::ZERO,
         }
     }
 }
--- a/core/src/weights/manifest.rs
+++ b/core/src/weights/manifest.rs
@@ -2,12 +2,39 @@
 
 use crate::prelude::*;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// Most chunks that a manifest may list.
 pub const MAX_CHUNKS: usize = 1 << 18;
 /// Most bytes of one chunk.
 pub const MAX_CHUNK_BYTES: u64 = 16 * 1024 * 1024;
 const DIGEST_DOMAIN: &[u8] = b"buckthornwharf manifest 1";
+const SHA256_DOMAIN: &[u8] = b" sha-256";
+
+/// The function that the hashes of a manifest's chunks are made by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HashKind {
+    /// BLAKE3.
+    #[default]
+    Blake3,
+    /// SHA-256.
+    Sha256,
+}
+
+impl HashKind {
+    /// The hash of a chunk's bytes.
+    pub fn hash(self, bytes: &[u8]) -> ChunkHash {
+        match self {
+            HashKind::Blake3 => hash_chunk(bytes),
+            HashKind::Sha256 => ChunkHash::from_bytes(Sha256::digest(bytes).into()),
+        }
+    }
+
+    fn is_default(&self) -> bool {
+        *self == HashKind::default()
+    }
+}
 
 /// The ordered chunks of a version; its digest names the version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -18,6 +45,9 @@
     pub chunk_bytes: u64,
     /// The hash of each chunk, in order.
     pub chunks: Vec<ChunkHash>,
+    /// What made the hashes.
+    #[serde(default, skip_serializing_if = "HashKind::is_default")]
+    pub hash_kind: HashKind,
 }
 
 /// Why a manifest is refused.
@@ -36,13 +66,28 @@
     pub fn of_content(content: &[u8], chunk_bytes: u64) -> Self {
         let chunk_len = usize::try_from(chunk_bytes).unwrap_or(usize::MAX);
         let chunks = content.chunks(chunk_len).map(hash_chunk).collect();
-        Self { total_bytes: content.len() as u64, chunk_bytes, chunks }
+        let hash_kind = HashKind::Blake3;
+        Self { total_bytes: content.len() as u64, chunk_bytes, chunks, hash_kind }
+    }
+
+    /// The manifest of chunks of equal length that are named by their SHA-256.
+    pub fn of_sha256(chunks: Vec<ChunkHash>, chunk_bytes: u64) -> Self {
+        let total_bytes = chunk_bytes * chunks.len() as u64;
+        Self { total_bytes, chunk_bytes, chunks, hash_kind: HashKind::Sha256 }
+    }
+
+    /// Whether `bytes` are those of the chunk at `index`.
+    pub fn has_chunk(&self, index: usize, bytes: &[u8]) -> bool {
+        self.chunks.get(index).is_some_and(|hash| self.hash_kind.hash(bytes) == *hash)
     }
 
     /// The digest that names the version. It does not depend on how the manifest is encoded.
     pub fn digest(&self) -> VersionDigest {
         let mut hasher = blake3::Hasher::new();
         hasher.update(DIGEST_DOMAIN);
+        if self.hash_kind == HashKind::Sha256 {
+            hasher.update(SHA256_DOMAIN);
+        }
         hasher.update(&self.total_bytes.to_le_bytes());
         hasher.update(&self.chunk_bytes.to_le_bytes());
         for chunk in &self.chunks {
@@ -79,7 +124,7 @@
     }
 }
 
-/// The hash of a chunk's bytes.
+/// The BLAKE3 hash of a chunk's bytes.
 pub fn hash_chunk(bytes: &[u8]) -> ChunkHash {
     ChunkHash::from_bytes(*blake3::hash(bytes).as_bytes())
 }
--- /dev/null
+++ b/exchange/tests/exchange.rs
@@ -0,0 +1,71 @@
+//! Exchanges over real connections, with raw bytes on the other side.
+
+use actix_http::{Method, StatusCode};
+use buckthornwharf_exchange::{CallClient, CallError, ExchangeError, OutboundCall};
+use bytes::Bytes;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+fn get(target: &str) -> OutboundCall {
+    OutboundCall {
+        method: Method::GET,
+        target: target.to_owned(),
+        body: Bytes::new(),
+        content_type: "",
+        deadline: Duration::from_secs(20),
+        max_answer_bytes: 1 << 20,
+    }
+}
+
+/// Answers each connection with one of `answers` and closes it.
+async fn serve(answers: &'static [&'static str]) -> CallClient {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.expect("a caller comes");
+            let mut request = vec![0; 4096];
+            let read = stream.read(&mut request).await.expect("the request comes");
+            assert!(read > 0);
+            stream.write_all(answer.as_bytes()).await.expect("the caller reads");
+            stream.shutdown().await.expect("the caller is there");
+        }
+    });
+    CallClient::new(address)
+}
+
+#[actix_rt::test]
+async fn answers_of_every_framing_are_read_whole() {
+    let client = serve(&[
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhello",
+    ])
+    .await;
+    for _ in 0..3 {
+        let answer = client.call(get("/")).await.expect("the answer is whole");
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(answer.body, "hello");
+    }
+}
+
+#[actix_rt::test]
+async fn an_answer_that_ends_early_is_an_error() {
+    let client = serve(&[
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n",
+    ])
+    .await;
+    for _ in 0..2 {
+        let failure = client.call(get("/")).await.expect_err("the answer is cut");
+        assert!(matches!(failure, CallError::Failed(ExchangeError::Ended)), "{failure}");
+    }
+}
+
+#[actix_rt::test]
+async fn bytes_that_are_no_answer_are_an_error() {
+    let client = serve(&["what is this?\r\n\r\n"]).await;
+    let failure = client.call(get("/")).await.expect_err("it is no answer");
+    assert!(matches!(failure, CallError::Failed(ExchangeError::Garbled)), "{failure}");
+}
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -1,6 +1,7 @@
 //! `buckthornwharf entry`.
 
 use crate::cmd::ExitStatus;
+use crate::direct::settings::DirectSettings;
 use crate::settings::ProcessSettings;
 use anyhow::{Context, Result};
 use bpaf::Bpaf;
@@ -22,6 +23,11 @@
     ///
     /// [`ExitStatus::BadSettings`] if the settings are wrong.
     pub fn run(self) -> Result<ExitCode> {
+        if DirectSettings::is_direct(&self.settings) {
+            let settings = DirectSettings::read(&self.settings).context(ExitStatus::BadSettings)?;
+            crate::direct::entry::run(self.settings, settings)?;
+            return Ok(ExitCode::SUCCESS);
+        }
         let settings = ProcessSettings::read(&self.settings).context(ExitStatus::BadSettings)?;
         crate::entry::run(settings)?;
         Ok(ExitCode::SUCCESS)
--- /dev/null
+++ b/src/direct.rs
@@ -0,0 +1,9 @@
+//! Entries that send requests to targets themselves, and agents that keep the weights of an engine,
+//! on a platform whose store names the targets.
+
+pub mod agent;
+pub mod entry;
+mod follow;
+mod presence;
+mod reload;
+pub mod settings;
--- /dev/null
+++ b/src/direct/agent.rs
@@ -0,0 +1,56 @@
+//! An agent that keeps the weights of the engine beside it.
+
+mod fetcher;
+mod keeper;
+mod peers;
+mod state;
+
+use super::follow;
+use super::presence::{self, PresenceRecord};
+use super::reload;
+use super::settings::DirectSettings;
+use crate::process;
+use anyhow::{Context, Result};
+use buckthornwharf_platform::{EngineClient, StoreClient, keys};
+use log::info;
+use state::AgentState;
+use std::path::PathBuf;
+
+/// Runs the agent until it is told to leave.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened on.
+pub fn run(path: PathBuf, settings: DirectSettings) -> Result<()> {
+    actix_rt::System::new().block_on(serve(path, settings))
+}
+
+async fn serve(path: PathBuf, settings: DirectSettings) -> Result<()> {
+    let own = settings.agent.clone().context("the settings have no section `agent`")?;
+    let listener = process::bind(settings.peer_address())?;
+    let mut leaving = process::leave_signal()?;
+    info!("event=started host={} engine={}", settings.host, own.engine);
+    let store = StoreClient::new(settings.store);
+    let state = AgentState::new(settings.clone(), own.clone(), EngineClient::new(own.engine));
+    peers::start_service(listener, state.clone())?;
+    let operator = state.clone();
+    actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, move |event| {
+        operator.take_operator(event);
+    }));
+    let agents = state.clone();
+    actix_rt::spawn(follow::follow(store.clone(), presence::AGENTS, move |event| {
+        agents.take_agents(event);
+    }));
+    let record = PresenceRecord::of(&settings);
+    let fences = state.clone();
+    let registered = move |revision| fences.set_fence(revision);
+    actix_rt::spawn(presence::keep_registered(store, presence::AGENTS, record, registered));
+    // The settings hold nothing that an agent takes in while it runs.
+    reload::watch_settings(path, |_| {})?;
+    tokio::select! {
+        never = keeper::run(state) => match never {},
+        _ = leaving.wait_for(|leaving| *leaving) => {}
+    }
+    info!("event=stopped host={}", settings.host);
+    Ok(())
+}
--- /dev/null
+++ b/src/direct/agent/fetcher.rs
@@ -0,0 +1,387 @@
+//! Brings the pieces of a version into the engine's stage.
+
+use super::peers::{HeldAnswer, PeerCalls};
+use super::state::{AgentState, StagedVersion, WantedModel};
+use crate::clock;
+use crate::direct::presence::PresenceRecord;
+use actix_rt::task::JoinHandle;
+use buckthornwharf_core::direct::LoadedModel;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
+use buckthornwharf_core::weights::{
+    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
+    PlanHost, SpreadPlan, VersionManifest,
+};
+use buckthornwharf_platform::OriginClient;
+use buckthornwharf_platform::engine::EngineError;
+use bytes::Bytes;
+use log::{info, warn};
+use rand::RngExt;
+use rand::seq::SliceRandom;
+use std::rc::Rc;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// Pause before sources of a manifest are asked again.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(300);
+/// Agents that are asked for a manifest before the origin.
+const MANIFEST_PEERS: usize = 3;
+/// Time after its declaration in which a version is taken to be nowhere but at the origin.
+const FRESH_TIME: Duration = Duration::from_secs(3);
+/// Bytes a second of a megabit a second.
+const MEGABIT_BYTES: f64 = 125_000.0;
+/// Hosts of a region whose links together carry what comes from another region.
+const GATEWAY_LINKS: u64 = 2;
+/// Time for which the origin is left alone while agents of the own region hold the version.
+const SETTLED_ORIGIN_DELAY: Duration = Duration::from_secs(3);
+
+/// A version whose pieces are all staged.
+#[derive(Debug, Clone)]
+pub struct StagedWhole {
+    /// Its manifest.
+    pub manifest: Arc<VersionManifest>,
+}
+
+/// Brings versions into the stage.
+pub struct PieceFetcher {
+    state: Rc<AgentState>,
+    peers: PeerCalls,
+}
+
+/// A manifest, and whether agents of the own region hold the whole version already.
+struct FoundManifest {
+    manifest: Arc<VersionManifest>,
+    settled: bool,
+}
+
+impl PieceFetcher {
+    /// A fetcher of the agent.
+    pub fn new(state: Rc<AgentState>) -> Self {
+        Self { state, peers: PeerCalls::default() }
+    }
+
+    /// Stages all pieces of `wanted`, verified. May be dropped at any time.
+    pub async fn stage(&self, wanted: &WantedModel) -> StagedWhole {
+        let version = &wanted.version;
+        let found = self.manifest(wanted).await;
+        let manifest = found.manifest;
+        let held = self.verified(version, &manifest).await;
+        info!(
+            "event=fetch_started version={} held={} settled={}",
+            version.version,
+            held.count(),
+            found.settled
+        );
+        self.state.set_staged(StagedVersion {
+            version: version.clone(),
+            manifest: Some(manifest.clone()),
+            held: held.clone(),
+        });
+        let mut run = FetchRun::new(self, version, manifest.clone(), held, found.settled);
+        run.finish().await;
+        info!(
+            "event=fetch_ended version={} took_ms={}",
+            version.version,
+            clock::now().since(run.started).as_millis()
+        );
+        StagedWhole { manifest }
+    }
+
+    /// The staged pieces that are those of `manifest`.
+    pub async fn verified(&self, version: &LoadedModel, manifest: &VersionManifest) -> ChunkSet {
+        let count = manifest.chunks.len();
+        let mut held = ChunkSet::new(count);
+        let staged = self.state.engine.staged_pieces(&version.model).await;
+        let staged = staged.unwrap_or_else(|error| {
+            warn!("event=stage_unread version={} reason=\"{error}\"", version.version);
+            Vec::new()
+        });
+        for piece in staged.into_iter().filter(|piece| *piece < count) {
+            let most_bytes = manifest.chunk_len(piece) as usize;
+            let read = self.state.engine.staged(&version.model, piece, most_bytes).await;
+            match read {
+                Ok(Some(bytes)) if manifest.has_chunk(piece, &bytes) => {
+                    held.insert(piece);
+                }
+                Ok(_) => {}
+                Err(error) => warn!("event=stage_unread piece={piece} reason=\"{error}\""),
+            }
+        }
+        held
+    }
+
+    async fn manifest(&self, wanted: &WantedModel) -> FoundManifest {
+        let version = &wanted.version;
+        loop {
+            let fresh = wanted.declared_at > MonoTime::ZERO
+                && clock::now().since(wanted.declared_at) < FRESH_TIME;
+            let near = if fresh { None } else { self.ask_near(version).await };
+            let settled = near.as_ref().is_some_and(|answer| answer.is_whole());
+            let known = self.state.staged(version).and_then(|staged| staged.manifest);
+            let known = known.or_else(|| near.and_then(|answer| answer.manifest.map(Arc::new)));
+            if let Some(manifest) = known {
+                return FoundManifest { manifest, settled };
+            }
+            if let Some(origin) = self.state.origin() {
+                match OriginClient::new(origin.address).manifest(version).await {
+                    Ok(manifest) => {
+                        return FoundManifest { manifest: Arc::new(manifest), settled };
+                    }
+                    Err(error) => warn!("event=no_manifest reason=\"{error}\""),
+                }
+            }
+            if let Some(manifest) = self.ask_anyone(version).await {
+                return FoundManifest { manifest: Arc::new(manifest), settled };
+            }
+            actix_rt::time::sleep(MANIFEST_PAUSE).await;
+        }
+    }
+
+    /// What an agent of the own region holds; one that holds the whole version, if one is found.
+    async fn ask_near(&self, version: &LoadedModel) -> Option<HeldAnswer> {
+        let region = self.state.settings.region();
+        let mut best = None;
+        for agent in self.others(|agent| agent.region == region) {
+            if let Ok(answer) = self.peers.held(agent.address, version).await {
+                if answer.is_whole() {
+                    return Some(answer);
+                }
+                best = best.or(Some(answer));
+            }
+        }
+        best
+    }
+
+    async fn ask_anyone(&self, version: &LoadedModel) -> Option<VersionManifest> {
+        for agent in self.others(|_| true) {
+            if let Ok(answer) = self.peers.held(agent.address, version).await
+                && answer.manifest.is_some()
+            {
+                return answer.manifest;
+            }
+        }
+        None
+    }
+
+    fn others(&self, fits: impl Fn(&PresenceRecord) -> bool) -> Vec<PresenceRecord> {
+        let own = &self.state.settings.host;
+        let mut others = self.state.agents();
+        others.retain(|agent| agent.host != *own && fits(agent));
+        others.shuffle(&mut rand::rng());
+        others.truncate(MANIFEST_PEERS);
+        others
+    }
+
+    fn plan(&self, manifest: &VersionManifest, settled: bool) -> Arc<SpreadPlan> {
+        let region = self.state.settings.region();
+        let agents = self.state.agents();
+        let near = |agent: &&PresenceRecord| !settled || agent.region == region;
+        let place = |agent: &PresenceRecord| PlanHost {
+            name: agent.host.clone(),
+            region: agent.region.clone(),
+        };
+        let hosts: Vec<PlanHost> = agents.iter().filter(near).map(place).collect();
+        let store_region =
+            self.state.origin().map(|origin| self.state.settings.region_of(&origin.site));
+        Arc::new(SpreadPlan::new(manifest, hosts, &store_region.unwrap_or(region)))
+    }
+
+    fn limits(&self, settled: bool) -> FetchLimits {
+        let host = (self.state.own.link_megabits * MEGABIT_BYTES) as u64;
+        let origin = self.state.origin().map_or(host, |origin| origin.bytes_per_second);
+        let mut limits = FetchLimits::new(origin, host, host * GATEWAY_LINKS);
+        if settled {
+            limits.origin_delay = SETTLED_ORIGIN_DELAY;
+        }
+        limits
+    }
+}
+
+impl HeldAnswer {
+    /// Whether all pieces are staged.
+    fn is_whole(&self) -> bool {
+        self.pieces > 0 && ChunkSet::from_bytes(&self.held, self.pieces).is_full()
+    }
+}
+
+/// A fetch machine with the tasks that carry out its actions; they end with it.
+struct FetchRun<'a> {
+    fetcher: &'a PieceFetcher,
+    version: LoadedModel,
+    manifest: Arc<VersionManifest>,
+    settled: bool,
+    machine: FetchMachine,
+    sender: UnboundedSender<FetchEvent>,
+    events: UnboundedReceiver<FetchEvent>,
+    tasks: SortedTable<FetchTicket, JoinHandle<()>>,
+    poll: Option<JoinHandle<()>>,
+    started: MonoTime,
+}
+
+impl<'a> FetchRun<'a> {
+    fn new(
+        fetcher: &'a PieceFetcher,
+        version: &LoadedModel,
+        manifest: Arc<VersionManifest>,
+        held: ChunkSet,
+        settled: bool,
+    ) -> Self {
+        let (sender, events) = unbounded_channel();
+        let started = clock::now();
+        let machine = FetchMachine::new(
+            started,
+            manifest.clone(),
+            fetcher.plan(&manifest, settled),
+            fetcher.state.settings.host.clone(),
+            fetcher.limits(settled),
+            held,
+            rand::rng().random(),
+        );
+        Self {
+            fetcher,
+            version: version.clone(),
+            manifest,
+            settled,
+            machine,
+            sender,
+            events,
+            tasks: SortedTable::new(),
+            poll: None,
+            started,
+        }
+    }
+
+    async fn finish(&mut self) {
+        let mut event = FetchEvent::Tick;
+        loop {
+            let actions = self.machine.on_event(clock::now(), event);
+            for action in actions {
+                if self.carry_out(action).await {
+                    return;
+                }
+            }
+            event = self.next_event().await;
+        }
+    }
+
+    async fn next_event(&mut self) -> FetchEvent {
+        let wake = self.machine.next_wake();
+        let pause = wake.map_or(Duration::ZERO, |wake| wake.since(clock::now()));
+        let state = &self.fetcher.state;
+        tokio::select! {
+            Some(event) = self.events.recv() => event,
+            () = state.agents_changed.notified() => {
+                FetchEvent::Replanned(self.fetcher.plan(&self.manifest, self.settled))
+            }
+            () = actix_rt::time::sleep(pause) => FetchEvent::Tick,
+        }
+    }
+
+    /// Carries out an action; whether all pieces are staged.
+    async fn carry_out(&mut self, action: FetchAction) -> bool {
+        match action {
+            FetchAction::Fetch(order) => self.fetch(order),
+            FetchAction::Cancel(ticket) => {
+                if let Some(task) = self.tasks.remove(&ticket) {
+                    task.abort();
+                }
+            }
+            FetchAction::Poll(peer) => self.poll(peer),
+            FetchAction::Keep(piece, bytes) => self.keep(piece, bytes).await,
+            FetchAction::Corrupt(source, piece) => {
+                warn!("event=corrupt_piece source={source:?} piece={piece}");
+            }
+            FetchAction::Complete => return true,
+        }
+        false
+    }
+
+    async fn keep(&self, piece: usize, bytes: Bytes) {
+        let state = &self.fetcher.state;
+        let staged = state.engine.stage(&self.version.model, piece, bytes).await;
+        match staged {
+            Ok(()) => state.add_staged(&self.version, piece),
+            // The check before the load finds the gap.
+            Err(error) => warn!("event=not_staged piece={piece} reason=\"{error}\""),
+        }
+    }
+
+    fn fetch(&mut self, order: FetchOrder) {
+        self.tasks.retain(|_, task| !task.is_finished());
+        let ticket = order.ticket;
+        let source = match &order.source {
+            ChunkSource::Origin => self.fetcher.state.origin().map(|origin| origin.address),
+            ChunkSource::Peer(host) => self.address_of(host),
+        };
+        let Some(address) = source else {
+            // The machine is told by an event, as of any other failure.
+            let _ = self.sender.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
+            return;
+        };
+        let from_origin = order.source == ChunkSource::Origin;
+        let peers = self.fetcher.peers.clone();
+        let version = self.version.clone();
+        let most_bytes = self.manifest.chunk_len(order.chunk) as usize;
+        let sender = self.sender.clone();
+        let task = actix_rt::spawn(async move {
+            let fetched = match from_origin {
+                true => {
+                    let origin = OriginClient::new(address);
+                    origin.piece(&version, order.chunk, most_bytes).await.map_err(failure_of)
+                }
+                false => peers.piece(address, &version, order.chunk, most_bytes).await,
+            };
+            let event = match fetched {
+                Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
+                Err(failure) => FetchEvent::Failed(ticket, failure),
+            };
+            // The run may have ended meanwhile.
+            let _ = sender.send(event);
+        });
+        self.tasks.insert(ticket, task);
+    }
+
+    fn poll(&mut self, peer: HostName) {
+        let Some(address) = self.address_of(&peer) else {
+            let _ = self.sender.send(FetchEvent::PollFailed(peer));
+            return;
+        };
+        let peers = self.fetcher.peers.clone();
+        let version = self.version.clone();
+        let count = self.manifest.chunks.len();
+        let sender = self.sender.clone();
+        let task = actix_rt::spawn(async move {
+            let event = match peers.held(address, &version).await {
+                Ok(answer) => FetchEvent::HeldBy(peer, ChunkSet::from_bytes(&answer.held, count)),
+                Err(FetchFailure::NotHere) => FetchEvent::HeldBy(peer, ChunkSet::new(count)),
+                Err(_) => FetchEvent::PollFailed(peer),
+            };
+            let _ = sender.send(event);
+        });
+        if let Some(before) = self.poll.replace(task) {
+            before.abort();
+        }
+    }
+
+    fn address_of(&self, host: &HostName) -> Option<std::net::SocketAddr> {
+        let agents = self.fetcher.state.agents();
+        agents.iter().find(|agent| agent.host == *host).map(|agent| agent.address)
+    }
+}
+
+impl Drop for FetchRun<'_> {
+    fn drop(&mut self) {
+        self.tasks.values().for_each(JoinHandle::abort);
+        if let Some(poll) = &self.poll {
+            poll.abort();
+        }
+    }
+}
+
+fn failure_of(error: EngineError) -> FetchFailure {
+    match error {
+        EngineError::NoAnswer(_) => FetchFailure::Unreachable,
+        EngineError::Refused(status) if status.as_u16() == 503 => FetchFailure::Busy,
+        EngineError::Refused(_) => FetchFailure::NotHere,
+        EngineError::Unreadable(_) => FetchFailure::Cut,
+    }
+}
--- /dev/null
+++ b/src/direct/agent/keeper.rs
@@ -0,0 +1,185 @@
+//! Brings the engine to the wanted versions.
+
+use super::fetcher::{PieceFetcher, StagedWhole};
+use super::state::{AgentState, StagedVersion, WantedModel};
+use crate::clock;
+use buckthornwharf_core::direct::LoadedModel;
+use buckthornwharf_core::direct::rollout::RolloutTurn;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_platform::{LoadOrder, OrderAnswer};
+use log::{info, warn};
+use std::convert::Infallible;
+use std::rc::Rc;
+
+/// Time between looks at the engine's state.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between looks at the engine's state while it loads.
+const LOADING_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a load that has not ended is looked at anew.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(12);
+/// Pause before an engine that refused an order is ordered again.
+const ORDER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Keeps the engine at the wanted versions for the rest of the process.
+pub async fn run(state: Rc<AgentState>) -> Infallible {
+    let fetcher = PieceFetcher::new(state.clone());
+    let mut reachable = true;
+    loop {
+        match state.engine.report().await {
+            Ok(report) => {
+                let before = state.report();
+                if before.as_ref().is_none_or(|before| before.born != report.born) {
+                    info!("event=engine_seen born={} models={:?}", report.born, report.models);
+                }
+                reachable = true;
+                state.set_report(report);
+                if let Some(wanted) = missing(&state) {
+                    tokio::select! {
+                        () = bring(&state, &fetcher, &wanted) => {}
+                        () = superseded(&state, &wanted) => {
+                            info!("event=superseded version={}", wanted.version.version);
+                        }
+                    }
+                }
+            }
+            Err(error) => {
+                if std::mem::take(&mut reachable) {
+                    warn!("event=engine_lost reason=\"{error}\"");
+                }
+            }
+        }
+        tokio::select! {
+            () = state.wanted_changed.notified() => {}
+            () = actix_rt::time::sleep(LOOK_INTERVAL) => {}
+        }
+    }
+}
+
+/// A wanted version that the engine does not hold.
+fn missing(state: &AgentState) -> Option<WantedModel> {
+    let report = state.report()?;
+    let lacks = |wanted: &WantedModel| {
+        !report.models.iter().any(|loaded| {
+            loaded.model == wanted.version.model && loaded.version >= wanted.version.version
+        })
+    };
+    state.wanted().into_iter().find(lacks)
+}
+
+async fn superseded(state: &AgentState, wanted: &WantedModel) {
+    while state.is_wanted(wanted) {
+        state.wanted_changed.notified().await;
+    }
+}
+
+/// Stages `wanted` and has the engine load it.
+async fn bring(state: &AgentState, fetcher: &PieceFetcher, wanted: &WantedModel) {
+    let whole = fetcher.stage(wanted).await;
+    wait_turn(state, wanted).await;
+    let Some(fence) = state.fence() else {
+        info!("event=order_waits reason=not_registered");
+        actix_rt::time::sleep(ORDER_PAUSE).await;
+        return;
+    };
+    if !is_whole(state, fetcher, &wanted.version, &whole).await {
+        return;
+    }
+    let report = match state.engine.report().await {
+        Ok(report) => report,
+        Err(error) => {
+            warn!("event=engine_lost reason=\"{error}\"");
+            return;
+        }
+    };
+    let after_orders = report.orders;
+    state.set_report(report);
+    let order = LoadOrder { version: wanted.version.clone(), fence, after_orders };
+    let answer = state.engine.load(&order).await;
+    info!(
+        "event=ordered version={} fence={fence} after_orders={after_orders} age_ms={} answer={}",
+        wanted.version.version,
+        clock::now().since(wanted.declared_at).as_millis(),
+        match &answer {
+            Ok(answer) => format!("{answer:?}"),
+            Err(error) => format!("\"{error}\""),
+        }
+    );
+    match answer {
+        Ok(OrderAnswer::Begun | OrderAnswer::Done) => wait_loaded(state, &wanted.version).await,
+        Ok(OrderAnswer::Unfit | OrderAnswer::Fenced) | Err(_) => {
+            actix_rt::time::sleep(ORDER_PAUSE).await;
+        }
+    }
+}
+
+/// Waits for the agent's turn among those of its region; an engine that serves nothing is loaded at
+/// once.
+async fn wait_turn(state: &AgentState, wanted: &WantedModel) {
+    let serves = state.report().is_some_and(|report| {
+        report.models.iter().any(|loaded| loaded.model == wanted.version.model)
+    });
+    if !serves || wanted.declared_at == MonoTime::ZERO {
+        return;
+    }
+    let region = state.settings.region();
+    let agents = state.agents();
+    let near: Vec<_> = agents.iter().filter(|agent| agent.region == region).collect();
+    let turn = near.iter().position(|agent| agent.host == state.settings.host).unwrap_or(0);
+    let held_at = clock::now();
+    let turn = RolloutTurn {
+        declared_at: wanted.declared_at,
+        held_at,
+        allowed: state.settings.bounds.version_time,
+        turn,
+        hosts: near.len(),
+    };
+    actix_rt::time::sleep(turn.start_at().since(held_at)).await;
+}
+
+/// Whether all staged pieces are sound right now. Those that are not are fetched again.
+async fn is_whole(
+    state: &AgentState,
+    fetcher: &PieceFetcher,
+    version: &LoadedModel,
+    whole: &StagedWhole,
+) -> bool {
+    let held = fetcher.verified(version, &whole.manifest).await;
+    if held.is_full() {
+        return true;
+    }
+    warn!("event=stage_spoilt version={} sound={}", version.version, held.count());
+    state.set_staged(StagedVersion {
+        version: version.clone(),
+        manifest: Some(whole.manifest.clone()),
+        held,
+    });
+    false
+}
+
+async fn wait_loaded(state: &AgentState, version: &LoadedModel) {
+    let ordered = clock::now();
+    while clock::now().since(ordered) < LOAD_TIMEOUT {
+        actix_rt::time::sleep(LOADING_INTERVAL).await;
+        match state.engine.report().await {
+            Ok(report) => {
+                let loading = report.loading;
+                state.set_report(report);
+                if state.is_loaded(version) {
+                    info!(
+                        "event=loaded version={} took_ms={}",
+                        version.version,
+                        clock::now().since(ordered).as_millis()
+                    );
+                    return;
+                }
+                if !loading {
+                    return;
+                }
+            }
+            Err(error) => {
+                warn!("event=engine_lost reason=\"{error}\"");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/agent/state.rs
@@ -0,0 +1,246 @@
+//! What an agent believes: what is wanted, who the other agents are, and what its engine holds.
+
+use crate::clock;
+use crate::direct::follow::FollowEvent;
+use crate::direct::presence::PresenceRecord;
+use crate::direct::settings::{DirectAgentSettings, DirectSettings};
+use buckthornwharf_core::direct::{EngineShape, LoadedModel, OriginShape, ServingConfig};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
+use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, keys, serving};
+use log::{info, warn};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// The version that engines hold before any is declared.
+const FIRST_VERSION: u64 = 1;
+
+/// A version that the agent is to bring into its engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WantedModel {
+    /// The version.
+    pub version: LoadedModel,
+    /// When the agent heard of it.
+    pub declared_at: MonoTime,
+}
+
+/// What is staged in the engine of one version.
+#[derive(Debug, Clone)]
+pub struct StagedVersion {
+    /// The version.
+    pub version: LoadedModel,
+    /// Its manifest, if the agent had a use for it.
+    pub manifest: Option<Arc<VersionManifest>>,
+    /// The pieces that are staged.
+    pub held: ChunkSet,
+}
+
+/// What an agent believes, shared by its tasks.
+pub struct AgentState {
+    /// The settings of the process.
+    pub settings: DirectSettings,
+    /// The settings of the agent.
+    pub own: DirectAgentSettings,
+    /// The engine beside the agent.
+    pub engine: EngineClient,
+    /// Told when something is wanted that was not before.
+    pub wanted_changed: Notify,
+    /// Told when the other agents changed.
+    pub agents_changed: Notify,
+    config: RefCell<Option<Rc<ServingConfig>>>,
+    declared: RefCell<SortedTable<ModelName, (u64, MonoTime)>>,
+    agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
+    staged: RefCell<SortedTable<ModelName, StagedVersion>>,
+    report: RefCell<Option<EngineReport>>,
+    fence: Cell<Option<u64>>,
+}
+
+impl AgentState {
+    /// The state of an agent that knows nothing yet.
+    pub fn new(
+        settings: DirectSettings,
+        own: DirectAgentSettings,
+        engine: EngineClient,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings,
+            own,
+            engine,
+            wanted_changed: Notify::new(),
+            agents_changed: Notify::new(),
+            config: RefCell::default(),
+            declared: RefCell::default(),
+            agents: RefCell::default(),
+            staged: RefCell::default(),
+            report: RefCell::default(),
+            fence: Cell::new(None),
+        })
+    }
+
+    /// Takes in the number of the store's change that registered the agent: it rises with each
+    /// start, so it fences the orders of earlier runs.
+    pub fn set_fence(&self, revision: u64) {
+        self.fence.set(Some(revision));
+    }
+
+    /// The fencing number of orders; none before the agent was registered.
+    pub fn fence(&self) -> Option<u64> {
+        self.fence.get()
+    }
+
+    /// Takes in what the operator wrote.
+    pub fn take_operator(&self, event: FollowEvent) {
+        match event {
+            FollowEvent::Listed(items) => items.iter().for_each(|item| self.take_item(item)),
+            FollowEvent::Changed(changes) => {
+                for change in &changes {
+                    if let StoreChange::Put(item) = change {
+                        self.take_item(item);
+                    }
+                }
+            }
+            FollowEvent::Returned => {}
+        }
+    }
+
+    fn take_item(&self, item: &StoreItem) {
+        if &*item.key == keys::CONFIG {
+            match serving::read_config(&item.value) {
+                Ok(config) => self.set_config(config),
+                Err(error) => {
+                    warn!("event=bad_config revision={} reason=\"{error}\"", item.revision)
+                }
+            }
+        } else if item.key.starts_with(keys::VERSIONS) {
+            match serving::read_version(&item.value) {
+                Ok(version) => self.declare(version),
+                Err(error) => warn!("event=bad_version key={} reason=\"{error}\"", item.key),
+            }
+        }
+    }
+
+    fn set_config(&self, config: ServingConfig) {
+        let mut known = self.config.borrow_mut();
+        if known.as_ref().is_some_and(|known| known.generation >= config.generation) {
+            return;
+        }
+        info!("event=config generation={}", config.generation);
+        *known = Some(Rc::new(config));
+        self.wanted_changed.notify_one();
+    }
+
+    fn declare(&self, declared: LoadedModel) {
+        let mut known = self.declared.borrow_mut();
+        if known.get(&declared.model).is_some_and(|(version, _)| *version >= declared.version) {
+            return;
+        }
+        info!("event=version model={} version={}", declared.model, declared.version);
+        known.insert(declared.model, (declared.version, clock::now()));
+        self.wanted_changed.notify_one();
+    }
+
+    /// Takes in who the other agents are.
+    pub fn take_agents(&self, event: FollowEvent) {
+        let mut agents = self.agents.borrow_mut();
+        match event {
+            FollowEvent::Returned => return,
+            FollowEvent::Listed(items) => {
+                *agents = SortedTable::new();
+                for item in items {
+                    put_agent(&mut agents, item);
+                }
+            }
+            FollowEvent::Changed(changes) => {
+                for change in changes {
+                    match change {
+                        StoreChange::Put(item) => put_agent(&mut agents, item),
+                        StoreChange::Removed { key, .. } => drop(agents.remove(&key)),
+                    }
+                }
+            }
+        }
+        self.agents_changed.notify_waiters();
+    }
+
+    /// The agents, this one included, sorted by host.
+    pub fn agents(&self) -> Vec<PresenceRecord> {
+        let mut agents: Vec<PresenceRecord> = self.agents.borrow().values().cloned().collect();
+        if !agents.iter().any(|agent| agent.host == self.settings.host) {
+            agents.push(PresenceRecord::of(&self.settings));
+        }
+        agents.sort_by(|a, b| a.host.cmp(&b.host));
+        agents
+    }
+
+    /// The engines of the agent's service, if the configuration names them.
+    pub fn engine_shape(&self) -> Option<EngineShape> {
+        let config = self.config.borrow();
+        config.as_ref()?.service(&self.own.service)?.engine.clone()
+    }
+
+    /// The origin of weights.
+    pub fn origin(&self) -> Option<OriginShape> {
+        self.config.borrow().as_ref()?.origin().cloned()
+    }
+
+    /// What the engine is to hold.
+    pub fn wanted(&self) -> Vec<WantedModel> {
+        let Some(shape) = self.engine_shape() else {
+            return Vec::new();
+        };
+        let declared = self.declared.borrow();
+        let wanted = |model: ModelName| {
+            let known = declared.get(&model).copied();
+            let (version, declared_at) = known.unwrap_or((FIRST_VERSION, MonoTime::ZERO));
+            WantedModel { version: LoadedModel { model, version }, declared_at }
+        };
+        shape.models.into_iter().map(wanted).collect()
+    }
+
+    /// Whether `wanted` is still what the engine is to hold.
+    pub fn is_wanted(&self, wanted: &WantedModel) -> bool {
+        self.wanted().iter().any(|now| now.version == wanted.version)
+    }
+
+    /// What the engine said last of its state.
+    pub fn report(&self) -> Option<EngineReport> {
+        self.report.borrow().clone()
+    }
+
+    /// Takes in what the engine says of its state.
+    pub fn set_report(&self, report: EngineReport) {
+        self.report.replace(Some(report));
+    }
+
+    /// Whether the engine said last that it has loaded `version`.
+    pub fn is_loaded(&self, version: &LoadedModel) -> bool {
+        self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
+    }
+
+    /// What is staged of the model of `version`, if it is that version.
+    pub fn staged(&self, version: &LoadedModel) -> Option<StagedVersion> {
+        let staged = self.staged.borrow();
+        staged.get(&version.model).filter(|staged| staged.version == *version).cloned()
+    }
+
+    /// Takes in what is staged.
+    pub fn set_staged(&self, staged: StagedVersion) {
+        self.staged.borrow_mut().insert(staged.version.model.clone(), staged);
+    }
+
+    /// Notes that a piece of `version` is staged.
+    pub fn add_staged(&self, version: &LoadedModel, piece: usize) {
+        if let Some(staged) = self.staged.borrow_mut().get_mut(&version.model)
+            && staged.version == *version
+        {
+            staged.held.insert(piece);
+        }
+    }
+}
+
+fn put_agent(agents: &mut SortedTable<Arc<str>, PresenceRecord>, item: StoreItem) {
+    if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
+        agents.insert(item.key, record);
+    }
+}
--- /dev/null
+++ b/src/direct/entry/request.rs
@@ -0,0 +1,302 @@
+//! One request: admitted, sent to targets in turn, and answered.
+
+mod attempt;
+mod reply;
+
+use super::state::{EntryState, QueueTurn};
+use crate::clock;
+use actix_http::StatusCode;
+use attempt::{AttemptResult, TargetAttempt};
+use buckthornwharf_core::direct::places::PlaceOutcome;
+use buckthornwharf_core::direct::{
+    AttemptEnd, FinalAnswer, NextStep, PlaceGrant, PlaceRequest, ServingRoute, WorkKind, next_step,
+};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::{InboundCall, InboundConnection};
+use buckthornwharf_platform::request::{RequestTags, read_request};
+use log::info;
+use reply::{OwnReply, StreamReply};
+use std::rc::Rc;
+
+/// Part of a route's objective that a request may wait for a place, in percent; the rest is kept
+/// for the target.
+const WAIT_PERCENT: u32 = 45;
+/// Time that a request may wait if no configuration names a timeout.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which a caller may come back to an entry that knows no configuration yet.
+const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+
+/// What becomes of the caller's connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionFate {
+    /// It may carry another request.
+    Keep,
+    /// It is ended in good order.
+    Finish,
+    /// It is cut, so that an answer that ended early does not look whole.
+    Drop,
+}
+
+/// A request that a route takes.
+#[derive(Debug)]
+struct AdmittedRequest {
+    call: InboundCall,
+    tags: RequestTags,
+    service: ServiceName,
+    kind: WorkKind,
+    rank: u8,
+    max_attempts: u32,
+    organisation: Option<OrganisationName>,
+    received: MonoTime,
+    deadline: MonoTime,
+    /// When an answer, or the first event of a stream, is due to be in time.
+    objective: Duration,
+}
+
+/// Why a request is not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum Rejection {
+    NoConfig,
+    NoId,
+    NoRoute,
+    UnknownKey,
+}
+
+/// Answers a request of `caller`.
+pub async fn answer(
+    state: &Rc<EntryState>,
+    caller: &mut InboundConnection,
+    call: InboundCall,
+) -> ConnectionFate {
+    let now = clock::now();
+    let request = match admit(state, now, call) {
+        Ok(request) => request,
+        Err((rejection, id)) => {
+            let reply = rejected(rejection, id.as_deref());
+            info!(
+                "event=rejected request={} reason={rejection} status={}",
+                id.as_deref().unwrap_or("-"),
+                reply.status.as_u16()
+            );
+            return reply.send(caller, state.is_leaving()).await;
+        }
+    };
+    state.count_request(now, &request.service);
+    RequestRun { state, request, tried: Vec::new(), attempts: 0, may_have_run: false, stream: None }
+        .finish(caller)
+        .await
+}
+
+fn admit(
+    state: &EntryState,
+    now: MonoTime,
+    call: InboundCall,
+) -> Result<AdmittedRequest, (Rejection, Option<Arc<str>>)> {
+    let tags = read_request(&call.headers, &call.target).ok_or((Rejection::NoId, None))?;
+    let reject = |rejection: Rejection| (rejection, Some(tags.id.clone()));
+    let table = state.routes().ok_or_else(|| reject(Rejection::NoConfig))?;
+    let found = table.find(&tags.host, call.target.path());
+    let route: &ServingRoute = found.ok_or_else(|| reject(Rejection::NoRoute))?.route;
+    let holder = tags.key.as_deref().and_then(|key| table.organisation(key));
+    if holder.is_none() && table.asks_keys() && !route.anonymous {
+        return Err(reject(Rejection::UnknownKey));
+    }
+    let timeout = if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout };
+    let patience = tags.patience.map_or(timeout, |patience| patience.min(timeout));
+    let rank = holder.and_then(|(_, rank)| *rank).unwrap_or(route.priority);
+    Ok(AdmittedRequest {
+        service: table.service_of(route, &tags.id).clone(),
+        kind: route.kind,
+        rank,
+        max_attempts: route.max_attempts,
+        organisation: holder.map(|(name, _)| name.clone()),
+        received: now,
+        deadline: now + patience,
+        objective: route.objective,
+        call,
+        tags,
+    })
+}
+
+fn rejected(rejection: Rejection, id: Option<&str>) -> OwnReply {
+    let (status, retry_after) = match rejection {
+        Rejection::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)),
+        Rejection::NoId => (StatusCode::BAD_REQUEST, None),
+        Rejection::NoRoute => (StatusCode::NOT_FOUND, None),
+        Rejection::UnknownKey => (StatusCode::UNAUTHORIZED, None),
+    };
+    OwnReply { status, id: id.map(Arc::from), retry_after }
+}
+
+/// A request on its way to an answer.
+struct RequestRun<'a> {
+    state: &'a Rc<EntryState>,
+    request: AdmittedRequest,
+    tried: Vec<Arc<str>>,
+    attempts: u32,
+    may_have_run: bool,
+    /// The stream that the caller has begun to get.
+    stream: Option<StreamReply>,
+}
+
+/// What a request got while it asked for a place.
+enum PlaceResult {
+    Place(PlaceGrant),
+    Refused(Duration),
+    CallerLeft,
+    TimedOut,
+}
+
+impl RequestRun<'_> {
+    async fn finish(mut self, caller: &mut InboundConnection) -> ConnectionFate {
+        loop {
+            let grant = match self.place(caller).await {
+                PlaceResult::Place(grant) => grant,
+                PlaceResult::CallerLeft => return ConnectionFate::Drop,
+                PlaceResult::Refused(after) => return self.refuse(caller, after, "no_place").await,
+                PlaceResult::TimedOut => {
+                    return self.refuse(caller, Duration::ZERO, "timeout").await;
+                }
+            };
+            self.attempts += 1;
+            let target = grant.target.clone();
+            let attempt =
+                TargetAttempt { state: self.state, request: &self.request, grant: &grant };
+            let result = attempt.run(caller, &mut self.stream).await;
+            let outcome = result.outcome();
+            self.state.release_place(&target.id, outcome);
+            let end = match result {
+                AttemptResult::Answered(fate) => return fate,
+                AttemptResult::CallerLeft => return ConnectionFate::Drop,
+                AttemptResult::TimedOut => return self.give_up(caller).await,
+                AttemptResult::Failed(end) => end,
+            };
+            info!(
+                "event=attempt_failed request={} target={} end={end} attempt={} age_ms={}",
+                self.request.tags.id,
+                target.id,
+                self.attempts,
+                clock::now().since(self.request.received).as_millis()
+            );
+            self.tried.push(target.id.clone());
+            match self.next(end) {
+                NextStep::Retry => {}
+                NextStep::Answer(_) if self.stream.is_some() => return ConnectionFate::Drop,
+                NextStep::Answer(FinalAnswer::NotRun) => {
+                    return self.refuse(caller, Duration::from_millis(200), "not_run").await;
+                }
+                NextStep::Answer(FinalAnswer::Unknown) => {
+                    return self.give_up_unknown(caller).await;
+                }
+            }
+        }
+    }
+
+    fn next(&mut self, end: AttemptEnd) -> NextStep {
+        let request = &self.request;
+        let spend = || self.state.try_retry(clock::now(), &request.service);
+        let step = next_step(
+            request.kind,
+            end,
+            self.may_have_run,
+            self.attempts,
+            request.max_attempts,
+            spend,
+        );
+        self.may_have_run |= !end.proves_not_run();
+        step
+    }
+
+    async fn place(&mut self, caller: &mut InboundConnection) -> PlaceResult {
+        let now = clock::now();
+        let request = &self.request;
+        let model = request.tags.model.as_ref();
+        let required = model.and_then(|model| {
+            self.state.required_version(now, model).map(|version| (model.clone(), version))
+        });
+        let waited = now.since(request.received);
+        let patience = (request.objective * WAIT_PERCENT / 100).saturating_sub(waited);
+        let wanted = PlaceRequest {
+            service: request.service.clone(),
+            rank: request.rank,
+            patience: patience.min(request.deadline.since(now)),
+            tried: self.tried.clone(),
+            version: required,
+        };
+        let (ticket, turn) = match self.state.request_place(now, wanted) {
+            Ok(QueueTurn::Place(grant)) => return PlaceResult::Place(grant),
+            Ok(QueueTurn::Refused(after)) => return PlaceResult::Refused(after),
+            Err(waiting) => waiting,
+        };
+        let result = tokio::select! {
+            turn = turn => match turn {
+                Ok(QueueTurn::Place(grant)) => return PlaceResult::Place(grant),
+                Ok(QueueTurn::Refused(after)) => return PlaceResult::Refused(after),
+                Err(_) => PlaceResult::TimedOut,
+            },
+            () = caller.closed() => PlaceResult::CallerLeft,
+        };
+        self.state.cancel_place(ticket);
+        result
+    }
+
+    /// Ends a request that has not run, or a stream that cannot go on.
+    async fn refuse(
+        self,
+        caller: &mut InboundConnection,
+        after: Duration,
+        reason: &'static str,
+    ) -> ConnectionFate {
+        if self.stream.is_some() {
+            return ConnectionFate::Drop;
+        }
+        if self.may_have_run {
+            return self.give_up_unknown(caller).await;
+        }
+        self.own_reply(caller, StatusCode::SERVICE_UNAVAILABLE, Some(after), reason).await
+    }
+
+    async fn give_up(self, caller: &mut InboundConnection) -> ConnectionFate {
+        if self.stream.is_some() {
+            return ConnectionFate::Drop;
+        }
+        self.own_reply(caller, StatusCode::GATEWAY_TIMEOUT, None, "timeout").await
+    }
+
+    async fn give_up_unknown(self, caller: &mut InboundConnection) -> ConnectionFate {
+        self.own_reply(caller, StatusCode::BAD_GATEWAY, None, "outcome_unknown").await
+    }
+
+    async fn own_reply(
+        self,
+        caller: &mut InboundConnection,
+        status: StatusCode,
+        retry_after: Option<Duration>,
+        reason: &'static str,
+    ) -> ConnectionFate {
+        let request = &self.request;
+        info!(
+            "event=ended request={} status={} reason={reason} service={} attempts={} age_ms={} \
+             retry_after_ms={}",
+            request.tags.id,
+            status.as_u16(),
+            request.service,
+            self.attempts,
+            clock::now().since(request.received).as_millis(),
+            retry_after.unwrap_or_default().as_millis()
+        );
+        let reply = OwnReply { status, id: Some(request.tags.id.clone()), retry_after };
+        reply.send(caller, self.state.is_leaving()).await
+    }
+}
+
+impl AttemptResult {
+    fn outcome(&self) -> PlaceOutcome {
+        match self {
+            AttemptResult::Failed(AttemptEnd::NotRun) => PlaceOutcome::Full,
+            AttemptResult::Failed(_) => PlaceOutcome::Failed,
+            _ => PlaceOutcome::Answered,
+        }
+    }
+}
--- /dev/null
+++ b/src/direct/presence.rs
@@ -0,0 +1,101 @@
+//! How processes of the system find each other: an entry each in the store, under a lease.
+
+use super::settings::DirectSettings;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_platform::{StoreClient, StoreError, StoreWrite};
+use log::warn;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// The keys of entries.
+pub const ENTRIES: &str = "buckthornwharf/entry/";
+/// The keys of agents.
+pub const AGENTS: &str = "buckthornwharf/agent/";
+
+/// Time after its last renewal at which a process counts as gone.
+const LEASE_TTL: Duration = Duration::from_secs(6);
+/// Time between renewals: three fit into the lease.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// What a process says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PresenceRecord {
+    /// Its host.
+    pub host: HostName,
+    /// The region of the host.
+    pub region: RegionName,
+    /// Where other processes reach it.
+    pub address: SocketAddr,
+}
+
+impl PresenceRecord {
+    /// What a process with these settings says of itself.
+    pub fn of(settings: &DirectSettings) -> Self {
+        Self {
+            host: settings.host.clone(),
+            region: settings.region(),
+            address: settings.peer_address(),
+        }
+    }
+
+    /// Reads what another process says of itself; none, with a log line, if it cannot be read.
+    pub fn read(key: &str, text: &[u8]) -> Option<Self> {
+        match serde_json::from_slice(text) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                warn!("event=bad_presence key={key} reason=\"{error}\"");
+                None
+            }
+        }
+    }
+}
+
+/// Keeps the process registered below `prefix` for its whole life. `registered` hears the number of
+/// the store's change each time.
+pub async fn keep_registered(
+    store: StoreClient,
+    prefix: &'static str,
+    record: PresenceRecord,
+    registered: impl Fn(u64),
+) {
+    let key = format!("{prefix}{}", record.host);
+    let value = match serde_json::to_vec(&record) {
+        Ok(value) => value,
+        Err(error) => {
+            warn!("event=not_registered reason=\"{error}\"");
+            return;
+        }
+    };
+    loop {
+        let error = match register(&store, &key, &value).await {
+            Ok((lease, revision)) => {
+                registered(revision);
+                renew(&store, lease).await
+            }
+            Err(error) => error,
+        };
+        log::debug!("event=registration_lost key={key} reason=\"{error}\"");
+        actix_rt::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn register(store: &StoreClient, key: &str, value: &[u8]) -> Result<(u64, u64), StoreError> {
+    let lease = store.open_lease(LEASE_TTL).await?;
+    let revision = store.write(&[StoreWrite { key, value, lease, based_on: None }]).await?;
+    Ok((lease, revision))
+}
+
+/// Renews `lease` until it has ended; why it did.
+async fn renew(store: &StoreClient, lease: u64) -> StoreError {
+    loop {
+        actix_rt::time::sleep(RENEW_INTERVAL).await;
+        match store.renew_lease(lease).await {
+            Ok(()) => {}
+            Err(StoreError::Absent) => return StoreError::Absent,
+            // The lease may still hold; the next renewal tells.
+            Err(error) => log::debug!("event=renewal_failed reason=\"{error}\""),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod agent;
 pub mod clock;
 pub mod cmd;
+pub mod direct;
 pub mod entry;
 pub mod follow;
 pub mod http_server;
