Keep the end of a version where a newer one follows, and notice the store's return at once

Events were late while weights spread, since pieces filled the link that the engine's answers leave by: uploads are paced below the link. The fetch machine's pauses scale with the version, chunks cross regions to their homes, and a piece tells what its sender holds.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,6 +10,8 @@
 pub mod rollout;
 pub mod routes;
 pub mod serving;
+pub mod versions;
+pub mod watch_pace;
 
 pub use budget::RetryBudget;
 pub use catalog::{LoadedModel, TargetCatalog, TargetPhase, TargetRecord};
@@ -20,3 +22,5 @@
     CallerLimits, EngineShape, OrganisationKeys, OriginShape, ServingConfig, ServingRoute,
     ServingService,
 };
+pub use versions::{DeclaredVersion, DeclaredVersions};
+pub use watch_pace::WatchPace;
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -9,12 +9,10 @@
 /// One host's part in a roll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutTurn {
-    /// When the version was declared, as far as this host knows.
-    pub declared_at: MonoTime,
     /// When this host held the version whole.
     pub held_at: MonoTime,
-    /// Time from the declaration to the end of the old version.
-    pub allowed: Duration,
+    /// From when on the version that its target has loaded must not be used.
+    pub due_at: MonoTime,
     /// The host's place in the order of the hosts of its service.
     pub turn: usize,
     /// Hosts of its service.
@@ -25,7 +23,7 @@
     /// When the host orders its target to load the version. The hosts' turns are spread evenly over
     /// the time that is left once the version is held.
     pub fn start_at(&self) -> MonoTime {
-        let latest = self.declared_at + self.allowed - ORDER_MARGIN;
+        let latest = self.due_at - ORDER_MARGIN;
         if latest <= self.held_at {
             return self.held_at;
         }
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -69,7 +69,7 @@
         let mut machine = Self {
             me: plan.index_of(&name),
             peers: PeerLedger::new(&plan, count, &limits, now),
-            lanes: LaneTable::new(plan.region_count()),
+            lanes: LaneTable::new(plan.region_count(), limits),
             flights: FlightTable::default(),
             retries: vec![(MonoTime::ZERO, None); count],
             manifest,
@@ -199,10 +199,16 @@
         }
         // Longer than a link's own pause, so that the link is used for other chunks meanwhile.
         let pause = if flight.lane.is_some() { LANE_RETRY_PAUSE } else { POLL_INTERVAL };
+        let pause = self.limits.paced(pause);
         self.retries[flight.chunk] = (now + pause, flight.lane);
         let chunk = flight.chunk;
         if matches!(failure, FetchFailure::Cut | FetchFailure::Unreachable) {
-            self.flights.avoid(now, chunk, &flight.source, now + FAILURE_AVOID_TIME);
+            self.flights.avoid(
+                now,
+                chunk,
+                &flight.source,
+                now + self.limits.paced(FAILURE_AVOID_TIME),
+            );
         }
         if let Some(record) = self.record_mut(&flight.source) {
             record.failed(now, failure, chunk);
@@ -242,7 +248,7 @@
     fn poll_ended(&mut self, now: MonoTime, peer: &HostName) {
         if self.polling.as_ref().is_some_and(|(polled, _)| polled == peer) {
             self.polling = None;
-            self.next_poll = now + POLL_INTERVAL;
+            self.next_poll = now + self.limits.paced(POLL_INTERVAL);
         }
     }
 
@@ -261,7 +267,7 @@
         self.set_patience();
         let mut gone = self.flights.retain_sources(&self.plan);
         if !self.plan.has_regions_of(&old) {
-            self.lanes = LaneTable::new(self.plan.region_count());
+            self.lanes = LaneTable::new(self.plan.region_count(), self.limits);
             gone.extend(self.flights.take_lanes());
         }
         for flight in self.flights.iter() {
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -149,18 +149,12 @@
                 && record.is_ready(now)
                 && record.in_flight < FETCHES_PER_PEER
                 && !self.flights.avoids(now, chunk, self.plan.name_of(*host))
-                && (!self.is_gateway(*host) || self.may_ask_gateway(now, chunk, *host, me))
+                && (!self.plan.is_gateway(*host) || self.may_ask_gateway(now, chunk, *host, me))
         };
         let candidates = drawn.chain(homes).chain(gateway);
         candidates.filter(fit).min_by_key(|host| self.peers.hosts[*host].in_flight)
     }
 
-    /// Whether `host` brings chunks from other regions, and so sends more than others already.
-    fn is_gateway(&self, host: HostIndex) -> bool {
-        let region = self.plan.region_of(host);
-        region != self.plan.reader() && self.plan.gateways(region).contains(&host)
-    }
-
     /// Whether `chunk` may be asked from a gateway: by the home, and by all if the gateway is the
     /// home.
     fn may_ask_gateway(
@@ -180,11 +174,11 @@
         }
         self.polls += 1;
         let Some(target) = self.poll_target(now, me) else {
-            self.next_poll = now + POLL_INTERVAL;
+            self.next_poll = now + self.limits.paced(POLL_INTERVAL);
             return;
         };
         let name = self.plan.name_of(target).clone();
-        self.polling = Some((name.clone(), now + POLL_TIMEOUT));
+        self.polling = Some((name.clone(), now + self.limits.paced(POLL_TIMEOUT)));
         actions.push(FetchAction::Poll(name));
     }
 
@@ -321,8 +315,10 @@
         let origin = self.limits.origin_bytes_per_second as f64;
         let lane_seconds = self.manifest.chunk_bytes as f64 / self.lane_rate() as f64;
         let home_seconds = self.manifest.total_bytes as f64 / origin;
-        let patience = |seconds: f64| Duration::from_secs_f64(PATIENCE_FACTOR * seconds);
-        self.gateway_patience = patience(lane_seconds).max(SHORTEST_PATIENCE);
+        let limits = self.limits;
+        let patience =
+            |seconds: f64| limits.paced(Duration::from_secs_f64(PATIENCE_FACTOR * seconds));
+        self.gateway_patience = patience(lane_seconds).max(limits.paced(SHORTEST_PATIENCE));
         self.home_patience = patience(home_seconds).max(self.gateway_patience);
     }
 
--- a/core/src/weights/fetch/event.rs
+++ b/core/src/weights/fetch/event.rs
@@ -96,6 +96,8 @@
     pub peer_fetches: usize,
     /// Time for which the origin is left alone, because other hosts hold the version.
     pub origin_delay: Duration,
+    /// The machine's pauses and patience, in percent of those for versions that take minutes.
+    pub time_percent: u32,
 }
 
 impl FetchLimits {
@@ -108,6 +110,12 @@
             origin_fetches: 2,
             peer_fetches: 6,
             origin_delay: Duration::ZERO,
+            time_percent: 100,
         }
     }
+
+    /// `span` at the pace of the machine.
+    pub(super) fn paced(&self, span: Duration) -> Duration {
+        span * self.time_percent / 100
+    }
 }
--- a/core/src/weights/fetch/lanes.rs
+++ b/core/src/weights/fetch/lanes.rs
@@ -1,6 +1,6 @@
 //! The links from other regions into the host's own, as one gateway uses them.
 
-use super::FetchFailure;
+use super::{FetchFailure, FetchLimits};
 use crate::prelude::*;
 use crate::weights::plan::RegionIndex;
 
@@ -19,11 +19,12 @@
 #[derive(Debug)]
 pub(super) struct LaneTable {
     lanes: Vec<RegionLane>,
+    limits: FetchLimits,
 }
 
 impl LaneTable {
-    pub fn new(regions: usize) -> Self {
-        Self { lanes: vec![RegionLane::default(); regions] }
+    pub fn new(regions: usize, limits: FetchLimits) -> Self {
+        Self { lanes: vec![RegionLane::default(); regions], limits }
     }
 
     /// Whether a fetch over the link may start.
@@ -52,18 +53,19 @@
     }
 
     pub fn failed(&mut self, now: MonoTime, region: RegionIndex, failure: FetchFailure) {
+        let limits = self.limits;
         let Some(lane) = self.lanes.get_mut(region) else {
             return;
         };
         match failure {
             FetchFailure::NotHere | FetchFailure::Busy => {
                 lane.failures = 0;
-                lane.next_fetch = now + NOT_HERE_PAUSE;
+                lane.next_fetch = now + limits.paced(NOT_HERE_PAUSE);
             }
             FetchFailure::Cut | FetchFailure::Unreachable => {
                 let pause = FIRST_PAUSE * 2_u32.saturating_pow(lane.failures.min(8));
                 lane.failures += 1;
-                lane.next_fetch = now + pause.min(LONGEST_PAUSE);
+                lane.next_fetch = now + limits.paced(pause.min(LONGEST_PAUSE));
             }
         }
     }
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -11,6 +11,8 @@
 const PEER_SHUN_TIME: Duration = Duration::from_secs(600);
 const ORIGIN_SHUN_TIME: Duration = Duration::from_secs(2);
 const SHORTEST_STALL: Duration = Duration::from_secs(2);
+/// Stall that counts at any pace: a narrowed link is not a dead source.
+const LEAST_STALL: Duration = Duration::from_secs(1);
 const LONGEST_STALL: Duration = Duration::from_secs(20);
 /// A fetch has stalled if nothing arrives in the time of this part of a chunk at the rate seen.
 const STALL_PART: f64 = 0.5;
@@ -29,10 +31,11 @@
     busy_until: MonoTime,
     bytes_per_second: f64,
     shun_time: Duration,
+    limits: FetchLimits,
 }
 
 impl SourceRecord {
-    fn new(chunks: usize, bytes_per_second: u64, now: MonoTime) -> Self {
+    fn new(chunks: usize, bytes_per_second: u64, limits: &FetchLimits, now: MonoTime) -> Self {
         Self {
             known: ChunkSet::new(chunks),
             in_flight: 0,
@@ -43,6 +46,7 @@
             busy_until: MonoTime::ZERO,
             bytes_per_second: bytes_per_second as f64,
             shun_time: PEER_SHUN_TIME,
+            limits: *limits,
         }
     }
 
@@ -59,7 +63,8 @@
     /// How long nothing may arrive before a fetch of `length` bytes has stalled.
     pub fn stall_timeout(&self, length: u64) -> Duration {
         let seconds = STALL_PART * length as f64 / self.bytes_per_second.max(1.0);
-        Duration::from_secs_f64(seconds.min(LONGEST_STALL.as_secs_f64())).max(SHORTEST_STALL)
+        let stall = Duration::from_secs_f64(seconds.min(LONGEST_STALL.as_secs_f64()));
+        stall.max(self.limits.paced(SHORTEST_STALL)).max(LEAST_STALL)
     }
 
     pub fn succeeded(&mut self, now: MonoTime, length: u64, took: Duration) {
@@ -92,7 +97,7 @@
                 }
                 self.trust(now);
             }
-            FetchFailure::Busy => self.busy_until = now + BUSY_PAUSE,
+            FetchFailure::Busy => self.busy_until = now + self.limits.paced(BUSY_PAUSE),
             FetchFailure::Cut | FetchFailure::Unreachable => self.suspect(now),
         }
     }
@@ -100,7 +105,8 @@
     fn suspect(&mut self, now: MonoTime) {
         let span = FIRST_SUSPICION * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
-        self.suspect_until = self.suspect_until.max(now + span.min(LONGEST_SUSPICION));
+        self.suspect_until =
+            self.suspect_until.max(now + self.limits.paced(span.min(LONGEST_SUSPICION)));
     }
 
     fn trust(&mut self, now: MonoTime) {
@@ -121,8 +127,8 @@
 
 impl PeerLedger {
     pub fn new(plan: &SpreadPlan, chunks: usize, limits: &FetchLimits, now: MonoTime) -> Self {
-        let record = SourceRecord::new(chunks, limits.host_bytes_per_second, now);
-        let mut origin = SourceRecord::new(0, limits.origin_bytes_per_second, now);
+        let record = SourceRecord::new(chunks, limits.host_bytes_per_second, limits, now);
+        let mut origin = SourceRecord::new(0, limits.origin_bytes_per_second, limits, now);
         origin.shun_time = ORIGIN_SHUN_TIME;
         let hosts = vec![record; plan.hosts().len()];
         Self { origin, hosts, known: ChunkSet::new(chunks) }
--- a/core/src/weights/plan.rs
+++ b/core/src/weights/plan.rs
@@ -36,6 +36,17 @@
     reader: RegionIndex,
     remotes: Vec<RegionIndex>,
     chunk_keys: Vec<u64>,
+    crossing: CrossingMode,
+}
+
+/// Which hosts of a region bring chunks from other regions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum CrossingMode {
+    /// A few gateways, so that few connections share a thin link.
+    #[default]
+    Gateways,
+    /// The home of each chunk: one hop less, and no host sends more than the others.
+    Homes,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -73,7 +84,23 @@
         let regions: Vec<RegionPlan> = names.iter().enumerate().map(build).collect();
         let reader = names.binary_search(store_region).unwrap_or(0);
         let remotes = (0..regions.len()).filter(|index| *index != reader).collect();
-        Self { hosts, host_keys, host_regions, regions, reader, remotes, chunk_keys }
+        let crossing = CrossingMode::default();
+        Self { hosts, host_keys, host_regions, regions, reader, remotes, chunk_keys, crossing }
+    }
+
+    /// The same plan with another way across regions.
+    pub fn crossing(mut self, crossing: CrossingMode) -> Self {
+        self.crossing = crossing;
+        self
+    }
+
+    /// Whether the host at `index` brings chunks from other regions for the hosts of its own, and
+    /// so sends more than they do.
+    pub fn is_gateway(&self, index: HostIndex) -> bool {
+        let region = self.region_of(index);
+        self.crossing == CrossingMode::Gateways
+            && region != self.reader
+            && self.gateways(region).contains(&index)
     }
 
     /// The hosts, sorted by name.
@@ -140,7 +167,11 @@
 
     /// How many gateways of `region` work at the same time.
     pub fn gateway_count(&self, region: RegionIndex) -> usize {
-        self.regions[region].members.len().min(GATEWAYS_PER_REGION)
+        let members = self.regions[region].members.len();
+        match self.crossing {
+            CrossingMode::Gateways => members.min(GATEWAYS_PER_REGION),
+            CrossingMode::Homes => members,
+        }
     }
 
     /// The gateways of `region` while none has failed.
@@ -156,6 +187,9 @@
         region: RegionIndex,
         suspect: impl Fn(HostIndex) -> bool,
     ) -> Option<HostIndex> {
+        if self.crossing == CrossingMode::Homes {
+            return self.home(chunk, region, suspect);
+        }
         let gateways = &self.regions[region].gateways;
         let count = self.gateway_count(region);
         if count == 0 {
--- /dev/null
+++ b/core/tests/direct_versions.rs
@@ -0,0 +1,63 @@
+//! Declared versions, the pace of watches, and turns in a roll.
+
+use buckthornwharf_core::direct::rollout::RolloutTurn;
+use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, WatchPace};
+use buckthornwharf_core::prelude::*;
+
+fn declared(version: u64, at_ms: u64, only_from_ms: u64) -> DeclaredVersion {
+    DeclaredVersion {
+        version,
+        declared_at: MonoTime::from_millis(at_ms),
+        only_from: MonoTime::from_millis(only_from_ms),
+    }
+}
+
+#[test]
+fn a_newer_declaration_does_not_put_off_the_end_of_an_older_version() {
+    let mut versions = DeclaredVersions::default();
+    assert!(versions.declare(declared(2, 0, 7000)));
+    assert!(versions.declare(declared(3, 2000, 9000)));
+    assert!(!versions.declare(declared(3, 2500, 9500)));
+    assert_eq!(versions.required(MonoTime::from_millis(6999)), None);
+    assert_eq!(versions.required(MonoTime::from_millis(7000)), Some(2));
+    assert_eq!(versions.required(MonoTime::from_millis(9000)), Some(3));
+    assert_eq!(versions.first_unmet(1).map(|unmet| unmet.version), Some(2));
+    assert_eq!(versions.first_unmet(2).map(|unmet| unmet.version), Some(3));
+    assert_eq!(versions.first_unmet(3), None);
+}
+
+#[test]
+fn a_lost_store_is_asked_often_and_its_return_is_told_once() {
+    let mut pace = WatchPace::default();
+    let calm = pace.timeout();
+    let mut outage = Duration::ZERO;
+    for _ in 0..20 {
+        outage += pace.failed() + pace.timeout();
+    }
+    assert!(pace.is_lost());
+    assert!(pace.timeout() < Duration::from_secs(1), "a return is noticed within a second");
+    assert!(outage < 20 * calm);
+    assert!(pace.answered());
+    assert!(!pace.answered());
+    assert_eq!(pace.timeout(), calm);
+}
+
+#[test]
+fn turns_are_spread_and_all_end_before_the_old_version_does() {
+    let start = |turn: usize| {
+        let held_at = MonoTime::from_millis(3000);
+        let due_at = MonoTime::from_millis(8000);
+        RolloutTurn { held_at, due_at, turn, hosts: 4 }.start_at()
+    };
+    let starts: Vec<MonoTime> = (0..4).map(start).collect();
+    assert_eq!(starts[0], MonoTime::from_millis(3000));
+    assert!(starts.is_sorted_by(|a, b| a < b));
+    assert!(starts[3] < MonoTime::from_millis(6500));
+}
+
+#[test]
+fn a_host_that_is_late_starts_at_once() {
+    let held_at = MonoTime::from_millis(9000);
+    let turn = RolloutTurn { held_at, due_at: MonoTime::from_millis(8000), turn: 3, hosts: 4 };
+    assert_eq!(turn.start_at(), held_at);
+}
--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -127,15 +127,21 @@
     }
 
     async fn connection(&self) -> io::Result<OutboundConnection> {
+        match self.take_idle() {
+            Some(connection) => Ok(connection),
+            None => OutboundConnection::open(self.address, CONNECT_TIMEOUT).await,
+        }
+    }
+
+    fn take_idle(&self) -> Option<OutboundConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|(since, _)| now.duration_since(*since) < IDLE_TIMEOUT);
         while let Some((_, mut connection)) = idle.pop() {
             if connection.is_reusable() {
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        drop(idle);
-        OutboundConnection::open(self.address, CONNECT_TIMEOUT).await
+        None
     }
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -6,4 +6,5 @@
 mod follow;
 mod presence;
 mod reload;
+mod service;
 pub mod settings;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -32,7 +32,7 @@
     info!("event=started host={} engine={}", settings.host, own.engine);
     let store = StoreClient::new(settings.store);
     let state = AgentState::new(settings.clone(), own.clone(), EngineClient::new(own.engine));
-    peers::start_service(listener, state.clone())?;
+    peers::start_peer_service(listener, state.clone())?;
     let operator = state.clone();
     actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, move |event| {
         operator.take_operator(event);
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -1,6 +1,6 @@
 //! Brings the pieces of a version into the engine's stage.
 
-use super::peers::{HeldAnswer, PeerCalls};
+use super::peers::PeerCalls;
 use super::state::{AgentState, StagedVersion, WantedModel};
 use crate::clock;
 use crate::direct::presence::PresenceRecord;
@@ -9,8 +9,8 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
 use buckthornwharf_core::weights::{
-    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
-    PlanHost, SpreadPlan, VersionManifest,
+    ChunkSet, ChunkSource, CrossingMode, FetchAction, FetchEvent, FetchFailure, FetchLimits,
+    FetchMachine, PlanHost, SpreadPlan, VersionManifest,
 };
 use buckthornwharf_platform::OriginClient;
 use buckthornwharf_platform::engine::EngineError;
@@ -18,6 +18,7 @@
 use log::{info, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
@@ -31,6 +32,12 @@
 const MEGABIT_BYTES: f64 = 125_000.0;
 /// Hosts of a region whose links together carry what comes from another region.
 const GATEWAY_LINKS: u64 = 2;
+/// Pace of the fetch machine for versions that take seconds, in percent.
+const TIME_PERCENT: u32 = 20;
+/// Pieces that are fetched from other agents at the same time, and from the origin. The engine's
+/// requests come by the same link, so that only few pieces may stand before them.
+const PEER_FETCHES: usize = 3;
+const ORIGIN_FETCHES: usize = 1;
 /// Time for which the origin is left alone while agents of the own region hold the version.
 const SETTLED_ORIGIN_DELAY: Duration = Duration::from_secs(3);
 
@@ -112,12 +119,18 @@
     async fn manifest(&self, wanted: &WantedModel) -> FoundManifest {
         let version = &wanted.version;
         loop {
-            let fresh = wanted.declared_at > MonoTime::ZERO
-                && clock::now().since(wanted.declared_at) < FRESH_TIME;
+            let age = wanted.declared_at.map(|declared| clock::now().since(declared));
+            let fresh = age.is_some_and(|age| age < FRESH_TIME);
             let near = if fresh { None } else { self.ask_near(version).await };
-            let settled = near.as_ref().is_some_and(|answer| answer.is_whole());
+            let settled = near.is_some();
             let known = self.state.staged(version).and_then(|staged| staged.manifest);
-            let known = known.or_else(|| near.and_then(|answer| answer.manifest.map(Arc::new)));
+            let known = match (known, near) {
+                (None, Some(address)) => {
+                    let told = self.peers.manifest(address, version).await;
+                    told.ok().map(Arc::new)
+                }
+                (known, _) => known,
+            };
             if let Some(manifest) = known {
                 return FoundManifest { manifest, settled };
             }
@@ -136,27 +149,22 @@
         }
     }
 
-    /// What an agent of the own region holds; one that holds the whole version, if one is found.
-    async fn ask_near(&self, version: &LoadedModel) -> Option<HeldAnswer> {
+    /// An agent of the own region that holds the whole version.
+    async fn ask_near(&self, version: &LoadedModel) -> Option<SocketAddr> {
         let region = self.state.settings.region();
-        let mut best = None;
         for agent in self.others(|agent| agent.region == region) {
-            if let Ok(answer) = self.peers.held(agent.address, version).await {
-                if answer.is_whole() {
-                    return Some(answer);
-                }
-                best = best.or(Some(answer));
+            let held = self.peers.held(agent.address, version).await;
+            if held.is_ok_and(|held| held.is_whole()) {
+                return Some(agent.address);
             }
         }
-        best
+        None
     }
 
     async fn ask_anyone(&self, version: &LoadedModel) -> Option<VersionManifest> {
         for agent in self.others(|_| true) {
-            if let Ok(answer) = self.peers.held(agent.address, version).await
-                && answer.manifest.is_some()
-            {
-                return answer.manifest;
+            if let Ok(manifest) = self.peers.manifest(agent.address, version).await {
+                return Some(manifest);
             }
         }
         None
@@ -182,7 +190,8 @@
         let hosts: Vec<PlanHost> = agents.iter().filter(near).map(place).collect();
         let store_region =
             self.state.origin().map(|origin| self.state.settings.region_of(&origin.site));
-        Arc::new(SpreadPlan::new(manifest, hosts, &store_region.unwrap_or(region)))
+        let plan = SpreadPlan::new(manifest, hosts, &store_region.unwrap_or(region));
+        Arc::new(plan.crossing(CrossingMode::Homes))
     }
 
     fn limits(&self, settled: bool) -> FetchLimits {
@@ -192,17 +201,13 @@
         if settled {
             limits.origin_delay = SETTLED_ORIGIN_DELAY;
         }
+        limits.time_percent = TIME_PERCENT;
+        limits.peer_fetches = PEER_FETCHES;
+        limits.origin_fetches = ORIGIN_FETCHES;
         limits
     }
 }
 
-impl HeldAnswer {
-    /// Whether all pieces are staged.
-    fn is_whole(&self) -> bool {
-        self.pieces > 0 && ChunkSet::from_bytes(&self.held, self.pieces).is_full()
-    }
-}
-
 /// A fetch machine with the tasks that carry out its actions; they end with it.
 struct FetchRun<'a> {
     fetcher: &'a PieceFetcher,
@@ -317,24 +322,36 @@
             let _ = self.sender.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
             return;
         };
-        let from_origin = order.source == ChunkSource::Origin;
         let peers = self.fetcher.peers.clone();
         let version = self.version.clone();
         let most_bytes = self.manifest.chunk_len(order.chunk) as usize;
         let sender = self.sender.clone();
+        let host = match order.source {
+            ChunkSource::Origin => None,
+            ChunkSource::Peer(host) => Some(host),
+        };
         let task = actix_rt::spawn(async move {
-            let fetched = match from_origin {
-                true => {
+            let piece = order.chunk;
+            let fetched = match host {
+                None => {
                     let origin = OriginClient::new(address);
-                    origin.piece(&version, order.chunk, most_bytes).await.map_err(failure_of)
+                    origin.piece(&version, piece, most_bytes).await.map_err(failure_of)
+                }
+                Some(host) => {
+                    let answer = peers.piece(address, &version, piece, most_bytes).await;
+                    answer.map(|answer| {
+                        if let Some(held) = answer.held {
+                            // The run may have ended meanwhile, here and below.
+                            let _ = sender.send(FetchEvent::HeldBy(host, held.chunks()));
+                        }
+                        answer.bytes
+                    })
                 }
-                false => peers.piece(address, &version, order.chunk, most_bytes).await,
             };
             let event = match fetched {
                 Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
                 Err(failure) => FetchEvent::Failed(ticket, failure),
             };
-            // The run may have ended meanwhile.
             let _ = sender.send(event);
         });
         self.tasks.insert(ticket, task);
@@ -362,7 +379,7 @@
         }
     }
 
-    fn address_of(&self, host: &HostName) -> Option<std::net::SocketAddr> {
+    fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
         let agents = self.fetcher.state.agents();
         agents.iter().find(|agent| agent.host == *host).map(|agent| agent.address)
     }
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -98,7 +98,7 @@
     info!(
         "event=ordered version={} fence={fence} after_orders={after_orders} age_ms={} answer={}",
         wanted.version.version,
-        clock::now().since(wanted.declared_at).as_millis(),
+        wanted.declared_at.map_or(0, |declared| clock::now().since(declared).as_millis()),
         match &answer {
             Ok(answer) => format!("{answer:?}"),
             Err(error) => format!("\"{error}\""),
@@ -118,21 +118,15 @@
     let serves = state.report().is_some_and(|report| {
         report.models.iter().any(|loaded| loaded.model == wanted.version.model)
     });
-    if !serves || wanted.declared_at == MonoTime::ZERO {
+    let Some(due_at) = wanted.due_at.filter(|_| serves) else {
         return;
-    }
+    };
     let region = state.settings.region();
     let agents = state.agents();
     let near: Vec<_> = agents.iter().filter(|agent| agent.region == region).collect();
     let turn = near.iter().position(|agent| agent.host == state.settings.host).unwrap_or(0);
     let held_at = clock::now();
-    let turn = RolloutTurn {
-        declared_at: wanted.declared_at,
-        held_at,
-        allowed: state.settings.bounds.version_time,
-        turn,
-        hosts: near.len(),
-    };
+    let turn = RolloutTurn { held_at, due_at, turn, hosts: near.len() };
     actix_rt::time::sleep(turn.start_at().since(held_at)).await;
 }
 
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -1,23 +1,30 @@
 //! What agents ask each other for: which pieces of a version they have staged, and the pieces.
 
 use super::state::{AgentState, StagedVersion};
-use crate::admin::{json_response, start_admin, text_response, with_type};
-use actix_http::body::BoxBody;
-use actix_http::{Method, Request, Response, StatusCode};
+use crate::direct::service::{ServiceAnswer, UploadPacer, start_service};
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode};
 use anyhow::Result;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::{ChunkSet, FetchFailure, VersionManifest};
-use buckthornwharf_exchange::{CallAnswer, CallClient, CallError, OutboundCall};
+use buckthornwharf_exchange::{CallAnswer, CallClient, CallError, InboundCall, OutboundCall};
 use bytes::Bytes;
 use log::warn;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::cell::{Cell, RefCell};
+use serde_with::hex::Hex;
+use serde_with::serde_as;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Pieces that are sent at the same time.
-const MAX_UPLOADS: u32 = 6;
+/// Bytes a second of a megabit a second.
+const MEGABIT_BYTES: f64 = 125_000.0;
+/// Part of the link that pieces may take: the engine's answers leave by the same link.
+const UPLOAD_PART: f64 = 0.85;
+/// Header of a piece with what its sender has staged besides.
+const HELD_HEADER: HeaderName = HeaderName::from_static("x-held");
 /// Time for an answer about what is staged.
 const HELD_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time for a piece.
@@ -26,16 +33,41 @@
 const MAX_HELD_BYTES: usize = 1024 * 1024;
 
 /// What an agent has staged of a version.
+#[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HeldAnswer {
-    /// The manifest, if the agent has it.
-    pub manifest: Option<VersionManifest>,
     /// Number of pieces of the version.
     pub pieces: usize,
     /// Bits of the pieces that are staged, as [`ChunkSet::to_bytes`] gives them.
+    #[serde_as(as = "Hex")]
     pub held: Vec<u8>,
 }
 
+impl HeldAnswer {
+    fn of(held: &ChunkSet) -> Self {
+        Self { pieces: held.len(), held: held.to_bytes() }
+    }
+
+    /// The pieces that are staged.
+    pub fn chunks(&self) -> ChunkSet {
+        ChunkSet::from_bytes(&self.held, self.pieces)
+    }
+
+    /// Whether all pieces are staged.
+    pub fn is_whole(&self) -> bool {
+        self.pieces > 0 && self.chunks().is_full()
+    }
+}
+
+/// A piece, with what its sender has staged besides.
+#[derive(Debug, Clone)]
+pub struct PieceAnswer {
+    /// The bytes of the piece; not verified.
+    pub bytes: Bytes,
+    /// What the sender has staged, if it said so.
+    pub held: Option<HeldAnswer>,
+}
+
 /// Asks other agents.
 #[derive(Debug, Clone, Default)]
 pub struct PeerCalls {
@@ -53,15 +85,27 @@
         address: SocketAddr,
         version: &LoadedModel,
     ) -> Result<HeldAnswer, FetchFailure> {
-        let path = format!("/weights/{}/{}", version.model, version.version);
+        let path = format!("/weights/{}/{}/held", version.model, version.version);
+        let answer = self.get(address, path, HELD_TIMEOUT, MAX_HELD_BYTES).await?;
+        parse(address, &answer.body)
+    }
+
+    /// The manifest of `version` from the agent at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Why the agent sent nothing.
+    pub async fn manifest(
+        &self,
+        address: SocketAddr,
+        version: &LoadedModel,
+    ) -> Result<VersionManifest, FetchFailure> {
+        let path = format!("/weights/{}/{}/manifest", version.model, version.version);
         let answer = self.get(address, path, HELD_TIMEOUT, MAX_HELD_BYTES).await?;
-        serde_json::from_slice(&answer.body).map_err(|error| {
-            warn!("event=bad_peer_answer peer={address} reason=\"{error}\"");
-            FetchFailure::Cut
-        })
+        parse(address, &answer.body)
     }
 
-    /// The bytes of a piece from the agent at `address`; not verified.
+    /// A piece from the agent at `address`.
     ///
     /// # Errors
     ///
@@ -72,9 +116,11 @@
         version: &LoadedModel,
         piece: usize,
         most_bytes: usize,
-    ) -> Result<Bytes, FetchFailure> {
+    ) -> Result<PieceAnswer, FetchFailure> {
         let path = format!("/weights/{}/{}/{piece}", version.model, version.version);
-        Ok(self.get(address, path, PIECE_TIMEOUT, most_bytes).await?.body)
+        let answer = self.get(address, path, PIECE_TIMEOUT, most_bytes).await?;
+        let held = answer.headers.get(HELD_HEADER).map(|value| parse(address, value.as_bytes()));
+        Ok(PieceAnswer { bytes: answer.body, held: held.and_then(Result::ok) })
     }
 
     async fn get(
@@ -107,28 +153,36 @@
     }
 }
 
+fn parse<T: DeserializeOwned>(address: SocketAddr, text: &[u8]) -> Result<T, FetchFailure> {
+    serde_json::from_slice(text).map_err(|error| {
+        warn!("event=bad_peer_answer peer={address} reason=\"{error}\"");
+        FetchFailure::Cut
+    })
+}
+
 /// Answers other agents on `listener` for the rest of the process.
 ///
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
-pub fn start_service(listener: std::net::TcpListener, state: Rc<AgentState>) -> Result<()> {
-    let service = Rc::new(PeerService { state, uploads: Cell::new(0) });
-    start_admin(listener, move |request: Request| {
+pub fn start_peer_service(listener: std::net::TcpListener, state: Rc<AgentState>) -> Result<()> {
+    let rate = state.own.link_megabits * MEGABIT_BYTES * UPLOAD_PART;
+    let service = Rc::new(PeerService { state, pacer: Rc::new(UploadPacer::new(rate)) });
+    start_service(listener, move |call| {
         let service = service.clone();
-        async move { service.answer(&request).await }
+        async move { service.answer(&call).await }
     })
 }
 
 struct PeerService {
     state: Rc<AgentState>,
-    uploads: Cell<u32>,
+    pacer: Rc<UploadPacer>,
 }
 
 impl PeerService {
-    async fn answer(&self, request: &Request) -> Response<BoxBody> {
-        let mut parts = request.path().trim_start_matches('/').split('/');
-        if request.method() != Method::GET || parts.next() != Some("weights") {
+    async fn answer(&self, call: &InboundCall) -> ServiceAnswer {
+        let mut parts = call.target.path().trim_start_matches('/').split('/');
+        if call.method != Method::GET || parts.next() != Some("weights") {
             return not_here();
         }
         let (Some(model), Some(Ok(number))) = (parts.next(), parts.next().map(str::parse)) else {
@@ -138,14 +192,16 @@
         let Some(staged) = self.staged(&version).await else {
             return not_here();
         };
-        match parts.next().map(str::parse::<usize>) {
-            None => json_response(&HeldAnswer {
-                manifest: staged.manifest.as_deref().cloned(),
-                pieces: staged.held.len(),
-                held: staged.held.to_bytes(),
-            }),
-            Some(Ok(piece)) => self.piece(&staged, piece).await,
-            Some(Err(_)) => not_here(),
+        match parts.next().unwrap_or_default() {
+            "held" => ServiceAnswer::json(&HeldAnswer::of(&staged.held)),
+            "manifest" => match staged.manifest.as_deref() {
+                Some(manifest) => ServiceAnswer::json(manifest),
+                None => not_here(),
+            },
+            piece => match piece.parse() {
+                Ok(piece) => self.piece(&staged, piece).await,
+                Err(_) => not_here(),
+            },
         }
     }
 
@@ -176,20 +232,15 @@
         Some(staged)
     }
 
-    async fn piece(&self, staged: &StagedVersion, piece: usize) -> Response<BoxBody> {
+    async fn piece(&self, staged: &StagedVersion, piece: usize) -> ServiceAnswer {
         if !staged.held.contains(piece) {
             return not_here();
         }
-        if self.uploads.get() >= MAX_UPLOADS {
-            return text_response(StatusCode::SERVICE_UNAVAILABLE, "too many uploads");
-        }
         let most_bytes = self.state.engine_shape().map_or(0, |shape| shape.chunk_bytes as usize);
-        self.uploads.set(self.uploads.get() + 1);
         let model = &staged.version.model;
         let read = self.state.engine.staged(model, piece, most_bytes).await;
-        self.uploads.set(self.uploads.get() - 1);
         match read {
-            Ok(Some(bytes)) => with_type(StatusCode::OK, "application/octet-stream", bytes),
+            Ok(Some(bytes)) => self.piece_response(staged, bytes),
             Ok(None) => not_here(),
             Err(error) => {
                 warn!("event=stage_unread piece={piece} reason=\"{error}\"");
@@ -197,8 +248,19 @@
             }
         }
     }
+
+    fn piece_response(&self, asked: &StagedVersion, bytes: Bytes) -> ServiceAnswer {
+        let mut response = ServiceAnswer::new(StatusCode::OK, bytes);
+        response.pacer = Some(self.pacer.clone());
+        let held = self.state.staged(&asked.version).map(|staged| HeldAnswer::of(&staged.held));
+        let text = held.and_then(|held| serde_json::to_string(&held).ok());
+        if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            response.headers.insert(HELD_HEADER, value);
+        }
+        response
+    }
 }
 
-fn not_here() -> Response<BoxBody> {
-    text_response(StatusCode::NOT_FOUND, "not here")
+fn not_here() -> ServiceAnswer {
+    ServiceAnswer::new(StatusCode::NOT_FOUND, "not here")
 }
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -4,7 +4,9 @@
 use crate::direct::follow::FollowEvent;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
-use buckthornwharf_core::direct::{EngineShape, LoadedModel, OriginShape, ServingConfig};
+use buckthornwharf_core::direct::{
+    DeclaredVersion, DeclaredVersions, EngineShape, LoadedModel, OriginShape, ServingConfig,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, keys, serving};
@@ -21,8 +23,10 @@
 pub struct WantedModel {
     /// The version.
     pub version: LoadedModel,
-    /// When the agent heard of it.
-    pub declared_at: MonoTime,
+    /// When the agent heard of it; none if it was not declared.
+    pub declared_at: Option<MonoTime>,
+    /// From when on the version that the engine holds must not be used; none if it may.
+    pub due_at: Option<MonoTime>,
 }
 
 /// What is staged in the engine of one version.
@@ -49,7 +53,7 @@
     /// Told when the other agents changed.
     pub agents_changed: Notify,
     config: RefCell<Option<Rc<ServingConfig>>>,
-    declared: RefCell<SortedTable<ModelName, (u64, MonoTime)>>,
+    declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
     report: RefCell<Option<EngineReport>>,
@@ -131,13 +135,16 @@
     }
 
     fn declare(&self, declared: LoadedModel) {
+        let now = clock::now();
+        let version = declared.version;
+        let only_from = now + self.settings.bounds.version_time;
+        let entry = DeclaredVersion { version, declared_at: now, only_from };
         let mut known = self.declared.borrow_mut();
-        if known.get(&declared.model).is_some_and(|(version, _)| *version >= declared.version) {
-            return;
+        let versions = known.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
+        if versions.declare(entry) {
+            info!("event=version model={} version={version}", declared.model);
+            self.wanted_changed.notify_one();
         }
-        info!("event=version model={} version={}", declared.model, declared.version);
-        known.insert(declared.model, (declared.version, clock::now()));
-        self.wanted_changed.notify_one();
     }
 
     /// Takes in who the other agents are.
@@ -191,9 +198,17 @@
         };
         let declared = self.declared.borrow();
         let wanted = |model: ModelName| {
-            let known = declared.get(&model).copied();
-            let (version, declared_at) = known.unwrap_or((FIRST_VERSION, MonoTime::ZERO));
-            WantedModel { version: LoadedModel { model, version }, declared_at }
+            let versions = declared.get(&model);
+            let newest = versions.and_then(DeclaredVersions::newest);
+            let unmet = versions.and_then(|known| known.first_unmet(self.loaded_version(&model)));
+            WantedModel {
+                declared_at: newest.map(|newest| newest.declared_at),
+                due_at: unmet.map(|unmet| unmet.only_from),
+                version: LoadedModel {
+                    version: newest.map_or(FIRST_VERSION, |newest| newest.version),
+                    model,
+                },
+            }
         };
         shape.models.into_iter().map(wanted).collect()
     }
@@ -213,6 +228,14 @@
         self.report.replace(Some(report));
     }
 
+    /// The version of `model` that the engine said last that it has loaded; 0 for none.
+    fn loaded_version(&self, model: &ModelName) -> u64 {
+        let report = self.report.borrow();
+        let loaded = report.iter().flat_map(|report| &report.models);
+        let of_model = loaded.filter(|loaded| loaded.model == *model);
+        of_model.map(|loaded| loaded.version).max().unwrap_or(0)
+    }
+
     /// Whether the engine said last that it has loaded `version`.
     pub fn is_loaded(&self, version: &LoadedModel) -> bool {
         self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -9,8 +9,8 @@
 use super::follow::{self, FollowEvent};
 use super::presence::{self, PresenceRecord};
 use super::reload;
+use super::service::{ServiceAnswer, start_service};
 use super::settings::{DirectEntrySettings, DirectSettings};
-use crate::admin::{start_admin, text_response};
 use crate::clock;
 use crate::process;
 use actix_http::StatusCode;
@@ -63,12 +63,12 @@
 }
 
 fn start_readiness(listener: std::net::TcpListener, state: Rc<EntryState>) -> Result<()> {
-    start_admin(listener, move |request| {
-        let ready = request.path() == READINESS_PATH && state.is_ready();
+    start_service(listener, move |call| {
+        let ready = call.target.path() == READINESS_PATH && state.is_ready();
         async move {
             match ready {
-                true => text_response(StatusCode::OK, "ready"),
-                false => text_response(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+                true => ServiceAnswer::new(StatusCode::OK, "ready"),
+                false => ServiceAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
             }
         }
     })
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -7,8 +7,8 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::places::{EntryShare, PlaceOutcome};
 use buckthornwharf_core::direct::{
-    Admission, CallerLimits, LoadedModel, PlaceBook, PlaceGrant, PlaceRequest, PlaceTicket,
-    RetryBudget, RouteTable, TargetCatalog,
+    Admission, CallerLimits, DeclaredVersion, DeclaredVersions, LoadedModel, PlaceBook, PlaceGrant,
+    PlaceRequest, PlaceTicket, RetryBudget, RouteTable, TargetCatalog,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
@@ -19,7 +19,7 @@
 
 /// Time before the end of an old version from which requests go only to the new one; covers the
 /// time until a request that was sent begins to run.
-const VERSION_MARGIN: Duration = Duration::from_millis(1200);
+const VERSION_MARGIN: Duration = Duration::from_millis(700);
 /// Time after which a version that was declared before the entry started is the only one used.
 const BOOT_VERSION_TIME: Duration = Duration::from_millis(2500);
 /// Pause between looks at the queue while requests wait, at least.
@@ -34,14 +34,6 @@
     Refused(Duration),
 }
 
-/// A declared version of a model.
-#[derive(Debug, Clone, Copy)]
-struct DeclaredVersion {
-    version: u64,
-    /// From when on an older version must not be used.
-    only_from: MonoTime,
-}
-
 /// What an entry believes, shared by its tasks.
 pub struct EntryState {
     started: MonoTime,
@@ -49,7 +41,7 @@
     settings: DirectSettings,
     bounds: RefCell<BoundSettings>,
     routes: RefCell<Option<Rc<RouteTable>>>,
-    versions: RefCell<SortedTable<ModelName, DeclaredVersion>>,
+    versions: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     catalog: RefCell<TargetCatalog>,
     targets_known: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
@@ -166,26 +158,23 @@
     }
 
     fn set_version(&self, now: MonoTime, declared: LoadedModel, listed: bool) {
-        let mut versions = self.versions.borrow_mut();
-        let known = versions.get(&declared.model).map_or(0, |known| known.version);
-        if declared.version <= known {
-            return;
-        }
         let early = listed && now.since(self.started) < BOOT_VERSION_TIME;
         let allowed = match early {
             true => BOOT_VERSION_TIME,
             false => self.bounds.borrow().version_time.saturating_sub(VERSION_MARGIN),
         };
-        info!("event=version model={} version={}", declared.model, declared.version);
-        let entry = DeclaredVersion { version: declared.version, only_from: now + allowed };
-        versions.insert(declared.model, entry);
+        let version = declared.version;
+        let entry = DeclaredVersion { version, declared_at: now, only_from: now + allowed };
+        let mut versions = self.versions.borrow_mut();
+        let known = versions.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
+        if known.declare(entry) {
+            info!("event=version model={} version={version}", declared.model);
+        }
     }
 
     /// The version that a request for `model` must go to, if an older one must not be used now.
     pub fn required_version(&self, now: MonoTime, model: &ModelName) -> Option<u64> {
-        let versions = self.versions.borrow();
-        let declared = versions.get(model)?;
-        (declared.only_from <= now).then_some(declared.version)
+        self.versions.borrow().get(model)?.required(now)
     }
 
     /// Takes in what targets said of themselves.
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,16 +1,10 @@
 //! Follows what the platform's store holds below a prefix.
 
-use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::direct::WatchPace;
 use buckthornwharf_platform::{StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
 
-/// Time for which a watch waits for a change. Short enough that a connection that fell silent is
-/// noticed within the time in which a host must be up to date again.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
-/// Shortest and longest pause after a failed call.
-const RETRY_PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
-
 /// What a follower tells.
 #[derive(Debug)]
 pub enum FollowEvent {
@@ -24,7 +18,7 @@
 
 /// Follows `prefix` for the rest of the process and hands what it hears to `take`.
 pub async fn follow(store: StoreClient, prefix: &'static str, mut take: impl FnMut(FollowEvent)) {
-    let mut link = StoreLink { prefix, pause: RETRY_PAUSE.0, lost: false };
+    let mut link = StoreLink { prefix, pace: WatchPace::default() };
     loop {
         let range = match store.range(prefix).await {
             Ok(range) => range,
@@ -39,7 +33,7 @@
         take(FollowEvent::Listed(range.items));
         let mut revision = range.revision;
         loop {
-            match store.watch(prefix, revision, WATCH_WAIT).await {
+            match store.watch(prefix, revision, link.pace.wait(), link.pace.timeout()).await {
                 Ok((changes, next)) => {
                     if link.answered() {
                         take(FollowEvent::Returned);
@@ -59,30 +53,27 @@
     }
 }
 
-/// Whether the store answers, and how long to wait before it is asked again.
+/// The pace of a follower, with log lines where the store is lost and comes back.
 struct StoreLink {
     prefix: &'static str,
-    pause: Duration,
-    lost: bool,
+    pace: WatchPace,
 }
 
 impl StoreLink {
     /// Notes an answer; whether it is the first after an outage.
     fn answered(&mut self) -> bool {
-        self.pause = RETRY_PAUSE.0;
-        if self.lost {
+        let returned = self.pace.answered();
+        if returned {
             info!("event=store_returned prefix={}", self.prefix);
         }
-        std::mem::take(&mut self.lost)
+        returned
     }
 
     async fn failed(&mut self, error: &StoreError) {
-        if !self.lost {
+        if !self.pace.is_lost() {
             warn!("event=store_lost prefix={} reason=\"{error}\"", self.prefix);
         }
-        self.lost = true;
         let jitter = rand::rng().random_range(0.75..1.25);
-        actix_rt::time::sleep(self.pause.mul_f64(jitter)).await;
-        self.pause = (self.pause * 2).min(RETRY_PAUSE.1);
+        actix_rt::time::sleep(self.pace.failed().mul_f64(jitter)).await;
     }
 }
