Tell entries the load of engines, and let requests that are late anyway wait behind the others

Cause of the refusals while versions roll: an entry learned that an engine loads only from its refusals, and each cost the request one of its two attempts. Agents now tell entries over links. Refused callers come back after 0.9 s to 1.9 s, behind those that can still be answered in time. A version that is half staged when the next one is declared is brought in first.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod ending;
+pub mod patience;
 pub mod places;
 pub mod rollout;
 pub mod routes;
@@ -16,6 +17,7 @@
 pub use budget::RetryBudget;
 pub use catalog::{LoadedModel, TargetCatalog, TargetPhase, TargetRecord};
 pub use ending::{AttemptEnd, FinalAnswer, NextStep, WorkKind, next_step};
+pub use patience::{UsualPatience, WaitAllowance, wait_allowance};
 pub use places::{Admission, PlaceBook, PlaceGrant, PlaceRequest, PlaceTicket};
 pub use routes::{RouteMatch, RouteTable};
 pub use serving::{
--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -7,8 +7,9 @@
 mod load;
 mod queue;
 
-use super::{TargetPhase, TargetRecord};
+use super::{TargetPhase, TargetRecord, WaitAllowance};
 use crate::prelude::*;
+use crate::routing::hash::combine_hashes;
 use load::TargetLoad;
 use queue::{ServiceQueue, Waiter};
 
@@ -18,9 +19,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 /// Time for which a target that had no room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
-/// Shortest and longest time after which a refused caller may come back.
+/// Shortest and longest time after which a refused caller may come back. An answer is late by then in
+/// any case, so the load that made for the refusal is given time to pass.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(150), Duration::from_millis(2000));
+    (Duration::from_millis(900), Duration::from_millis(1900));
 /// Share of a target in another region that is used while its real load is not known, in percent.
 const BLIND_REMOTE_PERCENT: u32 = 40;
 
@@ -34,8 +36,8 @@
     pub service: ServiceName,
     /// Its rank; 0 goes first.
     pub rank: u8,
-    /// How long it may wait.
-    pub patience: Duration,
+    /// How it may wait.
+    pub wait: WaitAllowance,
     /// The targets that it must not go to again.
     pub tried: Vec<Arc<str>>,
     /// The version that the target must have loaded, if that is asked for.
@@ -140,7 +142,7 @@
     /// Finds a place for a request, lets it wait, or refuses it.
     pub fn request(&mut self, now: MonoTime, request: PlaceRequest) -> Admission {
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let ahead = queue.ahead_of(request.rank);
+        let ahead = queue.ahead_of(&request);
         if ahead == 0
             && let Some(grant) = self.place(now, &request)
         {
@@ -149,13 +151,12 @@
         let usable = self.usable_places(&request.service);
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
         let wait = queue.expected_wait(now, ahead, usable);
-        if wait > request.patience {
-            let (least, most) = RETRY_AFTER_RANGE;
-            return Admission::Refuse(wait.clamp(least, most));
-        }
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        queue.push(Waiter { ticket, until: now + request.patience, request });
+        if wait > request.wait.patience {
+            return Admission::Refuse(retry_after(ticket));
+        }
+        queue.push(Waiter { ticket, until: now + request.wait.patience, request });
         Admission::Wait(ticket)
     }
 
@@ -200,9 +201,8 @@
     /// The waiting requests whose patience has ended, with the time after which each caller may
     /// come back.
     pub fn expire(&mut self, now: MonoTime) -> Vec<(PlaceTicket, Duration)> {
-        let (least, _) = RETRY_AFTER_RANGE;
         let expired = self.queues.values_mut().flat_map(|queue| queue.expire(now));
-        expired.map(|ticket| (ticket, least)).collect()
+        expired.map(|ticket| (ticket, retry_after(ticket))).collect()
     }
 
     /// When [`PlaceBook::expire`] or [`PlaceBook::grants`] is due next, if nothing happens before.
@@ -243,3 +243,11 @@
         self.targets.values().filter(of_service).map(|load| load.limit(self.share)).sum()
     }
 }
+
+/// When the caller of the request with this ticket may come back; spread evenly, so that callers that
+/// were refused together do not come back together.
+fn retry_after(ticket: PlaceTicket) -> Duration {
+    let (least, most) = RETRY_AFTER_RANGE;
+    let spread = (most - least).as_millis() as u64;
+    least + Duration::from_millis(combine_hashes(ticket, 0) % spread)
+}
--- a/core/src/direct/places/queue.rs
+++ b/core/src/direct/places/queue.rs
@@ -33,13 +33,14 @@
         self.waiters.len()
     }
 
-    /// Waiting requests that go before a new one of `rank`.
-    pub fn ahead_of(&self, rank: u8) -> usize {
-        self.waiters.partition_point(|waiter| waiter.request.rank <= rank)
+    /// Waiting requests that go before `request`, if it came now.
+    pub fn ahead_of(&self, request: &PlaceRequest) -> usize {
+        let order = order_of(request);
+        self.waiters.partition_point(|waiter| order_of(&waiter.request) <= order)
     }
 
     pub fn push(&mut self, waiter: Waiter) {
-        let at = self.ahead_of(waiter.request.rank);
+        let at = self.ahead_of(&waiter.request);
         self.waiters.insert(at, waiter);
     }
 
@@ -95,3 +96,8 @@
         self.waiters.iter().map(|waiter| waiter.until).min()
     }
 }
+
+/// Requests that can still be answered in time go first, then those of the better rank.
+fn order_of(request: &PlaceRequest) -> (bool, u8) {
+    (request.wait.late, request.rank)
+}
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -2,9 +2,9 @@
 
 use crate::prelude::*;
 
-/// Time that a target may take from the order to the end of the requests that it runs, kept free
-/// before the time at which the old version must not be used any more.
-const ORDER_MARGIN: Duration = Duration::from_millis(1500);
+/// Time between the last order and the end of the old version. The target takes no new request after
+/// the order, and those that it took before begin within this time.
+const ORDER_MARGIN: Duration = Duration::from_millis(700);
 
 /// One host's part in a roll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,6 +4,7 @@
 pub mod agent;
 pub mod entry;
 mod follow;
+mod loads;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -37,9 +37,9 @@
     actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, move |event| {
         operator.take_operator(event);
     }));
-    let agents = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), presence::AGENTS, move |event| {
-        agents.take_agents(event);
+    let processes = state.clone();
+    actix_rt::spawn(follow::follow(store.clone(), presence::PREFIX, move |event| {
+        processes.take_processes(event);
     }));
     let record = PresenceRecord::of(&settings);
     let fences = state.clone();
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 /// Time between looks at the engine's state.
-const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+const LOOK_INTERVAL: Duration = Duration::from_millis(120);
 /// Time between looks at the engine's state while it loads.
 const LOADING_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a load that has not ended is looked at anew.
@@ -35,11 +35,13 @@
                 state.set_report(report);
                 if let Some(wanted) = missing(&state) {
                     tokio::select! {
+                        () = look_on(&state) => {}
                         () = bring(&state, &fetcher, &wanted) => {}
                         () = superseded(&state, &wanted) => {
                             info!("event=superseded version={}", wanted.version.version);
                         }
                     }
+                    state.set_closed(false);
                 }
             }
             Err(error) => {
@@ -55,6 +57,19 @@
     }
 }
 
+/// Looks at the engine's state for as long as it is polled, so that entries hear of its load while
+/// pieces are fetched.
+async fn look_on(state: &AgentState) {
+    loop {
+        actix_rt::time::sleep(LOOK_INTERVAL).await;
+        match state.engine.report().await {
+            Ok(report) => state.set_report(report),
+            // The look that follows the fetch tells of a lost engine.
+            Err(error) => log::debug!("event=engine_lost reason=\"{error}\""),
+        }
+    }
+}
+
 /// A wanted version that the engine does not hold.
 fn missing(state: &AgentState) -> Option<WantedModel> {
     let report = state.report()?;
@@ -66,12 +81,19 @@
     state.wanted().into_iter().find(lacks)
 }
 
+/// Ends once another version is wanted, unless half of this one is staged: bringing it in then takes
+/// less time than what it puts the other one off by.
 async fn superseded(state: &AgentState, wanted: &WantedModel) {
-    while state.is_wanted(wanted) {
+    while state.is_wanted(wanted) || is_half_staged(state, &wanted.version) {
         state.wanted_changed.notified().await;
     }
 }
 
+fn is_half_staged(state: &AgentState, version: &LoadedModel) -> bool {
+    let staged = state.staged(version);
+    staged.is_some_and(|staged| staged.held.count() * 2 >= staged.held.len())
+}
+
 /// Stages `wanted` and has the engine load it.
 async fn bring(state: &AgentState, fetcher: &PieceFetcher, wanted: &WantedModel) {
     let whole = fetcher.stage(wanted).await;
@@ -93,6 +115,8 @@
     };
     let after_orders = report.orders;
     state.set_report(report);
+    // Entries hear of it before the engine turns requests away.
+    state.set_closed(true);
     let order = LoadOrder { version: wanted.version.clone(), fence, after_orders };
     let answer = state.engine.load(&order).await;
     info!(
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -2,8 +2,10 @@
 
 use crate::clock;
 use crate::direct::follow::FollowEvent;
-use crate::direct::presence::PresenceRecord;
+use crate::direct::loads::{LoadMessage, send_loads};
+use crate::direct::presence::{self, PresenceRecord};
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
+use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
     DeclaredVersion, DeclaredVersions, EngineShape, LoadedModel, OriginShape, ServingConfig,
 };
@@ -12,8 +14,9 @@
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, keys, serving};
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 /// The version that engines hold before any is declared.
 const FIRST_VERSION: u64 = 1;
@@ -58,6 +61,10 @@
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
     report: RefCell<Option<EngineReport>>,
     fence: Cell<Option<u64>>,
+    links: RefCell<SortedTable<Arc<str>, EntryLink>>,
+    loads: watch::Sender<Option<LoadMessage>>,
+    /// Whether the engine was ordered to load, and takes no requests before it has.
+    closed: Cell<bool>,
 }
 
 impl AgentState {
@@ -79,6 +86,9 @@
             staged: RefCell::default(),
             report: RefCell::default(),
             fence: Cell::new(None),
+            links: RefCell::default(),
+            loads: watch::channel(None).0,
+            closed: Cell::new(false),
         })
     }
 
@@ -147,22 +157,26 @@
         }
     }
 
-    /// Takes in who the other agents are.
-    pub fn take_agents(&self, event: FollowEvent) {
-        let mut agents = self.agents.borrow_mut();
+    /// Takes in which processes are live.
+    pub fn take_processes(&self, event: FollowEvent) {
         match event {
             FollowEvent::Returned => return,
             FollowEvent::Listed(items) => {
-                *agents = SortedTable::new();
-                for item in items {
-                    put_agent(&mut agents, item);
-                }
+                self.agents.replace(SortedTable::new());
+                let mut links = self.links.borrow_mut();
+                let listed = |key: &str| items.iter().any(|item| &*item.key == key);
+                links.retain(|key, _| listed(key));
+                drop(links);
+                items.into_iter().for_each(|item| self.put_process(item));
             }
             FollowEvent::Changed(changes) => {
                 for change in changes {
                     match change {
-                        StoreChange::Put(item) => put_agent(&mut agents, item),
-                        StoreChange::Removed { key, .. } => drop(agents.remove(&key)),
+                        StoreChange::Put(item) => self.put_process(item),
+                        StoreChange::Removed { key, .. } => {
+                            self.agents.borrow_mut().remove(&key);
+                            self.links.borrow_mut().remove(&key);
+                        }
                     }
                 }
             }
@@ -170,6 +184,22 @@
         self.agents_changed.notify_waiters();
     }
 
+    fn put_process(&self, item: StoreItem) {
+        let Some(record) = PresenceRecord::read(&item.key, &item.value) else {
+            return;
+        };
+        if item.key.starts_with(presence::AGENTS) {
+            self.agents.borrow_mut().insert(item.key, record);
+            return;
+        }
+        let mut links = self.links.borrow_mut();
+        if links.get(&item.key).is_none_or(|link| link.address != record.address) {
+            let receiver = self.loads.subscribe();
+            let task = actix_rt::spawn(send_loads(record.address, receiver));
+            links.insert(item.key, EntryLink { address: record.address, task });
+        }
+    }
+
     /// The agents, this one included, sorted by host.
     pub fn agents(&self) -> Vec<PresenceRecord> {
         let mut agents: Vec<PresenceRecord> = self.agents.borrow().values().cloned().collect();
@@ -226,6 +256,30 @@
     /// Takes in what the engine says of its state.
     pub fn set_report(&self, report: EngineReport) {
         self.report.replace(Some(report));
+        self.tell_load();
+    }
+
+    /// Notes whether the engine is being loaded and takes no requests meanwhile.
+    pub fn set_closed(&self, closed: bool) {
+        self.closed.set(closed);
+        self.tell_load();
+    }
+
+    fn tell_load(&self) {
+        let report = self.report.borrow();
+        let Some(report) = report.as_ref() else {
+            return;
+        };
+        let load = LoadMessage {
+            engine: self.own.engine,
+            requests: report.running + report.waiting,
+            accepting: !self.closed.get() && !report.loading,
+        };
+        self.loads.send_if_modified(|known| {
+            let changed = *known != Some(load);
+            *known = Some(load);
+            changed
+        });
     }
 
     /// The version of `model` that the engine said last that it has loaded; 0 for none.
@@ -262,8 +316,14 @@
     }
 }
 
-fn put_agent(agents: &mut SortedTable<Arc<str>, PresenceRecord>, item: StoreItem) {
-    if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
-        agents.insert(item.key, record);
+/// A link to an entry; it ends with the value.
+struct EntryLink {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for EntryLink {
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -7,6 +7,7 @@
 mod state;
 
 use super::follow::{self, FollowEvent};
+use super::loads;
 use super::presence::{self, PresenceRecord};
 use super::reload;
 use super::service::{ServiceAnswer, start_service};
@@ -46,11 +47,14 @@
 async fn serve(path: PathBuf, settings: DirectSettings, own: DirectEntrySettings) -> Result<()> {
     let callers = TcpListener::from_std(process::bind(own.callers)?)?;
     let readiness = process::bind(own.readiness)?;
+    let links = process::bind(settings.peer_address())?;
     let leaving = process::leave_signal()?;
     info!("event=started host={} callers={}", settings.host, own.callers);
     let store = StoreClient::new(settings.store);
     let state = EntryState::new(settings.clone(), leaving.clone());
     start_readiness(readiness, state.clone())?;
+    let loads = state.clone();
+    loads::start_receiver(links, move |now, load| loads.take_load(now, load))?;
     start_followers(&store, &state);
     let record = PresenceRecord::of(&settings);
     actix_rt::spawn(presence::keep_registered(store, presence::ENTRIES, record, |_| {}));
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -10,6 +10,7 @@
 use buckthornwharf_core::direct::places::PlaceOutcome;
 use buckthornwharf_core::direct::{
     AttemptEnd, FinalAnswer, NextStep, PlaceGrant, PlaceRequest, ServingRoute, WorkKind, next_step,
+    wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{InboundCall, InboundConnection};
@@ -18,9 +19,6 @@
 use reply::{OwnReply, StreamReply};
 use std::rc::Rc;
 
-/// Part of a route's objective that a request may wait for a place, in percent; the rest is kept
-/// for the target.
-const WAIT_PERCENT: u32 = 45;
 /// Time that a request may wait if no configuration names a timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which a caller may come back to an entry that knows no configuration yet.
@@ -48,6 +46,8 @@
     max_attempts: u32,
     organisation: Option<OrganisationName>,
     received: MonoTime,
+    /// Time from the caller's first try to this one.
+    elapsed_before: Duration,
     deadline: MonoTime,
     /// When an answer, or the first event of a stream, is due to be in time.
     objective: Duration,
@@ -112,6 +112,9 @@
         max_attempts: route.max_attempts,
         organisation: holder.map(|(name, _)| name.clone()),
         received: now,
+        elapsed_before: tags
+            .patience
+            .map_or(Duration::ZERO, |patience| state.take_patience(now, &route.name, patience)),
         deadline: now + patience,
         objective: route.objective,
         call,
@@ -215,12 +218,12 @@
         let required = model.and_then(|model| {
             self.state.required_version(now, model).map(|version| (model.clone(), version))
         });
-        let waited = now.since(request.received);
-        let patience = (request.objective * WAIT_PERCENT / 100).saturating_sub(waited);
+        let elapsed = request.elapsed_before + now.since(request.received);
+        let time_left = request.deadline.since(now);
         let wanted = PlaceRequest {
             service: request.service.clone(),
             rank: request.rank,
-            patience: patience.min(request.deadline.since(now)),
+            wait: wait_allowance(request.objective, elapsed, time_left),
             tried: self.tried.clone(),
             version: required,
         };
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -3,12 +3,13 @@
 use super::pool::TargetPool;
 use crate::clock;
 use crate::direct::follow::FollowEvent;
+use crate::direct::loads::LoadMessage;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::places::{EntryShare, PlaceOutcome};
 use buckthornwharf_core::direct::{
     Admission, CallerLimits, DeclaredVersion, DeclaredVersions, LoadedModel, PlaceBook, PlaceGrant,
-    PlaceRequest, PlaceTicket, RetryBudget, RouteTable, TargetCatalog,
+    PlaceRequest, PlaceTicket, RetryBudget, RouteTable, TargetCatalog, UsualPatience,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
@@ -48,6 +49,7 @@
     places: RefCell<PlaceBook>,
     waiters: RefCell<SortedTable<PlaceTicket, oneshot::Sender<QueueTurn>>>,
     budgets: RefCell<SortedTable<ServiceName, RetryBudget>>,
+    patience: RefCell<SortedTable<RouteName, UsualPatience>>,
     pool: RefCell<TargetPool>,
     queue_changed: Notify,
     open_requests: Cell<usize>,
@@ -71,6 +73,7 @@
             places: RefCell::new(PlaceBook::new(sites)),
             waiters: RefCell::default(),
             budgets: RefCell::default(),
+            patience: RefCell::default(),
             pool: RefCell::default(),
             queue_changed: Notify::new(),
             open_requests: Cell::new(0),
@@ -204,6 +207,17 @@
         self.serve_queue();
     }
 
+    /// Takes in what an agent says of the load of its engine.
+    pub fn take_load(&self, now: MonoTime, load: LoadMessage) {
+        let catalog = self.catalog.borrow();
+        let Some(target) = catalog.iter().find(|target| target.address == load.engine) else {
+            return;
+        };
+        self.places.borrow_mut().set_load(now, &target.id, load.requests, load.accepting);
+        drop(catalog);
+        self.serve_queue();
+    }
+
     /// Takes in which entries are live.
     pub fn take_entries(&self, event: FollowEvent) {
         let mut entries = self.entries.borrow_mut();
@@ -304,6 +318,12 @@
         self.pool.borrow_mut()
     }
 
+    /// Takes in the patience of a caller of `route`; the time since its first try.
+    pub fn take_patience(&self, now: MonoTime, route: &RouteName, patience: Duration) -> Duration {
+        let mut known = self.patience.borrow_mut();
+        known.get_or_insert_with(route.clone(), UsualPatience::default).take(now, patience)
+    }
+
     /// Counts a request of a caller to `service`.
     pub fn count_request(&self, now: MonoTime, service: &ServiceName) {
         self.with_budget(service, |budget| budget.count_request(now));
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// The keys of all processes.
+pub const PREFIX: &str = "buckthornwharf/";
 /// The keys of entries.
 pub const ENTRIES: &str = "buckthornwharf/entry/";
 /// The keys of agents.
