Pass over a host that lacks a chunk for long, and leave the list without an engine

Ruled out: corrupt pieces, lost links, the store's outage. Agents now leave the list with their engine, and processes when they are told to leave. The version that a request needs is looked up when it gets its place.

--- a/benches/burst/links.rs
+++ b/benches/burst/links.rs
@@ -20,6 +20,8 @@
     Corrupt,
     /// It sends at this part of its rate.
     Slow(f64),
+    /// It answers, but fetches nothing itself.
+    Idle,
 }
 
 /// A chunk on its way.
--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -7,7 +7,7 @@
 mod load;
 mod queue;
 
-use super::{TargetPhase, TargetRecord, WaitAllowance};
+use super::{DeclaredVersion, DeclaredVersions, TargetPhase, TargetRecord, WaitAllowance};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 use load::TargetLoad;
@@ -40,8 +40,8 @@
     pub wait: WaitAllowance,
     /// The targets that it must not go to again.
     pub tried: Vec<Arc<str>>,
-    /// The version that the target must have loaded, if that is asked for.
-    pub version: Option<(ModelName, u64)>,
+    /// The model that the target must have loaded, in a version that may still be used.
+    pub model: Option<ModelName>,
 }
 
 /// A place that a request got; it must be given back by [`PlaceBook::release`].
@@ -91,6 +91,7 @@
     share: EntryShare,
     targets: SortedTable<Arc<str>, TargetLoad>,
     queues: SortedTable<ServiceName, ServiceQueue>,
+    versions: SortedTable<ModelName, DeclaredVersions>,
     next_ticket: PlaceTicket,
 }
 
@@ -102,6 +103,7 @@
             share: EntryShare { entries: 1, in_region: 1 },
             targets: SortedTable::new(),
             queues: SortedTable::new(),
+            versions: SortedTable::new(),
             next_ticket: 0,
         }
     }
@@ -111,6 +113,12 @@
         self.share = share;
     }
 
+    /// Takes in a declared version of `model`; whether it is newer than all before.
+    pub fn declare(&mut self, model: &ModelName, declared: DeclaredVersion) -> bool {
+        let versions = self.versions.get_or_insert_with(model.clone(), DeclaredVersions::default);
+        versions.declare(declared)
+    }
+
     /// Takes in the targets.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<TargetRecord>>) {
         let mut known: Vec<Arc<str>> = Vec::new();
@@ -224,12 +232,16 @@
 
     fn place(&mut self, now: MonoTime, request: &PlaceRequest) -> Option<PlaceGrant> {
         let share = self.share;
-        let fits = |load: &&TargetLoad| load.takes(now, request) && load.room(now, share) > 0;
+        // Looked up when the request gets its place: it may have waited past the end of a version.
+        let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
+        let required = versions.and_then(|versions| versions.required(now));
+        let fits =
+            |load: &&TargetLoad| load.takes(now, request, required) && load.room(now, share) > 0;
         let candidates = self.targets.values().filter(fits);
         let best = candidates.min_by_key(|load| load.cost(now, share))?;
         let id = best.record.id.clone();
         let load = self.targets.get_mut(&id)?;
-        load.own += 1;
+        load.take();
         Some(PlaceGrant { target: load.record.clone(), own: load.own })
     }
 
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -9,6 +9,9 @@
 
 /// Time for which what a target said of its load is believed.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1000);
+/// Part of the free places that entries of the target's own region may take before they hear of its
+/// load again, in percent; entries of other regions may take the rest.
+const LOCAL_PERCENT: u32 = 75;
 /// Cost of leaving the own region, in thousandths of a full target.
 const REMOTE_COST: u64 = 400;
 
@@ -23,6 +26,11 @@
     others: u32,
     accepting: bool,
     reported_at: Option<MonoTime>,
+    /// Places that were free when the target told its load.
+    free: u32,
+    /// Places that this entry took and gave back since.
+    taken: u32,
+    given_back: u32,
     paused_until: MonoTime,
     failures: u32,
 }
@@ -37,6 +45,9 @@
             others: 0,
             accepting: true,
             reported_at: None,
+            free: 0,
+            taken: 0,
+            given_back: 0,
             paused_until: MonoTime::ZERO,
             failures: 0,
         }
@@ -55,10 +66,19 @@
         self.others = requests.saturating_sub(self.own);
         self.accepting = accepting;
         self.reported_at = Some(now);
+        self.free = self.record.slots.saturating_sub(requests);
+        self.taken = 0;
+        self.given_back = 0;
+    }
+
+    pub fn take(&mut self) {
+        self.own += 1;
+        self.taken += 1;
     }
 
     pub fn release(&mut self, now: MonoTime, outcome: PlaceOutcome) {
         self.own = self.own.saturating_sub(1);
+        self.given_back += 1;
         match outcome {
             PlaceOutcome::Answered => self.failures = 0,
             PlaceOutcome::Full => self.pause(now, FULL_PAUSE),
@@ -78,23 +98,24 @@
         (self.paused_until > MonoTime::ZERO).then_some(self.paused_until)
     }
 
-    /// Whether the target may get `request`, room aside.
-    pub fn takes(&self, now: MonoTime, request: &PlaceRequest) -> bool {
+    /// Whether the target may get `request`, room aside. `required` is the oldest version of its model
+    /// that may be used.
+    pub fn takes(&self, now: MonoTime, request: &PlaceRequest, required: Option<u64>) -> bool {
         self.listed
             && self.record.service == request.service
             && self.record.phase == TargetPhase::Ready
             && self.paused_until <= now
             && (self.accepting || !self.is_reported(now))
             && !request.tried.contains(&self.record.id)
-            && self.has_version(request)
+            && self.has_version(request, required)
     }
 
-    fn has_version(&self, request: &PlaceRequest) -> bool {
-        let Some((model, version)) = &request.version else {
+    fn has_version(&self, request: &PlaceRequest, required: Option<u64>) -> bool {
+        let (Some(model), Some(required)) = (&request.model, required) else {
             return true;
         };
         let models = &self.record.models;
-        models.iter().any(|loaded| loaded.model == *model && loaded.version >= *version)
+        models.iter().any(|loaded| loaded.model == *model && loaded.version >= required)
     }
 
     /// Requests of this entry that the target may have at once while its real load is unknown.
@@ -106,12 +127,21 @@
         (part / share.entries.max(1)).max(1)
     }
 
-    /// Further requests that the target may get from this entry.
+    /// Further requests that the target may get from this entry. All entries hear at the same time
+    /// of places that are free, so each takes its part of them.
     pub fn room(&self, now: MonoTime, share: EntryShare) -> u32 {
-        if self.is_reported(now) {
-            return self.record.slots.saturating_sub(self.own + self.others);
+        if !self.is_reported(now) {
+            return self.limit(share).saturating_sub(self.own);
         }
-        self.limit(share).saturating_sub(self.own)
+        let part = match self.local {
+            true => (self.free * LOCAL_PERCENT).div_ceil(100 * share.in_region.max(1)),
+            false => {
+                let far = share.entries.saturating_sub(share.in_region).max(1);
+                self.free * (100 - LOCAL_PERCENT) / (100 * far)
+            }
+        };
+        let part = (part + self.given_back).saturating_sub(self.taken);
+        part.min(self.record.slots.saturating_sub(self.own))
     }
 
     /// How dear it is to send a further request there; lower is better.
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -25,6 +25,7 @@
 const POLL_TIMEOUT: Duration = Duration::from_secs(3);
 const LANE_RETRY_PAUSE: Duration = Duration::from_secs(1);
 const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
+const LACKING_TIME: Duration = Duration::from_secs(5);
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
 const CORRUPT_LIMIT: u32 = 2;
 
@@ -210,6 +211,12 @@
                 now + self.limits.paced(FAILURE_AVOID_TIME),
             );
         }
+        // A host of another region that lacks a chunk for so long may never get it.
+        let is_overdue = now.since(self.started) > self.home_patience;
+        if failure == FetchFailure::NotHere && flight.lane.is_some() && is_overdue {
+            let until = now + self.limits.paced(LACKING_TIME);
+            self.flights.pass_over(now, chunk, &flight.source, until);
+        }
         if let Some(record) = self.record_mut(&flight.source) {
             record.failed(now, failure, chunk);
         }
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -93,7 +93,11 @@
             self.peers.is_suspect(host, now)
                 || self.flights.avoids(now, chunk, self.plan.name_of(host))
         };
-        match self.plan.home(chunk, other, unfit) {
+        let lacks = |host: HostIndex| {
+            unfit(host) || self.flights.passes_over(now, chunk, self.plan.name_of(host))
+        };
+        let home = self.plan.home(chunk, other, lacks);
+        match home.or_else(|| self.plan.home(chunk, other, unfit)) {
             Some(host) if self.peers.hosts[host].is_ready(now) => Some(self.peer(host)),
             Some(_) => None,
             None if other == self.plan.reader() => Some(ChunkSource::Origin),
--- a/core/src/weights/fetch/flights.rs
+++ b/core/src/weights/fetch/flights.rs
@@ -25,11 +25,18 @@
     until: MonoTime,
 }
 
+impl AvoidedSource {
+    fn is(&self, now: MonoTime, chunk: usize, host: &HostName) -> bool {
+        self.chunk == chunk && self.until > now && self.host == *host
+    }
+}
+
 /// All started fetches, and the sources that failed a chunk.
 #[derive(Debug, Default)]
 pub(super) struct FlightTable {
     flights: Vec<ChunkFlight>,
     avoided: Vec<AvoidedSource>,
+    lacking: Vec<AvoidedSource>,
     next_ticket: FetchTicket,
 }
 
@@ -95,6 +102,26 @@
         self.flights.extract_if(.., crossing).map(|flight| flight.ticket).collect()
     }
 
+    /// Notes that `source` lacks `chunk` and is asked for it before `until` only if no other host can
+    /// be.
+    pub fn pass_over(
+        &mut self,
+        now: MonoTime,
+        chunk: usize,
+        source: &ChunkSource,
+        until: MonoTime,
+    ) {
+        self.lacking.retain(|lacking| lacking.until > now);
+        if let ChunkSource::Peer(host) = source {
+            self.lacking.push(AvoidedSource { chunk, host: host.clone(), until });
+        }
+    }
+
+    /// Whether `host` lacked `chunk` lately.
+    pub fn passes_over(&self, now: MonoTime, chunk: usize, host: &HostName) -> bool {
+        self.lacking.iter().any(|lacking| lacking.is(now, chunk, host))
+    }
+
     /// Notes that `source` failed `chunk` and is not asked for it again before `until`.
     pub fn avoid(&mut self, now: MonoTime, chunk: usize, source: &ChunkSource, until: MonoTime) {
         self.avoided.retain(|avoided| avoided.until > now);
@@ -105,9 +132,6 @@
 
     /// Whether `host` failed `chunk` lately.
     pub fn avoids(&self, now: MonoTime, chunk: usize, host: &HostName) -> bool {
-        let same = |avoided: &AvoidedSource| {
-            avoided.chunk == chunk && avoided.until > now && avoided.host == *host
-        };
-        self.avoided.iter().any(same)
+        self.avoided.iter().any(|avoided| avoided.is(now, chunk, host))
     }
 }
--- a/core/tests/weights_spread.rs
+++ b/core/tests/weights_spread.rs
@@ -115,6 +115,17 @@
     }
 }
 
+#[test]
+fn a_host_that_answers_but_fetches_nothing_holds_up_no_region() {
+    for host in 0..9 {
+        let mut model = fleet(9, 3);
+        model.faults.insert(Some(host), SourceFault::Idle);
+        let done = step_until(&mut model, FleetModel::is_done);
+        assert!(done, "not held everywhere: {}", missing(&model));
+        assert!(origin_copies(&model) < 1.5, "{} copies", origin_copies(&model));
+    }
+}
+
 #[test]
 fn a_source_of_corrupt_chunks_is_counted_and_shunned() {
     let mut model = fleet(6, 1);
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -15,6 +15,10 @@
 use log::info;
 use state::AgentState;
 use std::path::PathBuf;
+use std::time::Duration;
+
+/// Time for the store to hear that the agent leaves.
+const LEAVE_TIME: Duration = Duration::from_millis(300);
 
 /// Runs the agent until it is told to leave.
 ///
@@ -44,13 +48,17 @@
     let record = PresenceRecord::of(&settings);
     let fences = state.clone();
     let registered = move |revision| fences.set_fence(revision);
-    actix_rt::spawn(presence::keep_registered(store, presence::AGENTS, record, registered));
+    let serving = state.serving();
+    let kept = presence::keep_registered(store, presence::AGENTS, record, serving, registered);
+    actix_rt::spawn(kept);
     // The settings hold nothing that an agent takes in while it runs.
     reload::watch_settings(path, |_| {})?;
     tokio::select! {
-        never = keeper::run(state) => match never {},
+        never = keeper::run(state.clone()) => match never {},
         _ = leaving.wait_for(|leaving| *leaving) => {}
     }
+    state.set_serving(false);
+    actix_rt::time::sleep(LEAVE_TIME).await;
     info!("event=stopped host={}", settings.host);
     Ok(())
 }
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -13,6 +13,8 @@
 
 /// Time between looks at the engine's state.
 const LOOK_INTERVAL: Duration = Duration::from_millis(120);
+/// Time without an answer after which the engine counts as lost.
+const LOST_AFTER: Duration = Duration::from_secs(1);
 /// Time between looks at the engine's state while it loads.
 const LOADING_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a load that has not ended is looked at anew.
@@ -23,7 +25,7 @@
 /// Keeps the engine at the wanted versions for the rest of the process.
 pub async fn run(state: Rc<AgentState>) -> Infallible {
     let fetcher = PieceFetcher::new(state.clone());
-    let mut reachable = true;
+    let mut answered_at = clock::now();
     loop {
         match state.engine.report().await {
             Ok(report) => {
@@ -31,7 +33,8 @@
                 if before.as_ref().is_none_or(|before| before.born != report.born) {
                     info!("event=engine_seen born={} models={:?}", report.born, report.models);
                 }
-                reachable = true;
+                answered_at = clock::now();
+                state.set_serving(true);
                 state.set_report(report);
                 if let Some(wanted) = missing(&state) {
                     tokio::select! {
@@ -45,8 +48,9 @@
                 }
             }
             Err(error) => {
-                if std::mem::take(&mut reachable) {
+                if *state.serving().borrow() && clock::now().since(answered_at) > LOST_AFTER {
                     warn!("event=engine_lost reason=\"{error}\"");
+                    state.set_serving(false);
                 }
             }
         }
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -61,6 +61,8 @@
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
     report: RefCell<Option<EngineReport>>,
     fence: Cell<Option<u64>>,
+    /// Whether the engine answers.
+    serving: watch::Sender<bool>,
     links: RefCell<SortedTable<Arc<str>, EntryLink>>,
     loads: watch::Sender<Option<LoadMessage>>,
     /// Whether the engine was ordered to load, and takes no requests before it has.
@@ -86,6 +88,7 @@
             staged: RefCell::default(),
             report: RefCell::default(),
             fence: Cell::new(None),
+            serving: watch::channel(false).0,
             links: RefCell::default(),
             loads: watch::channel(None).0,
             closed: Cell::new(false),
@@ -98,6 +101,16 @@
         self.fence.set(Some(revision));
     }
 
+    /// Hears whether the engine answers. Other agents count on this one only while it does.
+    pub fn serving(&self) -> watch::Receiver<bool> {
+        self.serving.subscribe()
+    }
+
+    /// Takes in whether the engine answers.
+    pub fn set_serving(&self, serving: bool) {
+        self.serving.send_if_modified(|known| std::mem::replace(known, serving) != serving);
+    }
+
     /// The fencing number of orders; none before the agent was registered.
     pub fn fence(&self) -> Option<u64> {
         self.fence.get()
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -57,7 +57,9 @@
     loads::start_receiver(links, move |now, load| loads.take_load(now, load))?;
     start_followers(&store, &state);
     let record = PresenceRecord::of(&settings);
-    actix_rt::spawn(presence::keep_registered(store, presence::ENTRIES, record, |_| {}));
+    let staying = state.staying();
+    let kept = presence::keep_registered(store, presence::ENTRIES, record, staying, |_| {});
+    actix_rt::spawn(kept);
     actix_rt::spawn(state::run_queue(state.clone()));
     let reloaded = state.clone();
     reload::watch_settings(path, move |settings| reloaded.set_bounds(settings.bounds))?;
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -214,10 +214,6 @@
     async fn place(&mut self, caller: &mut InboundConnection) -> PlaceResult {
         let now = clock::now();
         let request = &self.request;
-        let model = request.tags.model.as_ref();
-        let required = model.and_then(|model| {
-            self.state.required_version(now, model).map(|version| (model.clone(), version))
-        });
         let elapsed = request.elapsed_before + now.since(request.received);
         let time_left = request.deadline.since(now);
         let wanted = PlaceRequest {
@@ -225,7 +221,7 @@
             rank: request.rank,
             wait: wait_allowance(request.objective, elapsed, time_left),
             tried: self.tried.clone(),
-            version: required,
+            model: request.tags.model.clone(),
         };
         let (ticket, turn) = match self.state.request_place(now, wanted) {
             Ok(QueueTurn::Place(grant)) => return PlaceResult::Place(grant),
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -8,8 +8,8 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::places::{EntryShare, PlaceOutcome};
 use buckthornwharf_core::direct::{
-    Admission, CallerLimits, DeclaredVersion, DeclaredVersions, LoadedModel, PlaceBook, PlaceGrant,
-    PlaceRequest, PlaceTicket, RetryBudget, RouteTable, TargetCatalog, UsualPatience,
+    Admission, CallerLimits, DeclaredVersion, LoadedModel, PlaceBook, PlaceGrant, PlaceRequest,
+    PlaceTicket, RetryBudget, RouteTable, TargetCatalog, UsualPatience,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
@@ -20,9 +20,9 @@
 
 /// Time before the end of an old version from which requests go only to the new one; covers the
 /// time until a request that was sent begins to run.
-const VERSION_MARGIN: Duration = Duration::from_millis(700);
+const VERSION_MARGIN: Duration = Duration::from_millis(900);
 /// Time after which a version that was declared before the entry started is the only one used.
-const BOOT_VERSION_TIME: Duration = Duration::from_millis(2500);
+const BOOT_VERSION_TIME: Duration = Duration::from_millis(1500);
 /// Pause between looks at the queue while requests wait, at least.
 const QUEUE_PAUSE: Duration = Duration::from_millis(4);
 
@@ -42,7 +42,6 @@
     settings: DirectSettings,
     bounds: RefCell<BoundSettings>,
     routes: RefCell<Option<Rc<RouteTable>>>,
-    versions: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     catalog: RefCell<TargetCatalog>,
     targets_known: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
@@ -66,7 +65,6 @@
             bounds: RefCell::new(settings.bounds.clone()),
             settings,
             routes: RefCell::default(),
-            versions: RefCell::default(),
             catalog: RefCell::default(),
             targets_known: Cell::new(false),
             entries: RefCell::default(),
@@ -91,6 +89,19 @@
         *self.leaving.borrow()
     }
 
+    /// Hears, by false, when the process is told to leave.
+    pub fn staying(&self) -> watch::Receiver<bool> {
+        let (sender, receiver) = watch::channel(true);
+        let mut leaving = self.leaving.clone();
+        actix_rt::spawn(async move {
+            // An error means that the process ends anyway.
+            let _ = leaving.wait_for(|leaving| *leaving).await;
+            sender.send_replace(false);
+            sender.closed().await;
+        });
+        receiver
+    }
+
     /// Hears when the process is told to leave.
     pub fn leaving(&self) -> watch::Receiver<bool> {
         self.leaving.clone()
@@ -168,18 +179,11 @@
         };
         let version = declared.version;
         let entry = DeclaredVersion { version, declared_at: now, only_from: now + allowed };
-        let mut versions = self.versions.borrow_mut();
-        let known = versions.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
-        if known.declare(entry) {
+        if self.places.borrow_mut().declare(&declared.model, entry) {
             info!("event=version model={} version={version}", declared.model);
         }
     }
 
-    /// The version that a request for `model` must go to, if an older one must not be used now.
-    pub fn required_version(&self, now: MonoTime, model: &ModelName) -> Option<u64> {
-        self.versions.borrow().get(model)?.required(now)
-    }
-
     /// Takes in what targets said of themselves.
     pub fn take_targets(&self, now: MonoTime, event: FollowEvent) {
         let mut catalog = self.catalog.borrow_mut();
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -6,6 +6,7 @@
 use log::warn;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use tokio::sync::watch;
 
 /// The keys of all processes.
 pub const PREFIX: &str = "buckthornwharf/";
@@ -54,12 +55,13 @@
     }
 }
 
-/// Keeps the process registered below `prefix` for its whole life. `registered` hears the number of
-/// the store's change each time.
+/// Keeps the process registered below `prefix` while `wanted` is true, for its whole life.
+/// `registered` hears the number of the store's change each time.
 pub async fn keep_registered(
     store: StoreClient,
     prefix: &'static str,
     record: PresenceRecord,
+    mut wanted: watch::Receiver<bool>,
     registered: impl Fn(u64),
 ) {
     let key = format!("{prefix}{}", record.host);
@@ -70,11 +72,17 @@
             return;
         }
     };
-    loop {
+    while wanted.wait_for(|wanted| *wanted).await.is_ok() {
         let error = match register(&store, &key, &value).await {
             Ok((lease, revision)) => {
                 registered(revision);
-                renew(&store, lease).await
+                tokio::select! {
+                    error = renew(&store, lease) => error,
+                    _ = wanted.wait_for(|wanted| !*wanted) => {
+                        end(&store, lease).await;
+                        continue;
+                    }
+                }
             }
             Err(error) => error,
         };
@@ -101,3 +109,10 @@
         }
     }
 }
+
+async fn end(store: &StoreClient, lease: u64) {
+    if let Err(error) = store.end_lease(lease).await {
+        // It ends by itself a little later.
+        log::debug!("event=lease_not_ended reason=\"{error}\"");
+    }
+}
