--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -4,7 +4,7 @@
     BLIND_REMOTE_PERCENT, EntryShare, FIRST_PAUSE, FULL_PAUSE, LONGEST_PAUSE, PlaceOutcome,
     PlaceRequest,
 };
-use crate::direct::{TargetPhase, TargetRecord};
+use crate::direct::{LoadedModel, TargetPhase, TargetRecord};
 use crate::prelude::*;
 
 /// Time for which what a target said of its load is believed.
@@ -111,11 +111,13 @@
     }
 
     fn has_version(&self, request: &PlaceRequest, required: Option<u64>) -> bool {
-        let (Some(model), Some(required)) = (&request.model, required) else {
+        let Some(model) = &request.model else {
             return true;
         };
-        let models = &self.record.models;
-        models.iter().any(|loaded| loaded.model == *model && loaded.version >= required)
+        let fits = |loaded: &LoadedModel| {
+            loaded.model == *model && required.is_none_or(|required| loaded.version >= required)
+        };
+        self.record.models.iter().any(fits)
     }
 
     /// Requests of this entry that the target may have at once while its real load is unknown.
--- a/core/src/direct/watch_pace.rs
+++ b/core/src/direct/watch_pace.rs
@@ -33,6 +33,11 @@
         self.lost
     }
 
+    /// Time after which a look whether the store answers counts as failed.
+    pub fn probe_timeout(&self) -> Duration {
+        LOST_SLACK
+    }
+
     /// Time for which the next watch waits for a change.
     pub fn wait(&self) -> Duration {
         if self.lost { LOST_WAIT } else { WATCH_WAIT }
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -208,6 +208,8 @@
         self.places.borrow_mut().set_targets(catalog.iter());
         self.pool.borrow_mut().retain(|id| catalog.get(id).is_some());
         drop(catalog);
+        // A target that may yet come back has a time at which it is gone.
+        self.queue_changed.notify_one();
         self.serve_queue();
     }
 
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -20,6 +20,11 @@
 pub async fn follow(store: StoreClient, prefix: &'static str, mut take: impl FnMut(FollowEvent)) {
     let mut link = StoreLink { prefix, pace: WatchPace::default() };
     loop {
+        // A list may take long; whether the store is there at all is told sooner.
+        if let Err(error) = store.probe(link.pace.probe_timeout()).await {
+            link.failed(&error).await;
+            continue;
+        }
         let range = match store.range(prefix).await {
             Ok(range) => range,
             Err(error) => {
