--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -31,3 +31,29 @@
         self.held_at + span * self.turn as u32 / self.hosts.max(1) as u32
     }
 }
+
+/// Time between two declarations from which on the older version is brought in first. Its pieces are
+/// then on their way to all hosts, and it may be used longer than the one before it.
+const FINISH_GAP: Duration = Duration::from_secs(1);
+/// Time after its declaration at which a version that is still not held makes way for a newer one.
+const LONGEST_FETCH: Duration = Duration::from_secs(8);
+
+/// When a newer version takes the place of one that is being fetched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Overtaking {
+    /// At once.
+    AtOnce,
+    /// Not before this time, so that the older one can be brought in.
+    At(MonoTime),
+}
+
+/// When a version declared at `newer` overtakes one declared at `older`. All hosts hear of both at
+/// about the same times, and so decide alike.
+pub fn overtakes(older: Option<MonoTime>, newer: Option<MonoTime>) -> Overtaking {
+    match (older, newer) {
+        (Some(older), Some(newer)) if newer.since(older) >= FINISH_GAP => {
+            Overtaking::At(older + LONGEST_FETCH)
+        }
+        _ => Overtaking::AtOnce,
+    }
+}
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -1,6 +1,6 @@
 //! Declared versions, the pace of watches, and turns in a roll.
 
-use buckthornwharf_core::direct::rollout::RolloutTurn;
+use buckthornwharf_core::direct::rollout::{Overtaking, RolloutTurn, overtakes};
 use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, WatchPace};
 use buckthornwharf_core::prelude::*;
 
@@ -61,3 +61,13 @@
     let turn = RolloutTurn { held_at, due_at: MonoTime::from_millis(8000), turn: 3, hosts: 4 };
     assert_eq!(turn.start_at(), held_at);
 }
+
+#[test]
+fn a_version_whose_spread_is_under_way_is_brought_in_before_a_newer_one() {
+    let older = Some(MonoTime::from_millis(18_000));
+    let soon = Some(MonoTime::from_millis(18_400));
+    let later = Some(MonoTime::from_millis(20_000));
+    assert_eq!(overtakes(older, soon), Overtaking::AtOnce);
+    assert_eq!(overtakes(older, later), Overtaking::At(MonoTime::from_millis(26_000)));
+    assert_eq!(overtakes(None, later), Overtaking::AtOnce);
+}
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -4,7 +4,7 @@
 use super::state::{AgentState, StagedVersion, WantedModel};
 use crate::clock;
 use buckthornwharf_core::direct::LoadedModel;
-use buckthornwharf_core::direct::rollout::RolloutTurn;
+use buckthornwharf_core::direct::rollout::{Overtaking, RolloutTurn, overtakes};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{LoadOrder, OrderAnswer};
 use log::{info, warn};
@@ -85,19 +85,24 @@
     state.wanted().into_iter().find(lacks)
 }
 
-/// Ends once another version is wanted, unless half of this one is staged: bringing it in then takes
-/// less time than what it puts the other one off by.
+/// Ends once a newer version goes before `wanted`.
 async fn superseded(state: &AgentState, wanted: &WantedModel) {
-    while state.is_wanted(wanted) || is_half_staged(state, &wanted.version) {
-        state.wanted_changed.notified().await;
+    loop {
+        let newest = state.wanted().into_iter().find(|newest| {
+            newest.version.model == wanted.version.model && newest.version != wanted.version
+        });
+        match newest {
+            Some(newest) => match overtakes(wanted.declared_at, newest.declared_at) {
+                Overtaking::At(at) => {
+                    return actix_rt::time::sleep(at.since(clock::now())).await;
+                }
+                Overtaking::AtOnce => return,
+            },
+            None => state.wanted_changed.notified().await,
+        }
     }
 }
 
-fn is_half_staged(state: &AgentState, version: &LoadedModel) -> bool {
-    let staged = state.staged(version);
-    staged.is_some_and(|staged| staged.held.count() * 2 >= staged.held.len())
-}
-
 /// Stages `wanted` and has the engine load it.
 async fn bring(state: &AgentState, fetcher: &PieceFetcher, wanted: &WantedModel) {
     let whole = fetcher.stage(wanted).await;
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -256,11 +256,6 @@
         shape.models.into_iter().map(wanted).collect()
     }
 
-    /// Whether `wanted` is still what the engine is to hold.
-    pub fn is_wanted(&self, wanted: &WantedModel) -> bool {
-        self.wanted().iter().any(|now| now.version == wanted.version)
-    }
-
     /// What the engine said last of its state.
     pub fn report(&self) -> Option<EngineReport> {
         self.report.borrow().clone()
