--- /dev/null
+++ b/core/tests/direct_places.rs
@@ -0,0 +1,176 @@
+//! Places at targets under load: who gets one, who waits and who is refused.
+
+use buckthornwharf_core::direct::places::{EntryShare, PlaceOutcome};
+use buckthornwharf_core::direct::{
+    Admission, DeclaredVersion, LoadedModel, PlaceBook, PlaceGrant, PlaceRequest, TargetPhase,
+    TargetRecord, WaitAllowance,
+};
+use buckthornwharf_core::prelude::*;
+
+const SLOTS: u32 = 4;
+
+fn target(id: &str, site: &str, version: u64) -> Arc<TargetRecord> {
+    Arc::new(TargetRecord {
+        id: id.into(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        site: site.into(),
+        slots: SLOTS,
+        phase: TargetPhase::Ready,
+        models: vec![LoadedModel { model: "m".into(), version }],
+        born: 0,
+    })
+}
+
+fn book(targets: &[Arc<TargetRecord>]) -> PlaceBook {
+    let mut book = PlaceBook::new(vec!["here".into()]);
+    book.set_share(EntryShare { entries: 4, in_region: 1 });
+    book.set_targets(targets.iter());
+    book
+}
+
+fn request(late: bool) -> PlaceRequest {
+    PlaceRequest {
+        service: "llm".into(),
+        rank: 1,
+        wait: WaitAllowance { patience: Duration::from_millis(600), late },
+        tried: Vec::new(),
+        model: Some("m".into()),
+    }
+}
+
+fn at(millis: u64) -> MonoTime {
+    MonoTime::from_millis(millis)
+}
+
+/// A place for a request that does not wait.
+fn place(book: &mut PlaceBook, now: MonoTime) -> Option<PlaceGrant> {
+    match book.request(now, request(false)) {
+        Admission::Place(grant) => Some(grant),
+        Admission::Wait(ticket) => {
+            book.cancel(ticket);
+            None
+        }
+        Admission::Refuse(_) => None,
+    }
+}
+
+#[test]
+fn requests_are_spread_over_the_targets_of_the_region_first() {
+    let mut book = book(&[target("a", "here", 1), target("b", "here", 1), target("c", "far", 1)]);
+    let ids: Vec<Arc<str>> = (0..8)
+        .filter_map(|_| place(&mut book, at(0)))
+        .map(|grant| grant.target.id.clone())
+        .collect();
+    let count = |id: &str| ids.iter().filter(|other| &***other == id).count();
+    assert_eq!(ids.len(), 8);
+    assert!(count("a") >= 3 && count("b") >= 3, "{ids:?}");
+    assert!(ids[..4].iter().all(|id| &**id != "c"), "{ids:?}");
+}
+
+#[test]
+fn a_full_region_sends_few_requests_to_a_target_whose_load_it_does_not_know() {
+    let mut book = book(&[target("a", "here", 1), target("c", "far", 1)]);
+    let mut far = 0;
+    while let Some(grant) = place(&mut book, at(0)) {
+        far += u32::from(&*grant.target.id == "c");
+    }
+    assert_eq!(far, 1);
+}
+
+#[test]
+fn a_target_that_says_it_is_full_or_loads_gets_nothing() {
+    let mut book = book(&[target("a", "here", 1), target("b", "here", 1)]);
+    book.set_load(at(0), "a", SLOTS, true);
+    book.set_load(at(0), "b", 0, false);
+    assert!(place(&mut book, at(10)).is_none());
+    book.set_load(at(20), "b", 0, true);
+    assert_eq!(place(&mut book, at(30)).map(|grant| grant.target.id.clone()), Some("b".into()));
+}
+
+#[test]
+fn entries_that_hear_of_the_same_free_places_do_not_all_take_them() {
+    let taken = |in_region: bool| {
+        let site = if in_region { "here" } else { "far" };
+        let mut book = book(&[target("a", site, 1)]);
+        book.set_load(at(0), "a", 0, true);
+        (0..10).filter(|_| place(&mut book, at(1)).is_some()).count() as u32
+    };
+    // One entry stands in the region, three elsewhere.
+    assert!(taken(true) + 3 * taken(false) <= SLOTS);
+    assert!(taken(true) > 0);
+}
+
+#[test]
+fn a_request_that_waits_past_the_end_of_a_version_goes_to_the_next_one_only() {
+    let mut book = book(&[target("old", "here", 1)]);
+    let held: Vec<PlaceGrant> = (0..SLOTS).filter_map(|_| place(&mut book, at(0))).collect();
+    assert_eq!(held.len() as u32, SLOTS);
+    let declared = DeclaredVersion { version: 2, declared_at: at(0), only_from: at(100) };
+    assert!(book.declare(&"m".into(), declared));
+    assert!(matches!(book.request(at(50), request(true)), Admission::Wait(_)));
+    book.release(at(120), "old", PlaceOutcome::Answered);
+    assert!(book.grants(at(120)).is_empty(), "version 1 must not be used any more");
+    book.set_targets([target("old", "here", 1), target("new", "here", 2)].iter());
+    let grants = book.grants(at(130));
+    assert_eq!(grants.iter().map(|(_, grant)| &*grant.target.id).collect::<Vec<_>>(), ["new"]);
+}
+
+#[test]
+fn what_cannot_be_served_is_refused_at_once() {
+    let mut book = book(&[]);
+    let Admission::Refuse(after) = book.request(at(0), request(false)) else {
+        panic!("there is no target at all");
+    };
+    assert!(after >= Duration::from_millis(500));
+}
+
+#[test]
+fn a_request_that_is_late_anyway_waits_behind_one_that_can_be_in_time() {
+    let mut book = book(&[target("a", "here", 1)]);
+    while place(&mut book, at(0)).is_some() {}
+    let Admission::Wait(late) = book.request(at(1), request(true)) else { panic!("it waits") };
+    let Admission::Wait(fresh) = book.request(at(2), request(false)) else { panic!("it waits") };
+    book.release(at(3), "a", PlaceOutcome::Answered);
+    let first = book.grants(at(3));
+    assert_eq!(first.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [fresh]);
+    book.release(at(4), "a", PlaceOutcome::Answered);
+    let second = book.grants(at(4));
+    assert_eq!(second.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [late]);
+}
+
+/// Twice the load that the targets can take, for ten seconds; every request is answered or refused
+/// within its patience, and the targets are never idle.
+#[test]
+fn under_overload_places_stay_taken_and_no_one_waits_in_vain() {
+    let service_time = 100;
+    let mut book = book(&[target("a", "here", 1), target("b", "here", 1)]);
+    let mut running: Vec<u64> = Vec::new();
+    let (mut served, mut refused, mut expired) = (0, 0, 0);
+    for now in 0..10_000_u64 {
+        let ended = running.iter().filter(|end| **end == now).count();
+        running.retain(|end| *end > now);
+        for _ in 0..ended {
+            let id = if book.in_flight().is_multiple_of(2) { "a" } else { "b" };
+            book.release(at(now), id, PlaceOutcome::Answered);
+        }
+        // Two targets of four places and 100 ms each take 80 requests a second; 160 come.
+        if now % 25 < 4 && now % 25 != 3 || now % 25 == 12 {
+            match book.request(at(now), request(false)) {
+                Admission::Place(_) => {
+                    served += 1;
+                    running.push(now + service_time);
+                }
+                Admission::Refuse(_) => refused += 1,
+                Admission::Wait(_) => {}
+            }
+        }
+        for _ in book.grants(at(now)) {
+            served += 1;
+            running.push(now + service_time);
+        }
+        expired += book.expire(at(now)).len();
+    }
+    assert!(served > 760, "{served} served of about 800 that could be");
+    assert!(refused > expired, "{refused} refused at once, {expired} after a wait");
+}
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -49,7 +49,9 @@
     let readiness = process::bind(own.readiness)?;
     let links = process::bind(settings.peer_address())?;
     let leaving = process::leave_signal()?;
-    info!("event=started host={} callers={}", settings.host, own.callers);
+    let (callers_at, readiness_at) = (callers.local_addr()?, readiness.local_addr()?);
+    println!("ready entry callers={callers_at} readiness={readiness_at}");
+    info!("event=started host={} callers={callers_at}", settings.host);
     let store = StoreClient::new(settings.store);
     let state = EntryState::new(settings.clone(), leaving.clone());
     start_readiness(readiness, state.clone())?;
