--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -46,6 +46,11 @@
 }
 
 impl Command {
+    /// Whether the command runs until it is told to stop.
+    pub fn runs_on(&self) -> bool {
+        matches!(self, Command::Entry(_) | Command::Agent(_))
+    }
+
     /// Runs the subcommand.
     ///
     /// # Errors
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 mod follow;
 mod loads;
+pub mod metrics;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -6,6 +6,7 @@
 mod state;
 
 use super::follow;
+use super::metrics::{self, DirectAgentMetrics};
 use super::presence::{self, PresenceRecord};
 use super::reload;
 use super::settings::DirectSettings;
@@ -36,7 +37,10 @@
     println!("ready agent peers={}", listener.local_addr()?);
     info!("event=started host={} engine={}", settings.host, own.engine);
     let store = StoreClient::new(settings.store);
-    let state = AgentState::new(settings.clone(), own.clone(), EngineClient::new(own.engine));
+    let metrics = DirectAgentMetrics::new()?;
+    metrics::serve(&settings, metrics.registry().clone());
+    let engine = EngineClient::new(own.engine);
+    let state = AgentState::new(settings.clone(), own, engine, metrics);
     peers::start_peer_service(listener, state.clone())?;
     let operator = state.clone();
     actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, move |event| {
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -294,12 +294,21 @@
             FetchAction::Keep(piece, bytes) => self.keep(piece, bytes).await,
             FetchAction::Corrupt(source, piece) => {
                 warn!("event=corrupt_piece source={source:?} piece={piece}");
+                self.count(&source, "corrupt");
             }
             FetchAction::Complete => return true,
         }
         false
     }
 
+    fn count(&self, source: &ChunkSource, verdict: &str) {
+        let source = match source {
+            ChunkSource::Origin => "origin",
+            ChunkSource::Peer(_) => "peer",
+        };
+        self.fetcher.state.metrics.pieces.with_label_values(&[source, verdict]).inc();
+    }
+
     async fn keep(&self, piece: usize, bytes: Bytes) {
         let state = &self.fetcher.state;
         let staged = state.engine.stage(&self.version.model, piece, bytes).await;
@@ -312,6 +321,7 @@
 
     fn fetch(&mut self, order: FetchOrder) {
         self.tasks.retain(|_, task| !task.is_finished());
+        self.count(&order.source, "asked");
         let ticket = order.ticket;
         let source = match &order.source {
             ChunkSource::Origin => self.fetcher.state.origin().map(|origin| origin.address),
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -137,6 +137,8 @@
             Err(error) => format!("\"{error}\""),
         }
     );
+    let label = answer.as_ref().map_or("none", |answer| answer.into());
+    state.metrics.orders.with_label_values(&[label]).inc();
     match answer {
         Ok(OrderAnswer::Begun | OrderAnswer::Done) => wait_loaded(state, &wanted.version).await,
         Ok(OrderAnswer::Unfit | OrderAnswer::Fenced) | Err(_) => {
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::direct::follow::FollowEvent;
 use crate::direct::loads::{LoadMessage, send_loads};
+use crate::direct::metrics::DirectAgentMetrics;
 use crate::direct::presence::{self, PresenceRecord};
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use actix_rt::task::JoinHandle;
@@ -45,6 +46,8 @@
 
 /// What an agent believes, shared by its tasks.
 pub struct AgentState {
+    /// What is counted.
+    pub metrics: DirectAgentMetrics,
     /// The settings of the process.
     pub settings: DirectSettings,
     /// The settings of the agent.
@@ -75,8 +78,10 @@
         settings: DirectSettings,
         own: DirectAgentSettings,
         engine: EngineClient,
+        metrics: DirectAgentMetrics,
     ) -> Rc<Self> {
         Rc::new(Self {
+            metrics,
             settings,
             own,
             engine,
@@ -166,6 +171,7 @@
         let versions = known.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
         if versions.declare(entry) {
             info!("event=version model={} version={version}", declared.model);
+            self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
         }
     }
@@ -263,6 +269,9 @@
 
     /// Takes in what the engine says of its state.
     pub fn set_report(&self, report: EngineReport) {
+        let loaded = report.models.iter().map(|loaded| loaded.version).max().unwrap_or(0);
+        self.metrics.loaded_version.set(i64::try_from(loaded).unwrap_or(i64::MAX));
+        self.metrics.engine_requests.set(i64::from(report.running + report.waiting));
         self.report.replace(Some(report));
         self.tell_load();
     }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -8,6 +8,7 @@
 
 use super::follow::{self, FollowEvent};
 use super::loads;
+use super::metrics::{self, DirectEntryMetrics};
 use super::presence::{self, PresenceRecord};
 use super::reload;
 use super::service::{ServiceAnswer, start_service};
@@ -53,7 +54,9 @@
     println!("ready entry callers={callers_at} readiness={readiness_at}");
     info!("event=started host={} callers={callers_at}", settings.host);
     let store = StoreClient::new(settings.store);
-    let state = EntryState::new(settings.clone(), leaving.clone());
+    let metrics = DirectEntryMetrics::new()?;
+    metrics::serve(&settings, metrics.registry().clone());
+    let state = EntryState::new(settings.clone(), leaving.clone(), metrics);
     start_readiness(readiness, state.clone())?;
     let loads = state.clone();
     loads::start_receiver(links, move |now, load| loads.take_load(now, load))?;
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -74,6 +74,7 @@
         Ok(request) => request,
         Err((rejection, id)) => {
             let reply = rejected(rejection, id.as_deref());
+            count_end(state, reply.status, &rejection.to_string());
             info!(
                 "event=rejected request={} reason={rejection} status={}",
                 id.as_deref().unwrap_or("-"),
@@ -154,8 +155,13 @@
 impl RequestRun<'_> {
     async fn finish(mut self, caller: &mut InboundConnection) -> ConnectionFate {
         loop {
+            let asked = clock::now();
             let grant = match self.place(caller).await {
-                PlaceResult::Place(grant) => grant,
+                PlaceResult::Place(grant) => {
+                    let waited = clock::now().since(asked).as_secs_f64();
+                    self.state.metrics.queue_time.observe(waited);
+                    grant
+                }
                 PlaceResult::CallerLeft => return ConnectionFate::Drop,
                 PlaceResult::Refused(after) => return self.refuse(caller, after, "no_place").await,
                 PlaceResult::TimedOut => {
@@ -170,11 +176,16 @@
             let outcome = result.outcome();
             self.state.release_place(&target.id, outcome);
             let end = match result {
-                AttemptResult::Answered(fate) => return fate,
+                AttemptResult::Answered(status, fate) => {
+                    self.log_answer(status, &target.id, asked);
+                    return fate;
+                }
                 AttemptResult::CallerLeft => return ConnectionFate::Drop,
                 AttemptResult::TimedOut => return self.give_up(caller).await,
                 AttemptResult::Failed(end) => end,
             };
+            let metrics = &self.state.metrics;
+            metrics.failed_attempts.with_label_values(&[&end.to_string()]).inc();
             info!(
                 "event=attempt_failed request={} target={} end={end} attempt={} age_ms={}",
                 self.request.tags.id,
@@ -196,6 +207,24 @@
         }
     }
 
+    /// One line for an answer of a target: what was decided for the request, and how long it took.
+    fn log_answer(&self, status: StatusCode, target: &str, placed_at: MonoTime) {
+        let request = &self.request;
+        let now = clock::now();
+        count_end(self.state, status, "answered");
+        info!(
+            "event=answered request={} status={} target={target} service={} attempts={} \
+             elapsed_before_ms={} placed_after_ms={} age_ms={}",
+            request.tags.id,
+            status.as_u16(),
+            request.service,
+            self.attempts,
+            request.elapsed_before.as_millis(),
+            placed_at.since(request.received).as_millis(),
+            now.since(request.received).as_millis()
+        );
+    }
+
     fn next(&mut self, end: AttemptEnd) -> NextStep {
         let request = &self.request;
         let spend = || self.state.try_retry(clock::now(), &request.service);
@@ -275,6 +304,7 @@
         reason: &'static str,
     ) -> ConnectionFate {
         let request = &self.request;
+        count_end(self.state, status, reason);
         info!(
             "event=ended request={} status={} reason={reason} service={} attempts={} age_ms={} \
              retry_after_ms={}",
@@ -290,6 +320,10 @@
     }
 }
 
+fn count_end(state: &EntryState, status: StatusCode, reason: &str) {
+    state.metrics.requests.with_label_values(&[status.as_str(), reason]).inc();
+}
+
 impl AttemptResult {
     fn outcome(&self) -> PlaceOutcome {
         match self {
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -4,6 +4,7 @@
 use super::{AdmittedRequest, ConnectionFate};
 use crate::clock;
 use crate::direct::entry::state::EntryState;
+use actix_http::StatusCode;
 use actix_http::body::BodySize;
 use buckthornwharf_core::direct::ending::time_left;
 use buckthornwharf_core::direct::{AttemptEnd, PlaceGrant, TargetRecord};
@@ -34,8 +35,8 @@
 /// What came of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
-    /// The caller has the answer.
-    Answered(ConnectionFate),
+    /// The caller has the target's answer with this status.
+    Answered(StatusCode, ConnectionFate),
     /// The caller closed its connection.
     CallerLeft,
     /// The time for the request has passed.
@@ -101,6 +102,8 @@
             };
             match binding_of(answer.status, &answer.headers, &self.request.tags.id) {
                 AnswerBinding::Ours => {
+                    let age = clock::now().since(self.request.received);
+                    self.state.metrics.first_bytes.observe(age.as_secs_f64());
                     return self.pass_on(caller, connection, answer, stream).await;
                 }
                 AnswerBinding::NotRun => {
@@ -188,7 +191,7 @@
         if put.is_err() || caller.flush().await.is_err() {
             return Err(Interruption::CallerLeft);
         }
-        Ok(AttemptResult::Answered(fate(close)))
+        Ok(AttemptResult::Answered(answer.status, fate(close)))
     }
 
     /// Passes the parts of a large answer on as they come.
@@ -209,7 +212,7 @@
         loop {
             let part = match self.within(caller, connection.read_body()).await {
                 Ok(part) => part,
-                Err(_) => return Ok(AttemptResult::Answered(ConnectionFate::Drop)),
+                Err(_) => return Ok(AttemptResult::Answered(answer.status, ConnectionFate::Drop)),
             };
             let put = match part {
                 Ok(BodyPart::Data(bytes)) => caller.put_body(bytes),
@@ -218,9 +221,9 @@
                     let sent = ended.is_ok() && caller.flush().await.is_ok();
                     self.keep(connection, &answer);
                     let fate = if sent { fate(close) } else { ConnectionFate::Drop };
-                    return Ok(AttemptResult::Answered(fate));
+                    return Ok(AttemptResult::Answered(answer.status, fate));
                 }
-                Err(_) => return Ok(AttemptResult::Answered(ConnectionFate::Drop)),
+                Err(_) => return Ok(AttemptResult::Answered(answer.status, ConnectionFate::Drop)),
             };
             if put.is_err() || caller.flush().await.is_err() {
                 return Err(Interruption::CallerLeft);
@@ -291,7 +294,7 @@
             if ended {
                 let closes = reply.closes;
                 self.keep(connection, &answer);
-                return Ok(AttemptResult::Answered(fate(closes)));
+                return Ok(AttemptResult::Answered(answer.status, fate(closes)));
             }
         }
     }
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use crate::direct::follow::FollowEvent;
 use crate::direct::loads::LoadMessage;
+use crate::direct::metrics::DirectEntryMetrics;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::places::{EntryShare, PlaceOutcome};
@@ -37,6 +38,8 @@
 
 /// What an entry believes, shared by its tasks.
 pub struct EntryState {
+    /// What is counted.
+    pub metrics: DirectEntryMetrics,
     started: MonoTime,
     leaving: watch::Receiver<bool>,
     settings: DirectSettings,
@@ -57,9 +60,14 @@
 
 impl EntryState {
     /// The state of an entry that knows nothing yet.
-    pub fn new(settings: DirectSettings, leaving: watch::Receiver<bool>) -> Rc<Self> {
+    pub fn new(
+        settings: DirectSettings,
+        leaving: watch::Receiver<bool>,
+        metrics: DirectEntryMetrics,
+    ) -> Rc<Self> {
         let sites = settings.region_sites();
         Rc::new(Self {
+            metrics,
             started: clock::now(),
             leaving,
             bounds: RefCell::new(settings.bounds.clone()),
@@ -168,6 +176,7 @@
             "event=config generation={generation} revision={revision} before={known} routes={}",
             config.routes.len()
         );
+        self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
     }
 
@@ -205,6 +214,7 @@
 
     fn refresh_targets(&self) {
         let catalog = self.catalog.borrow();
+        self.metrics.targets.set(catalog.iter().count() as i64);
         self.places.borrow_mut().set_targets(catalog.iter());
         self.pool.borrow_mut().retain(|id| catalog.get(id).is_some());
         drop(catalog);
@@ -255,6 +265,7 @@
         let near = others().filter(|record| record.region == region).count();
         let share = EntryShare { entries: 1 + others().count() as u32, in_region: 1 + near as u32 };
         info!("event=entries live={} in_region={}", share.entries, share.in_region);
+        self.metrics.entries.set(i64::from(share.entries));
         self.places.borrow_mut().set_share(share);
     }
 
@@ -270,6 +281,7 @@
             Admission::Wait(ticket) => {
                 let (sender, receiver) = oneshot::channel();
                 self.waiters.borrow_mut().insert(ticket, sender);
+                self.metrics.waiting.inc();
                 self.queue_changed.notify_one();
                 Err((ticket, receiver))
             }
@@ -279,6 +291,7 @@
     /// Takes a waiting request out of the queue.
     pub fn cancel_place(&self, ticket: PlaceTicket) {
         self.waiters.borrow_mut().remove(&ticket);
+        self.metrics.waiting.set(self.waiters.borrow().len() as i64);
         self.places.borrow_mut().cancel(ticket);
     }
 
@@ -313,6 +326,7 @@
                 let _ = sender.send(QueueTurn::Refused(after));
             }
         }
+        self.metrics.waiting.set(waiters.len() as i64);
         drop(waiters);
         for id in unheard {
             self.places.borrow_mut().release(now, &id, PlaceOutcome::Answered);
@@ -359,6 +373,7 @@
     /// Notes that a request is being read or answered until the guard is dropped.
     pub fn begin_request(self: &Rc<Self>) -> RequestGuard {
         self.open_requests.set(self.open_requests.get() + 1);
+        self.metrics.open_requests.inc();
         RequestGuard(self.clone())
     }
 
@@ -390,6 +405,7 @@
 impl Drop for RequestGuard {
     fn drop(&mut self) {
         let open = self.0.open_requests.get() - 1;
+        self.0.metrics.open_requests.dec();
         self.0.open_requests.set(open);
         if open == 0 {
             self.0.idle.notify_waiters();
--- /dev/null
+++ b/src/direct/metrics.rs
@@ -0,0 +1,209 @@
+//! The metrics of processes that dispatch directly, in the Prometheus text format.
+
+use super::service::{ServiceAnswer, start_service};
+use super::settings::DirectSettings;
+use crate::process;
+use actix_http::StatusCode;
+use anyhow::Result;
+use log::warn;
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use std::net::SocketAddr;
+
+/// The path of the metrics.
+pub const PATH: &str = "/metrics";
+/// Buckets of times of requests, in seconds.
+const REQUEST_BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
+/// Buckets of times in the queue, in seconds.
+const QUEUE_BUCKETS: &[f64] = &[0.001, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+
+/// Metrics of an entry that dispatches directly.
+#[derive(Debug, Clone)]
+pub struct DirectEntryMetrics {
+    registry: Registry,
+    /// Ended requests by status and reason.
+    pub requests: IntCounterVec,
+    /// Attempts without an answer to pass on, by how they ended.
+    pub failed_attempts: IntCounterVec,
+    /// Seconds from the request to the first bytes of its answer.
+    pub first_bytes: Histogram,
+    /// Seconds that a request waited for a place.
+    pub queue_time: Histogram,
+    /// Requests that are read or answered now.
+    pub open_requests: IntGauge,
+    /// Requests that wait for a place.
+    pub waiting: IntGauge,
+    /// Number of the configuration in force; 0 before the first.
+    pub generation: IntGauge,
+    /// Targets that are registered.
+    pub targets: IntGauge,
+    /// Live entries, this one included.
+    pub entries: IntGauge,
+}
+
+impl DirectEntryMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if two metrics have the same name.
+    pub fn new() -> Result<Self> {
+        let registry = new_registry()?;
+        Ok(Self {
+            requests: counters(
+                &registry,
+                "direct_requests_total",
+                "Ended requests by status and reason",
+                &["status", "reason"],
+            )?,
+            failed_attempts: counters(
+                &registry,
+                "direct_failed_attempts_total",
+                "Attempts without an answer to pass on, by how they ended",
+                &["end"],
+            )?,
+            first_bytes: histogram(
+                &registry,
+                "direct_first_bytes_seconds",
+                "Time from the request to the first bytes of its answer",
+                REQUEST_BUCKETS,
+            )?,
+            queue_time: histogram(
+                &registry,
+                "direct_queue_seconds",
+                "Time that a request waited for a place at a target",
+                QUEUE_BUCKETS,
+            )?,
+            open_requests: gauge(&registry, "direct_open_requests", "Requests in progress")?,
+            waiting: gauge(&registry, "direct_waiting_requests", "Requests that wait for a place")?,
+            generation: gauge(
+                &registry,
+                "direct_config_generation",
+                "Configuration in force; 0 before the first",
+            )?,
+            targets: gauge(&registry, "direct_targets", "Targets that are registered")?,
+            entries: gauge(&registry, "direct_entries", "Live entries")?,
+            registry,
+        })
+    }
+
+    /// The registry that holds the metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+}
+
+/// Metrics of an agent of an engine.
+#[derive(Debug, Clone)]
+pub struct DirectAgentMetrics {
+    registry: Registry,
+    /// Pieces that were fetched, by source and verdict.
+    pub pieces: IntCounterVec,
+    /// Orders to the engine by its answer.
+    pub orders: IntCounterVec,
+    /// Version that the engine has loaded; 0 for none.
+    pub loaded_version: IntGauge,
+    /// Newest declared version.
+    pub declared_version: IntGauge,
+    /// Requests that the engine runs or keeps.
+    pub engine_requests: IntGauge,
+}
+
+impl DirectAgentMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if two metrics have the same name.
+    pub fn new() -> Result<Self> {
+        let registry = new_registry()?;
+        Ok(Self {
+            pieces: counters(
+                &registry,
+                "direct_pieces_total",
+                "Pieces of weights that were fetched, by source and verdict",
+                &["source", "verdict"],
+            )?,
+            orders: counters(
+                &registry,
+                "direct_orders_total",
+                "Orders to the engine by its answer",
+                &["answer"],
+            )?,
+            loaded_version: gauge(
+                &registry,
+                "direct_loaded_version",
+                "Version that the engine has loaded; 0 for none",
+            )?,
+            declared_version: gauge(
+                &registry,
+                "direct_declared_version",
+                "Newest declared version",
+            )?,
+            engine_requests: gauge(
+                &registry,
+                "direct_engine_requests",
+                "Requests that the engine runs or keeps",
+            )?,
+            registry,
+        })
+    }
+
+    /// The registry that holds the metrics.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+}
+
+/// Serves the metrics of `registry` where the settings say, for the rest of the process. A process
+/// whose address is taken goes on without.
+pub fn serve(settings: &DirectSettings, registry: Registry) {
+    let Some(port) = settings.metrics_port else {
+        return;
+    };
+    let address = SocketAddr::new(settings.peers.ip, port);
+    let started = process::bind(address).and_then(|listener| {
+        start_service(listener, move |call| {
+            let answer = match call.target.path() {
+                PATH => render(&registry),
+                _ => ServiceAnswer::new(StatusCode::NOT_FOUND, "not here"),
+            };
+            async move { answer }
+        })
+    });
+    if let Err(error) = started {
+        warn!("event=no_metrics address={address} reason=\"{error:#}\"");
+    }
+}
+
+fn render(registry: &Registry) -> ServiceAnswer {
+    match TextEncoder::new().encode_to_string(&registry.gather()) {
+        Ok(text) => ServiceAnswer::new(StatusCode::OK, text),
+        Err(error) => {
+            warn!("event=no_metrics reason=\"{error}\"");
+            ServiceAnswer::new(StatusCode::INTERNAL_SERVER_ERROR, error.to_string())
+        }
+    }
+}
+
+fn new_registry() -> Result<Registry> {
+    Ok(Registry::new_custom(Some("buckthornwharf".to_owned()), None)?)
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, buckets: &[f64]) -> Result<Histogram> {
+    let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+    let histogram = Histogram::with_opts(options)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -22,6 +22,9 @@
     pub store: SocketAddr,
     /// Where other processes of the system reach this one.
     pub peers: PeerSettings,
+    /// The port of the metrics, on the address of `peers`; none if they are not served.
+    #[serde(default)]
+    pub metrics_port: Option<u16>,
     /// What the operators ask for.
     pub bounds: BoundSettings,
     /// Settings of an entry.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod http_server;
 pub mod link;
+pub mod log_output;
 pub mod metrics;
 pub mod platform;
 pub mod process;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,13 +1,17 @@
 //! The command line.
 
-use buckthornwharf::cmd::{ExitStatus, command};
+use buckthornwharf::cmd::{Command, ExitStatus, command};
+use buckthornwharf::log_output;
 use std::process::ExitCode;
 
+const DEFAULT_LEVEL: &str = "warn,buckthornwharf=info";
+
 fn main() -> ExitCode {
-    env_logger::init_from_env(
-        env_logger::Env::default().default_filter_or("warn,buckthornwharf=info"),
-    );
-    match command().run().run() {
+    let command = command().run();
+    if let Err(error) = start_log(&command) {
+        eprintln!("buckthornwharf: can't log: {error:#}");
+    }
+    match command.run() {
         Ok(code) => code,
         Err(error) => {
             eprintln!("buckthornwharf: {error:#}");
@@ -15,3 +19,13 @@
         }
     }
 }
+
+/// Processes that run on log to standard output, the other commands to standard error: their standard
+/// output is what they were asked for.
+fn start_log(command: &Command) -> anyhow::Result<()> {
+    if command.runs_on() {
+        return log_output::start(DEFAULT_LEVEL);
+    }
+    let environment = env_logger::Env::default().default_filter_or(DEFAULT_LEVEL);
+    Ok(env_logger::Builder::from_env(environment).try_init()?)
+}
