--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -1,6 +1,6 @@
 //! Whole calls: a request, and its answer read to the end within a deadline.
 
-use crate::{BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
+use crate::{AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
 use actix_http::header::{HOST, HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode, Uri};
 use bytes::{Bytes, BytesMut};
@@ -15,6 +15,8 @@
 const MAX_IDLE: usize = 4;
 /// Time that an idle connection is kept for another call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time in which more of an answer's body must come.
+const BODY_STALL: Duration = Duration::from_millis(1500);
 /// Time for a connection to be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -29,7 +31,7 @@
     pub body: Bytes,
     /// The kind of the body.
     pub content_type: &'static str,
-    /// Time for the whole call.
+    /// Time until the head of the answer; its body must then keep coming.
     pub deadline: Duration,
     /// Most bytes of the answer's body.
     pub max_answer_bytes: usize,
@@ -88,20 +90,16 @@
     ///
     /// [`CallError`]. Only [`CallError::Unreached`] tells that the call did not reach the server.
     pub async fn call(&self, call: OutboundCall) -> Result<CallAnswer, CallError> {
-        let deadline = call.deadline;
-        match tokio::time::timeout(deadline, self.exchange(call)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(CallError::TimedOut),
-        }
-    }
-
-    async fn exchange(&self, call: OutboundCall) -> Result<CallAnswer, CallError> {
         let max_answer_bytes = call.max_answer_bytes;
-        let request = self.request_of(call)?;
-        let mut connection = self.connection().await.map_err(CallError::Unreached)?;
-        let head = connection.exchange(request).await.map_err(CallError::Failed)?;
+        let answered = tokio::time::timeout(call.deadline, self.begin(call)).await;
+        let (mut connection, head) = answered.map_err(|_| CallError::TimedOut)??;
         let mut body = BytesMut::new();
-        while let BodyPart::Data(bytes) = connection.read_body().await.map_err(CallError::Failed)? {
+        loop {
+            let part = tokio::time::timeout(BODY_STALL, connection.read_body()).await;
+            let part = part.map_err(|_| CallError::TimedOut)?;
+            let BodyPart::Data(bytes) = part.map_err(CallError::Failed)? else {
+                break;
+            };
             if body.len() + bytes.len() > max_answer_bytes {
                 return Err(CallError::TooLong);
             }
@@ -114,6 +112,16 @@
         Ok(CallAnswer { status: head.status, headers: head.headers, body: body.freeze() })
     }
 
+    async fn begin(
+        &self,
+        call: OutboundCall,
+    ) -> Result<(OutboundConnection, AnswerHead), CallError> {
+        let request = self.request_of(call)?;
+        let mut connection = self.connection().await.map_err(CallError::Unreached)?;
+        let head = connection.exchange(request).await.map_err(CallError::Failed)?;
+        Ok((connection, head))
+    }
+
     fn request_of(&self, call: OutboundCall) -> Result<OutboundRequest, CallError> {
         let target: Uri = call.target.parse().map_err(|_| CallError::BadTarget)?;
         let mut headers = HeaderMap::with_capacity(2);
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -69,3 +69,24 @@
     let failure = client.call(get("/")).await.expect_err("it is no answer");
     assert!(matches!(failure, CallError::Failed(ExchangeError::Garbled)), "{failure}");
 }
+
+#[actix_rt::test]
+async fn a_long_answer_that_keeps_coming_outlasts_the_deadline_of_its_head() {
+    const PARTS: usize = 8;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a caller comes");
+        let mut request = vec![0; 4096];
+        assert!(stream.read(&mut request).await.expect("the request comes") > 0);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {PARTS}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await.expect("the caller reads");
+        for _ in 0..PARTS {
+            actix_rt::time::sleep(Duration::from_millis(200)).await;
+            stream.write_all(b"x").await.expect("the caller reads on");
+        }
+    });
+    let call = OutboundCall { deadline: Duration::from_millis(800), ..get("/") };
+    let answer = CallClient::new(address).call(call).await.expect("the answer is whole");
+    assert_eq!(answer.body.len(), PARTS);
+}
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -136,7 +136,8 @@
         }
     }
 
-    fn take_item(&self, item: &StoreItem) {
+    /// Takes in an item that the operator wrote.
+    pub fn take_item(&self, item: &StoreItem) {
         if &*item.key == keys::CONFIG {
             match serving::read_config(&item.value) {
                 Ok(config) => self.set_config(config),
