--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -7,6 +7,8 @@
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::{fmt, io, mem};
@@ -124,8 +126,9 @@
         if !matches!(self.framing, BodyFraming::Idle(_)) {
             return false;
         }
-        let mut probe = [0_u8; 1];
-        let read = self.stream.try_read(&mut probe);
+        // Asks the system: the runtime may not have heard yet that the other side closed.
+        let mut probe = [MaybeUninit::<u8>::uninit(); 1];
+        let read = SockRef::from(&self.stream).peek(&mut probe);
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod entry;
 pub mod exit;
+pub mod explain;
 pub mod folder;
 pub mod report;
 pub mod status;
@@ -17,6 +18,7 @@
 use bpaf::Bpaf;
 use check::{CheckCommand, check_command};
 use entry::{EntryCommand, entry_command};
+use explain::{ExplainCommand, explain_command};
 use report::{ReportCommand, report_command};
 use status::{StatusCommand, status_command};
 use std::process::ExitCode;
@@ -40,6 +42,9 @@
     /// Show the generation in force on every process
     #[bpaf(command)]
     Status(#[bpaf(external(status_command))] StatusCommand),
+    /// Show one request's story from the logs of several processes
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_command))] ExplainCommand),
     /// Report how much of the objectives' budgets is burnt
     #[bpaf(command)]
     Report(#[bpaf(external(report_command))] ReportCommand),
@@ -63,6 +68,7 @@
             Command::Check(command) => command.run(),
             Command::Apply(command) => command.run(),
             Command::Status(command) => command.run(),
+            Command::Explain(command) => command.run(),
             Command::Report(command) => command.run(),
         }
     }
--- /dev/null
+++ b/tests/log_output.rs
@@ -0,0 +1,56 @@
+//! Log lines where the reader of the output is stuck, gone or well.
+
+use buckthornwharf::log_output::LineQueue;
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+
+/// An output that waits for a permit before each write, and hands on what was written.
+struct GatedOutput {
+    permits: Receiver<()>,
+    written: Sender<String>,
+}
+
+impl Write for GatedOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.permits.recv().map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        self.written.send(text).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_stuck_reader_holds_up_no_one_and_lost_lines_are_counted() {
+    let (permit, permits) = channel();
+    let (written, lines) = channel();
+    let mut queue = LineQueue::start(GatedOutput { permits, written }).expect("a thread");
+    for number in 0..10_000 {
+        queue.write_all(format!("line {number}\n").as_bytes()).expect("it never fails");
+    }
+    for _ in 0..10_000 {
+        // The writer may have ended its work already.
+        let _ = permit.send(());
+    }
+    queue.write_all(b"the last line\n").expect("it never fails");
+    let mut text = String::new();
+    while !text.contains("the last line") {
+        text += &lines.recv().expect("lines come");
+    }
+    assert!(text.contains("event=log_lines_dropped count="), "the loss is told");
+    assert!(text.contains("line 0\n"));
+}
+
+#[test]
+fn a_reader_that_is_gone_changes_nothing() {
+    let (permit, permits) = channel::<()>();
+    let (written, lines) = channel();
+    drop((permit, lines));
+    let mut queue = LineQueue::start(GatedOutput { permits, written }).expect("a thread");
+    for number in 0..10_000 {
+        queue.write_all(format!("line {number}\n").as_bytes()).expect("it never fails");
+    }
+}
--- a/tests/pages.rs
+++ b/tests/pages.rs
@@ -68,7 +68,7 @@
 
 #[test]
 fn the_operators_page_lists_every_exit_code() -> Result<()> {
-    let text = page("docs/operating.md")?;
+    let text = page("docs/OPERATIONS.md")?;
     let rows = table_rows(&text, Some("Exit codes"));
     let rows = rows.into_iter().filter(|row| row[0].parse::<u8>().is_ok());
     let listed: Vec<(String, String)> = rows.map(|row| (row[0].clone(), row[1].clone())).collect();
