--- a/core/src/direct/watch_pace.rs
+++ b/core/src/direct/watch_pace.rs
@@ -2,9 +2,6 @@
 
 use crate::prelude::*;
 
-/// Time for which a watch waits for a change. Short enough that a connection that fell silent is
-/// noticed within the time in which a host must be up to date again.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
 /// Time that an answer may take beyond the wait that was asked for.
 const ANSWER_SLACK: Duration = Duration::from_millis(1200);
 /// Time for which a watch waits while the store is lost, so that its return is noticed at once.
@@ -14,20 +11,46 @@
 /// Shortest and longest pause after a failed call.
 const PAUSE_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
 
+/// How fresh what a watch brings must be. Each call to the store has its price.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Freshness {
+    /// Time for which the watch waits for a change: after so long a connection that fell silent is
+    /// noticed.
+    pub wait: Duration,
+    /// Time from a change to the next watch, so that changes that come together cost one call.
+    pub gap: Duration,
+}
+
+impl Freshness {
+    /// What an entry must act on within the seconds in which a host has to be up to date.
+    pub const PROMPT: Self =
+        Self { wait: Duration::from_millis(2500), gap: Duration::from_millis(150) };
+    /// What an agent must act on within the time of a roll.
+    pub const TIMELY: Self = Self { wait: Duration::from_secs(6), gap: Duration::from_millis(100) };
+    /// Which processes are live.
+    pub const RELAXED: Self =
+        Self { wait: Duration::from_secs(10), gap: Duration::from_millis(1000) };
+}
+
 /// The pace of one watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatchPace {
+    freshness: Freshness,
     pause: Duration,
     lost: bool,
 }
 
-impl Default for WatchPace {
-    fn default() -> Self {
-        Self { pause: PAUSE_RANGE.0, lost: false }
+impl WatchPace {
+    /// The pace of a watch that has not failed yet.
+    pub fn new(freshness: Freshness) -> Self {
+        Self { freshness, pause: PAUSE_RANGE.0, lost: false }
+    }
+
+    /// Time from a change to the next watch.
+    pub fn gap(&self) -> Duration {
+        self.freshness.gap
     }
-}
 
-impl WatchPace {
     /// Whether the last call failed.
     pub fn is_lost(&self) -> bool {
         self.lost
@@ -40,7 +63,7 @@
 
     /// Time for which the next watch waits for a change.
     pub fn wait(&self) -> Duration {
-        if self.lost { LOST_WAIT } else { WATCH_WAIT }
+        if self.lost { LOST_WAIT } else { self.freshness.wait }
     }
 
     /// Time after which the next watch counts as failed.
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -1,7 +1,7 @@
 //! Declared versions, the pace of watches, and turns in a roll.
 
 use buckthornwharf_core::direct::rollout::{Overtaking, RolloutTurn, overtakes};
-use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, WatchPace};
+use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, Freshness, WatchPace};
 use buckthornwharf_core::prelude::*;
 
 fn declared(version: u64, at_ms: u64, only_from_ms: u64) -> DeclaredVersion {
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_lost_store_is_asked_often_and_its_return_is_told_once() {
-    let mut pace = WatchPace::default();
+    let mut pace = WatchPace::new(Freshness::PROMPT);
     let calm = pace.timeout();
     let mut outage = Duration::ZERO;
     for _ in 0..20 {
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -12,6 +12,7 @@
 use super::settings::DirectSettings;
 use crate::process;
 use anyhow::{Context, Result};
+use buckthornwharf_core::direct::Freshness;
 use buckthornwharf_platform::{EngineClient, StoreClient, keys};
 use log::info;
 use state::AgentState;
@@ -48,13 +49,19 @@
     let config = follow::read_once(store.clone(), keys::CONFIG);
     actix_rt::spawn(async move { configured.take_item(&config.await) });
     let operator = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), keys::VERSIONS, move |event| {
-        operator.take_operator(event);
-    }));
+    actix_rt::spawn(follow::follow(
+        store.clone(),
+        keys::VERSIONS,
+        Freshness::TIMELY,
+        move |event| operator.take_operator(event),
+    ));
     let processes = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), presence::PREFIX, move |event| {
-        processes.take_processes(event);
-    }));
+    actix_rt::spawn(follow::follow(
+        store.clone(),
+        presence::PREFIX,
+        Freshness::RELAXED,
+        move |event| processes.take_processes(event),
+    ));
     let record = PresenceRecord::of(&settings);
     let fences = state.clone();
     let registered = move |revision| fences.set_fence(revision);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -6,7 +6,7 @@
 mod request;
 mod state;
 
-use super::follow::{self, FollowEvent};
+use super::follow;
 use super::loads;
 use super::metrics::{self, DirectEntryMetrics};
 use super::presence::{self, PresenceRecord};
@@ -17,6 +17,7 @@
 use crate::process;
 use actix_http::StatusCode;
 use anyhow::{Context, Result};
+use buckthornwharf_core::direct::Freshness;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::request::READINESS_PATH;
 use buckthornwharf_platform::{StoreClient, keys};
@@ -87,17 +88,14 @@
 
 fn start_followers(store: &StoreClient, state: &Rc<EntryState>) {
     let operator = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, move |event| {
-        operator.take_operator(event);
-    }));
+    let take = move |event| operator.take_operator(event);
+    actix_rt::spawn(follow::follow(store.clone(), keys::OPERATOR, Freshness::PROMPT, take));
     let targets = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), keys::TARGETS, move |event| {
-        targets.take_targets(clock::now(), event);
-    }));
+    let take = move |event| targets.take_targets(clock::now(), event);
+    actix_rt::spawn(follow::follow(store.clone(), keys::TARGETS, Freshness::PROMPT, take));
     let entries = state.clone();
-    actix_rt::spawn(follow::follow(store.clone(), presence::ENTRIES, move |event: FollowEvent| {
-        entries.take_entries(event);
-    }));
+    let take = move |event| entries.take_entries(event);
+    actix_rt::spawn(follow::follow(store.clone(), presence::ENTRIES, Freshness::RELAXED, take));
 }
 
 /// Answers callers until the process is told to leave and the last request has ended.
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,6 +1,6 @@
 //! Follows what the platform's store holds below a prefix.
 
-use buckthornwharf_core::direct::WatchPace;
+use buckthornwharf_core::direct::{Freshness, WatchPace};
 use buckthornwharf_platform::{StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
@@ -17,8 +17,13 @@
 }
 
 /// Follows `prefix` for the rest of the process and hands what it hears to `take`.
-pub async fn follow(store: StoreClient, prefix: &'static str, mut take: impl FnMut(FollowEvent)) {
-    let mut link = StoreLink { prefix, pace: WatchPace::default() };
+pub async fn follow(
+    store: StoreClient,
+    prefix: &'static str,
+    freshness: Freshness,
+    mut take: impl FnMut(FollowEvent),
+) {
+    let mut link = StoreLink { prefix, pace: WatchPace::new(freshness) };
     loop {
         // A list may take long; whether the store is there at all is told sooner.
         if let Err(error) = store.probe(link.pace.probe_timeout()).await {
@@ -46,6 +51,7 @@
                     revision = revision.max(next);
                     if !changes.is_empty() {
                         take(FollowEvent::Changed(changes));
+                        actix_rt::time::sleep(link.pace.gap()).await;
                     }
                 }
                 Err(StoreError::Compacted) => {
@@ -60,7 +66,7 @@
 
 /// Reads the item with `key`, however often it takes.
 pub async fn read_once(store: StoreClient, key: &'static str) -> StoreItem {
-    let mut link = StoreLink { prefix: key, pace: WatchPace::default() };
+    let mut link = StoreLink { prefix: key, pace: WatchPace::new(Freshness::TIMELY) };
     loop {
         match store.item(key).await {
             Ok(item) => return item,
