Send a target no more prompts than it reads in a tenth of a second

Cause of late first tokens after a roll: an engine that comes back with all places free got a dozen prompts at once and read them one after the other.

--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -26,6 +26,10 @@
 /// Share of a target in another region that is used while its real load is not known, in percent.
 const BLIND_REMOTE_PERCENT: u32 = 40;
 
+/// Time that the prompts which one entry sent to a target may take to be read before the answer of
+/// the last one can begin.
+const READING_TIME: Duration = Duration::from_millis(100);
+
 /// Names a waiting request.
 pub type PlaceTicket = u64;
 
@@ -40,6 +44,8 @@
     pub wait: WaitAllowance,
     /// The targets that it must not go to again.
     pub tried: Vec<Arc<str>>,
+    /// Tokens of its prompt; 0 if it has none.
+    pub prompt_tokens: u32,
     /// The model that the target must have loaded, in a version that may still be used.
     pub model: Option<ModelName>,
 }
@@ -92,6 +98,8 @@
     targets: SortedTable<Arc<str>, TargetLoad>,
     queues: SortedTable<ServiceName, ServiceQueue>,
     versions: SortedTable<ModelName, DeclaredVersions>,
+    /// Tokens of prompts that a target of each service may have before it unread.
+    unread_limits: SortedTable<ServiceName, u32>,
     next_ticket: PlaceTicket,
 }
 
@@ -104,6 +112,7 @@
             targets: SortedTable::new(),
             queues: SortedTable::new(),
             versions: SortedTable::new(),
+            unread_limits: SortedTable::new(),
             next_ticket: 0,
         }
     }
@@ -119,6 +128,12 @@
         versions.declare(declared)
     }
 
+    /// Takes in how many tokens of prompts the targets of a service read in a second.
+    pub fn set_reading_rate(&mut self, service: &ServiceName, tokens_per_second: u32) {
+        let limit = f64::from(tokens_per_second) * READING_TIME.as_secs_f64();
+        self.unread_limits.insert(service.clone(), limit as u32);
+    }
+
     /// Takes in the targets.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<TargetRecord>>) {
         let mut known: Vec<Arc<str>> = Vec::new();
@@ -168,6 +183,13 @@
         Admission::Wait(ticket)
     }
 
+    /// Notes that a target has read a prompt of `tokens`: its answer has begun, or never will.
+    pub fn prompt_read(&mut self, id: &str, tokens: u32) {
+        if let Some(load) = self.targets.get_mut(id) {
+            load.unread = load.unread.saturating_sub(tokens);
+        }
+    }
+
     /// Gives a place back.
     pub fn release(&mut self, now: MonoTime, id: &str, outcome: PlaceOutcome) {
         let Some(load) = self.targets.get_mut(id) else {
@@ -235,13 +257,17 @@
         // Looked up when the request gets its place: it may have waited past the end of a version.
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
         let required = versions.and_then(|versions| versions.required(now));
-        let fits =
-            |load: &&TargetLoad| load.takes(now, request, required) && load.room(now, share) > 0;
+        let limit = self.unread_limits.get(&request.service).copied().unwrap_or(u32::MAX);
+        let fits = |load: &&TargetLoad| {
+            load.takes(now, request, required)
+                && load.room(now, share) > 0
+                && load.can_read(request.prompt_tokens, limit)
+        };
         let candidates = self.targets.values().filter(fits);
         let best = candidates.min_by_key(|load| load.cost(now, share))?;
         let id = best.record.id.clone();
         let load = self.targets.get_mut(&id)?;
-        load.take();
+        load.take(request.prompt_tokens);
         Some(PlaceGrant { target: load.record.clone(), own: load.own })
     }
 
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -20,6 +20,8 @@
 pub(super) struct TargetLoad {
     pub record: Arc<TargetRecord>,
     pub own: u32,
+    /// Tokens of prompts of this entry that the target has not read yet.
+    pub unread: u32,
     /// Whether the target is still registered.
     pub listed: bool,
     local: bool,
@@ -40,6 +42,7 @@
         Self {
             record,
             own: 0,
+            unread: 0,
             listed: true,
             local,
             others: 0,
@@ -71,7 +74,13 @@
         self.given_back = 0;
     }
 
-    pub fn take(&mut self) {
+    /// Whether a prompt of `tokens` would be read soon; one that is alone always may go.
+    pub fn can_read(&self, tokens: u32, limit: u32) -> bool {
+        self.unread == 0 || self.unread.saturating_add(tokens) <= limit
+    }
+
+    pub fn take(&mut self, prompt_tokens: u32) {
+        self.unread = self.unread.saturating_add(prompt_tokens);
         self.own += 1;
         self.taken += 1;
     }
--- a/core/src/direct/serving.rs
+++ b/core/src/direct/serving.rs
@@ -68,6 +68,8 @@
     pub chunks: u32,
     /// Bytes of a piece.
     pub chunk_bytes: u64,
+    /// Tokens of prompts that it reads in a second, if it is known.
+    pub prompt_tokens_per_second: Option<u32>,
 }
 
 /// An origin of weights.
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -35,6 +35,7 @@
         rank: 1,
         wait: WaitAllowance { patience: Duration::from_millis(600), late },
         tried: Vec::new(),
+        prompt_tokens: 0,
         model: Some("m".into()),
     }
 }
@@ -174,3 +175,19 @@
     assert!(served > 760, "{served} served of about 800 that could be");
     assert!(refused > expired, "{refused} refused at once, {expired} after a wait");
 }
+
+/// An engine that has just come back takes prompts no faster than it can read them, so that their first
+/// tokens are not late.
+#[test]
+fn an_empty_target_gets_only_as_many_prompts_as_it_reads_in_time() {
+    let mut book = book(&[target("a", "here", 1)]);
+    book.set_reading_rate(&"llm".into(), 30_000);
+    let prompt = || PlaceRequest { prompt_tokens: 1300, ..request(false) };
+    let mut placed = 0;
+    while let Admission::Place(_) = book.request(at(0), prompt()) {
+        placed += 1;
+    }
+    assert_eq!(placed, 2, "100 ms of reading hold two prompts of 1300 tokens");
+    book.prompt_read("a", 1300);
+    assert_eq!(book.grants(at(50)).len(), 1);
+}
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -6,7 +6,7 @@
 use super::state::{EntryState, QueueTurn};
 use crate::clock;
 use actix_http::StatusCode;
-use attempt::{AttemptResult, TargetAttempt};
+use attempt::{AttemptResult, PromptReading, TargetAttempt};
 use buckthornwharf_core::direct::places::PlaceOutcome;
 use buckthornwharf_core::direct::{
     AttemptEnd, FinalAnswer, NextStep, PlaceGrant, PlaceRequest, ServingRoute, WorkKind, next_step,
@@ -170,8 +170,9 @@
             };
             self.attempts += 1;
             let target = grant.target.clone();
-            let attempt =
-                TargetAttempt { state: self.state, request: &self.request, grant: &grant };
+            let reading = PromptReading::new(self.state, &target.id, self.request.tags.tokens.0);
+            let request = &self.request;
+            let attempt = TargetAttempt { state: self.state, request, grant: &grant, reading };
             let result = attempt.run(caller, &mut self.stream).await;
             let outcome = result.outcome();
             self.state.release_place(&target.id, outcome);
@@ -250,6 +251,7 @@
             rank: request.rank,
             wait: wait_allowance(request.objective, elapsed, time_left),
             tried: self.tried.clone(),
+            prompt_tokens: request.tags.tokens.0,
             model: request.tags.model.clone(),
         };
         let (ticket, turn) = match self.state.request_place(now, wanted) {
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -16,6 +16,7 @@
     AnswerBinding, DispatchTags, answer_headers, binding_of, dispatch_headers, idle_timeout_of,
 };
 use bytes::{Bytes, BytesMut};
+use std::cell::Cell;
 use std::future::Future;
 
 /// Time for a connection to a target to be opened.
@@ -30,6 +31,35 @@
     pub state: &'a EntryState,
     pub request: &'a AdmittedRequest,
     pub grant: &'a PlaceGrant,
+    pub reading: PromptReading<'a>,
+}
+
+/// A prompt that a target has not read yet. It counts as read once the answer has begun, or with the
+/// end of the attempt.
+pub(super) struct PromptReading<'a> {
+    state: &'a EntryState,
+    target: Arc<str>,
+    tokens: Cell<u32>,
+}
+
+impl<'a> PromptReading<'a> {
+    /// A prompt of `tokens` on its way to `target`.
+    pub fn new(state: &'a EntryState, target: &Arc<str>, tokens: u32) -> Self {
+        Self { state, target: target.clone(), tokens: Cell::new(tokens) }
+    }
+
+    fn end(&self) {
+        let tokens = self.tokens.take();
+        if tokens > 0 {
+            self.state.prompt_read(&self.target, tokens);
+        }
+    }
+}
+
+impl Drop for PromptReading<'_> {
+    fn drop(&mut self) {
+        self.end();
+    }
 }
 
 /// What came of an attempt.
@@ -102,6 +132,7 @@
             };
             match binding_of(answer.status, &answer.headers, &self.request.tags.id) {
                 AnswerBinding::Ours => {
+                    self.reading.end();
                     let age = clock::now().since(self.request.received);
                     self.state.metrics.first_bytes.observe(age.as_secs_f64());
                     return self.pass_on(caller, connection, answer, stream).await;
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -176,6 +176,14 @@
             "event=config generation={generation} revision={revision} before={known} routes={}",
             config.routes.len()
         );
+        let mut places = self.places.borrow_mut();
+        for service in &config.services {
+            let rate = service.engine.as_ref().and_then(|shape| shape.prompt_tokens_per_second);
+            if let Some(rate) = rate {
+                places.set_reading_rate(&service.name, rate);
+            }
+        }
+        drop(places);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
     }
@@ -295,6 +303,12 @@
         self.places.borrow_mut().cancel(ticket);
     }
 
+    /// Notes that a target has read a prompt of `tokens`.
+    pub fn prompt_read(&self, id: &str, tokens: u32) {
+        self.places.borrow_mut().prompt_read(id, tokens);
+        self.serve_queue();
+    }
+
     /// Gives a place back.
     pub fn release_place(&self, id: &str, outcome: PlaceOutcome) {
         self.places.borrow_mut().release(clock::now(), id, outcome);
