--- a/core/src/direct/ending.rs
+++ b/core/src/direct/ending.rs
@@ -42,6 +42,8 @@
     Broken,
     /// What came is not an answer to the request.
     Garbled,
+    /// The target ran the request and failed.
+    ServerError,
 }
 
 impl AttemptEnd {
--- a/core/tests/direct_requests.rs
+++ b/core/tests/direct_requests.rs
@@ -7,12 +7,13 @@
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
 
-const ENDS: [AttemptEnd; 5] = [
+const ENDS: [AttemptEnd; 6] = [
     AttemptEnd::Unreached,
     AttemptEnd::NotRun,
     AttemptEnd::Stranger,
     AttemptEnd::Broken,
     AttemptEnd::Garbled,
+    AttemptEnd::ServerError,
 ];
 const KINDS: [WorkKind; 4] =
     [WorkKind::Idempotent, WorkKind::Once, WorkKind::Stream, WorkKind::ResumableStream];
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -172,7 +172,15 @@
             let target = grant.target.clone();
             let reading = PromptReading::new(self.state, &target.id, self.request.tags.tokens.0);
             let request = &self.request;
-            let attempt = TargetAttempt { state: self.state, request, grant: &grant, reading };
+            let may_try_elsewhere =
+                request.kind.may_repeat() && self.attempts < request.max_attempts;
+            let attempt = TargetAttempt {
+                state: self.state,
+                request,
+                grant: &grant,
+                reading,
+                may_try_elsewhere,
+            };
             let result = attempt.run(caller, &mut self.stream).await;
             let outcome = result.outcome();
             self.state.release_place(&target.id, outcome);
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -32,6 +32,8 @@
     pub request: &'a AdmittedRequest,
     pub grant: &'a PlaceGrant,
     pub reading: PromptReading<'a>,
+    /// Whether the request may go to another target if this one runs it and fails.
+    pub may_try_elsewhere: bool,
 }
 
 /// A prompt that a target has not read yet. It counts as read once the answer has begun, or with the
@@ -212,6 +214,9 @@
             }
         }
         self.keep(connection, &answer);
+        if self.may_try_elsewhere && is_failure(answer.status) {
+            return Ok(AttemptResult::Failed(AttemptEnd::ServerError));
+        }
         let close = self.state.is_leaving();
         let size = BodySize::Sized(body.len() as u64);
         let put = caller.put_head(answer.status, answer_headers(&answer.headers), size, close);
@@ -372,6 +377,11 @@
     }
 }
 
+/// Whether a target's answer says that it failed. One that ran out of time would elsewhere, too.
+fn is_failure(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
+}
+
 fn fate(close: bool) -> ConnectionFate {
     if close { ConnectionFate::Finish } else { ConnectionFate::Keep }
 }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -73,6 +73,23 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_failure_of_a_target_is_made_good_only_where_work_may_be_repeated() {
+    let fleet = DirectFleet::start(2).await;
+    fleet.engines[0].conduct.set(Conduct::Fail);
+    for number in 0..4 {
+        let reply = fleet.get("/plain/x", &format!("id-{number}")).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-1"));
+    }
+    fleet.engines[1].conduct.set(Conduct::Fail);
+    fleet.rest().await;
+    let before = fleet.runs();
+    let reply = fleet.post("/once/x", "id-once").await;
+    assert_eq!((reply.status, reply.body.as_str()), (500, "it failed"));
+    assert_eq!(reply.header("server-seal"), Some("seal-1"));
+    assert_eq!(fleet.runs() - before, 1);
+}
+
 #[actix_rt::test]
 async fn an_answer_to_another_request_is_passed_over() {
     let fleet = DirectFleet::start(1).await;
