--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -9,6 +9,9 @@
 const PATIENCE_FACTOR: f64 = 3.0;
 /// Patiences after which a host that makes no progress is passed over by all, not by the next only.
 const LAST_PATIENCE: u32 = 8;
+/// Rounds of polls without news of a home before others take over, and hosts that count for a round.
+const POLL_ROUNDS: u32 = 2;
+const MOST_POLLED: usize = 64;
 const ORIGIN_CHUNKS_AHEAD: usize = 6;
 const ORIGIN_HASTE: f64 = 1.05;
 const FETCHES_PER_PEER: u32 = 2;
@@ -323,7 +326,11 @@
         let patience =
             |seconds: f64| limits.paced(Duration::from_secs_f64(PATIENCE_FACTOR * seconds));
         self.gateway_patience = patience(lane_seconds).max(limits.paced(SHORTEST_PATIENCE));
-        self.home_patience = patience(home_seconds).max(self.gateway_patience);
+        // What is known of a home is as old as a round of polls through the region.
+        let members = self.me.map_or(0, |me| self.plan.members(self.plan.region_of(me)).len());
+        let round = limits.paced(POLL_INTERVAL) * members.min(MOST_POLLED) as u32;
+        let heard = POLL_ROUNDS * round;
+        self.home_patience = patience(home_seconds).max(self.gateway_patience).max(heard);
     }
 
     fn peer(&self, host: HostIndex) -> ChunkSource {
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -23,7 +23,10 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 /// Pause before sources of a manifest are asked again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(300);
+const MANIFEST_PAUSE: Duration = Duration::from_millis(60);
+/// Time after its declaration in which a manifest is on its way from agent to agent; later each reads
+/// it from the origin itself.
+const SPREAD_TIME: Duration = Duration::from_millis(900);
 /// Agents that are asked for a manifest before the origin.
 const MANIFEST_PEERS: usize = 3;
 /// Time after its declaration in which a version is taken to be nowhere but at the origin.
@@ -123,32 +126,69 @@
             let fresh = age.is_some_and(|age| age < FRESH_TIME);
             let near = if fresh { None } else { self.ask_near(version).await };
             let settled = near.is_some();
-            let known = self.state.staged(version).and_then(|staged| staged.manifest);
-            let known = match (known, near) {
-                (None, Some(address)) => {
-                    let told = self.peers.manifest(address, version).await;
-                    told.ok().map(Arc::new)
-                }
-                (known, _) => known,
-            };
-            if let Some(manifest) = known {
+            if let Some(manifest) = self.known_manifest(version, near).await {
                 return FoundManifest { manifest, settled };
             }
-            if let Some(origin) = self.state.origin() {
-                match OriginClient::new(origin.address).manifest(version).await {
-                    Ok(manifest) => {
-                        return FoundManifest { manifest: Arc::new(manifest), settled };
-                    }
-                    Err(error) => warn!("event=no_manifest reason=\"{error}\""),
+            if age.is_none_or(|age| age > SPREAD_TIME) || self.reads_manifest_first(version) {
+                if let Some(manifest) = self.origin_manifest(version).await {
+                    return FoundManifest { manifest: Arc::new(manifest), settled };
                 }
             }
-            if let Some(manifest) = self.ask_anyone(version).await {
-                return FoundManifest { manifest: Arc::new(manifest), settled };
+            for address in self.manifest_sources(version) {
+                if let Ok(manifest) = self.peers.manifest(address, version).await {
+                    return FoundManifest { manifest: Arc::new(manifest), settled };
+                }
             }
             actix_rt::time::sleep(MANIFEST_PAUSE).await;
         }
     }
 
+    async fn known_manifest(
+        &self,
+        version: &LoadedModel,
+        near: Option<SocketAddr>,
+    ) -> Option<Arc<VersionManifest>> {
+        let staged = self.state.staged(version).and_then(|staged| staged.manifest);
+        match (staged, near) {
+            (None, Some(address)) => self.peers.manifest(address, version).await.ok().map(Arc::new),
+            (staged, _) => staged,
+        }
+    }
+
+    async fn origin_manifest(&self, version: &LoadedModel) -> Option<VersionManifest> {
+        let origin = self.state.origin()?;
+        match OriginClient::new(origin.address).manifest(version).await {
+            Ok(manifest) => Some(manifest),
+            Err(error) => {
+                warn!("event=no_manifest reason=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    /// Whether no other agent is to read the manifest before this one.
+    fn reads_manifest_first(&self, version: &LoadedModel) -> bool {
+        self.manifest_sources(version).is_empty()
+    }
+
+    /// The agents that are asked for a manifest before the origin, in order.
+    fn manifest_sources(&self, version: &LoadedModel) -> Vec<SocketAddr> {
+        let name = format!("{}/{}", version.model, version.version);
+        let digest = VersionDigest::from_bytes(*blake3::hash(name.as_bytes()).as_bytes());
+        let agents = self.state.agents();
+        let hosts: Vec<PlanHost> = agents.iter().map(place_of).collect();
+        let own = place_of(&PresenceRecord::of(&self.state.settings));
+        let sources = SpreadPlan::manifest_sources(&digest, &own, &hosts, &self.store_region());
+        let address = |host: &HostName| agents.iter().find(|agent| agent.host == *host);
+        sources.iter().filter_map(|host| Some(address(host)?.address)).collect()
+    }
+
+    fn store_region(&self) -> RegionName {
+        let settings = &self.state.settings;
+        let origin = self.state.origin().map(|origin| settings.region_of(&origin.site));
+        origin.unwrap_or_else(|| settings.region())
+    }
+
     /// An agent of the own region that holds the whole version.
     async fn ask_near(&self, version: &LoadedModel) -> Option<SocketAddr> {
         let region = self.state.settings.region();
@@ -161,15 +201,6 @@
         None
     }
 
-    async fn ask_anyone(&self, version: &LoadedModel) -> Option<VersionManifest> {
-        for agent in self.others(|_| true) {
-            if let Ok(manifest) = self.peers.manifest(agent.address, version).await {
-                return Some(manifest);
-            }
-        }
-        None
-    }
-
     fn others(&self, fits: impl Fn(&PresenceRecord) -> bool) -> Vec<PresenceRecord> {
         let own = &self.state.settings.host;
         let mut others = self.state.agents();
@@ -183,14 +214,8 @@
         let region = self.state.settings.region();
         let agents = self.state.agents();
         let near = |agent: &&PresenceRecord| !settled || agent.region == region;
-        let place = |agent: &PresenceRecord| PlanHost {
-            name: agent.host.clone(),
-            region: agent.region.clone(),
-        };
-        let hosts: Vec<PlanHost> = agents.iter().filter(near).map(place).collect();
-        let store_region =
-            self.state.origin().map(|origin| self.state.settings.region_of(&origin.site));
-        let plan = SpreadPlan::new(manifest, hosts, &store_region.unwrap_or(region));
+        let hosts: Vec<PlanHost> = agents.iter().filter(near).map(place_of).collect();
+        let plan = SpreadPlan::new(manifest, hosts, &self.store_region());
         Arc::new(plan.crossing(CrossingMode::Homes))
     }
 
@@ -404,6 +429,10 @@
     }
 }
 
+fn place_of(agent: &PresenceRecord) -> PlanHost {
+    PlanHost { name: agent.host.clone(), region: agent.region.clone() }
+}
+
 fn failure_of(error: EngineError) -> FetchFailure {
     match error {
         EngineError::NoAnswer(_) => FetchFailure::Unreachable,
