--- a/src/direct.rs
+++ b/src/direct.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod entry;
+mod facts;
 mod follow;
 mod loads;
 pub mod metrics;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -43,11 +43,6 @@
     let engine = EngineClient::new(own.engine);
     let state = AgentState::new(settings.clone(), own, engine, metrics);
     peers::start_peer_service(listener, state.clone())?;
-    // What an agent needs of the configuration stays the same while it runs; following all of it
-    // would bring every change to every agent over the links between regions.
-    let configured = state.clone();
-    let config = follow::read_once(store.clone(), keys::CONFIG);
-    actix_rt::spawn(async move { configured.take_item(&config.await) });
     let operator = state.clone();
     actix_rt::spawn(follow::follow(
         store.clone(),
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -1,6 +1,7 @@
 //! What an agent believes: what is wanted, who the other agents are, and what its engine holds.
 
 use crate::clock;
+use crate::direct::facts::{self, FleetFacts};
 use crate::direct::follow::FollowEvent;
 use crate::direct::loads::{LoadMessage, send_loads};
 use crate::direct::metrics::DirectAgentMetrics;
@@ -8,11 +9,11 @@
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
-    DeclaredVersion, DeclaredVersions, EngineShape, LoadedModel, OriginShape, ServingConfig,
+    DeclaredVersion, DeclaredVersions, EngineShape, LoadedModel, OriginShape,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
-use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, keys, serving};
+use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -58,7 +59,7 @@
     pub wanted_changed: Notify,
     /// Told when the other agents changed.
     pub agents_changed: Notify,
-    config: RefCell<Option<Rc<ServingConfig>>>,
+    facts: RefCell<Option<FleetFacts>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
@@ -87,7 +88,7 @@
             engine,
             wanted_changed: Notify::new(),
             agents_changed: Notify::new(),
-            config: RefCell::default(),
+            facts: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
             staged: RefCell::default(),
@@ -136,30 +137,20 @@
         }
     }
 
-    /// Takes in an item that the operator wrote.
-    pub fn take_item(&self, item: &StoreItem) {
-        if &*item.key == keys::CONFIG {
-            match serving::read_config(&item.value) {
-                Ok(config) => self.set_config(config),
-                Err(error) => {
-                    warn!("event=bad_config revision={} reason=\"{error}\"", item.revision)
-                }
-            }
-        } else if item.key.starts_with(keys::VERSIONS) {
-            match serving::read_version(&item.value) {
-                Ok(version) => self.declare(version),
-                Err(error) => warn!("event=bad_version key={} reason=\"{error}\"", item.key),
-            }
+    fn take_item(&self, item: &StoreItem) {
+        match serving::read_version(&item.value) {
+            Ok(version) => self.declare(version),
+            Err(error) => warn!("event=bad_version key={} reason=\"{error}\"", item.key),
         }
     }
 
-    fn set_config(&self, config: ServingConfig) {
-        let mut known = self.config.borrow_mut();
-        if known.as_ref().is_some_and(|known| known.generation >= config.generation) {
+    fn set_facts(&self, facts: FleetFacts) {
+        let mut known = self.facts.borrow_mut();
+        if known.as_ref().is_some_and(|known| known.generation >= facts.generation) {
             return;
         }
-        info!("event=config generation={}", config.generation);
-        *known = Some(Rc::new(config));
+        info!("event=config generation={}", facts.generation);
+        *known = Some(facts);
         self.wanted_changed.notify_one();
     }
 
@@ -205,6 +196,10 @@
     }
 
     fn put_process(&self, item: StoreItem) {
+        if &*item.key == facts::KEY {
+            FleetFacts::read(&item.value).into_iter().for_each(|facts| self.set_facts(facts));
+            return;
+        }
         let Some(record) = PresenceRecord::read(&item.key, &item.value) else {
             return;
         };
@@ -232,13 +227,12 @@
 
     /// The engines of the agent's service, if the configuration names them.
     pub fn engine_shape(&self) -> Option<EngineShape> {
-        let config = self.config.borrow();
-        config.as_ref()?.service(&self.own.service)?.engine.clone()
+        self.facts.borrow().as_ref()?.engines_of(&self.own.service)
     }
 
     /// The origin of weights.
     pub fn origin(&self) -> Option<OriginShape> {
-        self.config.borrow().as_ref()?.origin().cloned()
+        self.facts.borrow().as_ref()?.origin()
     }
 
     /// What the engine is to hold.
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -2,6 +2,7 @@
 
 use super::pool::TargetPool;
 use crate::clock;
+use crate::direct::facts::{self, FleetFacts};
 use crate::direct::follow::FollowEvent;
 use crate::direct::loads::LoadMessage;
 use crate::direct::metrics::DirectEntryMetrics;
@@ -13,7 +14,7 @@
     PlaceTicket, RetryBudget, RouteTable, TargetCatalog, UsualPatience,
 };
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
+use buckthornwharf_platform::{StoreChange, StoreClient, StoreItem, keys, registry, serving};
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -43,6 +44,7 @@
     started: MonoTime,
     leaving: watch::Receiver<bool>,
     settings: DirectSettings,
+    store: StoreClient,
     bounds: RefCell<BoundSettings>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     catalog: RefCell<TargetCatalog>,
@@ -71,6 +73,7 @@
             started: clock::now(),
             leaving,
             bounds: RefCell::new(settings.bounds.clone()),
+            store: StoreClient::new(settings.store),
             settings,
             routes: RefCell::default(),
             catalog: RefCell::default(),
@@ -185,6 +188,7 @@
         }
         drop(places);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
+        actix_rt::spawn(facts::publish(self.store.clone(), FleetFacts::of(&config)));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
     }
 
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -64,17 +64,6 @@
     }
 }
 
-/// Reads the item with `key`, however often it takes.
-pub async fn read_once(store: StoreClient, key: &'static str) -> StoreItem {
-    let mut link = StoreLink { prefix: key, pace: WatchPace::new(Freshness::TIMELY) };
-    loop {
-        match store.item(key).await {
-            Ok(item) => return item,
-            Err(error) => link.failed(&error).await,
-        }
-    }
-}
-
 /// The pace of a follower, with log lines where the store is lost and comes back.
 struct StoreLink {
     prefix: &'static str,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -148,6 +148,22 @@
     fleet.until_status("/back/x", "secret", 200).await;
 }
 
+/// A store that is asked often while it is lost must not send the configuration each time.
+#[actix_rt::test]
+async fn a_look_whether_the_store_is_there_brings_next_to_nothing() {
+    const FEW_BYTES: usize = 400;
+    let fleet = DirectFleet::start(1).await;
+    eventually("agents are told what they need", || fleet.store.holds("buckthornwharf/facts"))
+        .await;
+    fleet.store.silent.set(true);
+    fleet.rest().await;
+    fleet.store.silent.set(false);
+    fleet.put_config(2, "/moved/", "other");
+    fleet.until_status("/moved/x", "other", 200).await;
+    let largest = fleet.store.largest_item.get();
+    assert!(largest < FEW_BYTES, "{largest} bytes");
+}
+
 #[actix_rt::test]
 async fn a_target_that_leaves_gets_nothing_more() {
     let fleet = DirectFleet::start(2).await;
