--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -40,7 +40,7 @@
 /// Pieces that are fetched from other agents at the same time, and from the origin. The engine's
 /// requests come by the same link, so that only few pieces may stand before them.
 const PEER_FETCHES: usize = 3;
-const ORIGIN_FETCHES: usize = 1;
+const ORIGIN_FETCHES: usize = 2;
 /// Time for which the origin is left alone while agents of the own region hold the version.
 const SETTLED_ORIGIN_DELAY: Duration = Duration::from_secs(3);
 
