--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -37,6 +37,14 @@
     pub max_answer_bytes: usize,
 }
 
+impl OutboundCall {
+    /// A call without a body that reads `target`.
+    pub fn get(target: String, deadline: Duration, max_answer_bytes: usize) -> Self {
+        let (method, body, content_type) = (Method::GET, Bytes::new(), "");
+        Self { method, target, body, content_type, deadline, max_answer_bytes }
+    }
+}
+
 /// The answer to a call.
 #[derive(Debug, Clone)]
 pub struct CallAnswer {
--- /dev/null
+++ b/src/direct/agent/fetcher/run.rs
@@ -0,0 +1,225 @@
+//! One fetch of a version: the machine that decides, and the tasks that carry out what it does.
+
+use super::PieceFetcher;
+use crate::clock;
+use actix_rt::task::JoinHandle;
+use buckthornwharf_core::direct::LoadedModel;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
+use buckthornwharf_core::weights::{
+    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchMachine, VersionManifest,
+};
+use buckthornwharf_platform::OriginClient;
+use buckthornwharf_platform::engine::EngineError;
+use bytes::Bytes;
+use log::warn;
+use rand::RngExt;
+use std::net::SocketAddr;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// A fetch machine with the tasks that carry out its actions; they end with it.
+pub(super) struct FetchRun<'a> {
+    fetcher: &'a PieceFetcher,
+    version: LoadedModel,
+    manifest: Arc<VersionManifest>,
+    settled: bool,
+    machine: FetchMachine,
+    sender: UnboundedSender<FetchEvent>,
+    events: UnboundedReceiver<FetchEvent>,
+    tasks: SortedTable<FetchTicket, JoinHandle<()>>,
+    poll: Option<JoinHandle<()>>,
+    pub started: MonoTime,
+}
+
+impl<'a> FetchRun<'a> {
+    /// A run that holds `held` already.
+    pub fn new(
+        fetcher: &'a PieceFetcher,
+        version: &LoadedModel,
+        manifest: Arc<VersionManifest>,
+        held: ChunkSet,
+        settled: bool,
+    ) -> Self {
+        let (sender, events) = unbounded_channel();
+        let started = clock::now();
+        let machine = FetchMachine::new(
+            started,
+            manifest.clone(),
+            fetcher.plan(&manifest, settled),
+            fetcher.state.settings.host.clone(),
+            fetcher.limits(settled),
+            held,
+            rand::rng().random(),
+        );
+        Self {
+            fetcher,
+            version: version.clone(),
+            manifest,
+            settled,
+            machine,
+            sender,
+            events,
+            tasks: SortedTable::new(),
+            poll: None,
+            started,
+        }
+    }
+
+    /// Fetches until all pieces are staged.
+    pub async fn finish(&mut self) {
+        let mut event = FetchEvent::Tick;
+        loop {
+            let actions = self.machine.on_event(clock::now(), event);
+            for action in actions {
+                if self.carry_out(action).await {
+                    return;
+                }
+            }
+            event = self.next_event().await;
+        }
+    }
+
+    async fn next_event(&mut self) -> FetchEvent {
+        let wake = self.machine.next_wake();
+        let pause = wake.map_or(Duration::ZERO, |wake| wake.since(clock::now()));
+        let state = &self.fetcher.state;
+        tokio::select! {
+            Some(event) = self.events.recv() => event,
+            () = state.agents_changed.notified() => {
+                FetchEvent::Replanned(self.fetcher.plan(&self.manifest, self.settled))
+            }
+            () = actix_rt::time::sleep(pause) => FetchEvent::Tick,
+        }
+    }
+
+    /// Carries out an action; whether all pieces are staged.
+    async fn carry_out(&mut self, action: FetchAction) -> bool {
+        match action {
+            FetchAction::Fetch(order) => self.fetch(order),
+            FetchAction::Cancel(ticket) => {
+                if let Some(task) = self.tasks.remove(&ticket) {
+                    task.abort();
+                }
+            }
+            FetchAction::Poll(peer) => self.poll(peer),
+            FetchAction::Keep(piece, bytes) => self.keep(piece, bytes).await,
+            FetchAction::Corrupt(source, piece) => {
+                warn!("event=corrupt_piece source={source:?} piece={piece}");
+                self.count(&source, "corrupt");
+            }
+            FetchAction::Complete => return true,
+        }
+        false
+    }
+
+    fn count(&self, source: &ChunkSource, verdict: &str) {
+        let source = match source {
+            ChunkSource::Origin => "origin",
+            ChunkSource::Peer(_) => "peer",
+        };
+        self.fetcher.state.metrics.pieces.with_label_values(&[source, verdict]).inc();
+    }
+
+    async fn keep(&self, piece: usize, bytes: Bytes) {
+        let state = &self.fetcher.state;
+        let staged = state.engine.stage(&self.version.model, piece, bytes).await;
+        match staged {
+            Ok(()) => state.add_staged(&self.version, piece),
+            // The check before the load finds the gap.
+            Err(error) => warn!("event=not_staged piece={piece} reason=\"{error}\""),
+        }
+    }
+
+    fn fetch(&mut self, order: FetchOrder) {
+        self.tasks.retain(|_, task| !task.is_finished());
+        self.count(&order.source, "asked");
+        let ticket = order.ticket;
+        let source = match &order.source {
+            ChunkSource::Origin => self.fetcher.state.origin().map(|origin| origin.address),
+            ChunkSource::Peer(host) => self.address_of(host),
+        };
+        let Some(address) = source else {
+            // The machine is told by an event, as of any other failure.
+            let _ = self.sender.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
+            return;
+        };
+        let peers = self.fetcher.peers.clone();
+        let version = self.version.clone();
+        let most_bytes = self.manifest.chunk_len(order.chunk) as usize;
+        let sender = self.sender.clone();
+        let host = match order.source {
+            ChunkSource::Origin => None,
+            ChunkSource::Peer(host) => Some(host),
+        };
+        let task = actix_rt::spawn(async move {
+            let piece = order.chunk;
+            let fetched = match host {
+                None => {
+                    let origin = OriginClient::new(address);
+                    origin.piece(&version, piece, most_bytes).await.map_err(failure_of)
+                }
+                Some(host) => {
+                    let answer = peers.piece(address, &version, piece, most_bytes).await;
+                    answer.map(|answer| {
+                        if let Some(held) = answer.held {
+                            // The run may have ended meanwhile, here and below.
+                            let _ = sender.send(FetchEvent::HeldBy(host, held.chunks()));
+                        }
+                        answer.bytes
+                    })
+                }
+            };
+            let event = match fetched {
+                Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
+                Err(failure) => FetchEvent::Failed(ticket, failure),
+            };
+            let _ = sender.send(event);
+        });
+        self.tasks.insert(ticket, task);
+    }
+
+    fn poll(&mut self, peer: HostName) {
+        let Some(address) = self.address_of(&peer) else {
+            let _ = self.sender.send(FetchEvent::PollFailed(peer));
+            return;
+        };
+        let peers = self.fetcher.peers.clone();
+        let version = self.version.clone();
+        let count = self.manifest.chunks.len();
+        let sender = self.sender.clone();
+        let task = actix_rt::spawn(async move {
+            let event = match peers.held(address, &version).await {
+                Ok(answer) => FetchEvent::HeldBy(peer, ChunkSet::from_bytes(&answer.held, count)),
+                Err(FetchFailure::NotHere) => FetchEvent::HeldBy(peer, ChunkSet::new(count)),
+                Err(_) => FetchEvent::PollFailed(peer),
+            };
+            let _ = sender.send(event);
+        });
+        if let Some(before) = self.poll.replace(task) {
+            before.abort();
+        }
+    }
+
+    fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let agents = self.fetcher.state.agents();
+        agents.iter().find(|agent| agent.host == *host).map(|agent| agent.address)
+    }
+}
+
+impl Drop for FetchRun<'_> {
+    fn drop(&mut self) {
+        self.tasks.values().for_each(JoinHandle::abort);
+        if let Some(poll) = &self.poll {
+            poll.abort();
+        }
+    }
+}
+
+fn failure_of(error: EngineError) -> FetchFailure {
+    match error {
+        EngineError::NoAnswer(_) => FetchFailure::Unreachable,
+        EngineError::Refused(status) if status.as_u16() == 503 => FetchFailure::Busy,
+        EngineError::Refused(_) => FetchFailure::NotHere,
+        EngineError::Unreadable(_) => FetchFailure::Cut,
+    }
+}
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -132,14 +132,7 @@
     ) -> Result<CallAnswer, FetchFailure> {
         let make = || CallClient::new(address);
         let client = self.clients.borrow_mut().get_or_insert_with(address, make).clone();
-        let call = OutboundCall {
-            method: Method::GET,
-            target,
-            body: Bytes::new(),
-            content_type: "",
-            deadline,
-            max_answer_bytes,
-        };
+        let call = OutboundCall::get(target, deadline, max_answer_bytes);
         let answer = client.call(call).await.map_err(|error| match error {
             CallError::Unreached(_) | CallError::TimedOut => FetchFailure::Unreachable,
             _ => FetchFailure::Cut,
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a process that dispatches directly.
 
-use anyhow::{Context, Result, anyhow, bail};
+use crate::settings::{parse_yaml, read_file};
+use anyhow::{Result, bail};
 use buckthornwharf_core::prelude::*;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
@@ -105,9 +106,7 @@
     ///
     /// Names the file, and the line and field where something is wrong with its content.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("can't read settings {}", path.display()))?;
-        Self::parse(&text).with_context(|| format!("bad settings in {}", path.display()))
+        read_file(path, Self::parse)
     }
 
     /// Parses and checks settings.
@@ -116,8 +115,7 @@
     ///
     /// Names the line and field where something is wrong.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self =
-            serde_saphyr::from_str(text).map_err(|error| anyhow!("{}", error.without_snippet()))?;
+        let settings: Self = parse_yaml(text)?;
         if settings.entry.is_some() == settings.agent.is_some() {
             bail!("exactly one of `entry` and `agent` must be given");
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,7 @@
 use anyhow::{Context, Result, anyhow, bail};
 use buckthornwharf_core::prelude::*;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -122,9 +123,7 @@
     ///
     /// Names the file, and the line and field where something is wrong with its content.
     pub fn read(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("can't read settings {}", path.display()))?;
-        Self::parse(&text).with_context(|| format!("bad settings in {}", path.display()))
+        read_file(path, Self::parse)
     }
 
     /// Parses and checks settings.
@@ -133,12 +132,30 @@
     ///
     /// Names the line and field where something is wrong.
     pub fn parse(text: &str) -> Result<Self> {
-        // Without the excerpt of the text, which may hold the secret.
-        let settings: Self =
-            serde_saphyr::from_str(text).map_err(|error| anyhow!("{}", error.without_snippet()))?;
+        let settings: Self = parse_yaml(text)?;
         if settings.entry.is_some() == settings.agent.is_some() {
             bail!("exactly one of `entry` and `agent` must be given");
         }
         Ok(settings)
     }
 }
+
+/// Reads the settings in `path` by `parse`.
+///
+/// # Errors
+///
+/// Names the file with what `parse` found wrong in it.
+pub fn read_file<T>(path: &Path, parse: impl Fn(&str) -> Result<T>) -> Result<T> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("can't read settings {}", path.display()))?;
+    parse(&text).with_context(|| format!("bad settings in {}", path.display()))
+}
+
+/// Parses settings.
+///
+/// # Errors
+///
+/// Names the line and field, without an excerpt of the text, which may hold a secret.
+pub fn parse_yaml<T: DeserializeOwned>(text: &str) -> Result<T> {
+    serde_saphyr::from_str(text).map_err(|error| anyhow!("{}", error.without_snippet()))
+}
