Give a place back whole where its caller leaves in the moment that it gets it

Found by reading: a caller that left as its place was handed over kept the place, and the prompt that counted as unread with it, for good.

--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -55,8 +55,8 @@
 pub struct PlaceGrant {
     /// The target.
     pub target: Arc<TargetRecord>,
-    /// Requests of this entry that the target works on, this one included.
-    pub own: u32,
+    /// Tokens of the request's prompt, which the target has yet to read.
+    pub prompt_tokens: u32,
 }
 
 /// What becomes of a request that wants a place.
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Gives a place back that was not used.
+    pub fn give_back(&mut self, now: MonoTime, grant: &PlaceGrant) {
+        self.prompt_read(&grant.target.id, grant.prompt_tokens);
+        if let Some(load) = self.targets.get_mut(&grant.target.id) {
+            load.release(now, PlaceOutcome::Answered);
+        }
+    }
+
     /// Takes a waiting request out of the queue.
     pub fn cancel(&mut self, ticket: PlaceTicket) {
         for queue in self.queues.values_mut() {
@@ -268,7 +276,7 @@
         let id = best.record.id.clone();
         let load = self.targets.get_mut(&id)?;
         load.take(request.prompt_tokens);
-        Some(PlaceGrant { target: load.record.clone(), own: load.own })
+        Some(PlaceGrant { target: load.record.clone(), prompt_tokens: request.prompt_tokens })
     }
 
     /// Places at the targets of `service` that this entry counts on.
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -191,3 +191,22 @@
     book.prompt_read("a", 1300);
     assert_eq!(book.grants(at(50)).len(), 1);
 }
+
+/// A caller may leave in the moment in which it gets its place.
+#[test]
+fn a_place_that_was_not_used_is_free_again_whole() {
+    let mut book = book(&[target("a", "here", 1)]);
+    book.set_reading_rate(&"llm".into(), 30_000);
+    let prompt = || PlaceRequest { prompt_tokens: 1300, ..request(false) };
+    for _ in 0..3 * SLOTS {
+        let Admission::Place(first) = book.request(at(0), prompt()) else {
+            panic!("there is room")
+        };
+        let Admission::Place(second) = book.request(at(0), prompt()) else {
+            panic!("there is room for a second prompt")
+        };
+        book.give_back(at(0), &first);
+        book.give_back(at(0), &second);
+    }
+    assert_eq!(book.in_flight(), 0);
+}
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -152,6 +152,15 @@
     TimedOut,
 }
 
+impl From<QueueTurn> for PlaceResult {
+    fn from(turn: QueueTurn) -> Self {
+        match turn {
+            QueueTurn::Place(grant) => PlaceResult::Place(grant),
+            QueueTurn::Refused(after) => PlaceResult::Refused(after),
+        }
+    }
+}
+
 impl RequestRun<'_> {
     async fn finish(mut self, caller: &mut InboundConnection) -> ConnectionFate {
         loop {
@@ -262,21 +271,22 @@
             prompt_tokens: request.tags.tokens.0,
             model: request.tags.model.clone(),
         };
-        let (ticket, turn) = match self.state.request_place(now, wanted) {
-            Ok(QueueTurn::Place(grant)) => return PlaceResult::Place(grant),
-            Ok(QueueTurn::Refused(after)) => return PlaceResult::Refused(after),
+        let (ticket, mut turn) = match self.state.request_place(now, wanted) {
+            Ok(turn) => return turn.into(),
             Err(waiting) => waiting,
         };
-        let result = tokio::select! {
-            turn = turn => match turn {
-                Ok(QueueTurn::Place(grant)) => return PlaceResult::Place(grant),
-                Ok(QueueTurn::Refused(after)) => return PlaceResult::Refused(after),
-                Err(_) => PlaceResult::TimedOut,
-            },
-            () = caller.closed() => PlaceResult::CallerLeft,
-        };
-        self.state.cancel_place(ticket);
-        result
+        tokio::select! {
+            biased;
+            turn = &mut turn => turn.map_or(PlaceResult::TimedOut, PlaceResult::from),
+            () = caller.closed() => {
+                self.state.cancel_place(ticket);
+                // A place may have been given at the same moment; nobody else would give it back.
+                if let Ok(QueueTurn::Place(grant)) = turn.try_recv() {
+                    self.state.give_back_place(&grant);
+                }
+                PlaceResult::CallerLeft
+            }
+        }
     }
 
     /// Ends a request that has not run, or a stream that cannot go on.
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -54,6 +54,12 @@
         self.serve_queue();
     }
 
+    /// Gives a place back that was not used.
+    pub fn give_back_place(&self, grant: &PlaceGrant) {
+        self.places.borrow_mut().give_back(clock::now(), grant);
+        self.serve_queue();
+    }
+
     /// Gives a place back.
     pub fn release_place(&self, id: &str, outcome: PlaceOutcome) {
         self.places.borrow_mut().release(clock::now(), id, outcome);
@@ -73,10 +79,10 @@
         let mut waiters = self.waiters.borrow_mut();
         let mut unheard = Vec::new();
         for (ticket, grant) in granted {
-            let id = grant.target.id.clone();
-            let heard = waiters.remove(&ticket).map(|sender| sender.send(QueueTurn::Place(grant)));
-            if !matches!(heard, Some(Ok(()))) {
-                unheard.push(id);
+            let turn = QueueTurn::Place(grant.clone());
+            let heard = waiters.remove(&ticket).is_some_and(|sender| sender.send(turn).is_ok());
+            if !heard {
+                unheard.push(grant);
             }
         }
         for (ticket, after) in expired {
@@ -87,8 +93,8 @@
         }
         self.metrics.waiting.set(waiters.len() as i64);
         drop(waiters);
-        for id in unheard {
-            self.places.borrow_mut().release(now, &id, PlaceOutcome::Answered);
+        for grant in unheard {
+            self.places.borrow_mut().give_back(now, &grant);
         }
     }
 
