--- a/benches/burst/links.rs
+++ b/benches/burst/links.rs
@@ -3,7 +3,7 @@
 use super::{FleetModel, STEP};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fetch::FetchTicket;
-use buckthornwharf_core::weights::{FetchEvent, FetchFailure};
+use buckthornwharf_core::weights::{FetchEvent, FetchFailure, UploadTicket};
 
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -20,6 +20,8 @@
     Corrupt,
     /// It sends at this part of its rate.
     Slow(f64),
+    /// It sends and receives at this part of its rate.
+    Narrow(f64),
     /// It answers, but fetches nothing itself.
     Idle,
 }
@@ -32,50 +34,20 @@
     pub chunk: usize,
     pub left: f64,
     pub cap: f64,
+    pub place: UploadTicket,
     pub told: MonoTime,
 }
 
 impl FleetModel {
-    /// Flows on each link: from the origin, up and down each host's, and between regions.
+    /// Moves what is on its way by one step: the flows share the links fairly, and what one that is
+    /// held up elsewhere leaves of a link goes to the others.
     pub(super) fn move_flows(&mut self) {
-        let count = self.hosts.len();
-        let (mut origin, mut up, mut down) = (0.0, vec![0.0; count], vec![0.0; count]);
-        let mut pairs = vec![0.0; self.regions * self.regions];
-        let pair_of = |model: &Self, flow: &ModelFlow| {
-            let (from, to) = (model.region_at(flow.from), model.region_at(Some(flow.to)));
-            (from != to).then_some(from * model.regions + to)
-        };
-        for flow in &self.flows {
-            flow.from.map_or_else(|| origin += 1.0, |from| up[from] += 1.0);
-            down[flow.to] += 1.0;
-            if let Some(pair) = pair_of(self, flow) {
-                pairs[pair] += 1.0;
-            }
-        }
-        let limits = self.limits;
+        let rates = self.rates();
         let seconds = STEP.as_secs_f64();
         let mut flows = std::mem::take(&mut self.flows);
         let mut done = Vec::new();
-        for flow in &mut flows {
-            let from_alive = flow.from.is_none_or(|from| self.hosts[from].alive);
-            let cut = !self.is_reachable(flow.to, flow.from);
-            let factor = match self.faults.get(&flow.from) {
-                Some(SourceFault::Down | SourceFault::Stall) => 0.0,
-                Some(SourceFault::Slow(part)) => *part,
-                _ => 1.0,
-            };
-            if !from_alive || cut {
-                continue;
-            }
-            let source = match flow.from {
-                None => limits.origin_bytes_per_second as f64 / origin,
-                Some(from) => limits.host_bytes_per_second as f64 / up[from],
-            };
-            let sink = limits.host_bytes_per_second as f64 / down[flow.to];
-            let between = pair_of(self, flow).map(|pair| pairs[pair]);
-            let between = between
-                .map_or(f64::INFINITY, |flows| limits.region_pair_bytes_per_second as f64 / flows);
-            let moved = source.min(sink).min(between).min(flow.cap) * seconds * factor;
+        for (flow, rate) in flows.iter_mut().zip(rates) {
+            let moved = rate * seconds;
             flow.left -= moved;
             match flow.from {
                 None => self.origin_units += moved,
@@ -83,7 +55,7 @@
             }
             if flow.left <= 0.0 {
                 done.push((flow.to, flow.ticket));
-            } else if factor > 0.0 && self.now.since(flow.told) >= PROGRESS_INTERVAL {
+            } else if rate > 0.0 && self.now.since(flow.told) >= PROGRESS_INTERVAL {
                 flow.told = self.now;
                 let bytes = (self.manifest.chunk_len(flow.chunk) as f64 - flow.left) as u64;
                 self.mail.push((self.now, flow.to, FetchEvent::Progress(flow.ticket, bytes)));
@@ -95,6 +67,69 @@
         }
     }
 
+    /// Units a second of each flow.
+    fn rates(&self) -> Vec<f64> {
+        let mut links = self.links();
+        let uses: Vec<Vec<usize>> = self.flows.iter().map(|flow| self.links_of(flow)).collect();
+        let mut rates = vec![0.0; self.flows.len()];
+        let moves = |flow: &ModelFlow| {
+            let from_alive = flow.from.is_none_or(|from| self.hosts[from].alive);
+            from_alive && self.is_reachable(flow.to, flow.from)
+        };
+        let mut open: Vec<usize> =
+            (0..rates.len()).filter(|flow| moves(&self.flows[*flow])).collect();
+        while !open.is_empty() {
+            let mut users = vec![0_u32; links.len()];
+            open.iter().flat_map(|flow| &uses[*flow]).for_each(|link| users[*link] += 1);
+            let share = |link: usize| links[link] / f64::from(users[link].max(1));
+            let fair = |flow: usize| {
+                let cap = self.flows[flow].cap;
+                uses[flow].iter().map(|link| share(*link)).fold(cap, f64::min)
+            };
+            let least = open.iter().map(|flow| fair(*flow)).fold(f64::INFINITY, f64::min);
+            let (settled, rest): (Vec<usize>, Vec<usize>) =
+                open.iter().partition(|flow| fair(**flow) <= least * (1.0 + 1e-9));
+            for flow in settled {
+                rates[flow] = least;
+                uses[flow].iter().for_each(|link| links[*link] = (links[*link] - least).max(0.0));
+            }
+            open = rest;
+        }
+        rates
+    }
+
+    /// Units a second of each link: the origin's, up and down each host's, and between regions.
+    fn links(&self) -> Vec<f64> {
+        let limits = self.limits;
+        let sends = |source: Option<usize>| match self.faults.get(&source) {
+            Some(SourceFault::Down | SourceFault::Stall) => 0.0,
+            Some(SourceFault::Slow(part) | SourceFault::Narrow(part)) => *part,
+            _ => 1.0,
+        };
+        let takes = |host: usize| match self.faults.get(&Some(host)) {
+            Some(SourceFault::Narrow(part)) => *part,
+            _ => 1.0,
+        };
+        let host_rate = limits.host_bytes_per_second as f64;
+        let mut links = vec![limits.origin_bytes_per_second as f64 * sends(None)];
+        links.extend((0..self.hosts.len()).map(|host| host_rate * sends(Some(host))));
+        links.extend((0..self.hosts.len()).map(|host| host_rate * takes(host)));
+        let pair = limits.region_pair_bytes_per_second as f64;
+        links.resize(links.len() + self.regions * self.regions, pair);
+        links
+    }
+
+    /// The links that a flow uses, as places in [`FleetModel::links`].
+    fn links_of(&self, flow: &ModelFlow) -> Vec<usize> {
+        let count = self.hosts.len();
+        let mut used = vec![flow.from.map_or(0, |from| 1 + from), 1 + count + flow.to];
+        let (from, to) = (self.region_at(flow.from), self.region_at(Some(flow.to)));
+        if from != to {
+            used.push(1 + 2 * count + from * self.regions + to);
+        }
+        used
+    }
+
     fn arrive(&mut self, host: usize, ticket: FetchTicket) {
         let ours = |flow: &ModelFlow| flow.to == host && flow.ticket == ticket;
         let Some(at) = self.flows.iter().position(ours) else {
@@ -110,6 +145,10 @@
             Some(SourceFault::Corrupt) => FetchEvent::Arrived(ticket, vec![0; end - start].into()),
             _ => FetchEvent::Arrived(ticket, self.content.slice(start..end)),
         };
+        if let Some(from) = flow.from.filter(|_| self.spread.tells_held) {
+            let held = self.hosts[from].machine.held().clone();
+            self.feed(host, FetchEvent::HeldBy(self.hosts[from].place.name.clone(), held));
+        }
         self.feed(host, event);
     }
 }
--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -8,8 +8,9 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
 use buckthornwharf_core::weights::{
-    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine,
-    PlanHost, SpreadPlan, UploadClass, UploadLimiter, VersionManifest,
+    ChunkSet, ChunkSource, CrossingMode, FetchAction, FetchEvent, FetchFailure, FetchLimits,
+    FetchMachine, PlanHost, SpreadPlan, UploadClass, UploadLimiter, UploadPlaces, UploadTicket,
+    VersionManifest,
 };
 use bytes::Bytes;
 use links::ModelFlow;
@@ -43,10 +44,23 @@
     /// Bytes of the control messages sent.
     pub control_bytes: u64,
     uploads: UploadLimiter,
+    places: UploadPlaces,
     region: usize,
     wake: MonoTime,
 }
 
+/// How chunks go from host to host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ModelSpread {
+    /// Which hosts bring chunks from other regions.
+    pub crossing: CrossingMode,
+    /// Time for which an upload holds one of a host's few places; the limiter for versions that take
+    /// minutes decides if none.
+    pub slow_upload: Option<Duration>,
+    /// Whether a host tells what it holds with each chunk that it sends.
+    pub tells_held: bool,
+}
+
 /// The hosts, the flows between them and the messages on their way.
 pub struct FleetModel {
     /// The hosts, in the order of their names.
@@ -60,6 +74,7 @@
     manifest: Arc<VersionManifest>,
     content: Bytes,
     limits: FetchLimits,
+    spread: ModelSpread,
     store_region: RegionName,
     store: usize,
     regions: usize,
@@ -76,11 +91,23 @@
         chunks: usize,
         chunk_len: usize,
         limits: FetchLimits,
+    ) -> Self {
+        Self::with_spread(places, chunks, chunk_len, limits, ModelSpread::default())
+    }
+
+    /// The same with another way from host to host.
+    pub fn with_spread(
+        places: Vec<PlanHost>,
+        chunks: usize,
+        chunk_len: usize,
+        limits: FetchLimits,
+        spread: ModelSpread,
     ) -> Self {
         let content: Bytes = content_of(chunks * chunk_len).into();
         let manifest = Arc::new(VersionManifest::of_content(&content, chunk_len as u64));
         let store_region = places[0].region.clone();
-        let plan = Arc::new(SpreadPlan::new(&manifest, places, &store_region));
+        let plan = SpreadPlan::new(&manifest, places, &store_region).crossing(spread.crossing);
+        let plan = Arc::new(plan);
         let host = |(index, place): (usize, &PlanHost)| ModelHost {
             place: place.clone(),
             machine: FetchMachine::new(
@@ -99,6 +126,7 @@
             messages: 0,
             control_bytes: 0,
             uploads: UploadLimiter::new(manifest.total_bytes),
+            places: spread.slow_upload.map(UploadPlaces::new).unwrap_or_default(),
             region: plan.region_of(index),
             wake: MonoTime::ZERO,
         };
@@ -111,6 +139,7 @@
             manifest,
             content,
             limits,
+            spread,
             store_region,
             store: plan.reader(),
             regions: plan.region_count(),
@@ -202,6 +231,7 @@
         if let Some(from) = flow.from {
             let moved = self.manifest.chunk_len(flow.chunk) as f64 - flow.left;
             self.hosts[from].uploads.end(moved as u64);
+            self.hosts[from].places.end(flow.place);
         }
     }
 
@@ -253,22 +283,23 @@
             self.post(CONNECT_TIMEOUT, host, event);
             return;
         }
+        let mut place = 0;
         if let Some(from) = from {
             let class = match self.hosts[from].region == self.hosts[host].region {
                 true => UploadClass::Region,
                 false => UploadClass::Crossing,
             };
-            let refused = if !self.hosts[from].machine.held().contains(order.chunk) {
-                Some(FetchFailure::NotHere)
-            } else if !self.hosts[from].uploads.start(class) {
-                Some(FetchFailure::Busy)
-            } else {
-                None
+            let taken = match self.hosts[from].machine.held().contains(order.chunk) {
+                true => self.upload_place(from, class).map_err(|()| FetchFailure::Busy),
+                false => Err(FetchFailure::NotHere),
             };
-            if let Some(failure) = refused {
-                self.count(from, ANSWER_BYTES);
-                self.post(STEP, host, FetchEvent::Failed(order.ticket, failure));
-                return;
+            match taken {
+                Ok(ticket) => place = ticket,
+                Err(failure) => {
+                    self.count(from, ANSWER_BYTES);
+                    self.post(STEP, host, FetchEvent::Failed(order.ticket, failure));
+                    return;
+                }
             }
         }
         self.flows.push(ModelFlow {
@@ -278,10 +309,20 @@
             chunk: order.chunk,
             left: self.manifest.chunk_len(order.chunk) as f64,
             cap: order.bytes_per_second.map_or(f64::INFINITY, |rate| rate as f64),
+            place,
             told: self.now,
         });
     }
 
+    /// A place for an upload of `from`, or whether there is none.
+    fn upload_place(&mut self, from: usize, class: UploadClass) -> Result<UploadTicket, ()> {
+        let host = &mut self.hosts[from];
+        match self.spread.slow_upload {
+            Some(_) => host.places.start(self.now, class).ok_or(()),
+            None => host.uploads.start(class).then_some(0).ok_or(()),
+        }
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let due: Vec<_> = self.mail.extract_if(.., |(due, ..)| *due <= now).collect();
@@ -296,7 +337,8 @@
         self.replan = None;
         let alive = self.hosts.iter().filter(|host| host.alive);
         let places = alive.map(|host| host.place.clone()).collect();
-        let plan = Arc::new(SpreadPlan::new(&self.manifest, places, &self.store_region));
+        let plan = SpreadPlan::new(&self.manifest, places, &self.store_region);
+        let plan = Arc::new(plan.crossing(self.spread.crossing));
         for host in 0..self.hosts.len() {
             if self.hosts[host].alive {
                 self.feed(host, FetchEvent::Replanned(plan.clone()));
--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -6,11 +6,17 @@
 /// the order, and those that it took before begin within this time.
 const ORDER_MARGIN: Duration = Duration::from_millis(700);
 
+/// Least time for the turns of hosts that wait for others to take theirs.
+const LEAST_SPAN: Duration = Duration::from_millis(1500);
+
 /// One host's part in a roll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RolloutTurn {
     /// When this host held the version whole.
     pub held_at: MonoTime,
+    /// From when on the versions before the one that its target has loaded must not be used; until
+    /// then, hosts whose targets have those take their turns.
+    pub before_due_at: Option<MonoTime>,
     /// From when on the version that its target has loaded must not be used.
     pub due_at: MonoTime,
     /// The host's place in the order of the hosts of its service.
@@ -21,14 +27,18 @@
 
 impl RolloutTurn {
     /// When the host orders its target to load the version. The hosts' turns are spread evenly over
-    /// the time that is left once the version is held.
+    /// the time that is left once the version is held, after those of hosts that are further behind.
     pub fn start_at(&self) -> MonoTime {
         let latest = self.due_at - ORDER_MARGIN;
-        if latest <= self.held_at {
+        let before = self.before_due_at.map(|before| before - ORDER_MARGIN);
+        let earliest = before
+            .filter(|before| latest.since(*before) >= LEAST_SPAN)
+            .map_or(self.held_at, |before| before.max(self.held_at));
+        if latest <= earliest {
             return self.held_at;
         }
-        let span = latest.since(self.held_at);
-        self.held_at + span * self.turn as u32 / self.hosts.max(1) as u32
+        let span = latest.since(earliest);
+        earliest + span * self.turn as u32 / self.hosts.max(1) as u32
     }
 }
 
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -41,6 +41,11 @@
         due.map(|declared| declared.version)
     }
 
+    /// The last declaration that a target with version `loaded` meets.
+    pub fn last_met(&self, loaded: u64) -> Option<DeclaredVersion> {
+        self.versions.iter().rev().find(|declared| declared.version <= loaded).copied()
+    }
+
     /// The first declaration that a target with version `loaded` does not meet.
     pub fn first_unmet(&self, loaded: u64) -> Option<DeclaredVersion> {
         self.versions.iter().find(|declared| declared.version > loaded).copied()
--- a/core/src/weights.rs
+++ b/core/src/weights.rs
@@ -14,4 +14,4 @@
 pub use fetch::{ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchMachine};
 pub use manifest::{HashKind, ManifestError, VersionManifest};
 pub use plan::{CrossingMode, PlanHost, SpreadPlan};
-pub use upload::{UploadClass, UploadLimiter};
+pub use upload::{UploadClass, UploadLimiter, UploadPlaces, UploadTicket};
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -27,6 +27,8 @@
 const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
 const LACKING_TIME: Duration = Duration::from_secs(5);
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
+/// Hosts of a region that hold a chunk before it counts as brought there.
+const SEEN_HOLDERS: usize = 1;
 const CORRUPT_LIMIT: u32 = 2;
 
 /// Fetches one version. Dropping it is the way to give up a superseded version.
@@ -42,6 +44,8 @@
     home_patience: Duration,
     held: ChunkSet,
     peers: PeerLedger,
+    /// By chunk: when the own region was first known to hold it.
+    seen: Vec<Option<MonoTime>>,
     lanes: LaneTable,
     flights: FlightTable,
     /// By chunk: until when the link that failed it last is not asked again.
@@ -73,6 +77,7 @@
             lanes: LaneTable::new(plan.region_count(), limits),
             flights: FlightTable::default(),
             retries: vec![(MonoTime::ZERO, None); count],
+            seen: (0..count).map(|chunk| held.contains(chunk).then_some(now)).collect(),
             manifest,
             plan,
             name,
@@ -174,10 +179,20 @@
             self.lanes.succeeded(region);
         }
         if self.held.insert(flight.chunk) {
+            self.seen[flight.chunk].get_or_insert(now);
+            self.cancel_chunk(flight.chunk, actions);
             actions.push(FetchAction::Keep(flight.chunk, bytes));
         }
     }
 
+    /// Breaks off what else was asked for a chunk that is held now.
+    fn cancel_chunk(&mut self, chunk: usize, actions: &mut Vec<FetchAction>) {
+        for flight in self.flights.take_chunk(chunk) {
+            self.landed(&flight);
+            actions.push(FetchAction::Cancel(flight.ticket));
+        }
+    }
+
     fn corrupt(&mut self, now: MonoTime, flight: &ChunkFlight, actions: &mut Vec<FetchAction>) {
         actions.push(FetchAction::Corrupt(flight.source.clone(), flight.chunk));
         self.flights.avoid(now, flight.chunk, &flight.source, now + CORRUPT_AVOID_TIME);
@@ -240,8 +255,27 @@
 
     fn held_by(&mut self, now: MonoTime, peer: &HostName, chunks: ChunkSet) {
         self.poll_ended(now, peer);
-        if let Some(index) = self.plan.index_of(peer) {
-            self.peers.told(now, index, chunks);
+        let Some(index) = self.plan.index_of(peer) else {
+            return;
+        };
+        let told = (0..chunks.len()).filter(|chunk| chunks.contains(*chunk));
+        let fresh: Vec<usize> = told.filter(|chunk| self.seen[*chunk].is_none()).collect();
+        self.peers.told(now, index, chunks);
+        for chunk in fresh {
+            self.look(now, chunk);
+        }
+    }
+
+    /// Notes a chunk as seen once hosts of the own region are known to hold it: two, since the only
+    /// one may be too slow to pass it on.
+    fn look(&mut self, now: MonoTime, chunk: usize) {
+        let Some(me) = self.me else {
+            return;
+        };
+        let members = self.plan.members(self.plan.region_of(me));
+        let holders = members.iter().filter(|host| self.peers.hosts[**host].known.contains(chunk));
+        if holders.take(SEEN_HOLDERS).count() >= SEEN_HOLDERS.min(members.len() - 1) {
+            self.seen[chunk] = Some(now);
         }
     }
 
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -3,10 +3,12 @@
 use super::flights::ChunkFlight;
 use super::{ChunkSource, FetchAction, FetchMachine, FetchOrder, POLL_INTERVAL, POLL_TIMEOUT};
 use crate::prelude::*;
-use crate::weights::plan::{HostIndex, RegionIndex, mix};
+use crate::weights::plan::{HostIndex, KEPT_RANKS, RegionIndex, mix};
 
 const SHORTEST_PATIENCE: Duration = Duration::from_secs(5);
 const PATIENCE_FACTOR: f64 = 3.0;
+/// Times of a fetch from the origin after which another is slow.
+const ORIGIN_PATIENCE_FACTOR: f64 = 1.5;
 /// Patiences after which a host that makes no progress is passed over by all, not by the next only.
 const LAST_PATIENCE: u32 = 8;
 /// Rounds of polls without news of a home before others take over, and hosts that count for a round.
@@ -17,6 +19,26 @@
 const FETCHES_PER_PEER: u32 = 2;
 const HOLDER_DRAWS: u64 = 4;
 const LEAST_SHARE_PERCENT: u64 = 10;
+/// Time for which a chunk that comes later in order is held in a region before the next host in the
+/// order of takeover brings a chunk that is not.
+const OVERTAKEN_PATIENCE: Duration = Duration::from_secs(3);
+/// Chunks before a missing one that count as later, so that the last chunks are looked after, too.
+const OVERTAKEN_SPAN: usize = 4;
+/// Fetches within the region, slow ones included, for each that is to go on at once.
+const MOST_ASKED_FACTOR: usize = 3;
+/// Time after which a chunk is asked of a second host, too, if there is nothing else to ask for.
+const SECOND_ASK_PATIENCE: Duration = Duration::from_secs(2);
+
+/// What is asked of the hosts of the own region, most pressing first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PeerPass {
+    /// Chunks that this host is the home of.
+    Home,
+    /// Other chunks.
+    Any,
+    /// Chunks that another host keeps this one waiting for.
+    Second,
+}
 
 impl FetchMachine {
     /// Starts whatever may be started now.
@@ -99,7 +121,11 @@
         let lacks = |host: HostIndex| {
             unfit(host) || self.flights.passes_over(now, chunk, self.plan.name_of(host))
         };
-        let home = self.plan.home(chunk, other, lacks);
+        // A home whose chunk is overtaken here may be slow there.
+        let overtaken = self.overtaken(now, chunk).min(KEPT_RANKS - 1);
+        let later = self.plan.homes(chunk, other)[overtaken..].iter().copied();
+        let home = later.into_iter().find(|host| !lacks(*host));
+        let home = home.or_else(|| self.plan.home(chunk, other, lacks));
         match home.or_else(|| self.plan.home(chunk, other, unfit)) {
             Some(host) if self.peers.hosts[host].is_ready(now) => Some(self.peer(host)),
             Some(_) => None,
@@ -110,10 +136,15 @@
 
     fn fill_peers(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
         let count = self.held.len();
+        let patience = self.limits.paced(SECOND_ASK_PATIENCE);
         let slots = self.limits.peer_fetches.saturating_mul(self.spare_percent()) / 100;
-        let mut free = slots.max(1).saturating_sub(self.flights.peer_count());
+        let slots = slots.max(1);
+        let most = slots * MOST_ASKED_FACTOR;
+        let mut free = slots
+            .saturating_sub(self.flights.peer_count(now, patience))
+            .min(most.saturating_sub(self.flights.peer_count(now, Duration::MAX)));
         let offset = (self.draws % count.max(1) as u64) as usize;
-        for home_first in [true, false] {
+        for pass in [PeerPass::Home, PeerPass::Any, PeerPass::Second] {
             for step in 0..count {
                 if free == 0 {
                     return;
@@ -122,10 +153,7 @@
                 if self.held.contains(chunk) || !self.peers.is_known(chunk) {
                     continue;
                 }
-                if !self.is_open(now, chunk, None) {
-                    continue;
-                }
-                if home_first && self.plan.homes(chunk, self.plan.region_of(me))[0] != me {
+                if !self.is_in_pass(now, chunk, me, pass) {
                     continue;
                 }
                 let Some(holder) = self.holder(now, chunk, me) else {
@@ -137,6 +165,20 @@
         }
     }
 
+    fn is_in_pass(&self, now: MonoTime, chunk: usize, me: HostIndex, pass: PeerPass) -> bool {
+        match pass {
+            PeerPass::Home => {
+                self.plan.homes(chunk, self.plan.region_of(me))[0] == me
+                    && self.is_open(now, chunk, None)
+            }
+            PeerPass::Any => self.is_open(now, chunk, None),
+            PeerPass::Second => {
+                let patience = self.limits.paced(SECOND_ASK_PATIENCE);
+                self.may_retry(now, chunk, None) && self.flights.may_ask(now, chunk, patience)
+            }
+        }
+    }
+
     /// A host of the own region that is known to hold `chunk` and has few fetches of this host.
     fn holder(&self, now: MonoTime, chunk: usize, me: HostIndex) -> Option<HostIndex> {
         let region = self.plan.region_of(me);
@@ -156,10 +198,12 @@
                 && record.is_ready(now)
                 && record.in_flight < FETCHES_PER_PEER
                 && !self.flights.avoids(now, chunk, self.plan.name_of(*host))
+                && !self.flights.is_asked(chunk, self.plan.name_of(*host))
                 && (!self.plan.is_gateway(*host) || self.may_ask_gateway(now, chunk, *host, me))
         };
         let candidates = drawn.chain(homes).chain(gateway);
-        candidates.filter(fit).min_by_key(|host| self.peers.hosts[*host].in_flight)
+        let cost = |host: &HostIndex| self.peers.hosts[*host].expected_time();
+        candidates.filter(fit).min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     /// Whether `chunk` may be asked from a gateway: by the home, and by all if the gateway is the
@@ -275,8 +319,34 @@
     /// Whether `chunk`, which is missing, may be asked for over the link from `lane`, or within the
     /// region if none: it is not in flight, and the same link did not fail it a moment ago.
     fn is_open(&self, now: MonoTime, chunk: usize, lane: Option<RegionIndex>) -> bool {
+        self.may_retry(now, chunk, lane) && !self.flights.holds_chunk(chunk)
+    }
+
+    /// Whether the link did not fail `chunk` a moment ago.
+    fn may_retry(&self, now: MonoTime, chunk: usize, lane: Option<RegionIndex>) -> bool {
         let (retry_at, failed_lane) = self.retries[chunk];
-        (retry_at <= now || failed_lane != lane) && !self.flights.holds_chunk(chunk)
+        retry_at <= now || failed_lane != lane
+    }
+
+    /// Time after which a fetch from the origin is slow beside those that this host has seen.
+    fn origin_patience(&self, now: MonoTime) -> Duration {
+        let running = self.flights.longest_from_origin(now);
+        self.peers.origin.last_took.max(running).mul_f64(ORIGIN_PATIENCE_FACTOR)
+    }
+
+    /// How many hosts in the order of takeover have had their time to bring `chunk` into the own
+    /// region, as far as can be told from the chunks that come later in order. A host with a
+    /// narrowed link makes progress, but too slowly.
+    fn overtaken(&self, now: MonoTime, chunk: usize) -> usize {
+        if self.seen[chunk].is_some() {
+            return 0;
+        }
+        let later = self.seen[chunk.saturating_sub(OVERTAKEN_SPAN)..].iter().flatten().min();
+        let Some(later) = later else {
+            return 0;
+        };
+        let patience = self.limits.paced(OVERTAKEN_PATIENCE).max(self.origin_patience(now));
+        (now.since(*later).as_micros() / patience.as_micros().max(1)) as usize
     }
 
     /// The host that answers for `chunk` in the own region: the first in the order of takeover that
@@ -289,8 +359,12 @@
                     || self.is_late(now, host, chunk, patience)
                     || self.flights.avoids(now, chunk, self.plan.name_of(host)))
         };
-        let homes = self.plan.homes(chunk, region).iter().copied();
-        let first = homes.into_iter().find(|host| !failed(*host, self.home_patience));
+        let overtaken = self.overtaken(now, chunk).min(KEPT_RANKS - 1);
+        let homes = self.plan.homes(chunk, region).iter().enumerate();
+        let first = homes
+            .filter(|(rank, host)| *rank >= overtaken || **host == me)
+            .map(|(_, host)| *host)
+            .find(|host| !failed(*host, self.home_patience));
         let last_patience = self.home_patience * LAST_PATIENCE;
         first.or_else(|| self.plan.home(chunk, region, |host| failed(host, last_patience)))
     }
@@ -302,6 +376,9 @@
         region: RegionIndex,
         me: HostIndex,
     ) -> Option<HostIndex> {
+        if self.plan.is_crossed_by_homes() {
+            return self.acting_home(now, chunk, me);
+        }
         let patience = self.gateway_patience;
         self.plan.gateway(chunk, region, |host| {
             host != me
--- a/core/src/weights/fetch/event.rs
+++ b/core/src/weights/fetch/event.rs
@@ -5,6 +5,8 @@
 use crate::weights::plan::SpreadPlan;
 use bytes::Bytes;
 
+const LEAST_STALL: Duration = Duration::from_secs(1);
+
 /// Where a chunk is fetched from.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ChunkSource {
@@ -98,9 +100,17 @@
     pub origin_delay: Duration,
     /// The machine's pauses and patience, in percent of those for versions that take minutes.
     pub time_percent: u32,
+    /// Stall that counts at any pace: a narrowed link is not a dead source.
+    pub least_stall: Duration,
 }
 
 impl FetchLimits {
+    /// Pace of the machine for versions that take seconds.
+    pub const SECONDS_PERCENT: u32 = 20;
+    /// Fetches from hosts of the own region at once for versions that take seconds. The target's
+    /// requests come by the same link, so that only few chunks may stand before them.
+    pub const SECONDS_PEER_FETCHES: usize = 3;
+
     /// Limits under these allowances, with the usual number of fetches at once.
     pub fn new(origin: u64, host: u64, region_pair: u64) -> Self {
         Self {
@@ -111,6 +121,7 @@
             peer_fetches: 6,
             origin_delay: Duration::ZERO,
             time_percent: 100,
+            least_stall: LEAST_STALL,
         }
     }
 
--- a/core/src/weights/fetch/flights.rs
+++ b/core/src/weights/fetch/flights.rs
@@ -65,14 +65,50 @@
         self.flights.iter().any(|flight| flight.chunk == chunk)
     }
 
+    /// Whether `chunk` may be asked for: nothing was, or one other source within the own region has
+    /// kept it waiting since before `patience`.
+    pub fn may_ask(&self, now: MonoTime, chunk: usize, patience: Duration) -> bool {
+        let mut asked = self.flights.iter().filter(|flight| flight.chunk == chunk);
+        match (asked.next(), asked.next()) {
+            (None, _) => true,
+            (Some(first), None) => first.lane.is_none() && now.since(first.started) > patience,
+            _ => false,
+        }
+    }
+
+    /// Whether `chunk` was asked of `source`.
+    pub fn is_asked(&self, chunk: usize, host: &HostName) -> bool {
+        let asked = |flight: &ChunkFlight| {
+            flight.chunk == chunk
+                && matches!(&flight.source, ChunkSource::Peer(source) if source == host)
+        };
+        self.flights.iter().any(asked)
+    }
+
+    /// Drops the fetches of `chunk` and returns them.
+    pub fn take_chunk(&mut self, chunk: usize) -> Vec<ChunkFlight> {
+        self.flights.extract_if(.., |flight| flight.chunk == chunk).collect()
+    }
+
     pub fn origin_count(&self) -> usize {
         self.flights.iter().filter(|flight| flight.source == ChunkSource::Origin).count()
     }
 
-    pub fn peer_count(&self) -> usize {
-        let within =
-            |flight: &&ChunkFlight| flight.lane.is_none() && flight.source != ChunkSource::Origin;
-        self.flights.iter().filter(within).count()
+    /// How long the oldest fetch from the origin has been going on.
+    pub fn longest_from_origin(&self, now: MonoTime) -> Duration {
+        let origin = self.flights.iter().filter(|flight| flight.source == ChunkSource::Origin);
+        origin.map(|flight| now.since(flight.started)).max().unwrap_or_default()
+    }
+
+    /// Fetches within the region that take up its places: one that a slow source keeps waiting past
+    /// `patience` leaves its place to another.
+    pub fn peer_count(&self, now: MonoTime, patience: Duration) -> usize {
+        let counts = |flight: &&ChunkFlight| {
+            flight.lane.is_none()
+                && flight.source != ChunkSource::Origin
+                && now.since(flight.started) <= patience
+        };
+        self.flights.iter().filter(counts).count()
     }
 
     pub fn next_deadline(&self) -> Option<MonoTime> {
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -11,8 +11,6 @@
 const PEER_SHUN_TIME: Duration = Duration::from_secs(600);
 const ORIGIN_SHUN_TIME: Duration = Duration::from_secs(2);
 const SHORTEST_STALL: Duration = Duration::from_secs(2);
-/// Stall that counts at any pace: a narrowed link is not a dead source.
-const LEAST_STALL: Duration = Duration::from_secs(1);
 const LONGEST_STALL: Duration = Duration::from_secs(20);
 /// A fetch has stalled if nothing arrives in the time of this part of a chunk at the rate seen.
 const STALL_PART: f64 = 0.5;
@@ -26,6 +24,8 @@
     pub corrupt: u32,
     /// When the source last told of a chunk that it had not told of before.
     pub progressed: MonoTime,
+    /// How long the last fetch took.
+    pub last_took: Duration,
     failures: u32,
     suspect_until: MonoTime,
     busy_until: MonoTime,
@@ -41,6 +41,7 @@
             in_flight: 0,
             corrupt: 0,
             progressed: now,
+            last_took: Duration::ZERO,
             failures: 0,
             suspect_until: MonoTime::ZERO,
             busy_until: MonoTime::ZERO,
@@ -64,10 +65,17 @@
     pub fn stall_timeout(&self, length: u64) -> Duration {
         let seconds = STALL_PART * length as f64 / self.bytes_per_second.max(1.0);
         let stall = Duration::from_secs_f64(seconds.min(LONGEST_STALL.as_secs_f64()));
-        stall.max(self.limits.paced(SHORTEST_STALL)).max(LEAST_STALL)
+        stall.max(self.limits.paced(SHORTEST_STALL)).max(self.limits.least_stall)
+    }
+
+    /// How long a fetch from the source is expected to take, beside others of the same host, in
+    /// seconds for each byte.
+    pub fn expected_time(&self) -> f64 {
+        f64::from(self.in_flight + 1) / self.bytes_per_second.max(1.0)
     }
 
     pub fn succeeded(&mut self, now: MonoTime, length: u64, took: Duration) {
+        self.last_took = took;
         let rate = length as f64 / took.as_secs_f64().max(1e-6);
         self.bytes_per_second = RATE_MEMORY * self.bytes_per_second + (1.0 - RATE_MEMORY) * rate;
         self.trust(now);
--- a/core/src/weights/plan.rs
+++ b/core/src/weights/plan.rs
@@ -94,6 +94,11 @@
         self
     }
 
+    /// Whether the home of a chunk brings it from other regions.
+    pub fn is_crossed_by_homes(&self) -> bool {
+        self.crossing == CrossingMode::Homes
+    }
+
     /// Whether the host at `index` brings chunks from other regions for the hosts of its own, and
     /// so sends more than they do.
     pub fn is_gateway(&self, index: HostIndex) -> bool {
@@ -230,14 +235,7 @@
         hosts: &[PlanHost],
         store_region: &RegionName,
     ) -> Vec<HostName> {
-        let key = key_of(digest.as_bytes());
-        let order = |region: &RegionName| {
-            let mut names: Vec<&HostName> =
-                hosts.iter().filter(|host| host.region == *region).map(|host| &host.name).collect();
-            names.sort_by_key(|name| std::cmp::Reverse(mix(name_key(name.as_str()) ^ key)));
-            names.truncate(KEPT_RANKS);
-            names
-        };
+        let order = |region| manifest_readers(digest, hosts, region);
         let own = order(&me.region);
         let before: Vec<&HostName> = own.into_iter().take_while(|name| **name != me.name).collect();
         let mut sources: Vec<HostName> = before.into_iter().cloned().collect();
@@ -248,6 +246,39 @@
     }
 }
 
+impl SpreadPlan {
+    /// The hosts that may be asked for the manifest of a version that takes seconds, in an order of
+    /// this host's own. Empty for the few of each region that read it from the origin at once: a
+    /// single reader may have a narrowed link.
+    pub fn timely_manifest_sources(
+        digest: &VersionDigest,
+        me: &PlanHost,
+        hosts: &[PlanHost],
+    ) -> Vec<HostName> {
+        let mut readers = manifest_readers(digest, hosts, &me.region);
+        if readers.contains(&&me.name) {
+            return Vec::new();
+        }
+        let first = name_key(me.name.as_str()) as usize % readers.len().max(1);
+        readers.rotate_left(first);
+        readers.into_iter().cloned().collect()
+    }
+}
+
+/// The hosts of `region` that read the manifest of a version before the others, in order.
+fn manifest_readers<'a>(
+    digest: &VersionDigest,
+    hosts: &'a [PlanHost],
+    region: &RegionName,
+) -> Vec<&'a HostName> {
+    let key = key_of(digest.as_bytes());
+    let mut names: Vec<&HostName> =
+        hosts.iter().filter(|host| host.region == *region).map(|host| &host.name).collect();
+    names.sort_by_key(|name| std::cmp::Reverse(mix(name_key(name.as_str()) ^ key)));
+    names.truncate(KEPT_RANKS);
+    names
+}
+
 impl RegionPlan {
     fn new(
         name: RegionName,
--- a/core/src/weights/upload.rs
+++ b/core/src/weights/upload.rs
@@ -1,5 +1,7 @@
 //! How many chunks a host sends to others at once.
 
+use crate::prelude::*;
+
 /// Uploads at once of a host that has sent little.
 pub const MAX_UPLOADS: u32 = 8;
 const LIVE_LOAD_STEP_PERCENT: u32 = 25;
@@ -102,3 +104,56 @@
         (by_share >> busy_steps).max(1)
     }
 }
+
+/// Uploads at once of a version that takes seconds.
+const SECONDS_UPLOADS: usize = 3;
+/// Time after which an upload to a slow host leaves its place to another.
+const SLOW_UPLOAD: Duration = Duration::from_millis(400);
+
+/// Names an upload of [`UploadPlaces`].
+pub type UploadTicket = u64;
+
+/// Decides whether a host sends another chunk of a version that takes seconds.
+///
+/// The load that this answers: all hosts of a region fetch from each other at once. Where each takes
+/// few uploads, the asking hosts spread over all of them, and no link stands idle beside a crowded
+/// one. A host with a narrowed link takes what it asked for slowly, and must not hold the places.
+#[derive(Debug, Clone)]
+pub struct UploadPlaces {
+    started: Vec<(UploadTicket, MonoTime)>,
+    next_ticket: UploadTicket,
+    slow_after: Duration,
+}
+
+impl Default for UploadPlaces {
+    fn default() -> Self {
+        Self::new(SLOW_UPLOAD)
+    }
+}
+
+impl UploadPlaces {
+    /// Places that an upload holds for `slow_after` at most.
+    pub fn new(slow_after: Duration) -> Self {
+        Self { started: Vec::new(), next_ticket: 0, slow_after }
+    }
+
+    /// Takes a place for an upload; none if there is none.
+    pub fn start(&mut self, now: MonoTime, class: UploadClass) -> Option<UploadTicket> {
+        let places = match class {
+            UploadClass::Region => SECONDS_UPLOADS,
+            UploadClass::Crossing => SECONDS_UPLOADS + CROSSING_UPLOADS as usize,
+        };
+        let holds = |(_, at): &&(UploadTicket, MonoTime)| now.since(*at) < self.slow_after;
+        if self.started.iter().filter(holds).count() >= places {
+            return None;
+        }
+        self.next_ticket += 1;
+        self.started.push((self.next_ticket, now));
+        Some(self.next_ticket)
+    }
+
+    /// Gives a place back.
+    pub fn end(&mut self, ticket: UploadTicket) {
+        self.started.retain(|(started, _)| *started != ticket);
+    }
+}
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -47,7 +47,7 @@
     let start = |turn: usize| {
         let held_at = MonoTime::from_millis(3000);
         let due_at = MonoTime::from_millis(8000);
-        RolloutTurn { held_at, due_at, turn, hosts: 4 }.start_at()
+        RolloutTurn { held_at, before_due_at: None, due_at, turn, hosts: 4 }.start_at()
     };
     let starts: Vec<MonoTime> = (0..4).map(start).collect();
     assert_eq!(starts[0], MonoTime::from_millis(3000));
@@ -55,10 +55,35 @@
     assert!(starts[3] < MonoTime::from_millis(7300));
 }
 
+#[test]
+fn hosts_with_the_version_between_two_wait_for_those_with_the_one_before() {
+    let start = |turn: usize, before_due_ms: u64| {
+        let held_at = MonoTime::from_millis(5000);
+        let before_due_at = Some(MonoTime::from_millis(before_due_ms));
+        let due_at = MonoTime::from_millis(12_000);
+        RolloutTurn { held_at, before_due_at, due_at, turn, hosts: 4 }.start_at()
+    };
+    assert!(start(0, 8000) > MonoTime::from_millis(7000));
+    assert!(start(3, 8000) < MonoTime::from_millis(11_300));
+    assert_eq!(start(0, 3000), MonoTime::from_millis(5000), "nobody is further behind any more");
+    assert_eq!(start(0, 11_500), MonoTime::from_millis(5000), "too little time would be left");
+}
+
+#[test]
+fn a_target_tells_which_declarations_it_meets() {
+    let mut versions = DeclaredVersions::default();
+    versions.declare(declared(2, 0, 7000));
+    versions.declare(declared(4, 2000, 9000));
+    assert_eq!(versions.last_met(1), None);
+    assert_eq!(versions.last_met(3).map(|met| met.version), Some(2));
+    assert_eq!(versions.last_met(4).map(|met| met.version), Some(4));
+}
+
 #[test]
 fn a_host_that_is_late_starts_at_once() {
     let held_at = MonoTime::from_millis(9000);
-    let turn = RolloutTurn { held_at, due_at: MonoTime::from_millis(8000), turn: 3, hosts: 4 };
+    let due_at = MonoTime::from_millis(8000);
+    let turn = RolloutTurn { held_at, before_due_at: None, due_at, turn: 3, hosts: 4 };
     assert_eq!(turn.start_at(), held_at);
 }
 
--- a/core/tests/weights_plan.rs
+++ b/core/tests/weights_plan.rs
@@ -58,6 +58,25 @@
     assert!(hosts.iter().all(|me| !sources(me).contains(&me.name)));
 }
 
+#[test]
+fn a_few_hosts_of_each_region_read_a_timely_manifest_and_the_others_spread_over_them() {
+    let hosts = places(0..45, 3);
+    let digest = VersionDigest::from_bytes([7; 32]);
+    let sources = |me: &PlanHost| SpreadPlan::timely_manifest_sources(&digest, me, &hosts);
+    for region in 0..3 {
+        let region = RegionName::from(format!("region-{region}"));
+        let members: Vec<&PlanHost> = hosts.iter().filter(|host| host.region == region).collect();
+        let readers = members.iter().filter(|me| sources(me).is_empty()).count();
+        assert_eq!(readers, 3, "{region}");
+        let mut firsts: Vec<HostName> =
+            members.iter().filter_map(|me| sources(me).first().cloned()).collect();
+        assert!(members.iter().all(|me| !sources(me).contains(&me.name)));
+        firsts.sort();
+        firsts.dedup();
+        assert_eq!(firsts.len(), 3, "all of {region} ask {firsts:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn plans_agree_on_equal_lists_in_any_order(
--- /dev/null
+++ b/core/tests/weights_seconds.rs
@@ -0,0 +1,90 @@
+//! The spread of a version of a few megabytes, within the seconds in which it has to be in force.
+//!
+//! All times and rates are [`SLOWER`] times as slow as on the links that are modelled, so that the
+//! model's steps are short beside the time of a chunk.
+
+#[allow(dead_code)]
+#[path = "../../benches/burst/model.rs"]
+mod model;
+
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::{CrossingMode, FetchLimits, PlanHost};
+use model::{FleetModel, ModelSpread, SourceFault};
+
+const SLOWER: u64 = 10;
+const CHUNKS: usize = 64;
+const CHUNK_UNITS: usize = 64;
+/// Units a second of a megabit a second, where a chunk has 32 KiB.
+const MEGABIT_UNITS: f64 = 125_000.0 / 32_768.0 * CHUNK_UNITS as f64 / SLOWER as f64;
+const ORIGIN_MEGABITS: f64 = 9.9;
+const HOST_MEGABITS: f64 = 7.6;
+const REGION_MEGABITS: f64 = 26.0;
+const REGIONS: usize = 3;
+/// Time after its declaration within which a version has to be in force.
+const VERSION_SECONDS: f64 = 8.0;
+/// Time in which the hosts put it into their targets, one after the other.
+const TURNS_SECONDS: f64 = 3.0;
+const SLOW_UPLOAD: Duration = Duration::from_millis(400 * SLOWER);
+const LONGEST_RUN: Duration = Duration::from_secs(30 * SLOWER);
+
+fn fleet(hosts: usize) -> FleetModel {
+    let place = |index: usize| PlanHost {
+        name: HostName::from(format!("host-{index:02}")),
+        region: RegionName::from(format!("region-{}", index % REGIONS)),
+    };
+    let units = |megabits: f64| (megabits * MEGABIT_UNITS) as u64;
+    let mut limits =
+        FetchLimits::new(units(ORIGIN_MEGABITS), units(HOST_MEGABITS), units(REGION_MEGABITS));
+    limits.time_percent = FetchLimits::SECONDS_PERCENT * SLOWER as u32;
+    limits.least_stall *= SLOWER as u32;
+    limits.peer_fetches = FetchLimits::SECONDS_PEER_FETCHES;
+    let spread = ModelSpread {
+        crossing: CrossingMode::Homes,
+        slow_upload: Some(SLOW_UPLOAD),
+        tells_held: true,
+    };
+    let places = (0..hosts).map(place).collect();
+    FleetModel::with_spread(places, CHUNKS, CHUNK_UNITS, limits, spread)
+}
+
+/// When so many hosts held the version, in seconds of the links that are modelled.
+fn held_after(model: &mut FleetModel, hosts: usize) -> f64 {
+    let holders =
+        |model: &FleetModel| model.hosts.iter().filter(|host| host.complete.is_some()).count();
+    while holders(model) < hosts {
+        assert!(model.now.since(MonoTime::ZERO) < LONGEST_RUN, "{} hold it", holders(model));
+        model.step();
+    }
+    model.now.since(MonoTime::ZERO).as_secs_f64() / SLOWER as f64
+}
+
+fn origin_copies(model: &FleetModel) -> f64 {
+    model.origin_units / model.copy_units()
+}
+
+#[test]
+fn all_hold_a_version_in_the_time_of_one_copy_from_the_origin_and_one_over_a_hosts_link() {
+    let copy_megabits = (CHUNKS * 32_768 * 8) as f64 / 1e6;
+    let bound = copy_megabits / ORIGIN_MEGABITS + copy_megabits / HOST_MEGABITS;
+    for hosts in [12, 45, 76] {
+        let mut model = fleet(hosts);
+        let seconds = held_after(&mut model, hosts);
+        assert!(seconds < bound, "{hosts} hosts: {seconds:.2} s of {bound:.2} s");
+        assert!(origin_copies(&model) < 1.25, "{hosts} hosts: {:.2}", origin_copies(&model));
+    }
+}
+
+#[test]
+fn hosts_with_narrowed_links_leave_the_others_time_to_take_turns() {
+    for hosts in [12, 45, 76] {
+        let mut model = fleet(hosts);
+        let narrowed = hosts / 8;
+        for host in 0..narrowed {
+            model.faults.insert(Some(host * 7), SourceFault::Narrow(0.125));
+        }
+        let seconds = held_after(&mut model, hosts - narrowed);
+        let bound = VERSION_SECONDS - TURNS_SECONDS;
+        assert!(seconds < bound, "{narrowed} of {hosts} hosts: {seconds:.2} s");
+        assert!(origin_copies(&model) < 1.5, "{hosts} hosts: {:.2}", origin_copies(&model));
+    }
+}
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -13,19 +13,11 @@
     ChunkSet, CrossingMode, FetchLimits, PlanHost, SpreadPlan, VersionManifest,
 };
 use log::{info, warn};
-use run::FetchRun;
+use run::{FetchRun, PieceGoal};
 use std::rc::Rc;
 
-/// Bytes a second of a megabit a second.
-const MEGABIT_BYTES: f64 = 125_000.0;
 /// Hosts of a region whose links together carry what comes from another region.
 const GATEWAY_LINKS: u64 = 2;
-/// Pace of the fetch machine for versions that take seconds, in percent.
-const TIME_PERCENT: u32 = 20;
-/// Pieces that are fetched from other agents at the same time, and from the origin. The engine's
-/// requests come by the same link, so that only few pieces may stand before them.
-const PEER_FETCHES: usize = 3;
-const ORIGIN_FETCHES: usize = 2;
 /// Time for which the origin is left alone while agents of the own region hold the version.
 const SETTLED_ORIGIN_DELAY: Duration = Duration::from_secs(3);
 
@@ -48,9 +40,49 @@
         Self { state, peers: PeerCalls::default() }
     }
 
+    /// Fetches all pieces of `wanted` into memory, verified, while the stage holds another version.
+    /// May be dropped at any time; what was fetched stays.
+    pub async fn park(&self, wanted: &WantedModel) {
+        let version = &wanted.version;
+        let found = self.manifest(wanted).await;
+        self.state.park(version, &found.manifest);
+        let held = self.state.staged(version).map(|parked| parked.held);
+        let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
+        info!("event=parking_started version={} held={}", version.version, held.count());
+        let goal = PieceGoal::Memory;
+        let mut run = FetchRun::new(self, version, found.manifest, held, found.settled, goal);
+        run.finish().await;
+        info!(
+            "event=parking_ended version={} took_ms={}",
+            version.version,
+            clock::now().since(run.started).as_millis()
+        );
+    }
+
+    /// Stages what was kept in memory of `version`.
+    async fn stage_parked(&self, version: &LoadedModel) {
+        let Some(parked) = self.state.take_parked(version) else {
+            return;
+        };
+        // Other agents may ask for these pieces meanwhile.
+        self.state.set_staged(StagedVersion {
+            version: version.clone(),
+            manifest: Some(parked.manifest.clone()),
+            held: ChunkSet::new(parked.manifest.chunks.len()),
+        });
+        for (piece, bytes) in parked.pieces.iter() {
+            match self.state.engine.stage(&version.model, *piece, bytes.clone()).await {
+                Ok(()) => self.state.add_staged(version, *piece),
+                // It is fetched again.
+                Err(error) => warn!("event=not_staged piece={piece} reason=\"{error}\""),
+            }
+        }
+    }
+
     /// Stages all pieces of `wanted`, verified. May be dropped at any time.
     pub async fn stage(&self, wanted: &WantedModel) -> StagedWhole {
         let version = &wanted.version;
+        self.stage_parked(version).await;
         let found = self.manifest(wanted).await;
         let manifest = found.manifest;
         let held = self.verified(version, &manifest).await;
@@ -65,7 +97,8 @@
             manifest: Some(manifest.clone()),
             held: held.clone(),
         });
-        let mut run = FetchRun::new(self, version, manifest.clone(), held, found.settled);
+        let goal = PieceGoal::Stage;
+        let mut run = FetchRun::new(self, version, manifest.clone(), held, found.settled, goal);
         run.finish().await;
         info!(
             "event=fetch_ended version={} took_ms={}",
@@ -114,15 +147,14 @@
     }
 
     fn limits(&self, settled: bool) -> FetchLimits {
-        let host = (self.state.own.link_megabits * MEGABIT_BYTES) as u64;
+        let host = self.state.own.link_bytes_per_second() as u64;
         let origin = self.state.origin().map_or(host, |origin| origin.bytes_per_second);
         let mut limits = FetchLimits::new(origin, host, host * GATEWAY_LINKS);
         if settled {
             limits.origin_delay = SETTLED_ORIGIN_DELAY;
         }
-        limits.time_percent = TIME_PERCENT;
-        limits.peer_fetches = PEER_FETCHES;
-        limits.origin_fetches = ORIGIN_FETCHES;
+        limits.time_percent = FetchLimits::SECONDS_PERCENT;
+        limits.peer_fetches = FetchLimits::SECONDS_PEER_FETCHES;
         limits
     }
 }
--- a/src/direct/agent/fetcher/manifest.rs
+++ b/src/direct/agent/fetcher/manifest.rs
@@ -13,10 +13,10 @@
 use std::net::SocketAddr;
 
 /// Pause before sources of a manifest are asked again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(60);
+const MANIFEST_PAUSE: Duration = Duration::from_millis(40);
 /// Time after its declaration in which a manifest is on its way from agent to agent; later each reads
 /// it from the origin itself.
-const SPREAD_TIME: Duration = Duration::from_millis(900);
+const SPREAD_TIME: Duration = Duration::from_millis(600);
 /// Agents that are asked for a manifest before the origin.
 const MANIFEST_PEERS: usize = 3;
 /// Time after its declaration in which a version is taken to be nowhere but at the origin.
@@ -90,7 +90,7 @@
         let agents = self.state.agents();
         let hosts: Vec<PlanHost> = agents.iter().map(place_of).collect();
         let own = place_of(&PresenceRecord::of(&self.state.settings));
-        let sources = SpreadPlan::manifest_sources(&digest, &own, &hosts, &self.store_region());
+        let sources = SpreadPlan::timely_manifest_sources(&digest, &own, &hosts);
         let address = |host: &HostName| agents.iter().find(|agent| agent.host == *host);
         sources.iter().filter_map(|host| Some(address(host)?.address)).collect()
     }
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -7,7 +7,8 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fetch::{FetchOrder, FetchTicket};
 use buckthornwharf_core::weights::{
-    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchMachine, VersionManifest,
+    ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchMachine, UploadClass,
+    VersionManifest,
 };
 use buckthornwharf_platform::OriginClient;
 use buckthornwharf_platform::engine::EngineError;
@@ -17,12 +18,22 @@
 use std::net::SocketAddr;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+/// Where pieces are kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PieceGoal {
+    /// In the engine's stage.
+    Stage,
+    /// In memory.
+    Memory,
+}
+
 /// A fetch machine with the tasks that carry out its actions; they end with it.
 pub(super) struct FetchRun<'a> {
     fetcher: &'a PieceFetcher,
     version: LoadedModel,
     manifest: Arc<VersionManifest>,
     settled: bool,
+    goal: PieceGoal,
     machine: FetchMachine,
     sender: UnboundedSender<FetchEvent>,
     events: UnboundedReceiver<FetchEvent>,
@@ -39,6 +50,7 @@
         manifest: Arc<VersionManifest>,
         held: ChunkSet,
         settled: bool,
+        goal: PieceGoal,
     ) -> Self {
         let (sender, events) = unbounded_channel();
         let started = clock::now();
@@ -56,6 +68,7 @@
             version: version.clone(),
             manifest,
             settled,
+            goal,
             machine,
             sender,
             events,
@@ -65,7 +78,7 @@
         }
     }
 
-    /// Fetches until all pieces are staged.
+    /// Fetches until all pieces are kept.
     pub async fn finish(&mut self) {
         let mut event = FetchEvent::Tick;
         loop {
@@ -92,7 +105,7 @@
         }
     }
 
-    /// Carries out an action; whether all pieces are staged.
+    /// Carries out an action; whether all pieces are kept.
     async fn carry_out(&mut self, action: FetchAction) -> bool {
         match action {
             FetchAction::Fetch(order) => self.fetch(order),
@@ -122,6 +135,10 @@
 
     async fn keep(&self, piece: usize, bytes: Bytes) {
         let state = &self.fetcher.state;
+        if self.goal == PieceGoal::Memory {
+            state.add_parked(&self.version, piece, bytes);
+            return;
+        }
         let staged = state.engine.stage(&self.version.model, piece, bytes).await;
         match staged {
             Ok(()) => state.add_staged(&self.version, piece),
@@ -147,6 +164,11 @@
         let version = self.version.clone();
         let most_bytes = self.manifest.chunk_len(order.chunk) as usize;
         let sender = self.sender.clone();
+        // Only fetches that cross regions have a rate of their own.
+        let class = match order.bytes_per_second {
+            Some(_) => UploadClass::Crossing,
+            None => UploadClass::Region,
+        };
         let host = match order.source {
             ChunkSource::Origin => None,
             ChunkSource::Peer(host) => Some(host),
@@ -159,7 +181,7 @@
                     origin.piece(&version, piece, most_bytes).await.map_err(failure_of)
                 }
                 Some(host) => {
-                    let answer = peers.piece(address, &version, piece, most_bytes).await;
+                    let answer = peers.piece(address, &version, piece, most_bytes, class).await;
                     answer.map(|answer| {
                         if let Some(held) = answer.held {
                             // The run may have ended meanwhile, here and below.
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -40,7 +40,7 @@
                     tokio::select! {
                         () = look_on(&state) => {}
                         () = bring(&state, &fetcher, &wanted) => {}
-                        () = superseded(&state, &wanted) => {
+                        () = superseded(&state, &fetcher, &wanted) => {
                             info!("event=superseded version={}", wanted.version.version);
                         }
                     }
@@ -85,20 +85,30 @@
     state.wanted().into_iter().find(lacks)
 }
 
-/// Ends once a newer version goes before `wanted`.
-async fn superseded(state: &AgentState, wanted: &WantedModel) {
+/// Ends once a newer version goes before `wanted`: at once, or when it is held whole before the
+/// engine was ordered to load `wanted`. Its pieces are fetched meanwhile.
+async fn superseded(state: &AgentState, fetcher: &PieceFetcher, wanted: &WantedModel) {
     loop {
         let newest = state.wanted().into_iter().find(|newest| {
             newest.version.model == wanted.version.model && newest.version != wanted.version
         });
-        match newest {
-            Some(newest) => match overtakes(wanted.declared_at, newest.declared_at) {
-                Overtaking::At(at) => {
-                    return actix_rt::time::sleep(at.since(clock::now())).await;
+        let Some(newest) = newest else {
+            state.wanted_changed.notified().await;
+            continue;
+        };
+        let Overtaking::At(at) = overtakes(wanted.declared_at, newest.declared_at) else {
+            return;
+        };
+        tokio::select! {
+            () = fetcher.park(&newest) => {
+                if state.is_closed() {
+                    // The load that was ordered ends first.
+                    std::future::pending::<()>().await;
                 }
-                Overtaking::AtOnce => return,
-            },
-            None => state.wanted_changed.notified().await,
+                return;
+            }
+            () = actix_rt::time::sleep(at.since(clock::now())) => return,
+            () = state.wanted_changed.notified() => {}
         }
     }
 }
@@ -161,7 +171,8 @@
     let near: Vec<_> = agents.iter().filter(|agent| agent.region == region).collect();
     let turn = near.iter().position(|agent| agent.host == state.settings.host).unwrap_or(0);
     let held_at = clock::now();
-    let turn = RolloutTurn { held_at, due_at, turn, hosts: near.len() };
+    let before_due_at = wanted.before_due_at;
+    let turn = RolloutTurn { held_at, before_due_at, due_at, turn, hosts: near.len() };
     actix_rt::time::sleep(turn.start_at().since(held_at)).await;
 }
 
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -1,13 +1,16 @@
 //! What agents ask each other for: which pieces of a version they have staged, and the pieces.
 
 use super::state::{AgentState, StagedVersion};
+use crate::clock;
 use crate::direct::service::{ServiceAnswer, UploadPacer, start_service};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
 use anyhow::Result;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::{ChunkSet, FetchFailure, VersionManifest};
+use buckthornwharf_core::weights::{
+    ChunkSet, FetchFailure, UploadClass, UploadPlaces, UploadTicket, VersionManifest,
+};
 use buckthornwharf_exchange::{CallAnswer, CallClient, CallError, InboundCall, OutboundCall};
 use bytes::Bytes;
 use log::warn;
@@ -19,14 +22,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Bytes a second of a megabit a second.
-const MEGABIT_BYTES: f64 = 125_000.0;
 /// Part of the link that pieces may take: the engine's answers leave by the same link.
 const UPLOAD_PART: f64 = 0.85;
 /// Header of a piece with what its sender has staged besides.
 const HELD_HEADER: HeaderName = HeaderName::from_static("x-held");
+/// Marks a request of a host of another region.
+const CROSSING_QUERY: &str = "?crossing";
 /// Time for an answer about what is staged.
 const HELD_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time for a manifest: another source has it as well.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for a piece.
 const PIECE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Most bytes of an answer about what is staged.
@@ -101,7 +106,7 @@
         version: &LoadedModel,
     ) -> Result<VersionManifest, FetchFailure> {
         let path = format!("/weights/{}/{}/manifest", version.model, version.version);
-        let answer = self.get(address, path, HELD_TIMEOUT, MAX_HELD_BYTES).await?;
+        let answer = self.get(address, path, MANIFEST_TIMEOUT, MAX_HELD_BYTES).await?;
         parse(address, &answer.body)
     }
 
@@ -116,8 +121,10 @@
         version: &LoadedModel,
         piece: usize,
         most_bytes: usize,
+        class: UploadClass,
     ) -> Result<PieceAnswer, FetchFailure> {
-        let path = format!("/weights/{}/{}/{piece}", version.model, version.version);
+        let query = if class == UploadClass::Crossing { CROSSING_QUERY } else { "" };
+        let path = format!("/weights/{}/{}/{piece}{query}", version.model, version.version);
         let answer = self.get(address, path, PIECE_TIMEOUT, most_bytes).await?;
         let held = answer.headers.get(HELD_HEADER).map(|value| parse(address, value.as_bytes()));
         Ok(PieceAnswer { bytes: answer.body, held: held.and_then(Result::ok) })
@@ -159,8 +166,9 @@
 ///
 /// Fails if the listener cannot be used on this thread.
 pub fn start_peer_service(listener: std::net::TcpListener, state: Rc<AgentState>) -> Result<()> {
-    let rate = state.own.link_megabits * MEGABIT_BYTES * UPLOAD_PART;
-    let service = Rc::new(PeerService { state, pacer: Rc::new(UploadPacer::new(rate)) });
+    let rate = state.own.link_bytes_per_second() * UPLOAD_PART;
+    let pacer = Rc::new(UploadPacer::new(rate));
+    let service = Rc::new(PeerService { state, pacer, places: Rc::default() });
     start_service(listener, move |call| {
         let service = service.clone();
         async move { service.answer(&call).await }
@@ -170,6 +178,19 @@
 struct PeerService {
     state: Rc<AgentState>,
     pacer: Rc<UploadPacer>,
+    places: Rc<RefCell<UploadPlaces>>,
+}
+
+/// A place for an upload; given back when dropped.
+struct UploadPlace {
+    places: Rc<RefCell<UploadPlaces>>,
+    ticket: UploadTicket,
+}
+
+impl Drop for UploadPlace {
+    fn drop(&mut self) {
+        self.places.borrow_mut().end(self.ticket);
+    }
 }
 
 impl PeerService {
@@ -192,7 +213,7 @@
                 None => not_here(),
             },
             piece => match piece.parse() {
-                Ok(piece) => self.piece(&staged, piece).await,
+                Ok(piece) => self.piece(&staged, piece, class_of(call)).await,
                 Err(_) => not_here(),
             },
         }
@@ -225,15 +246,26 @@
         Some(staged)
     }
 
-    async fn piece(&self, staged: &StagedVersion, piece: usize) -> ServiceAnswer {
+    async fn piece(
+        &self,
+        staged: &StagedVersion,
+        piece: usize,
+        class: UploadClass,
+    ) -> ServiceAnswer {
         if !staged.held.contains(piece) {
             return not_here();
         }
+        let Some(place) = self.place(class) else {
+            return ServiceAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "busy");
+        };
         let most_bytes = self.state.engine_shape().map_or(0, |shape| shape.chunk_bytes as usize);
+        if let Some(bytes) = self.state.parked_piece(&staged.version, piece) {
+            return self.piece_response(staged, bytes, place);
+        }
         let model = &staged.version.model;
         let read = self.state.engine.staged(model, piece, most_bytes).await;
         match read {
-            Ok(Some(bytes)) => self.piece_response(staged, bytes),
+            Ok(Some(bytes)) => self.piece_response(staged, bytes, place),
             Ok(None) => not_here(),
             Err(error) => {
                 warn!("event=stage_unread piece={piece} reason=\"{error}\"");
@@ -242,9 +274,20 @@
         }
     }
 
-    fn piece_response(&self, asked: &StagedVersion, bytes: Bytes) -> ServiceAnswer {
+    fn place(&self, class: UploadClass) -> Option<UploadPlace> {
+        let ticket = self.places.borrow_mut().start(clock::now(), class)?;
+        Some(UploadPlace { places: self.places.clone(), ticket })
+    }
+
+    fn piece_response(
+        &self,
+        asked: &StagedVersion,
+        bytes: Bytes,
+        place: UploadPlace,
+    ) -> ServiceAnswer {
         let mut response = ServiceAnswer::new(StatusCode::OK, bytes);
         response.pacer = Some(self.pacer.clone());
+        response.until_sent = Some(Box::new(place));
         let held = self.state.staged(&asked.version).map(|staged| HeldAnswer::of(&staged.held));
         let text = held.and_then(|held| serde_json::to_string(&held).ok());
         if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
@@ -254,6 +297,13 @@
     }
 }
 
+fn class_of(call: &InboundCall) -> UploadClass {
+    match call.target.query() {
+        Some(_) => UploadClass::Crossing,
+        None => UploadClass::Region,
+    }
+}
+
 fn not_here() -> ServiceAnswer {
     ServiceAnswer::new(StatusCode::NOT_FOUND, "not here")
 }
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -14,6 +14,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
+use bytes::Bytes;
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -32,6 +33,8 @@
     pub declared_at: Option<MonoTime>,
     /// From when on the version that the engine holds must not be used; none if it may.
     pub due_at: Option<MonoTime>,
+    /// From when on the versions before the one that the engine holds must not be used.
+    pub before_due_at: Option<MonoTime>,
 }
 
 /// What is staged in the engine of one version.
@@ -45,6 +48,29 @@
     pub held: ChunkSet,
 }
 
+/// Verified pieces of a version that are kept in memory while the engine's stage still holds an
+/// older one, which has yet to be loaded from there.
+#[derive(Debug)]
+pub struct ParkedVersion {
+    /// The version.
+    pub version: LoadedModel,
+    /// Its manifest.
+    pub manifest: Arc<VersionManifest>,
+    /// The pieces, sorted by their place in the manifest.
+    pub pieces: SortedTable<usize, Bytes>,
+}
+
+impl ParkedVersion {
+    /// The pieces that are kept.
+    pub fn held(&self) -> ChunkSet {
+        let mut held = ChunkSet::new(self.manifest.chunks.len());
+        for (piece, _) in self.pieces.iter() {
+            held.insert(*piece);
+        }
+        held
+    }
+}
+
 /// What an agent believes, shared by its tasks.
 pub struct AgentState {
     /// What is counted.
@@ -63,6 +89,7 @@
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
+    parked: RefCell<Option<ParkedVersion>>,
     report: RefCell<Option<EngineReport>>,
     fence: Cell<Option<u64>>,
     /// Whether the engine answers.
@@ -92,6 +119,7 @@
             declared: RefCell::default(),
             agents: RefCell::default(),
             staged: RefCell::default(),
+            parked: RefCell::default(),
             report: RefCell::default(),
             fence: Cell::new(None),
             serving: watch::channel(false).0,
@@ -244,10 +272,13 @@
         let wanted = |model: ModelName| {
             let versions = declared.get(&model);
             let newest = versions.and_then(DeclaredVersions::newest);
-            let unmet = versions.and_then(|known| known.first_unmet(self.loaded_version(&model)));
+            let loaded = self.loaded_version(&model);
+            let unmet = versions.and_then(|known| known.first_unmet(loaded));
+            let met = versions.and_then(|known| known.last_met(loaded));
             WantedModel {
                 declared_at: newest.map(|newest| newest.declared_at),
                 due_at: unmet.map(|unmet| unmet.only_from),
+                before_due_at: met.map(|met| met.only_from),
                 version: LoadedModel {
                     version: newest.map_or(FIRST_VERSION, |newest| newest.version),
                     model,
@@ -271,6 +302,11 @@
         self.tell_load();
     }
 
+    /// Whether the engine was ordered to load and has not done so yet.
+    pub fn is_closed(&self) -> bool {
+        self.closed.get()
+    }
+
     /// Notes whether the engine is being loaded and takes no requests meanwhile.
     pub fn set_closed(&self, closed: bool) {
         self.closed.set(closed);
@@ -307,10 +343,53 @@
         self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
     }
 
-    /// What is staged of the model of `version`, if it is that version.
+    /// What is staged of the model of `version`, if it is that version, or kept in memory of it.
     pub fn staged(&self, version: &LoadedModel) -> Option<StagedVersion> {
         let staged = self.staged.borrow();
-        staged.get(&version.model).filter(|staged| staged.version == *version).cloned()
+        let staged = staged.get(&version.model).filter(|staged| staged.version == *version);
+        if staged.is_some() {
+            return staged.cloned();
+        }
+        let parked = self.parked.borrow();
+        let parked = parked.as_ref().filter(|parked| parked.version == *version)?;
+        Some(StagedVersion {
+            version: version.clone(),
+            manifest: Some(parked.manifest.clone()),
+            held: parked.held(),
+        })
+    }
+
+    /// Begins to keep pieces of `version` in memory; those that are kept of it already stay.
+    pub fn park(&self, version: &LoadedModel, manifest: &Arc<VersionManifest>) {
+        let mut parked = self.parked.borrow_mut();
+        if parked.as_ref().is_none_or(|parked| parked.version != *version) {
+            *parked = Some(ParkedVersion {
+                version: version.clone(),
+                manifest: manifest.clone(),
+                pieces: SortedTable::new(),
+            });
+        }
+    }
+
+    /// Keeps a piece of `version` in memory.
+    pub fn add_parked(&self, version: &LoadedModel, piece: usize, bytes: Bytes) {
+        if let Some(parked) = self.parked.borrow_mut().as_mut()
+            && parked.version == *version
+        {
+            parked.pieces.insert(piece, bytes);
+        }
+    }
+
+    /// A piece of `version` that is kept in memory.
+    pub fn parked_piece(&self, version: &LoadedModel, piece: usize) -> Option<Bytes> {
+        let parked = self.parked.borrow();
+        let parked = parked.as_ref().filter(|parked| parked.version == *version)?;
+        parked.pieces.get(&piece).cloned()
+    }
+
+    /// Ends the keeping in memory and returns what was kept of `version`.
+    pub fn take_parked(&self, version: &LoadedModel) -> Option<ParkedVersion> {
+        self.parked.borrow_mut().take().filter(|parked| parked.version == *version)
     }
 
     /// Takes in what is staged.
--- a/src/direct/service.rs
+++ b/src/direct/service.rs
@@ -8,6 +8,7 @@
 use buckthornwharf_exchange::{InboundCall, InboundConnection, InboundLimits, ReadFailure};
 use bytes::Bytes;
 use log::{debug, warn};
+use std::any::Any;
 use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
@@ -36,12 +37,15 @@
     pub body: Bytes,
     /// Spreads the sending of the body, if it is not to crowd the link.
     pub pacer: Option<Rc<UploadPacer>>,
+    /// Dropped once the answer is sent, or the caller is gone.
+    pub until_sent: Option<Box<dyn Any>>,
 }
 
 impl ServiceAnswer {
     /// An answer that is sent at once.
     pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
-        Self { status, headers: HeaderMap::new(), body: body.into(), pacer: None }
+        let headers = HeaderMap::new();
+        Self { status, headers, body: body.into(), pacer: None, until_sent: None }
     }
 
     /// An answer with a JSON body.
@@ -127,6 +131,7 @@
 }
 
 async fn send(caller: &mut InboundConnection, answer: ServiceAnswer) -> std::io::Result<()> {
+    let _until_sent = answer.until_sent;
     let size = BodySize::Sized(answer.body.len() as u64);
     caller.put_head(answer.status, answer.headers, size, false)?;
     let mut body = answer.body;
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -9,6 +9,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 
+/// Bytes a second of a megabit a second.
+const MEGABIT_BYTES: f64 = 125_000.0;
+
 /// The settings of one process.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -88,6 +91,13 @@
     pub link_megabits: f64,
 }
 
+impl DirectAgentSettings {
+    /// Bytes a second of the host's link.
+    pub fn link_bytes_per_second(&self) -> f64 {
+        self.link_megabits * MEGABIT_BYTES
+    }
+}
+
 impl DirectSettings {
     /// Whether the settings in `path` are for a process that dispatches directly.
     pub fn is_direct(path: &Path) -> bool {
