Read the list of processes now and then in place of watching it, and ask a lost store less often

Cause: counted by kind, two thirds of the calls to the store were agents' watches of the list of processes: each process that came or went cost a call of every agent, and an outage one of each agent every 0.4 s. Agents need that list only to fetch and to know the entries.

A list is no longer preceded by a look whether the store is there, unless it was lost; an entry that published the same facts before does not ask for them. An entry that knows no configuration sends callers back after 1.2 s to 1.9 s: they come back once, and the store may be away for a while.

--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -1,7 +1,9 @@
 //! Declared versions, the pace of watches, and turns in a roll.
 
 use buckthornwharf_core::direct::rollout::{Overtaking, RolloutTurn, overtakes};
-use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, Freshness, WatchPace};
+use buckthornwharf_core::direct::{
+    DeclaredVersion, DeclaredVersions, Freshness, PollPace, WatchPace,
+};
 use buckthornwharf_core::prelude::*;
 
 fn declared(version: u64, at_ms: u64, only_from_ms: u64) -> DeclaredVersion {
@@ -96,3 +98,14 @@
     assert_eq!(overtakes(older, later), Overtaking::At(MonoTime::from_millis(26_000)));
     assert_eq!(overtakes(None, later), Overtaking::AtOnce);
 }
+
+#[test]
+fn a_list_is_read_often_while_it_changes_and_seldom_once_it_does_not() {
+    let mut pace = PollPace::default();
+    assert_eq!(pace.read(true), Duration::from_secs(1));
+    assert_eq!(pace.read(true), Duration::from_secs(1));
+    let calm: Vec<u64> = (0..5).map(|_| pace.read(false).as_secs()).collect();
+    assert_eq!(calm, [2, 4, 8, 8, 8]);
+    pace.hurry();
+    assert_eq!(pace.read(false), Duration::from_secs(1));
+}
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -51,12 +51,9 @@
         move |event| operator.take_operator(event),
     ));
     let processes = state.clone();
-    actix_rt::spawn(follow::follow(
-        store.clone(),
-        presence::PREFIX,
-        Freshness::RELAXED,
-        move |event| processes.take_processes(event),
-    ));
+    let take = move |items| processes.take_processes(items);
+    let hurry = state.processes_wanted.clone();
+    actix_rt::spawn(follow::poll(store.clone(), presence::PREFIX, hurry, take));
     let record = PresenceRecord::of(&settings);
     let fences = state.clone();
     let registered = move |revision| fences.set_fence(revision);
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -85,6 +85,8 @@
     pub wanted_changed: Notify,
     /// Told when the other agents changed.
     pub agents_changed: Notify,
+    /// Told when the list of processes is to be read anew.
+    pub processes_wanted: Rc<Notify>,
     facts: RefCell<Option<FleetFacts>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
     agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
@@ -115,6 +117,7 @@
             engine,
             wanted_changed: Notify::new(),
             agents_changed: Notify::new(),
+            processes_wanted: Rc::default(),
             facts: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
@@ -193,34 +196,26 @@
             info!("event=version model={} version={version}", declared.model);
             self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
+            self.processes_wanted.notify_one();
         }
     }
 
-    /// Takes in which processes are live.
-    pub fn take_processes(&self, event: FollowEvent) {
-        match event {
-            FollowEvent::Returned => return,
-            FollowEvent::Listed(items) => {
-                self.agents.replace(SortedTable::new());
-                let mut links = self.links.borrow_mut();
-                let listed = |key: &str| items.iter().any(|item| &*item.key == key);
-                links.retain(|key, _| listed(key));
-                drop(links);
-                items.into_iter().for_each(|item| self.put_process(item));
-            }
-            FollowEvent::Changed(changes) => {
-                for change in changes {
-                    match change {
-                        StoreChange::Put(item) => self.put_process(item),
-                        StoreChange::Removed { key, .. } => {
-                            self.agents.borrow_mut().remove(&key);
-                            self.links.borrow_mut().remove(&key);
-                        }
-                    }
-                }
-            }
+    /// Takes in which processes are live; whether they are others than before.
+    pub fn take_processes(&self, items: Vec<StoreItem>) -> bool {
+        let before = self.agents.replace(SortedTable::new());
+        let mut links = self.links.borrow_mut();
+        let listed = |key: &str| items.iter().any(|item| &*item.key == key);
+        let known_links = links.len();
+        links.retain(|key, _| listed(key));
+        let links_gone = links.len() < known_links;
+        drop(links);
+        items.into_iter().for_each(|item| self.put_process(item));
+        let links_new = self.links.borrow().len() > known_links;
+        let agents_changed = *self.agents.borrow() != before;
+        if agents_changed {
+            self.agents_changed.notify_waiters();
         }
-        self.agents_changed.notify_waiters();
+        agents_changed || links_gone || links_new
     }
 
     fn put_process(&self, item: StoreItem) {
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -16,13 +16,16 @@
 use buckthornwharf_exchange::{InboundCall, InboundConnection};
 use buckthornwharf_platform::request::{RequestTags, read_request};
 use log::info;
+use rand::RngExt;
 use reply::{OwnReply, StreamReply};
 use std::rc::Rc;
 
 /// Time that a request may wait if no configuration names a timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Time after which a caller may come back to an entry that knows no configuration yet.
-const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
+/// Times in milliseconds after which a caller may come back to an entry that knows no configuration.
+/// Callers reach such an entry only where all entries have just started, and come back once: the store
+/// may be away for a while, and callers that were refused together are not to come back together.
+const UNCONFIGURED_RETRY_MS: std::ops::Range<u64> = 1200..1900;
 
 /// What becomes of the caller's connection after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,7 +128,10 @@
 
 fn rejected(rejection: Rejection, id: Option<&str>) -> OwnReply {
     let (status, retry_after) = match rejection {
-        Rejection::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, Some(UNCONFIGURED_RETRY)),
+        Rejection::NoConfig => {
+            let retry_ms = rand::rng().random_range(UNCONFIGURED_RETRY_MS);
+            (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(retry_ms)))
+        }
         Rejection::NoId => (StatusCode::BAD_REQUEST, None),
         Rejection::NoRoute => (StatusCode::NOT_FOUND, None),
         Rejection::UnknownKey => (StatusCode::UNAUTHORIZED, None),
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -7,6 +7,7 @@
 
 use super::pool::TargetPool;
 use crate::clock;
+use crate::direct::facts::FleetFacts;
 use crate::direct::metrics::DirectEntryMetrics;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{BoundSettings, DirectSettings};
@@ -29,6 +30,8 @@
     store: StoreClient,
     bounds: RefCell<BoundSettings>,
     routes: RefCell<Option<Rc<RouteTable>>>,
+    /// What this entry last had the store hold for agents.
+    facts: RefCell<Option<FleetFacts>>,
     catalog: RefCell<TargetCatalog>,
     targets_known: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
@@ -58,6 +61,7 @@
             store: StoreClient::new(settings.store),
             settings,
             routes: RefCell::default(),
+            facts: RefCell::default(),
             catalog: RefCell::default(),
             targets_known: Cell::new(false),
             entries: RefCell::default(),
--- a/src/direct/entry/state/intake.rs
+++ b/src/direct/entry/state/intake.rs
@@ -76,10 +76,20 @@
         }
         drop(places);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
-        actix_rt::spawn(facts::publish(self.store.clone(), FleetFacts::of(&config)));
+        self.publish_facts(FleetFacts::of(&config));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
     }
 
+    /// Has the store hold `facts`, unless agents would do the same under those before.
+    fn publish_facts(&self, facts: FleetFacts) {
+        let mut published = self.facts.borrow_mut();
+        if published.as_ref().is_some_and(|published| published.says_the_same(&facts)) {
+            return;
+        }
+        *published = Some(facts.clone());
+        actix_rt::spawn(facts::publish(self.store.clone(), facts));
+    }
+
     fn set_version(&self, now: MonoTime, declared: LoadedModel, listed: bool) {
         let early = listed && now.since(self.started) < BOOT_VERSION_TIME;
         let allowed = match early {
--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -104,7 +104,7 @@
     }
 
     /// Whether agents do the same under both.
-    fn says_the_same(&self, other: &Self) -> bool {
+    pub fn says_the_same(&self, other: &Self) -> bool {
         self.origin == other.origin && self.engines == other.engines
     }
 }
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,9 +1,15 @@
 //! Follows what the platform's store holds below a prefix.
 
-use buckthornwharf_core::direct::{Freshness, WatchPace};
-use buckthornwharf_platform::{StoreChange, StoreClient, StoreError, StoreItem};
+use buckthornwharf_core::direct::{Freshness, PollPace, WatchPace};
+use buckthornwharf_platform::{ReadAge, StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// First reads of a polled list that bring what the store holds now: processes that start together
+/// see each other.
+const CURRENT_READS: u64 = 4;
 
 /// What a follower tells.
 #[derive(Debug)]
@@ -25,12 +31,14 @@
 ) {
     let mut link = StoreLink { prefix, pace: WatchPace::new(freshness) };
     loop {
-        // A list may take long; whether the store is there at all is told sooner.
-        if let Err(error) = store.probe(link.pace.probe_timeout()).await {
+        // A list may take long; whether a lost store is there again is told sooner.
+        if link.pace.is_lost()
+            && let Err(error) = store.probe(link.pace.probe_timeout()).await
+        {
             link.failed(&error).await;
             continue;
         }
-        let range = match store.range(prefix).await {
+        let range = match store.range(prefix, ReadAge::Current).await {
             Ok(range) => range,
             Err(error) => {
                 link.failed(&error).await;
@@ -64,6 +72,47 @@
     }
 }
 
+/// Reads what the store holds below `prefix` again and again, for the rest of the process, and hands
+/// it to `take`, which tells whether it is another than before. A notice of `hurry` has it read at
+/// once.
+pub async fn poll(
+    store: StoreClient,
+    prefix: &'static str,
+    hurry: Rc<Notify>,
+    mut take: impl FnMut(Vec<StoreItem>) -> bool,
+) {
+    let mut pace = PollPace::default();
+    let mut revision = 0;
+    let mut lost = false;
+    for read in 0_u64.. {
+        let age = if read < CURRENT_READS { ReadAge::Current } else { ReadAge::Seconds };
+        let changed = match store.range(prefix, age).await {
+            Ok(range) => {
+                if std::mem::take(&mut lost) {
+                    info!("event=store_returned prefix={prefix}");
+                    pace.hurry();
+                }
+                // An older state than the one before tells nothing new.
+                let is_newer = range.revision >= revision;
+                revision = revision.max(range.revision);
+                is_newer && take(range.items)
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    warn!("event=store_lost prefix={prefix} reason=\"{error}\"");
+                }
+                pace.hurry();
+                false
+            }
+        };
+        let pause = pace.read(changed).mul_f64(rand::rng().random_range(0.85..1.15));
+        tokio::select! {
+            () = actix_rt::time::sleep(pause) => {}
+            () = hurry.notified() => pace.hurry(),
+        }
+    }
+}
+
 /// The pace of a follower, with log lines where the store is lost and comes back.
 struct StoreLink {
     prefix: &'static str,
