Break off what a target has not begun when the version that it has loaded ends

A place at a target whose version ends now says until when the request must have begun; the entry closes the exchange 0.15 s before the end if nothing of the answer has come, and the request goes elsewhere where it may. So requests may be sent there until 0.8 s before the end, in place of 0.9 s.

Ruled out: a version heard of late (the entries log it 0.02 s after its acknowledgement).

Tests: core/tests/direct_places.rs, and a process test that answered 504 at the caller's deadline before.

--- a/core/src/direct/ending.rs
+++ b/core/src/direct/ending.rs
@@ -44,6 +44,8 @@
     Garbled,
     /// The target ran the request and failed.
     ServerError,
+    /// The target had not begun when the version that it has loaded ended.
+    Outdated,
 }
 
 impl AttemptEnd {
--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -57,6 +57,9 @@
     pub target: Arc<TargetRecord>,
     /// Tokens of the request's prompt, which the target has yet to read.
     pub prompt_tokens: u32,
+    /// Until when the target must have begun to run the request, because the version that it has
+    /// loaded ends then; none if it does not.
+    pub begin_by: Option<MonoTime>,
 }
 
 /// What becomes of a request that wants a place.
@@ -274,9 +277,17 @@
         let candidates = self.targets.values().filter(fits);
         let best = candidates.min_by_key(|load| load.cost(now, share))?;
         let id = best.record.id.clone();
+        let loaded = request.model.as_ref().map(|model| best.loaded_version(model));
+        let unmet =
+            versions.zip(loaded).and_then(|(versions, loaded)| versions.first_unmet(loaded));
+        let begin_by = unmet.map(|unmet| unmet.begin_by);
         let load = self.targets.get_mut(&id)?;
         load.take(request.prompt_tokens);
-        Some(PlaceGrant { target: load.record.clone(), prompt_tokens: request.prompt_tokens })
+        Some(PlaceGrant {
+            target: load.record.clone(),
+            prompt_tokens: request.prompt_tokens,
+            begin_by,
+        })
     }
 
     /// Places at the targets of `service` that this entry counts on.
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -119,6 +119,12 @@
             && self.has_version(request, required)
     }
 
+    /// The version of `model` that the target has loaded; 0 for none.
+    pub fn loaded_version(&self, model: &ModelName) -> u64 {
+        let of_model = self.record.models.iter().filter(|loaded| loaded.model == *model);
+        of_model.map(|loaded| loaded.version).max().unwrap_or(0)
+    }
+
     fn has_version(&self, request: &PlaceRequest, required: Option<u64>) -> bool {
         let Some(model) = &request.model else {
             return true;
--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -16,8 +16,10 @@
     pub version: u64,
     /// When the process heard of it.
     pub declared_at: MonoTime,
-    /// From when on older versions must not be used.
+    /// From when on requests must not be sent to older versions.
     pub only_from: MonoTime,
+    /// Until when what was sent to older versions must have begun to run.
+    pub begin_by: MonoTime,
 }
 
 impl DeclaredVersions {
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -107,7 +107,8 @@
     let mut book = book(&[target("old", "here", 1)]);
     let held: Vec<PlaceGrant> = (0..SLOTS).filter_map(|_| place(&mut book, at(0))).collect();
     assert_eq!(held.len() as u32, SLOTS);
-    let declared = DeclaredVersion { version: 2, declared_at: at(0), only_from: at(100) };
+    let declared =
+        DeclaredVersion { version: 2, declared_at: at(0), only_from: at(100), begin_by: at(150) };
     assert!(book.declare(&"m".into(), declared));
     assert!(matches!(book.request(at(50), request(true)), Admission::Wait(_)));
     book.release(at(120), "old", PlaceOutcome::Answered);
@@ -210,3 +211,17 @@
     }
     assert_eq!(book.in_flight(), 0);
 }
+
+#[test]
+fn a_place_at_an_old_version_tells_until_when_it_may_begin() {
+    let mut book = book(&[target("old", "here", 1), target("new", "there", 2)]);
+    let early = place(&mut book, at(0)).expect("a place");
+    assert_eq!((&*early.target.id, early.begin_by), ("old", None));
+    let declared =
+        DeclaredVersion { version: 2, declared_at: at(10), only_from: at(100), begin_by: at(150) };
+    assert!(book.declare(&"m".into(), declared));
+    let before = place(&mut book, at(20)).expect("a place");
+    assert_eq!((&*before.target.id, before.begin_by), ("old", Some(at(150))));
+    let after = place(&mut book, at(110)).expect("a place");
+    assert_eq!((&*after.target.id, after.begin_by), ("new", None));
+}
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -11,6 +11,7 @@
         version,
         declared_at: MonoTime::from_millis(at_ms),
         only_from: MonoTime::from_millis(only_from_ms),
+        begin_by: MonoTime::from_millis(only_from_ms + 500),
     }
 }
 
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -189,7 +189,8 @@
         let now = clock::now();
         let version = declared.version;
         let only_from = now + self.settings.bounds.version_time;
-        let entry = DeclaredVersion { version, declared_at: now, only_from };
+        let begin_by = only_from;
+        let entry = DeclaredVersion { version, declared_at: now, only_from, begin_by };
         let mut known = self.declared.borrow_mut();
         let versions = known.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
         if versions.declare(entry) {
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -354,6 +354,7 @@
     fn outcome(&self) -> PlaceOutcome {
         match self {
             AttemptResult::Failed(AttemptEnd::NotRun) => PlaceOutcome::Full,
+            AttemptResult::Failed(AttemptEnd::Outdated) => PlaceOutcome::Answered,
             AttemptResult::Failed(_) => PlaceOutcome::Failed,
             _ => PlaceOutcome::Answered,
         }
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -81,6 +81,8 @@
 enum Interruption {
     CallerLeft,
     TimedOut,
+    /// The version that the target has loaded ended before the target had begun.
+    Outdated,
 }
 
 impl From<Interruption> for AttemptResult {
@@ -88,6 +90,7 @@
         match interruption {
             Interruption::CallerLeft => AttemptResult::CallerLeft,
             Interruption::TimedOut => AttemptResult::TimedOut,
+            Interruption::Outdated => AttemptResult::Failed(AttemptEnd::Outdated),
         }
     }
 }
@@ -126,7 +129,7 @@
         let Some(request) = self.outbound(target, stream.as_ref()) else {
             return Err(Interruption::TimedOut);
         };
-        let mut head = self.within(caller, connection.exchange(request)).await?;
+        let mut head = self.begun(caller, connection.exchange(request)).await?;
         for _ in 0..MAX_FOREIGN {
             let answer = match head {
                 Ok(answer) => answer,
@@ -148,7 +151,7 @@
                 AnswerBinding::Unmarked => return Ok(AttemptResult::Failed(AttemptEnd::Garbled)),
                 AnswerBinding::Foreign => {
                     let skip = skip_answer(&mut connection);
-                    head = self.within(caller, skip).await?;
+                    head = self.begun(caller, skip).await?;
                 }
             }
         }
@@ -282,8 +285,17 @@
         if head_due {
             reply.closes = self.state.is_leaving();
         }
+        let mut first = true;
         loop {
-            let part = self.within(caller, connection.read_body()).await?;
+            let part = match std::mem::take(&mut first) {
+                true => self.begun(caller, connection.read_body()).await,
+                false => self.within(caller, connection.read_body()).await,
+            };
+            if head_due && matches!(part, Err(Interruption::Outdated)) {
+                *stream = None;
+                return Ok(AttemptResult::Failed(AttemptEnd::Outdated));
+            }
+            let part = part?;
             let mut put = Ok(());
             if head_due {
                 // The head goes out with the first events: one packet less, and a target that
@@ -345,6 +357,24 @@
         while let Ok(Some(BodyPart::Data(_))) = connection.decode_body() {}
     }
 
+    /// Waits for a step with which the target begins, unless the version that it has loaded ends, the
+    /// caller leaves or the time passes before.
+    async fn begun<T>(
+        &self,
+        caller: &mut InboundConnection,
+        step: impl Future<Output = T>,
+    ) -> Result<T, Interruption> {
+        let Some(begin_by) = self.grant.begin_by else {
+            return self.within(caller, step).await;
+        };
+        let time_left = begin_by.since(clock::now());
+        tokio::select! {
+            biased;
+            done = self.within(caller, step) => done,
+            () = actix_rt::time::sleep(time_left) => Err(Interruption::Outdated),
+        }
+    }
+
     /// Waits for a step, unless the caller leaves or the time passes before.
     async fn within<T>(
         &self,
--- a/src/direct/entry/state/intake.rs
+++ b/src/direct/entry/state/intake.rs
@@ -16,8 +16,11 @@
 use std::rc::Rc;
 
 /// Time before the end of an old version from which requests go only to the new one; covers the
-/// time until a request that was sent begins to run.
-const VERSION_MARGIN: Duration = Duration::from_millis(900);
+/// time until most requests that were sent begin to run.
+const VERSION_MARGIN: Duration = Duration::from_millis(800);
+/// Time before the end of an old version at which what has not begun there is broken off; covers the
+/// way of the notice to the target.
+const BEGIN_MARGIN: Duration = Duration::from_millis(150);
 /// Time after which a version that was declared before the entry started is the only one used.
 const BOOT_VERSION_TIME: Duration = Duration::from_millis(1500);
 
@@ -97,7 +100,9 @@
             false => self.bounds.borrow().version_time.saturating_sub(VERSION_MARGIN),
         };
         let version = declared.version;
-        let entry = DeclaredVersion { version, declared_at: now, only_from: now + allowed };
+        let only_from = now + allowed;
+        let begin_by = only_from + (VERSION_MARGIN - BEGIN_MARGIN);
+        let entry = DeclaredVersion { version, declared_at: now, only_from, begin_by };
         if self.places.borrow_mut().declare(&declared.model, entry) {
             info!("event=version model={} version={version}", declared.model);
         }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -186,3 +186,14 @@
     assert!(fleet.has_ended().await, "it ends by itself");
     eventually("it is no longer registered", || !fleet.store.holds("buckthornwharf/entry/")).await;
 }
+
+#[actix_rt::test]
+async fn what_a_target_has_not_begun_when_its_version_ends_is_broken_off() {
+    let fleet = DirectFleet::start_with(1, 1600).await;
+    fleet.engines[0].conduct.set(Conduct::Hang);
+    fleet.declare(2).await;
+    let reply = fleet.get("/stream/x", "id-1").await;
+    assert_eq!(reply.status, 502, "neither a success nor the end of the caller's time");
+    let engine = fleet.engines[0].clone();
+    eventually("the target's work is stopped", || engine.abandoned.get() == 1).await;
+}
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -37,6 +37,9 @@
     }
 }
 
+/// Time after which a declared version is the only one in force.
+const VERSION_TIME_MS: u64 = 8000;
+
 /// An entry between callers and targets.
 pub struct DirectFleet {
     pub store: Rc<StoreStandin>,
@@ -59,6 +62,11 @@
 impl DirectFleet {
     /// Starts an entry with `targets` targets and waits until it is ready.
     pub async fn start(targets: usize) -> Self {
+        Self::start_with(targets, VERSION_TIME_MS).await
+    }
+
+    /// The same where a declared version has to be in force after `version_time_ms`.
+    pub async fn start_with(targets: usize, version_time_ms: u64) -> Self {
         let store = StoreStandin::start().await;
         let mut engines = Vec::new();
         for number in 0..targets {
@@ -73,7 +81,7 @@
             "peers": { "ip": "127.0.0.1", "ports": [0, 0] },
             "bounds": {
                 "retry_ratio": 0.2, "retry_extra": 100, "retry_window": 10, "grace": 8,
-                "version_time": 8000,
+                "version_time": version_time_ms,
             },
             "entry": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0" },
         });
@@ -123,6 +131,13 @@
         self.store.put("op/config", &config);
     }
 
+    /// Declares a version of the model that the targets have loaded, and waits until the entry has
+    /// heard of it.
+    pub async fn declare(&self, version: u64) {
+        self.store.put("op/version/m", &json!({ "model": "m", "version": version }));
+        eventually("the entry hears of the version", || self.store.is_followed("op/")).await;
+    }
+
     /// Changes the state that a target gives of itself.
     pub fn set_state(&self, number: usize, state: &str) {
         let engine = &self.engines[number];
@@ -262,6 +277,8 @@
             ("attempt-id", id),
             ("deadline-ms", "5000"),
             ("authorization", &key),
+            ("model", "m"),
+            ("token-count", "10,10"),
             ("tenant", "forged"),
         ]),
         body: Bytes::from(body.to_owned()),
