Tell callers that come back from callers with less patience, and start without waiting on a silent store

Cause, from event=answered lines of a calm second: three requests of four counted as second tries. Callers differ in the patience that they show at their first try by up to 15%, and 97% of the longest was taken as the bound. So most requests waited behind the others and for up to 0.9 s, and the order of the queue meant nothing; in the seconds of a roll, places went to whoever was late already.

The bound is 84% now, and a refused caller is sent back for at least a second, which is more.

The first list is preceded by a look again.

--- a/core/src/direct/patience.rs
+++ b/core/src/direct/patience.rs
@@ -10,8 +10,10 @@
 const LONGEST_LATE_WAIT: Duration = Duration::from_millis(900);
 /// Time for which the longest patience that callers showed is remembered.
 const MEMORY: Duration = Duration::from_secs(20);
-/// A caller that shows less than this part of the usual patience has tried before, in percent.
-const RETURN_PERCENT: u32 = 97;
+/// A caller that shows less than this part of the usual patience has tried before, in percent. Callers
+/// differ in patience at their first try; one that was refused comes back with less than that, since
+/// the time that it was told is longer than the difference.
+const RETURN_PERCENT: u32 = 84;
 
 /// The patience that callers of a route show at their first try. A caller that comes back after a
 /// refusal shows what is left of it.
--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -20,9 +20,10 @@
 /// Time for which a target that had no room is passed over.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 /// Shortest and longest time after which a refused caller may come back. An answer is late by then in
-/// any case, so the load that made for the refusal is given time to pass.
+/// any case, so the load that made for the refusal is given time to pass; and callers that come back
+/// can be told from those that have less patience.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(900), Duration::from_millis(1900));
+    (Duration::from_millis(1000), Duration::from_millis(1900));
 /// Share of a target in another region that is used while its real load is not known, in percent.
 const BLIND_REMOTE_PERCENT: u32 = 40;
 
--- a/core/tests/direct_requests.rs
+++ b/core/tests/direct_requests.rs
@@ -178,6 +178,22 @@
     assert_eq!(usual.take(later, Duration::from_millis(4500)), Duration::ZERO);
 }
 
+#[test]
+fn callers_that_differ_in_patience_are_not_taken_for_ones_that_come_back() {
+    for full_ms in [6000, 4000, 2500, 1500] {
+        let mut usual = UsualPatience::default();
+        for step in 0..200_u64 {
+            let shown = Duration::from_millis(full_ms - full_ms * (step * 37 % 150) / 1000);
+            let now = MonoTime::from_millis(1000 + step);
+            assert_eq!(usual.take(now, shown), Duration::ZERO, "{shown:?} of {full_ms} ms");
+        }
+        // The shortest time after which a refused caller comes back, or a third of what it has.
+        let patient = Duration::from_millis(full_ms);
+        let back = patient - Duration::from_millis(1000).min(patient / 3);
+        assert!(usual.take(MonoTime::from_millis(1300), back) > Duration::ZERO, "{back:?}");
+    }
+}
+
 #[test]
 fn only_a_request_that_can_be_in_time_goes_before_others() {
     let objective = Duration::from_millis(400);
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,5 +1,6 @@
 //! Follows what the platform's store holds below a prefix.
 
+use super::presence::PROBE_TIMEOUT;
 use buckthornwharf_core::direct::{Freshness, PollPace, WatchPace};
 use buckthornwharf_platform::{ReadAge, StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
@@ -29,10 +30,10 @@
     freshness: Freshness,
     mut take: impl FnMut(FollowEvent),
 ) {
-    let mut link = StoreLink { prefix, pace: WatchPace::new(freshness) };
+    let mut link = StoreLink { prefix, pace: WatchPace::new(freshness), proven: false };
     loop {
-        // A list may take long; whether a lost store is there again is told sooner.
-        if link.pace.is_lost()
+        // A list may take long; whether the store is there at all is told sooner.
+        if link.is_doubtful()
             && let Err(error) = store.probe(link.pace.probe_timeout()).await
         {
             link.failed(&error).await;
@@ -83,10 +84,16 @@
 ) {
     let mut pace = PollPace::default();
     let mut revision = 0;
-    let mut lost = false;
+    let mut lost = true;
     for read in 0_u64.. {
         let age = if read < CURRENT_READS { ReadAge::Current } else { ReadAge::Seconds };
-        let changed = match store.range(prefix, age).await {
+        let asked = async {
+            if lost {
+                store.probe(PROBE_TIMEOUT).await?;
+            }
+            store.range(prefix, age).await
+        };
+        let changed = match asked.await {
             Ok(range) => {
                 if std::mem::take(&mut lost) {
                     info!("event=store_returned prefix={prefix}");
@@ -117,11 +124,19 @@
 struct StoreLink {
     prefix: &'static str,
     pace: WatchPace,
+    /// Whether the store has answered at all.
+    proven: bool,
 }
 
 impl StoreLink {
+    /// Whether the store may be away.
+    fn is_doubtful(&self) -> bool {
+        !self.proven || self.pace.is_lost()
+    }
+
     /// Notes an answer; whether it is the first after an outage.
     fn answered(&mut self) -> bool {
+        self.proven = true;
         let returned = self.pace.answered();
         if returned {
             info!("event=store_returned prefix={}", self.prefix);
