--- a/core/src/direct/rollout.rs
+++ b/core/src/direct/rollout.rs
@@ -4,7 +4,7 @@
 
 /// Time between the last order and the end of the old version. The target takes no new request after
 /// the order, and those that it took before begin within this time.
-const ORDER_MARGIN: Duration = Duration::from_millis(700);
+const ORDER_MARGIN: Duration = Duration::from_millis(550);
 
 /// Least time for the turns of hosts that wait for others to take theirs.
 const LEAST_SPAN: Duration = Duration::from_millis(1500);
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -27,8 +27,6 @@
 const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
 const LACKING_TIME: Duration = Duration::from_secs(5);
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
-/// Hosts of a region that hold a chunk before it counts as brought there.
-const SEEN_HOLDERS: usize = 1;
 const CORRUPT_LIMIT: u32 = 2;
 
 /// Fetches one version. Dropping it is the way to give up a superseded version.
@@ -44,7 +42,7 @@
     home_patience: Duration,
     held: ChunkSet,
     peers: PeerLedger,
-    /// By chunk: when the own region was first known to hold it.
+    /// By chunk: when a host of the own region was first known to hold it.
     seen: Vec<Option<MonoTime>>,
     lanes: LaneTable,
     flights: FlightTable,
@@ -258,25 +256,14 @@
         let Some(index) = self.plan.index_of(peer) else {
             return;
         };
-        let told = (0..chunks.len()).filter(|chunk| chunks.contains(*chunk));
-        let fresh: Vec<usize> = told.filter(|chunk| self.seen[*chunk].is_none()).collect();
-        self.peers.told(now, index, chunks);
-        for chunk in fresh {
-            self.look(now, chunk);
-        }
-    }
-
-    /// Notes a chunk as seen once hosts of the own region are known to hold it: two, since the only
-    /// one may be too slow to pass it on.
-    fn look(&mut self, now: MonoTime, chunk: usize) {
-        let Some(me) = self.me else {
-            return;
-        };
-        let members = self.plan.members(self.plan.region_of(me));
-        let holders = members.iter().filter(|host| self.peers.hosts[**host].known.contains(chunk));
-        if holders.take(SEEN_HOLDERS).count() >= SEEN_HOLDERS.min(members.len() - 1) {
-            self.seen[chunk] = Some(now);
+        let is_near =
+            self.me.is_some_and(|me| self.plan.region_of(me) == self.plan.region_of(index));
+        if is_near {
+            for chunk in (0..chunks.len()).filter(|chunk| chunks.contains(*chunk)) {
+                self.seen[chunk].get_or_insert(now);
+            }
         }
+        self.peers.told(now, index, chunks);
     }
 
     fn poll_failed(&mut self, now: MonoTime, peer: &HostName) {
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -22,6 +22,9 @@
 /// Time for which a chunk that comes later in order is held in a region before the next host in the
 /// order of takeover brings a chunk that is not.
 const OVERTAKEN_PATIENCE: Duration = Duration::from_secs(3);
+/// Time for which a region's only holder of a chunk may take to pass it on before the next host in the
+/// order of takeover brings it, too.
+const LONE_PATIENCE: Duration = Duration::from_secs(5);
 /// Chunks before a missing one that count as later, so that the last chunks are looked after, too.
 const OVERTAKEN_SPAN: usize = 4;
 /// Fetches within the region, slow ones included, for each that is to go on at once.
@@ -338,15 +341,24 @@
     /// region, as far as can be told from the chunks that come later in order. A host with a
     /// narrowed link makes progress, but too slowly.
     fn overtaken(&self, now: MonoTime, chunk: usize) -> usize {
-        if self.seen[chunk].is_some() {
-            return 0;
+        if let Some(seen) = self.seen[chunk] {
+            let patience = self.limits.paced(LONE_PATIENCE);
+            return if self.is_lone(chunk) { rounds(now.since(seen), patience) } else { 0 };
         }
         let later = self.seen[chunk.saturating_sub(OVERTAKEN_SPAN)..].iter().flatten().min();
         let Some(later) = later else {
             return 0;
         };
         let patience = self.limits.paced(OVERTAKEN_PATIENCE).max(self.origin_patience(now));
-        (now.since(*later).as_micros() / patience.as_micros().max(1)) as usize
+        rounds(now.since(*later), patience)
+    }
+
+    /// Whether only one host of the own region is known to hold `chunk`; it may be too slow to pass
+    /// it on.
+    fn is_lone(&self, chunk: usize) -> bool {
+        let members = self.me.map_or(&[][..], |me| self.plan.members(self.plan.region_of(me)));
+        let holds = |host: &&HostIndex| self.peers.hosts[**host].known.contains(chunk);
+        members.len() > 2 && members.iter().filter(holds).take(2).count() < 2
     }
 
     /// The host that answers for `chunk` in the own region: the first in the order of takeover that
@@ -414,3 +426,8 @@
         ChunkSource::Peer(self.plan.name_of(host).clone())
     }
 }
+
+/// How often `patience` fits into `span`.
+fn rounds(span: Duration, patience: Duration) -> usize {
+    (span.as_micros() / patience.as_micros().max(1)) as usize
+}
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -7,6 +7,8 @@
 
 const FIRST_SUSPICION: Duration = Duration::from_secs(2);
 const LONGEST_SUSPICION: Duration = Duration::from_secs(64);
+/// The same for the origin, which nobody stands in for.
+const LONGEST_ORIGIN_SUSPICION: Duration = Duration::from_secs(4);
 const BUSY_PAUSE: Duration = Duration::from_millis(200);
 const PEER_SHUN_TIME: Duration = Duration::from_secs(600);
 const ORIGIN_SHUN_TIME: Duration = Duration::from_secs(2);
@@ -31,6 +33,7 @@
     busy_until: MonoTime,
     bytes_per_second: f64,
     shun_time: Duration,
+    longest_suspicion: Duration,
     limits: FetchLimits,
 }
 
@@ -47,6 +50,7 @@
             busy_until: MonoTime::ZERO,
             bytes_per_second: bytes_per_second as f64,
             shun_time: PEER_SHUN_TIME,
+            longest_suspicion: LONGEST_SUSPICION,
             limits: *limits,
         }
     }
@@ -114,7 +118,7 @@
         let span = FIRST_SUSPICION * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
         self.suspect_until =
-            self.suspect_until.max(now + self.limits.paced(span.min(LONGEST_SUSPICION)));
+            self.suspect_until.max(now + self.limits.paced(span.min(self.longest_suspicion)));
     }
 
     fn trust(&mut self, now: MonoTime) {
@@ -138,6 +142,7 @@
         let record = SourceRecord::new(chunks, limits.host_bytes_per_second, limits, now);
         let mut origin = SourceRecord::new(0, limits.origin_bytes_per_second, limits, now);
         origin.shun_time = ORIGIN_SHUN_TIME;
+        origin.longest_suspicion = LONGEST_ORIGIN_SUSPICION;
         let hosts = vec![record; plan.hosts().len()];
         Self { origin, hosts, known: ChunkSet::new(chunks) }
     }
--- a/core/tests/weights_seconds.rs
+++ b/core/tests/weights_seconds.rs
@@ -19,18 +19,19 @@
 const ORIGIN_MEGABITS: f64 = 9.9;
 const HOST_MEGABITS: f64 = 7.6;
 const REGION_MEGABITS: f64 = 26.0;
-const REGIONS: usize = 3;
 /// Time after its declaration within which a version has to be in force.
 const VERSION_SECONDS: f64 = 8.0;
 /// Time in which the hosts put it into their targets, one after the other.
 const TURNS_SECONDS: f64 = 3.0;
+/// Hosts, and the regions that they stand in.
+const FLEETS: [(usize, usize); 4] = [(12, 3), (45, 3), (56, 4), (76, 3)];
 const SLOW_UPLOAD: Duration = Duration::from_millis(400 * SLOWER);
 const LONGEST_RUN: Duration = Duration::from_secs(30 * SLOWER);
 
-fn fleet(hosts: usize) -> FleetModel {
+fn fleet(hosts: usize, regions: usize) -> FleetModel {
     let place = |index: usize| PlanHost {
         name: HostName::from(format!("host-{index:02}")),
-        region: RegionName::from(format!("region-{}", index % REGIONS)),
+        region: RegionName::from(format!("region-{}", index % regions)),
     };
     let units = |megabits: f64| (megabits * MEGABIT_UNITS) as u64;
     let mut limits =
@@ -58,26 +59,46 @@
     model.now.since(MonoTime::ZERO).as_secs_f64() / SLOWER as f64
 }
 
+/// Seconds of one copy from the origin and one over a host's link, one after the other.
+fn copy_bound() -> f64 {
+    let copy_megabits = (CHUNKS * 32_768 * 8) as f64 / 1e6;
+    copy_megabits / ORIGIN_MEGABITS + copy_megabits / HOST_MEGABITS
+}
+
 fn origin_copies(model: &FleetModel) -> f64 {
     model.origin_units / model.copy_units()
 }
 
 #[test]
 fn all_hold_a_version_in_the_time_of_one_copy_from_the_origin_and_one_over_a_hosts_link() {
-    let copy_megabits = (CHUNKS * 32_768 * 8) as f64 / 1e6;
-    let bound = copy_megabits / ORIGIN_MEGABITS + copy_megabits / HOST_MEGABITS;
-    for hosts in [12, 45, 76] {
-        let mut model = fleet(hosts);
+    let bound = copy_bound();
+    for (hosts, regions) in FLEETS {
+        let mut model = fleet(hosts, regions);
         let seconds = held_after(&mut model, hosts);
         assert!(seconds < bound, "{hosts} hosts: {seconds:.2} s of {bound:.2} s");
         assert!(origin_copies(&model) < 1.25, "{hosts} hosts: {:.2}", origin_copies(&model));
     }
 }
 
+#[test]
+fn an_origin_that_was_away_is_read_as_soon_as_it_is_back() {
+    for away in [2.0, 6.0, 10.0] {
+        let mut model = fleet(45, 3);
+        model.faults.insert(None, SourceFault::Down);
+        while model.now.since(MonoTime::ZERO).as_secs_f64() < away * SLOWER as f64 {
+            model.step();
+        }
+        model.faults.remove(&None);
+        let seconds = held_after(&mut model, 45);
+        let bound = away + copy_bound() + 1.0;
+        assert!(seconds < bound, "away for {away} s: {seconds:.2} s of {bound:.2} s");
+    }
+}
+
 #[test]
 fn hosts_with_narrowed_links_leave_the_others_time_to_take_turns() {
-    for hosts in [12, 45, 76] {
-        let mut model = fleet(hosts);
+    for (hosts, regions) in FLEETS {
+        let mut model = fleet(hosts, regions);
         let narrowed = hosts / 8;
         for host in 0..narrowed {
             model.faults.insert(Some(host * 7), SourceFault::Narrow(0.125));
--- a/src/direct/entry/state/intake.rs
+++ b/src/direct/entry/state/intake.rs
@@ -17,10 +17,10 @@
 
 /// Time before the end of an old version from which requests go only to the new one; covers the
 /// time until most requests that were sent begin to run.
-const VERSION_MARGIN: Duration = Duration::from_millis(800);
+const VERSION_MARGIN: Duration = Duration::from_millis(650);
 /// Time before the end of an old version at which what has not begun there is broken off; covers the
-/// way of the notice to the target.
-const BEGIN_MARGIN: Duration = Duration::from_millis(150);
+/// time by which the entry heard of the declaration late, and the way of the notice to the target.
+const BEGIN_MARGIN: Duration = Duration::from_millis(350);
 /// Time after which a version that was declared before the entry started is the only one used.
 const BOOT_VERSION_TIME: Duration = Duration::from_millis(1500);
 
