--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -19,7 +19,7 @@
 pub use ending::{AttemptEnd, FinalAnswer, NextStep, WorkKind, next_step};
 pub use patience::{UsualPatience, WaitAllowance, wait_allowance};
 pub use places::{Admission, PlaceBook, PlaceGrant, PlaceRequest, PlaceTicket};
-pub use routes::{RouteMatch, RouteTable};
+pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, EngineShape, OrganisationKeys, OriginShape, ServingConfig, ServingRoute,
     ServingService,
--- a/core/src/direct/routes.rs
+++ b/core/src/direct/routes.rs
@@ -13,15 +13,6 @@
     keys: SortedTable<Arc<str>, (OrganisationName, Option<u8>)>,
 }
 
-/// The route of a request.
-#[derive(Debug, Clone, Copy)]
-pub struct RouteMatch<'a> {
-    /// The route.
-    pub route: &'a ServingRoute,
-    /// Its position in the configuration.
-    pub index: usize,
-}
-
 impl RouteTable {
     /// A table of `config`.
     pub fn new(config: Arc<ServingConfig>) -> Self {
@@ -46,7 +37,7 @@
     }
 
     /// The route of `host` with the longest prefix of `path`.
-    pub fn find(&self, host: &str, path: &str) -> Option<RouteMatch<'_>> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&ServingRoute> {
         let mut rest = path;
         while let Some(at) = rest.rfind('/') {
             let prefix = &path[..=at];
@@ -55,8 +46,7 @@
                 (&*route.host, &*route.prefix).cmp(&(host, prefix))
             });
             if let Ok(at) = found {
-                let index = self.order[at];
-                return Some(RouteMatch { route: &self.config.routes[index], index });
+                return Some(&self.config.routes[self.order[at]]);
             }
             rest = &path[..at];
         }
--- a/core/src/direct/serving.rs
+++ b/core/src/direct/serving.rs
@@ -49,8 +49,6 @@
 pub struct ServingService {
     /// Its name.
     pub name: ServiceName,
-    /// Connections that one target takes from all entries together.
-    pub max_connections: u32,
     /// What its targets are, if they run a model.
     pub engine: Option<EngineShape>,
     /// Where its weights come from, if it is an origin of weights.
--- a/core/tests/direct_requests.rs
+++ b/core/tests/direct_requests.rs
@@ -130,8 +130,7 @@
         route("a.example", "/x/y/", &[("two", 1)]),
         route("b.example", "/", &[("three", 1)]),
     ]);
-    let name =
-        |host: &str, path: &str| table.find(host, path).map(|found| found.route.name.to_string());
+    let name = |host: &str, path: &str| table.find(host, path).map(|found| found.name.to_string());
     assert_eq!(name("a.example", "/x/1").as_deref(), Some("a.example/x/"));
     assert_eq!(name("a.example", "/x/y/1").as_deref(), Some("a.example/x/y/"));
     assert_eq!(name("a.example", "/x/yy").as_deref(), Some("a.example/x/"));
@@ -145,7 +144,7 @@
     let many = (0..5000).map(|n| route("a.example", &format!("/r{n}/"), &[("one", 1)])).collect();
     let table = table(many);
     let found = table.find("a.example", "/r4321/deep/path").expect("it is there");
-    assert_eq!(&*found.route.prefix, "/r4321/");
+    assert_eq!(&*found.prefix, "/r4321/");
 }
 
 #[test]
--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -132,11 +132,6 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether more of an answer has been read already than has been handed out.
-    pub fn has_buffered(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
     /// Sends a request and reads the head of the answer. An answer may come before the request is
     /// sent whole; the connection is then not used again.
     ///
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -9,7 +9,7 @@
 use attempt::{AttemptResult, PromptReading, TargetAttempt};
 use buckthornwharf_core::direct::places::PlaceOutcome;
 use buckthornwharf_core::direct::{
-    AttemptEnd, FinalAnswer, NextStep, PlaceGrant, PlaceRequest, ServingRoute, WorkKind, next_step,
+    AttemptEnd, FinalAnswer, NextStep, PlaceGrant, PlaceRequest, WorkKind, next_step,
     wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
@@ -101,7 +101,7 @@
     let reject = |rejection: Rejection| (rejection, Some(tags.id.clone()));
     let table = state.routes().ok_or_else(|| reject(Rejection::NoConfig))?;
     let found = table.find(&tags.host, call.target.path());
-    let route: &ServingRoute = found.ok_or_else(|| reject(Rejection::NoRoute))?.route;
+    let route = found.ok_or_else(|| reject(Rejection::NoRoute))?;
     let holder = tags.key.as_deref().and_then(|key| table.organisation(key));
     if holder.is_none() && table.asks_keys() && !route.anonymous {
         return Err(reject(Rejection::UnknownKey));
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -169,8 +169,6 @@
             target: &target.id,
             time_left,
             organisation: request.organisation.as_ref(),
-            version: None,
-            rank: None,
             resume_after: stream.and_then(|stream| stream.events.last_id()),
         };
         Some(OutboundRequest {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,6 +3,7 @@
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1000 cargo test --release --test soak -- --nocapture` plays fifty seeds,
 //! `SOAK_JOBS` of them at once; without these a few seeds are played, and those that ever failed.
+//! `SOAK_ENTRIES` and `SOAK_ENGINES` set the size.
 
 #[path = "soak/callers.rs"]
 mod callers;
@@ -49,7 +50,9 @@
 /// Plays the run of `seed`; what was broken.
 async fn play(seed: u64) -> Result<String, String> {
     let mut rng = StdRng::seed_from_u64(seed);
-    let fleet = Rc::new(SoakFleet::start(ENTRIES, ENGINES).await);
+    let size = |name, usual| number(name).map_or(usual, |size| size as usize);
+    let (entries, engines) = (size("SOAK_ENTRIES", ENTRIES), size("SOAK_ENGINES", ENGINES));
+    let fleet = Rc::new(SoakFleet::start(entries, engines).await);
     let callers = CallerLedger::start(&fleet, seed);
     let state = Rc::new(FaultState::default());
     state.version.set(1);
