Refuse at once what no target can serve

Only targets with a usable version that take requests now count for those; for requests that are late anyway the ones that are loading count, too.

Test in core/tests/direct_places.rs, failing before.

--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -7,7 +7,7 @@
 mod load;
 mod queue;
 
-use super::{DeclaredVersion, DeclaredVersions, TargetPhase, TargetRecord, WaitAllowance};
+use super::{DeclaredVersion, DeclaredVersions, TargetRecord, WaitAllowance};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 use load::TargetLoad;
@@ -175,7 +175,7 @@
         {
             return Admission::Place(grant);
         }
-        let usable = self.usable_places(&request.service);
+        let usable = self.usable_places(now, &request);
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
         let wait = queue.expected_wait(now, ahead, usable);
         self.next_ticket += 1;
@@ -267,8 +267,8 @@
     fn place(&mut self, now: MonoTime, request: &PlaceRequest) -> Option<PlaceGrant> {
         let share = self.share;
         // Looked up when the request gets its place: it may have waited past the end of a version.
+        let required = self.required_version(now, request);
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
-        let required = versions.and_then(|versions| versions.required(now));
         let limit = self.unread_limits.get(&request.service).copied().unwrap_or(u32::MAX);
         let fits = |load: &&TargetLoad| {
             load.takes(now, request, required)
@@ -291,14 +291,20 @@
         })
     }
 
-    /// Places at the targets of `service` that this entry counts on.
-    fn usable_places(&self, service: &ServiceName) -> u32 {
-        let of_service = |load: &&TargetLoad| {
-            load.listed
-                && load.record.service == *service
-                && load.record.phase == TargetPhase::Ready
+    /// Places at targets that this entry counts on for `request`. A request that can be in time counts
+    /// only on targets that take requests now; one that is late anyway also on those that are loading.
+    fn usable_places(&self, now: MonoTime, request: &PlaceRequest) -> u32 {
+        let required = self.required_version(now, request);
+        let usable = |load: &&TargetLoad| {
+            load.is_fit(request, required) && (request.wait.late || load.is_accepting(now))
         };
-        self.targets.values().filter(of_service).map(|load| load.limit(self.share)).sum()
+        self.targets.values().filter(usable).map(|load| load.limit(self.share)).sum()
+    }
+
+    /// The oldest version of the request's model that may be used.
+    fn required_version(&self, now: MonoTime, request: &PlaceRequest) -> Option<u64> {
+        let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
+        versions.and_then(|versions| versions.required(now))
     }
 }
 
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -110,15 +110,25 @@
     /// Whether the target may get `request`, room aside. `required` is the oldest version of its model
     /// that may be used.
     pub fn takes(&self, now: MonoTime, request: &PlaceRequest, required: Option<u64>) -> bool {
+        self.is_fit(request, required)
+            && self.paused_until <= now
+            && self.is_accepting(now)
+            && !request.tried.contains(&self.record.id)
+    }
+
+    /// Whether the target answers requests like `request` with a version that may be used.
+    pub fn is_fit(&self, request: &PlaceRequest, required: Option<u64>) -> bool {
         self.listed
             && self.record.service == request.service
             && self.record.phase == TargetPhase::Ready
-            && self.paused_until <= now
-            && (self.accepting || !self.is_reported(now))
-            && !request.tried.contains(&self.record.id)
             && self.has_version(request, required)
     }
 
+    /// Whether the target takes requests, as far as is known.
+    pub fn is_accepting(&self, now: MonoTime) -> bool {
+        self.accepting || !self.is_reported(now)
+    }
+
     /// The version of `model` that the target has loaded; 0 for none.
     pub fn loaded_version(&self, model: &ModelName) -> u64 {
         let of_model = self.record.models.iter().filter(|loaded| loaded.model == *model);
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -225,3 +225,17 @@
     let after = place(&mut book, at(110)).expect("a place");
     assert_eq!((&*after.target.id, after.begin_by), ("new", None));
 }
+
+#[test]
+fn what_no_target_can_serve_is_refused_at_once() {
+    let mut book = book(&[target("old", "here", 1), target("older", "there", 1)]);
+    let declared =
+        DeclaredVersion { version: 2, declared_at: at(0), only_from: at(100), begin_by: at(150) };
+    assert!(book.declare(&"m".into(), declared));
+    assert!(place(&mut book, at(50)).is_some());
+    assert!(matches!(book.request(at(110), request(false)), Admission::Refuse(_)));
+    book.set_targets([target("new", "here", 2)].iter());
+    book.set_load(at(120), "new", 0, false);
+    assert!(matches!(book.request(at(120), request(false)), Admission::Refuse(_)), "it is loading");
+    assert!(matches!(book.request(at(120), request(true)), Admission::Wait(_)));
+}
