Leave the list of agents when the engine is lost during a fetch

The look now ends the fetch once the engine counts as lost.

Process test in tests/direct_agent.rs: without the mend the agent was still listed after 30 s.

--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -61,14 +61,17 @@
     }
 }
 
-/// Looks at the engine's state for as long as it is polled, so that entries hear of its load while
-/// pieces are fetched.
+/// Looks at the engine's state while pieces are fetched, so that entries hear of its load. Ends once
+/// the engine counts as lost: nothing can be staged in it, and others must not count on this agent.
 async fn look_on(state: &AgentState) {
-    loop {
+    let mut answered_at = clock::now();
+    while clock::now().since(answered_at) <= LOST_AFTER {
         actix_rt::time::sleep(LOOK_INTERVAL).await;
         match state.engine.report().await {
-            Ok(report) => state.set_report(report),
-            // The look that follows the fetch tells of a lost engine.
+            Ok(report) => {
+                answered_at = clock::now();
+                state.set_report(report);
+            }
             Err(error) => log::debug!("event=engine_lost reason=\"{error}\""),
         }
     }
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -8,7 +8,7 @@
 
 use fleet::{SoakFleet, holds_within};
 use standin::operator;
-use standin::origin::PIECES;
+use standin::origin::{OriginFault, PIECES};
 use std::time::Duration;
 
 /// Time within which a condition must hold.
@@ -45,6 +45,24 @@
     all_load(&fleet, 2).await;
 }
 
+#[actix_rt::test]
+async fn an_agent_whose_engine_is_lost_during_a_fetch_leaves_the_list() {
+    let fleet = SoakFleet::start(1, 2).await;
+    all_load(&fleet, 1).await;
+    let is_listed = || fleet.store.holds("buckthornwharf/agent/agent-0");
+    eventually("the agent is listed", is_listed).await;
+    fleet.origin.fault.set(OriginFault::Down);
+    operator::declare(&fleet.store, 2);
+    let agent = fleet.processes.iter().find(|process| process.name == "agent-0");
+    let agent = agent.expect("the agent of the first engine");
+    eventually("the agent wants it", || agent.output().contains("event=no_manifest")).await;
+    fleet.engines[0].crash(false);
+    eventually("the agent has left the list", || !is_listed()).await;
+    fleet.engines[0].restart();
+    fleet.origin.fault.set(OriginFault::None);
+    all_load(&fleet, 2).await;
+}
+
 #[actix_rt::test]
 async fn a_piece_that_turned_bad_in_the_stage_is_fetched_again_before_the_load() {
     let fleet = SoakFleet::start(1, 4).await;
