--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -8,6 +8,7 @@
 mod flights;
 mod lanes;
 mod peers;
+mod takeover;
 
 pub use event::{
     ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchOrder, FetchTicket,
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -3,6 +3,7 @@
 mod fetcher;
 mod keeper;
 mod peers;
+mod stage;
 mod state;
 
 use super::follow;
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -4,7 +4,8 @@
 mod run;
 
 use super::peers::PeerCalls;
-use super::state::{AgentState, StagedVersion, WantedModel};
+use super::stage::StagedVersion;
+use super::state::{AgentState, WantedModel};
 use crate::clock;
 use crate::direct::presence::PresenceRecord;
 use buckthornwharf_core::direct::LoadedModel;
@@ -45,8 +46,8 @@
     pub async fn park(&self, wanted: &WantedModel) {
         let version = &wanted.version;
         let found = self.manifest(wanted).await;
-        self.state.park(version, &found.manifest);
-        let held = self.state.staged(version).map(|parked| parked.held);
+        self.state.stage.park(version, &found.manifest);
+        let held = self.state.stage.staged(version).map(|parked| parked.held);
         let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
         info!("event=parking_started version={} held={}", version.version, held.count());
         let goal = PieceGoal::Memory;
@@ -61,18 +62,18 @@
 
     /// Stages what was kept in memory of `version`.
     async fn stage_parked(&self, version: &LoadedModel) {
-        let Some(parked) = self.state.take_parked(version) else {
+        let Some(parked) = self.state.stage.take_parked(version) else {
             return;
         };
         // Other agents may ask for these pieces meanwhile.
-        self.state.set_staged(StagedVersion {
+        self.state.stage.set_staged(StagedVersion {
             version: version.clone(),
             manifest: Some(parked.manifest.clone()),
             held: ChunkSet::new(parked.manifest.chunks.len()),
         });
         for (piece, bytes) in parked.pieces.iter() {
             match self.state.engine.stage(&version.model, *piece, bytes.clone()).await {
-                Ok(()) => self.state.add_staged(version, *piece),
+                Ok(()) => self.state.stage.add_staged(version, *piece),
                 // It is fetched again.
                 Err(error) => warn!("event=not_staged piece={piece} reason=\"{error}\""),
             }
@@ -92,7 +93,7 @@
             held.count(),
             found.settled
         );
-        self.state.set_staged(StagedVersion {
+        self.state.stage.set_staged(StagedVersion {
             version: version.clone(),
             manifest: Some(manifest.clone()),
             held: held.clone(),
--- a/src/direct/agent/fetcher/manifest.rs
+++ b/src/direct/agent/fetcher/manifest.rs
@@ -60,7 +60,7 @@
         version: &LoadedModel,
         near: Option<SocketAddr>,
     ) -> Option<Arc<VersionManifest>> {
-        let staged = self.state.staged(version).and_then(|staged| staged.manifest);
+        let staged = self.state.stage.staged(version).and_then(|staged| staged.manifest);
         match (staged, near) {
             (None, Some(address)) => self.peers.manifest(address, version).await.ok().map(Arc::new),
             (staged, _) => staged,
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -136,12 +136,12 @@
     async fn keep(&self, piece: usize, bytes: Bytes) {
         let state = &self.fetcher.state;
         if self.goal == PieceGoal::Memory {
-            state.add_parked(&self.version, piece, bytes);
+            state.stage.add_parked(&self.version, piece, bytes);
             return;
         }
         let staged = state.engine.stage(&self.version.model, piece, bytes).await;
         match staged {
-            Ok(()) => state.add_staged(&self.version, piece),
+            Ok(()) => state.stage.add_staged(&self.version, piece),
             // The check before the load finds the gap.
             Err(error) => warn!("event=not_staged piece={piece} reason=\"{error}\""),
         }
--- a/src/direct/agent/keeper.rs
+++ b/src/direct/agent/keeper.rs
@@ -1,7 +1,8 @@
 //! Brings the engine to the wanted versions.
 
 use super::fetcher::{PieceFetcher, StagedWhole};
-use super::state::{AgentState, StagedVersion, WantedModel};
+use super::stage::StagedVersion;
+use super::state::{AgentState, WantedModel};
 use crate::clock;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::direct::rollout::{Overtaking, RolloutTurn, overtakes};
@@ -191,7 +192,7 @@
         return true;
     }
     warn!("event=stage_spoilt version={} sound={}", version.version, held.count());
-    state.set_staged(StagedVersion {
+    state.stage.set_staged(StagedVersion {
         version: version.clone(),
         manifest: Some(whole.manifest.clone()),
         held,
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -1,6 +1,7 @@
 //! What agents ask each other for: which pieces of a version they have staged, and the pieces.
 
-use super::state::{AgentState, StagedVersion};
+use super::stage::StagedVersion;
+use super::state::AgentState;
 use crate::clock;
 use crate::direct::service::{ServiceAnswer, UploadPacer, start_service};
 use actix_http::header::{HeaderName, HeaderValue};
@@ -222,7 +223,7 @@
     /// What is staged of `version`. An engine that had it loaded before the agent started has its
     /// pieces staged, too.
     async fn staged(&self, version: &LoadedModel) -> Option<StagedVersion> {
-        if let Some(staged) = self.state.staged(version) {
+        if let Some(staged) = self.state.stage.staged(version) {
             return Some(staged);
         }
         if !self.state.is_loaded(version) {
@@ -242,7 +243,7 @@
             held.insert(piece);
         }
         let staged = StagedVersion { version: version.clone(), manifest: None, held };
-        self.state.set_staged(staged.clone());
+        self.state.stage.set_staged(staged.clone());
         Some(staged)
     }
 
@@ -259,7 +260,7 @@
             return ServiceAnswer::new(StatusCode::SERVICE_UNAVAILABLE, "busy");
         };
         let most_bytes = self.state.engine_shape().map_or(0, |shape| shape.chunk_bytes as usize);
-        if let Some(bytes) = self.state.parked_piece(&staged.version, piece) {
+        if let Some(bytes) = self.state.stage.parked_piece(&staged.version, piece) {
             return self.piece_response(staged, bytes, place);
         }
         let model = &staged.version.model;
@@ -288,7 +289,8 @@
         let mut response = ServiceAnswer::new(StatusCode::OK, bytes);
         response.pacer = Some(self.pacer.clone());
         response.until_sent = Some(Box::new(place));
-        let held = self.state.staged(&asked.version).map(|staged| HeldAnswer::of(&staged.held));
+        let held =
+            self.state.stage.staged(&asked.version).map(|staged| HeldAnswer::of(&staged.held));
         let text = held.and_then(|held| serde_json::to_string(&held).ok());
         if let Some(value) = text.and_then(|text| HeaderValue::from_str(&text).ok()) {
             response.headers.insert(HELD_HEADER, value);
