Keep requests from targets that do not answer, and from old versions that they would reach too late

- A target that keeps a request waiting for 175% of its objective gets no more until an answer begins.
- An old version gets a request only if three times the longest time that an answer there took to begin of late fits before its end.
- A host all of whose sources are slow has a narrow link itself, and asks for one piece at a time within its region: live requests wait behind each.
The further fetches for slow sources had made that worse.

Tests: core/tests/direct_places.rs (two, failing before), core/tests/weights_seconds.rs. The overload test there now tells the book when an answer begins, as the entry does; its bounds are as they were.

--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -173,6 +173,11 @@
         self.cut = Some((a.min(b), a.max(b)));
     }
 
+    /// Chunks that are on their way to a host.
+    pub fn flows_to(&self, host: usize) -> usize {
+        self.flows.iter().filter(|flow| flow.to == host).count()
+    }
+
     /// Whether every living host holds every chunk.
     pub fn is_done(&self) -> bool {
         let idle = |index: usize| self.faults.get(&Some(index)) == Some(&SourceFault::Idle);
--- a/core/src/direct/places.rs
+++ b/core/src/direct/places.rs
@@ -43,6 +43,8 @@
     pub rank: u8,
     /// How it may wait.
     pub wait: WaitAllowance,
+    /// Time within which its answer is due to begin.
+    pub objective: Duration,
     /// The targets that it must not go to again.
     pub tried: Vec<Arc<str>>,
     /// Tokens of its prompt; 0 if it has none.
@@ -58,6 +60,8 @@
     pub target: Arc<TargetRecord>,
     /// Tokens of the request's prompt, which the target has yet to read.
     pub prompt_tokens: u32,
+    /// When the place was given.
+    pub placed_at: MonoTime,
     /// Until when the target must have begun to run the request, because the version that it has
     /// loaded ends then; none if it does not.
     pub begin_by: Option<MonoTime>,
@@ -187,10 +191,11 @@
         Admission::Wait(ticket)
     }
 
-    /// Notes that a target has read a prompt of `tokens`: its answer has begun, or never will.
-    pub fn prompt_read(&mut self, id: &str, tokens: u32) {
-        if let Some(load) = self.targets.get_mut(id) {
-            load.unread = load.unread.saturating_sub(tokens);
+    /// Notes that a target has read the prompt of the request with this place: its answer has begun, or
+    /// never will.
+    pub fn prompt_read(&mut self, now: MonoTime, grant: &PlaceGrant) {
+        if let Some(load) = self.targets.get_mut(&grant.target.id) {
+            load.begun(now, grant.placed_at, grant.prompt_tokens);
         }
     }
 
@@ -208,7 +213,7 @@
 
     /// Gives a place back that was not used.
     pub fn give_back(&mut self, now: MonoTime, grant: &PlaceGrant) {
-        self.prompt_read(&grant.target.id, grant.prompt_tokens);
+        self.prompt_read(now, grant);
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, PlaceOutcome::Answered);
         }
@@ -270,23 +275,26 @@
         let required = self.required_version(now, request);
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
         let limit = self.unread_limits.get(&request.service).copied().unwrap_or(u32::MAX);
+        let begin_by = |load: &TargetLoad| {
+            let loaded = load.loaded_version(request.model.as_ref()?);
+            Some(versions?.first_unmet(loaded)?.begin_by)
+        };
         let fits = |load: &&TargetLoad| {
             load.takes(now, request, required)
                 && load.room(now, share) > 0
                 && load.can_read(request.prompt_tokens, limit)
+                && begin_by(load).is_none_or(|begin_by| load.begins_by(now, begin_by))
         };
         let candidates = self.targets.values().filter(fits);
         let best = candidates.min_by_key(|load| load.cost(now, share))?;
         let id = best.record.id.clone();
-        let loaded = request.model.as_ref().map(|model| best.loaded_version(model));
-        let unmet =
-            versions.zip(loaded).and_then(|(versions, loaded)| versions.first_unmet(loaded));
-        let begin_by = unmet.map(|unmet| unmet.begin_by);
+        let begin_by = begin_by(best);
         let load = self.targets.get_mut(&id)?;
-        load.take(request.prompt_tokens);
+        load.take(now, request);
         Some(PlaceGrant {
             target: load.record.clone(),
             prompt_tokens: request.prompt_tokens,
+            placed_at: now,
             begin_by,
         })
     }
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -12,6 +12,13 @@
 /// Part of the free places that entries of the target's own region may take before they hear of its
 /// load again, in percent; entries of other regions may take the rest.
 const LOCAL_PERCENT: u32 = 75;
+/// Part of a request's objective, in percent, after which a target that has not begun to answer gets no
+/// further requests: it hangs, or its link is far too narrow, and what goes there is late.
+const STUCK_PERCENT: u32 = 175;
+/// Time for which the longest time that an answer took to begin is remembered.
+const BEGIN_MEMORY: Duration = Duration::from_secs(3);
+/// Time that an answer is given to begin before its version ends, in percent of the longest of late.
+const BEGIN_PERCENT: u32 = 300;
 /// Cost of leaving the own region, in thousandths of a full target.
 const REMOTE_COST: u64 = 400;
 
@@ -21,7 +28,11 @@
     pub record: Arc<TargetRecord>,
     pub own: u32,
     /// Tokens of prompts of this entry that the target has not read yet.
-    pub unread: u32,
+    unread: u32,
+    /// The requests of this entry whose answers have not begun.
+    unbegun: Vec<UnbegunRequest>,
+    /// The longest time that an answer took to begin lately, and when that was seen.
+    slowest_begin: (Duration, MonoTime),
     /// Whether the target is still registered.
     pub listed: bool,
     local: bool,
@@ -37,12 +48,22 @@
     failures: u32,
 }
 
+/// A request whose answer has not begun.
+#[derive(Debug, Clone, Copy)]
+struct UnbegunRequest {
+    placed_at: MonoTime,
+    /// From when on the target keeps it waiting for too long.
+    stuck_at: MonoTime,
+}
+
 impl TargetLoad {
     pub fn new(record: Arc<TargetRecord>, local: bool) -> Self {
         Self {
             record,
             own: 0,
             unread: 0,
+            unbegun: Vec::new(),
+            slowest_begin: (Duration::ZERO, MonoTime::ZERO),
             listed: true,
             local,
             others: 0,
@@ -79,12 +100,44 @@
         self.unread == 0 || self.unread.saturating_add(tokens) <= limit
     }
 
-    pub fn take(&mut self, prompt_tokens: u32) {
-        self.unread = self.unread.saturating_add(prompt_tokens);
+    pub fn take(&mut self, now: MonoTime, request: &PlaceRequest) {
+        // A route without an objective says nothing of how long is too long.
+        if !request.objective.is_zero() {
+            let stuck_at = now + request.objective * STUCK_PERCENT / 100;
+            self.unbegun.push(UnbegunRequest { placed_at: now, stuck_at });
+        }
+        self.unread = self.unread.saturating_add(request.prompt_tokens);
         self.own += 1;
         self.taken += 1;
     }
 
+    /// Notes that the answer of a request sent at `placed_at` has begun, or never will.
+    pub fn begun(&mut self, now: MonoTime, placed_at: MonoTime, prompt_tokens: u32) {
+        self.unread = self.unread.saturating_sub(prompt_tokens);
+        let (longest, seen_at) = self.slowest_begin;
+        let took = now.since(placed_at);
+        if took >= longest || now.since(seen_at) > BEGIN_MEMORY {
+            self.slowest_begin = (took, now);
+        }
+        if let Some(at) = self.unbegun.iter().position(|sent| sent.placed_at == placed_at) {
+            self.unbegun.swap_remove(at);
+        }
+    }
+
+    /// Whether a request that is sent now is sure to begin by `begin_by`, as far as others of late tell.
+    pub fn begins_by(&self, now: MonoTime, begin_by: MonoTime) -> bool {
+        let (longest, seen_at) = self.slowest_begin;
+        let recent = if now.since(seen_at) > BEGIN_MEMORY { Duration::ZERO } else { longest };
+        let waiting = self.unbegun.iter().map(|sent| now.since(sent.placed_at)).max();
+        let expected = recent.max(waiting.unwrap_or_default());
+        now + expected * BEGIN_PERCENT / 100 < begin_by
+    }
+
+    /// Whether the target keeps a request waiting for too long.
+    fn is_stuck(&self, now: MonoTime) -> bool {
+        self.unbegun.iter().any(|sent| sent.stuck_at < now)
+    }
+
     pub fn release(&mut self, now: MonoTime, outcome: PlaceOutcome) {
         self.own = self.own.saturating_sub(1);
         self.given_back += 1;
@@ -113,6 +166,7 @@
         self.is_fit(request, required)
             && self.paused_until <= now
             && self.is_accepting(now)
+            && !self.is_stuck(now)
             && !request.tried.contains(&self.record.id)
     }
 
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -28,6 +28,8 @@
 const FAILURE_AVOID_TIME: Duration = Duration::from_secs(30);
 const LACKING_TIME: Duration = Duration::from_secs(5);
 const CORRUPT_AVOID_TIME: Duration = Duration::from_secs(3600);
+/// Weight of what was known before in the average time of a fetch.
+const TIME_MEMORY: f64 = 0.7;
 const CORRUPT_LIMIT: u32 = 2;
 
 /// Fetches one version. Dropping it is the way to give up a superseded version.
@@ -46,6 +48,8 @@
     /// By chunk: when a host of the own region was first known to hold it.
     seen: Vec<Option<MonoTime>>,
     lanes: LaneTable,
+    /// How long fetches within the region take, averaged over those of late.
+    usual_time: Duration,
     flights: FlightTable,
     /// By chunk: until when the link that failed it last is not asked again.
     retries: Vec<(MonoTime, Option<RegionIndex>)>,
@@ -74,6 +78,7 @@
             me: plan.index_of(&name),
             peers: PeerLedger::new(&plan, count, &limits, now),
             lanes: LaneTable::new(plan.region_count(), limits),
+            usual_time: Duration::ZERO,
             flights: FlightTable::default(),
             retries: vec![(MonoTime::ZERO, None); count],
             seen: (0..count).map(|chunk| held.contains(chunk).then_some(now)).collect(),
@@ -174,8 +179,13 @@
         if let Some(record) = self.record_mut(&flight.source) {
             record.succeeded(now, length, took);
         }
-        if let Some(region) = flight.lane {
-            self.lanes.succeeded(region);
+        match flight.lane {
+            Some(region) => self.lanes.succeeded(region),
+            None if flight.source != ChunkSource::Origin => {
+                self.usual_time =
+                    self.usual_time.mul_f64(TIME_MEMORY) + took.mul_f64(1.0 - TIME_MEMORY);
+            }
+            None => {}
         }
         if self.held.insert(flight.chunk) {
             self.seen[flight.chunk].get_or_insert(now);
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -124,8 +124,11 @@
         let count = self.held.len();
         let patience = self.limits.paced(SECOND_ASK_PATIENCE);
         let slots = self.limits.peer_fetches.saturating_mul(self.spare_percent()) / 100;
-        let slots = slots.max(1);
-        let most = slots * MOST_ASKED_FACTOR;
+        // Where all sources are slow, the host's own link is narrow, and live requests wait behind
+        // each chunk that was asked for.
+        let is_narrow = self.usual_time > patience;
+        let slots = if is_narrow { 1 } else { slots.max(1) };
+        let most = if is_narrow { 1 } else { slots * MOST_ASKED_FACTOR };
         let mut free = slots
             .saturating_sub(self.flights.peer_count(now, patience))
             .min(most.saturating_sub(self.flights.peer_count(now, Duration::MAX)));
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -34,6 +34,7 @@
         service: "llm".into(),
         rank: 1,
         wait: WaitAllowance { patience: Duration::from_millis(600), late },
+        objective: Duration::from_millis(400),
         tried: Vec::new(),
         prompt_tokens: 0,
         model: Some("m".into()),
@@ -159,7 +160,8 @@
         // Two targets of four places and 100 ms each take 80 requests a second; 160 come.
         if now % 25 < 4 && now % 25 != 3 || now % 25 == 12 {
             match book.request(at(now), request(false)) {
-                Admission::Place(_) => {
+                Admission::Place(grant) => {
+                    book.prompt_read(at(now), &grant);
                     served += 1;
                     running.push(now + service_time);
                 }
@@ -167,7 +169,8 @@
                 Admission::Wait(_) => {}
             }
         }
-        for _ in book.grants(at(now)) {
+        for (_, grant) in book.grants(at(now)) {
+            book.prompt_read(at(now), &grant);
             served += 1;
             running.push(now + service_time);
         }
@@ -184,12 +187,12 @@
     let mut book = book(&[target("a", "here", 1)]);
     book.set_reading_rate(&"llm".into(), 30_000);
     let prompt = || PlaceRequest { prompt_tokens: 1300, ..request(false) };
-    let mut placed = 0;
-    while let Admission::Place(_) = book.request(at(0), prompt()) {
-        placed += 1;
+    let mut placed = Vec::new();
+    while let Admission::Place(grant) = book.request(at(0), prompt()) {
+        placed.push(grant);
     }
-    assert_eq!(placed, 2, "100 ms of reading hold two prompts of 1300 tokens");
-    book.prompt_read("a", 1300);
+    assert_eq!(placed.len(), 2, "100 ms of reading hold two prompts of 1300 tokens");
+    book.prompt_read(at(40), &placed[0]);
     assert_eq!(book.grants(at(50)).len(), 1);
 }
 
@@ -239,3 +242,34 @@
     assert!(matches!(book.request(at(120), request(false)), Admission::Refuse(_)), "it is loading");
     assert!(matches!(book.request(at(120), request(true)), Admission::Wait(_)));
 }
+
+/// A target that hangs, or whose link is far too narrow, keeps what it was sent waiting.
+#[test]
+fn a_target_that_keeps_a_request_waiting_gets_no_more_until_it_begins() {
+    let mut book = book(&[target("stuck", "here", 1), target("sound", "there", 1)]);
+    let first = place(&mut book, at(0)).expect("a place");
+    assert_eq!(&*first.target.id, "stuck");
+    let second = place(&mut book, at(600)).expect("a place");
+    assert_eq!(&*second.target.id, "stuck");
+    let third = place(&mut book, at(800)).expect("a place");
+    assert_eq!(&*third.target.id, "sound", "the first has waited for 0.8 s");
+    book.prompt_read(at(850), &first);
+    assert_eq!(&*place(&mut book, at(900)).expect("a place").target.id, "stuck");
+}
+
+/// The end of a version cannot wait for requests that are on their way over a narrowed link.
+#[test]
+fn an_old_version_gets_nothing_that_would_begin_too_late() {
+    let mut book = book(&[target("slow", "here", 1)]);
+    let first = place(&mut book, at(0)).expect("a place");
+    book.prompt_read(at(600), &first);
+    let declared = DeclaredVersion {
+        version: 2,
+        declared_at: at(700),
+        only_from: at(3000),
+        begin_by: at(3200),
+    };
+    assert!(book.declare(&"m".into(), declared));
+    assert!(place(&mut book, at(1300)).is_some(), "0.6 s of 1.9 s");
+    assert!(place(&mut book, at(2400)).is_none(), "0.6 s of 0.8 s leave too little");
+}
--- a/core/tests/weights_seconds.rs
+++ b/core/tests/weights_seconds.rs
@@ -104,6 +104,14 @@
             model.faults.insert(Some(host * 7), SourceFault::Narrow(0.125));
         }
         let seconds = held_after(&mut model, hosts - narrowed);
+        let flows = (0..hosts).map(|host| model.flows_to(host));
+        let on_narrowed: Vec<usize> = flows.step_by(7).take(narrowed).collect();
+        // No more from the own region than on a sound link, and two from elsewhere.
+        let most = FetchLimits::SECONDS_PEER_FETCHES + 2;
+        assert!(
+            on_narrowed.iter().all(|flows| *flows <= most),
+            "{on_narrowed:?} chunks on their way"
+        );
         let bound = VERSION_SECONDS - TURNS_SECONDS;
         assert!(seconds < bound, "{narrowed} of {hosts} hosts: {seconds:.2} s");
         assert!(origin_copies(&model) < 1.5, "{hosts} hosts: {:.2}", origin_copies(&model));
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -185,7 +185,7 @@
             };
             self.attempts += 1;
             let target = grant.target.clone();
-            let reading = PromptReading::new(self.state, &target.id, self.request.tags.tokens.0);
+            let reading = PromptReading::new(self.state, &grant);
             let request = &self.request;
             let may_try_elsewhere =
                 request.kind.may_repeat() && self.attempts < request.max_attempts;
@@ -273,6 +273,7 @@
             service: request.service.clone(),
             rank: request.rank,
             wait: wait_allowance(request.objective, elapsed, time_left),
+            objective: request.objective,
             tried: self.tried.clone(),
             prompt_tokens: request.tags.tokens.0,
             model: request.tags.model.clone(),
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -38,20 +38,19 @@
 /// end of the attempt.
 pub(super) struct PromptReading<'a> {
     state: &'a EntryState,
-    target: Arc<str>,
-    tokens: Cell<u32>,
+    grant: &'a PlaceGrant,
+    ended: Cell<bool>,
 }
 
 impl<'a> PromptReading<'a> {
-    /// A prompt of `tokens` on its way to `target`.
-    pub fn new(state: &'a EntryState, target: &Arc<str>, tokens: u32) -> Self {
-        Self { state, target: target.clone(), tokens: Cell::new(tokens) }
+    /// The prompt of the request that got this place.
+    pub fn new(state: &'a EntryState, grant: &'a PlaceGrant) -> Self {
+        Self { state, grant, ended: Cell::new(false) }
     }
 
     fn end(&self) {
-        let tokens = self.tokens.take();
-        if tokens > 0 {
-            self.state.prompt_read(&self.target, tokens);
+        if !self.ended.replace(true) {
+            self.state.prompt_read(self.grant);
         }
     }
 }
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -48,9 +48,9 @@
         self.places.borrow_mut().cancel(ticket);
     }
 
-    /// Notes that a target has read a prompt of `tokens`.
-    pub fn prompt_read(&self, id: &str, tokens: u32) {
-        self.places.borrow_mut().prompt_read(id, tokens);
+    /// Notes that the answer of the request that got this place has begun, or never will.
+    pub fn prompt_read(&self, grant: &PlaceGrant) {
+        self.places.borrow_mut().prompt_read(clock::now(), grant);
         self.serve_queue();
     }
 
