Work round slow hosts only where a version has seconds to spread

Under that load hosts look slow, and since the takeovers of this work their chunks were read from the origin a second time. The product's own path has minutes and counts copies; so takeovers, second asks and the places they leave are for urgent fetches only, which the users' platform asks for. There nothing changes.

--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -122,7 +122,10 @@
 
     fn fill_peers(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
         let count = self.held.len();
-        let patience = self.limits.paced(SECOND_ASK_PATIENCE);
+        let patience = match self.limits.is_urgent {
+            true => self.limits.paced(SECOND_ASK_PATIENCE),
+            false => Duration::MAX,
+        };
         let slots = self.limits.peer_fetches.saturating_mul(self.spare_percent()) / 100;
         // Where all sources are slow, the host's own link is narrow, and live requests wait behind
         // each chunk that was asked for.
@@ -163,7 +166,9 @@
             PeerPass::Any => self.is_open(now, chunk, None),
             PeerPass::Second => {
                 let patience = self.limits.paced(SECOND_ASK_PATIENCE);
-                self.may_retry(now, chunk, None) && self.flights.may_ask(now, chunk, patience)
+                self.limits.is_urgent
+                    && self.may_retry(now, chunk, None)
+                    && self.flights.may_ask(now, chunk, patience)
             }
         }
     }
--- a/core/src/weights/fetch/event.rs
+++ b/core/src/weights/fetch/event.rs
@@ -102,6 +102,9 @@
     pub time_percent: u32,
     /// Stall that counts at any pace: a narrowed link is not a dead source.
     pub least_stall: Duration,
+    /// Whether slow hosts are worked round at the price of some chunks that are fetched twice, because
+    /// the version has seconds to spread.
+    pub is_urgent: bool,
 }
 
 impl FetchLimits {
@@ -122,6 +125,7 @@
             origin_delay: Duration::ZERO,
             time_percent: 100,
             least_stall: LEAST_STALL,
+            is_urgent: false,
         }
     }
 
--- a/core/src/weights/fetch/takeover.rs
+++ b/core/src/weights/fetch/takeover.rs
@@ -99,6 +99,9 @@
     /// region, as far as can be told from the chunks that come later in order. A host with a
     /// narrowed link makes progress, but too slowly.
     pub(super) fn overtaken(&self, now: MonoTime, chunk: usize) -> usize {
+        if !self.limits.is_urgent {
+            return 0;
+        }
         if let Some(seen) = self.seen[chunk] {
             let patience = self.limits.paced(LONE_PATIENCE);
             return if self.is_lone(chunk) { rounds(now.since(seen), patience) } else { 0 };
--- a/core/tests/weights_seconds.rs
+++ b/core/tests/weights_seconds.rs
@@ -39,6 +39,7 @@
     limits.time_percent = FetchLimits::SECONDS_PERCENT * SLOWER as u32;
     limits.least_stall *= SLOWER as u32;
     limits.peer_fetches = FetchLimits::SECONDS_PEER_FETCHES;
+    limits.is_urgent = true;
     let spread = ModelSpread {
         crossing: CrossingMode::Homes,
         slow_upload: Some(SLOW_UPLOAD),
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -156,6 +156,7 @@
         }
         limits.time_percent = FetchLimits::SECONDS_PERCENT;
         limits.peer_fetches = FetchLimits::SECONDS_PEER_FETCHES;
+        limits.is_urgent = true;
         limits
     }
 }
