Keep one account of whether the store answers, for watched and polled lists alike

The polled list had its own flag, log lines and time for a look beside those of StoreLink and WatchPace. It uses StoreLink now, and the time for a look stands once, in core. Calls and pauses are as before. Two log lines change: event=store_returned is no longer written at the start of each agent, where nothing was lost, and a store that is away at the start is logged as lost, as watches do.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -25,4 +25,4 @@
     ServingService,
 };
 pub use versions::{DeclaredVersion, DeclaredVersions};
-pub use watch_pace::{Freshness, PollPace, WatchPace};
+pub use watch_pace::{Freshness, PROBE_TIMEOUT, PollPace, WatchPace};
--- a/core/src/direct/watch_pace.rs
+++ b/core/src/direct/watch_pace.rs
@@ -7,7 +7,9 @@
 /// Time for which a watch waits while the store is lost, so that its return is noticed at once.
 const LOST_WAIT: Duration = Duration::from_millis(100);
 /// Time that an answer may take beyond that.
-const LOST_SLACK: Duration = Duration::from_millis(700);
+const LOST_SLACK: Duration = PROBE_TIMEOUT;
+/// Time after which a look whether the store answers counts as failed.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Shortest pause after a failed call.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest and longest time between reads of a list that is polled.
@@ -70,11 +72,6 @@
         self.lost
     }
 
-    /// Time after which a look whether the store answers counts as failed.
-    pub fn probe_timeout(&self) -> Duration {
-        LOST_SLACK
-    }
-
     /// Time for which the next watch waits for a change.
     pub fn wait(&self) -> Duration {
         if self.lost { LOST_WAIT } else { self.freshness.wait }
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,11 +1,11 @@
 //! Follows what the platform's store holds below a prefix.
 
-use super::presence::PROBE_TIMEOUT;
-use buckthornwharf_core::direct::{Freshness, PollPace, WatchPace};
+use buckthornwharf_core::direct::{Freshness, PROBE_TIMEOUT, PollPace, WatchPace};
 use buckthornwharf_platform::{ReadAge, StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::Notify;
 
 /// First reads of a polled list that bring what the store holds now: processes that start together
@@ -30,11 +30,11 @@
     freshness: Freshness,
     mut take: impl FnMut(FollowEvent),
 ) {
-    let mut link = StoreLink { prefix, pace: WatchPace::new(freshness), proven: false };
+    let mut link = StoreLink::new(prefix, freshness);
     loop {
         // A list may take long; whether the store is there at all is told sooner.
         if link.is_doubtful()
-            && let Err(error) = store.probe(link.pace.probe_timeout()).await
+            && let Err(error) = store.probe(PROBE_TIMEOUT).await
         {
             link.failed(&error).await;
             continue;
@@ -82,21 +82,20 @@
     hurry: Rc<Notify>,
     mut take: impl FnMut(Vec<StoreItem>) -> bool,
 ) {
+    let mut link = StoreLink::new(prefix, Freshness::RELAXED);
     let mut pace = PollPace::default();
     let mut revision = 0;
-    let mut lost = true;
     for read in 0_u64.. {
         let age = if read < CURRENT_READS { ReadAge::Current } else { ReadAge::Seconds };
         let asked = async {
-            if lost {
+            if link.is_doubtful() {
                 store.probe(PROBE_TIMEOUT).await?;
             }
             store.range(prefix, age).await
         };
         let changed = match asked.await {
             Ok(range) => {
-                if std::mem::take(&mut lost) {
-                    info!("event=store_returned prefix={prefix}");
+                if link.answered() {
                     pace.hurry();
                 }
                 // An older state than the one before tells nothing new.
@@ -105,9 +104,7 @@
                 is_newer && take(range.items)
             }
             Err(error) => {
-                if !std::mem::replace(&mut lost, true) {
-                    warn!("event=store_lost prefix={prefix} reason=\"{error}\"");
-                }
+                link.note_failure(&error);
                 pace.hurry();
                 false
             }
@@ -129,6 +126,10 @@
 }
 
 impl StoreLink {
+    fn new(prefix: &'static str, freshness: Freshness) -> Self {
+        Self { prefix, pace: WatchPace::new(freshness), proven: false }
+    }
+
     /// Whether the store may be away.
     fn is_doubtful(&self) -> bool {
         !self.proven || self.pace.is_lost()
@@ -144,11 +145,16 @@
         returned
     }
 
-    async fn failed(&mut self, error: &StoreError) {
+    /// Notes a failure; the pause before the next call of a watch.
+    fn note_failure(&mut self, error: &StoreError) -> Duration {
         if !self.pace.is_lost() {
             warn!("event=store_lost prefix={} reason=\"{error}\"", self.prefix);
         }
+        self.pace.failed()
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
         let jitter = rand::rng().random_range(0.75..1.25);
-        actix_rt::time::sleep(self.pace.failed().mul_f64(jitter)).await;
+        actix_rt::time::sleep(self.note_failure(error).mul_f64(jitter)).await;
     }
 }
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -1,6 +1,7 @@
 //! How processes of the system find each other: an entry each in the store, under a lease.
 
 use super::settings::DirectSettings;
+use buckthornwharf_core::direct::PROBE_TIMEOUT;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreClient, StoreError, StoreWrite};
 use log::warn;
@@ -19,8 +20,6 @@
 const LEASE_TTL: Duration = Duration::from_secs(6);
 /// Time between renewals: three fit into the lease.
 const RENEW_INTERVAL: Duration = Duration::from_secs(2);
-/// Time after which a look whether the store answers counts as failed.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
