Say once what stood twice: newest loaded version, second asks, stand-ins, requests and configurations of tests

- LoadedModel::newest_of serves entries and agents; the patience of second asks is worked out in one place; take_processes compares the linked entries in place of counting them.

--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -26,6 +26,14 @@
     pub version: u64,
 }
 
+impl LoadedModel {
+    /// The newest version of `model` among what is `loaded`; 0 for none.
+    pub fn newest_of(model: &ModelName, loaded: &[LoadedModel]) -> u64 {
+        let of_model = loaded.iter().filter(|loaded| loaded.model == *model);
+        of_model.map(|loaded| loaded.version).max().unwrap_or(0)
+    }
+}
+
 /// What a target says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetRecord {
--- a/core/src/direct/places/load.rs
+++ b/core/src/direct/places/load.rs
@@ -185,8 +185,7 @@
 
     /// The version of `model` that the target has loaded; 0 for none.
     pub fn loaded_version(&self, model: &ModelName) -> u64 {
-        let of_model = self.record.models.iter().filter(|loaded| loaded.model == *model);
-        of_model.map(|loaded| loaded.version).max().unwrap_or(0)
+        LoadedModel::newest_of(model, &self.record.models)
     }
 
     fn has_version(&self, request: &PlaceRequest, required: Option<u64>) -> bool {
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -122,10 +122,7 @@
 
     fn fill_peers(&mut self, now: MonoTime, me: HostIndex, actions: &mut Vec<FetchAction>) {
         let count = self.held.len();
-        let patience = match self.limits.is_urgent {
-            true => self.limits.paced(SECOND_ASK_PATIENCE),
-            false => Duration::MAX,
-        };
+        let patience = self.second_ask_patience();
         let slots = self.limits.peer_fetches.saturating_mul(self.spare_percent()) / 100;
         // Where all sources are slow, the host's own link is narrow, and live requests wait behind
         // each chunk that was asked for.
@@ -165,14 +162,20 @@
             }
             PeerPass::Any => self.is_open(now, chunk, None),
             PeerPass::Second => {
-                let patience = self.limits.paced(SECOND_ASK_PATIENCE);
-                self.limits.is_urgent
-                    && self.may_retry(now, chunk, None)
-                    && self.flights.may_ask(now, chunk, patience)
+                self.may_retry(now, chunk, None)
+                    && self.flights.may_ask_second(now, chunk, self.second_ask_patience())
             }
         }
     }
 
+    /// Time after which a fetch within the region is slow; none is where there is no hurry.
+    fn second_ask_patience(&self) -> Duration {
+        match self.limits.is_urgent {
+            true => self.limits.paced(SECOND_ASK_PATIENCE),
+            false => Duration::MAX,
+        }
+    }
+
     /// A host of the own region that is known to hold `chunk` and has few fetches of this host.
     fn holder(&self, now: MonoTime, chunk: usize, me: HostIndex) -> Option<HostIndex> {
         let region = self.plan.region_of(me);
--- a/core/src/weights/fetch/flights.rs
+++ b/core/src/weights/fetch/flights.rs
@@ -65,12 +65,11 @@
         self.flights.iter().any(|flight| flight.chunk == chunk)
     }
 
-    /// Whether `chunk` may be asked for: nothing was, or one other source within the own region has
-    /// kept it waiting since before `patience`.
-    pub fn may_ask(&self, now: MonoTime, chunk: usize, patience: Duration) -> bool {
+    /// Whether a second source may be asked for `chunk`: the only one that was, within the own region,
+    /// has kept it waiting for longer than `patience`.
+    pub fn may_ask_second(&self, now: MonoTime, chunk: usize, patience: Duration) -> bool {
         let mut asked = self.flights.iter().filter(|flight| flight.chunk == chunk);
         match (asked.next(), asked.next()) {
-            (None, _) => true,
             (Some(first), None) => first.lane.is_none() && now.since(first.started) > patience,
             _ => false,
         }
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -167,20 +167,21 @@
 
     /// Takes in which processes are live; whether they are others than before.
     pub fn take_processes(&self, items: Vec<StoreItem>) -> bool {
-        let before = self.agents.replace(SortedTable::new());
-        let mut links = self.links.borrow_mut();
+        let agents_before = self.agents.replace(SortedTable::new());
+        let entries_before = self.linked_entries();
         let listed = |key: &str| items.iter().any(|item| &*item.key == key);
-        let known_links = links.len();
-        links.retain(|key, _| listed(key));
-        let links_gone = links.len() < known_links;
-        drop(links);
+        self.links.borrow_mut().retain(|key, _| listed(key));
         items.into_iter().for_each(|item| self.put_process(item));
-        let links_new = self.links.borrow().len() > known_links;
-        let agents_changed = *self.agents.borrow() != before;
+        let agents_changed = *self.agents.borrow() != agents_before;
         if agents_changed {
             self.agents_changed.notify_waiters();
         }
-        agents_changed || links_gone || links_new
+        agents_changed || self.linked_entries() != entries_before
+    }
+
+    /// The keys of the entries that hear of the engine's load.
+    fn linked_entries(&self) -> Vec<Arc<str>> {
+        self.links.borrow().iter().map(|(key, _)| key.clone()).collect()
     }
 
     fn put_process(&self, item: StoreItem) {
@@ -293,9 +294,7 @@
     /// The version of `model` that the engine said last that it has loaded; 0 for none.
     fn loaded_version(&self, model: &ModelName) -> u64 {
         let report = self.report.borrow();
-        let loaded = report.iter().flat_map(|report| &report.models);
-        let of_model = loaded.filter(|loaded| loaded.model == *model);
-        of_model.map(|loaded| loaded.version).max().unwrap_or(0)
+        report.as_ref().map_or(0, |report| LoadedModel::newest_of(model, &report.models))
     }
 
     /// Whether the engine said last that it has loaded `version`.
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -1,7 +1,8 @@
 //! An entry as a process, with stand-ins for the store and the targets.
 
+use super::standin::caller::CallerRequest;
 use super::standin::engine::{Conduct, EngineStandin};
-use super::standin::headers;
+use super::standin::operator::{self, RouteTimes};
 use super::standin::store::StoreStandin;
 use actix_http::Method;
 use buckthornwharf_exchange::{AnswerHead, OutboundRequest};
@@ -107,34 +108,21 @@
 
     /// Puts a configuration into force with an idempotent route at `prefix`.
     pub fn put_config(&self, version: u64, prefix: &str, key: &str) {
-        let route = |prefix: &str, kind: &str| {
-            json!({
-                "name": prefix, "host": "mill.example", "prefix": prefix, "kind": kind,
-                "timeout_ms": 6000, "target_latency_ms": 400, "priority": 1, "service": "ledger",
-                "max_attempts": 2, "stream_resume": kind == "stream",
-            })
-        };
-        let config = json!({
-            "version": version,
-            "routes": [
-                route(prefix, "idempotent"),
-                route("/once/", "non_idempotent"),
-                route("/stream/", "stream"),
-            ],
-            "services": [{ "name": "ledger", "max_connections": 100 }],
-            "limits": {
-                "header_bytes": 16000, "max_body_bytes": 100_000, "header_timeout_ms": 5000,
-                "idle_timeout_ms": 30_000,
-            },
-            "tenants": [{ "name": "mill", "api_keys": [key] }],
-        });
-        self.store.put("op/config", &config);
+        let times = RouteTimes { timeout_ms: 6000, objective_ms: 400 };
+        let route = |prefix: &str, kind: &str| operator::route(prefix, kind, "ledger", times);
+        let routes = [
+            route(prefix, "idempotent"),
+            route("/once/", "non_idempotent"),
+            route("/stream/", "stream"),
+        ];
+        let services = json!([{ "name": "ledger", "max_connections": 100 }]);
+        operator::put_config(&self.store, version, &routes, &services, key);
     }
 
     /// Declares a version of the model that the targets have loaded, and waits until the entry has
     /// heard of it.
     pub async fn declare(&self, version: u64) {
-        self.store.put("op/version/m", &json!({ "model": "m", "version": version }));
+        operator::declare(&self.store, version);
         eventually("the entry hears of the version", || self.store.is_followed("op/")).await;
     }
 
@@ -268,19 +256,7 @@
 }
 
 fn request_of(method: Method, path: &str, id: &str, key: &str, body: &str) -> OutboundRequest {
-    let key = format!("Bearer {key}");
-    OutboundRequest {
-        method,
-        target: path.parse().expect("a path"),
-        headers: headers(&[
-            ("host", "mill.example"),
-            ("attempt-id", id),
-            ("deadline-ms", "5000"),
-            ("authorization", &key),
-            ("model", "m"),
-            ("token-count", "10,10"),
-            ("tenant", "forged"),
-        ]),
-        body: Bytes::from(body.to_owned()),
-    }
+    let body = body.to_owned();
+    let (deadline_ms, tokens) = ("5000", "10,10");
+    CallerRequest { method, path, id, key, deadline_ms, tokens, body }.outbound()
 }
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -31,8 +31,7 @@
     all_load(&fleet, 1).await;
     fleet.store.silent.set(true);
     fleet.engines[0].crash(true);
-    let agent = fleet.processes.iter().find(|process| process.name == "agent-0");
-    let agent = agent.expect("the agent of the first engine");
+    let agent = fleet.process("agent-0");
     eventually("the agent misses its engine", || agent.output().contains("event=engine_lost"))
         .await;
     fleet.engines[0].restart();
@@ -53,8 +52,7 @@
     eventually("the agent is listed", is_listed).await;
     fleet.origin.fault.set(OriginFault::Down);
     operator::declare(&fleet.store, 2);
-    let agent = fleet.processes.iter().find(|process| process.name == "agent-0");
-    let agent = agent.expect("the agent of the first engine");
+    let agent = fleet.process("agent-0");
     eventually("the agent wants it", || agent.output().contains("event=no_manifest")).await;
     fleet.engines[0].crash(false);
     eventually("the agent has left the list", || !is_listed()).await;
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -173,6 +173,12 @@
         self.folder.path().to_owned()
     }
 
+    /// The process called `name`.
+    pub fn process(&self, name: &str) -> &SoakProcess {
+        let found = self.processes.iter().find(|process| process.name == name);
+        found.expect("a process of the fleet")
+    }
+
     /// The entries.
     pub fn entries(&self) -> impl Iterator<Item = &SoakProcess> {
         self.processes.iter().filter(|process| process.role == SoakRole::Entry)
