Log and count how the answers of targets end

Change: event=answered has the framing of the target's answer and the size of an event that was incomplete at its end; event=answer_broken_off says the same, with the reason, of an answer that failed after its head; direct_answers_total counts answers by framing and end. The state of the body's decoder is renamed, since framing now is the public term. What callers get is unchanged.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -10,5 +10,7 @@
 
 pub use call::{CallAnswer, CallClient, CallError, OutboundCall};
 pub use inbound::{InboundConnection, InboundError, InboundLimits, InboundRequest};
-pub use outbound::{AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
+pub use outbound::{
+    AnswerFraming, AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest,
+};
 pub use socket::{connect, set_socket_options};
--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -42,6 +42,20 @@
     pub headers: HeaderMap,
     /// `Content-Length` of the body, if given.
     pub length: Option<u64>,
+    /// How the end of the body is recognised.
+    pub framing: AnswerFraming,
+}
+
+/// How the end of an answer's body is recognised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum AnswerFraming {
+    /// There is no body.
+    NoBody,
+    /// By its length or by chunked encoding.
+    Delimited,
+    /// By the end of the connection.
+    UntilClose,
 }
 
 /// Next part of an answer's body.
@@ -72,9 +86,9 @@
     }
 }
 
-/// How the end of the body that is being read is recognised.
+/// Decoder of the body that is being read.
 #[allow(clippy::large_enum_variant)]
-enum BodyFraming {
+enum BodyDecoder {
     /// No body is being read.
     NoBody(ClientCodec),
     /// The codec finds the end by length or chunked encoding.
@@ -88,7 +102,7 @@
 /// A connection to a server, for one exchange at a time.
 pub struct OutboundConnection {
     stream: TcpStream,
-    framing: BodyFraming,
+    decoder: BodyDecoder,
     buffer: BytesMut,
     unsent: BytesMut,
     reusable: bool,
@@ -110,7 +124,7 @@
         let stream = socket::connect(address, timeout).await?;
         Ok(Self {
             stream,
-            framing: BodyFraming::NoBody(ClientCodec::default()),
+            decoder: BodyDecoder::NoBody(ClientCodec::default()),
             buffer: BytesMut::new(),
             unsent: BytesMut::new(),
             reusable: true,
@@ -123,7 +137,7 @@
         if !self.reusable || !self.buffer.is_empty() || !self.unsent.is_empty() {
             return false;
         }
-        if !matches!(self.framing, BodyFraming::NoBody(_)) {
+        if !matches!(self.decoder, BodyDecoder::NoBody(_)) {
             return false;
         }
         // Peeks at the socket: the runtime may not have seen yet that the peer closed.
@@ -206,45 +220,45 @@
     /// [`ExchangeError::Malformed`] if the framing is invalid, [`ExchangeError::ClosedEarly`] if an
     /// earlier error has left it unknown.
     pub fn decode_body(&mut self) -> Result<Option<BodyPart>, ExchangeError> {
-        match mem::replace(&mut self.framing, BodyFraming::Unknown) {
-            BodyFraming::NoBody(codec) => {
-                self.framing = BodyFraming::NoBody(codec);
+        match mem::replace(&mut self.decoder, BodyDecoder::Unknown) {
+            BodyDecoder::NoBody(codec) => {
+                self.decoder = BodyDecoder::NoBody(codec);
                 Ok(Some(BodyPart::End))
             }
-            BodyFraming::Framed(mut codec) => {
+            BodyDecoder::Framed(mut codec) => {
                 let decoded =
                     codec.decode(&mut self.buffer).map_err(|_| ExchangeError::Malformed)?;
                 match decoded {
                     Some(None) => {
-                        self.framing = BodyFraming::NoBody(codec.into_message_codec());
+                        self.decoder = BodyDecoder::NoBody(codec.into_message_codec());
                         Ok(Some(BodyPart::End))
                     }
                     Some(Some(bytes)) => {
-                        self.framing = BodyFraming::Framed(codec);
+                        self.decoder = BodyDecoder::Framed(codec);
                         Ok(Some(BodyPart::Data(bytes)))
                     }
                     None => {
-                        self.framing = BodyFraming::Framed(codec);
+                        self.decoder = BodyDecoder::Framed(codec);
                         Ok(None)
                     }
                 }
             }
-            BodyFraming::UntilClose => {
-                self.framing = BodyFraming::UntilClose;
+            BodyDecoder::UntilClose => {
+                self.decoder = BodyDecoder::UntilClose;
                 if self.buffer.is_empty() {
                     return Ok(None);
                 }
                 Ok(Some(BodyPart::Data(self.buffer.split().freeze())))
             }
-            BodyFraming::Unknown => Err(ExchangeError::ClosedEarly),
+            BodyDecoder::Unknown => Err(ExchangeError::ClosedEarly),
         }
     }
 
     fn on_eof(&mut self) -> Result<BodyPart, ExchangeError> {
         self.reusable = false;
-        match self.framing {
-            BodyFraming::UntilClose => {
-                self.framing = BodyFraming::NoBody(ClientCodec::default());
+        match self.decoder {
+            BodyDecoder::UntilClose => {
+                self.decoder = BodyDecoder::NoBody(ClientCodec::default());
                 Ok(BodyPart::End)
             }
             _ => Err(ExchangeError::ClosedEarly),
@@ -252,7 +266,7 @@
     }
 
     fn encode(&mut self, request: OutboundRequest) -> Result<(), ExchangeError> {
-        let BodyFraming::NoBody(codec) = &mut self.framing else {
+        let BodyDecoder::NoBody(codec) = &mut self.decoder else {
             return Err(ExchangeError::ClosedEarly);
         };
         let has_body = !request.body.is_empty() || request.method != Method::GET;
@@ -296,7 +310,7 @@
 
     fn decode_head(&mut self) -> Result<Option<AnswerHead>, ExchangeError> {
         loop {
-            let BodyFraming::NoBody(codec) = &mut self.framing else {
+            let BodyDecoder::NoBody(codec) = &mut self.decoder else {
                 return Err(ExchangeError::ClosedEarly);
             };
             let decoded = codec.decode(&mut self.buffer).map_err(|_| ExchangeError::Malformed)?;
@@ -317,20 +331,25 @@
         let until_close = content_length.is_none()
             && !head.headers.contains_key(header::TRANSFER_ENCODING)
             && !bodiless;
-        let framing = mem::replace(&mut self.framing, BodyFraming::Unknown);
-        self.framing = match framing {
+        let decoder = mem::replace(&mut self.decoder, BodyDecoder::Unknown);
+        self.decoder = match decoder {
             // The codec treats an HTTP/1.1 answer without a length as one without a body.
-            _ if until_close => BodyFraming::UntilClose,
-            BodyFraming::NoBody(codec) => {
+            _ if until_close => BodyDecoder::UntilClose,
+            BodyDecoder::NoBody(codec) => {
                 self.reusable &= codec.keep_alive();
                 match codec.message_type() {
-                    MessageType::None => BodyFraming::NoBody(codec),
-                    _ => BodyFraming::Framed(codec.into_payload_codec()),
+                    MessageType::None => BodyDecoder::NoBody(codec),
+                    _ => BodyDecoder::Framed(codec.into_payload_codec()),
                 }
             }
             other => other,
         };
         self.reusable &= !until_close;
-        AnswerHead { status: head.status, headers: head.headers, length }
+        let framing = match &self.decoder {
+            BodyDecoder::UntilClose => AnswerFraming::UntilClose,
+            BodyDecoder::Framed(_) => AnswerFraming::Delimited,
+            BodyDecoder::NoBody(_) | BodyDecoder::Unknown => AnswerFraming::NoBody,
+        };
+        AnswerHead { status: head.status, headers: head.headers, length, framing }
     }
 }
--- a/src/direct/entry/events.rs
+++ b/src/direct/entry/events.rs
@@ -30,6 +30,11 @@
         self.partial.split().freeze()
     }
 
+    /// Returns the size of the event that has not arrived completely.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the incomplete event that was held back.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -6,7 +6,7 @@
 use super::state::{EntryState, QueueDecision};
 use crate::clock;
 use actix_http::StatusCode;
-use attempt::{AttemptResult, PendingPrefill, TargetAttempt};
+use attempt::{AttemptResult, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
 use buckthornwharf_core::direct::{
     AttemptFailure, FinalAnswer, NextStep, SlotGrant, SlotRequest, WorkKind, next_step,
@@ -197,9 +197,9 @@
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
             let failure = match result {
-                AttemptResult::Answered(status, connection_action) => {
-                    self.log_answer(status, &target.id, requested_at);
-                    return connection_action;
+                AttemptResult::Answered(answer) => {
+                    self.log_answer(&answer, &target.id, requested_at);
+                    return answer.connection_action;
                 }
                 AttemptResult::CallerDisconnected => return ConnectionAction::Abort,
                 AttemptResult::TimedOut => return self.give_up_timed_out(caller).await,
@@ -229,20 +229,24 @@
     }
 
     /// Counts and logs a response that a target gave, with the routing of the request and its durations.
-    fn log_answer(&self, status: StatusCode, target: &str, slot_requested_at: MonoTime) {
+    fn log_answer(&self, answer: &RelayedAnswer, target: &str, slot_requested_at: MonoTime) {
         let request = &self.request;
         let now = clock::now();
-        count_ended_request(self.state, status, "answered");
+        let framing: &str = answer.framing.into();
+        let end = if answer.partial_bytes > 0 { "within_event" } else { "complete" };
+        count_ended_request(self.state, answer.status, "answered");
+        self.state.metrics.answers.with_label_values(&[framing, end]).inc();
         info!(
             "event=answered request={} status={} target={target} service={} attempts={} \
-             elapsed_before_ms={} placed_after_ms={} age_ms={}",
+             elapsed_before_ms={} placed_after_ms={} age_ms={} framing={framing} partial_bytes={}",
             request.tags.id,
-            status.as_u16(),
+            answer.status.as_u16(),
             request.service,
             self.attempts,
             request.elapsed_before.as_millis(),
             slot_requested_at.since(request.received).as_millis(),
-            now.since(request.received).as_millis()
+            now.since(request.received).as_millis(),
+            answer.partial_bytes
         );
     }
 
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -11,7 +11,8 @@
 use buckthornwharf_core::direct::{AttemptFailure, RegisteredTarget, SlotGrant};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
-    AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection, OutboundRequest,
+    AnswerFraming, AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
+    OutboundRequest,
 };
 use buckthornwharf_platform::request::{
     AnswerClass, DispatchTags, classify_answer, dispatch_headers, keep_alive_timeout,
@@ -61,11 +62,21 @@
     }
 }
 
+/// A target's response that was relayed to the caller, at least in part.
+#[derive(Debug)]
+pub(super) struct RelayedAnswer {
+    pub status: StatusCode,
+    pub framing: AnswerFraming,
+    /// Size of the event that was not complete when the response ended.
+    pub partial_bytes: usize,
+    pub connection_action: ConnectionAction,
+}
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
-    /// The target's response with this status was relayed to the caller, at least in part.
-    Answered(StatusCode, ConnectionAction),
+    /// The target's response was relayed to the caller, at least in part.
+    Answered(RelayedAnswer),
     /// The caller disconnected.
     CallerDisconnected,
     /// The request's deadline has passed.
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -2,13 +2,16 @@
 
 use super::super::ConnectionAction;
 use super::super::reply::StreamReply;
-use super::{AttemptResult, Interruption, TargetAttempt, failure_of};
+use super::{AttemptResult, Interruption, RelayedAnswer, TargetAttempt, failure_of};
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
 use buckthornwharf_core::direct::AttemptFailure;
-use buckthornwharf_exchange::{AnswerHead, BodyPart, InboundConnection, OutboundConnection};
+use buckthornwharf_exchange::{
+    AnswerFraming, AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
+};
 use buckthornwharf_platform::request::answer_headers;
 use bytes::{Bytes, BytesMut};
+use log::info;
 
 /// Size in bytes up to which a response is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
@@ -44,7 +47,7 @@
             match self.within_deadline(caller, connection.read_body()).await? {
                 Ok(BodyPart::Data(bytes)) => body.extend_from_slice(&bytes),
                 Ok(BodyPart::End) => break,
-                Err(error) => return Ok(AttemptResult::Failed(failure_of(&error))),
+                Err(error) => return Ok(self.break_off(&error, answer.framing, 0)),
             }
             if body.len() > MAX_BUFFERED_BYTES {
                 return self.relay_unbuffered(caller, connection, answer, body.freeze()).await;
@@ -64,7 +67,7 @@
         if buffered.is_err() || caller.flush().await.is_err() {
             return Err(Interruption::CallerDisconnected);
         }
-        Ok(AttemptResult::Answered(answer.status, connection_action(close)))
+        Ok(answered(&answer, connection_action(close)))
     }
 
     /// Relays the parts of a large response as they arrive. `received` is the part received so far.
@@ -86,7 +89,7 @@
             let part = match self.within_deadline(caller, connection.read_body()).await {
                 Ok(part) => part,
                 Err(_) => {
-                    return Ok(AttemptResult::Answered(answer.status, ConnectionAction::Abort));
+                    return Ok(answered(&answer, ConnectionAction::Abort));
                 }
             };
             let buffered = match part {
@@ -97,10 +100,11 @@
                     self.return_to_pool(connection, &answer);
                     let connection_action =
                         if sent { connection_action(close) } else { ConnectionAction::Abort };
-                    return Ok(AttemptResult::Answered(answer.status, connection_action));
+                    return Ok(answered(&answer, connection_action));
                 }
-                Err(_) => {
-                    return Ok(AttemptResult::Answered(answer.status, ConnectionAction::Abort));
+                Err(error) => {
+                    self.break_off(&error, answer.framing, 0);
+                    return Ok(answered(&answer, ConnectionAction::Abort));
                 }
             };
             if buffered.is_err() || caller.flush().await.is_err() {
@@ -140,16 +144,18 @@
             if head_pending {
                 // The head is sent with the first events. This saves a packet, and the caller does not
                 // notice a target that fails before them.
-                let Ok(BodyPart::Data(_) | BodyPart::End) = &part else {
+                if let Err(error) = &part {
+                    self.break_off(error, answer.framing, 0);
                     *stream = None;
                     return Ok(AttemptResult::Failed(AttemptFailure::Broken));
-                };
+                }
                 let headers = answer_headers(&answer.headers);
                 buffered = caller.put_head(answer.status, headers, BodySize::Stream, reply.closes);
                 head_pending = false;
             }
             let mut next_part = Some(part);
             let mut ended = false;
+            let mut partial_bytes = 0;
             while let Some(part) = next_part.take() {
                 match part {
                     Ok(BodyPart::Data(bytes)) => {
@@ -161,6 +167,7 @@
                     }
                     Ok(BodyPart::End) => {
                         let remainder = reply.events.finish();
+                        partial_bytes = remainder.len();
                         if !remainder.is_empty() {
                             buffered = buffered.and_then(|()| caller.put_body(remainder));
                         }
@@ -172,7 +179,8 @@
                         if buffered.is_err() || caller.flush().await.is_err() {
                             return Err(Interruption::CallerDisconnected);
                         }
-                        return Ok(AttemptResult::Failed(failure_of(&error)));
+                        let partial_bytes = reply.events.partial_bytes();
+                        return Ok(self.break_off(&error, answer.framing, partial_bytes));
                     }
                 }
             }
@@ -180,12 +188,43 @@
                 return Err(Interruption::CallerDisconnected);
             }
             if ended {
-                let closes = reply.closes;
+                let connection_action = connection_action(reply.closes);
                 self.return_to_pool(connection, &answer);
-                return Ok(AttemptResult::Answered(answer.status, connection_action(closes)));
+                return Ok(AttemptResult::Answered(RelayedAnswer {
+                    status: answer.status,
+                    framing: answer.framing,
+                    partial_bytes,
+                    connection_action,
+                }));
             }
         }
     }
+
+    /// Logs that the response broke off after its head, and returns the result of the attempt.
+    fn break_off(
+        &self,
+        error: &ExchangeError,
+        framing: AnswerFraming,
+        partial_bytes: usize,
+    ) -> AttemptResult {
+        info!(
+            "event=answer_broken_off request={} target={} framing={} partial_bytes={partial_bytes} \
+             reason=\"{error}\"",
+            self.request.tags.id,
+            self.grant.target.id,
+            <&str>::from(framing),
+        );
+        AttemptResult::Failed(failure_of(error))
+    }
+}
+
+fn answered(answer: &AnswerHead, connection_action: ConnectionAction) -> AttemptResult {
+    AttemptResult::Answered(RelayedAnswer {
+        status: answer.status,
+        framing: answer.framing,
+        partial_bytes: 0,
+        connection_action,
+    })
 }
 
 /// Returns whether the status says that the target failed. A time-out is not counted: the request would
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -22,6 +22,8 @@
     registry: Registry,
     /// Completed requests by status and reason.
     pub requests: IntCounterVec,
+    /// Answers that were relayed, by their framing and by whether they ended within an event.
+    pub answers: IntCounterVec,
     /// Attempts that gave no answer to relay to the caller, by how they ended.
     pub failed_attempts: IntCounterVec,
     /// Time from the request to the first bytes of its answer, in seconds.
@@ -55,6 +57,12 @@
                 "Ended requests by status and reason",
                 &["status", "reason"],
             )?,
+            answers: new_counters(
+                &registry,
+                "direct_answers_total",
+                "Answers that were passed on, by their framing and end",
+                &["framing", "end"],
+            )?,
             failed_attempts: new_counters(
                 &registry,
                 "direct_failed_attempts_total",
