--- a/exchange/src/inbound.rs
+++ b/exchange/src/inbound.rs
@@ -6,6 +6,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{ConnectionType, Method, Response, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use std::time::Duration;
 use std::{fmt, io};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -235,6 +236,32 @@
         self.codec.encode(Message::Item((response, size)), &mut self.output)
     }
 
+    /// Appends the head of an answer that has neither a length nor chunks: its body ends with the
+    /// connection, which the caller of this method has to close.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if the head cannot be encoded.
+    pub fn put_undelimited_head(
+        &mut self,
+        status: StatusCode,
+        headers: HeaderMap,
+    ) -> io::Result<()> {
+        let mut response = Response::with_body(status, ());
+        response.head_mut().headers = headers;
+        response.head_mut().no_chunking(true);
+        self.codec.encode(Message::Item((response, BodySize::Stream)), &mut self.output)
+    }
+
+    /// Makes the connection end with a reset instead of an orderly close when it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system.
+    pub fn reset_on_drop(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Appends a part of the body to the output buffer.
     ///
     /// # Errors
