Derive the framing of an answer from its meaning, not from a header's presence

What callers saw: an answer with Transfer-Encoding: identity and no length was passed on as a complete one without a body; an answer to HEAD without a length was waited for until the deadline, since its end was taken to be the end of the connection. Cause: an answer counted as delimited if it had a Content-Length or any Transfer-Encoding, and as one with a body whatever the request's method was. Change: AnswerFraming::of decides by status, method, chunked encoding and length, in one place. Evidence: the new tests of exchange/tests failed on the code before (an empty body for 'hello', UntilClose for a HEAD) and pass.

--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -4,13 +4,13 @@
 //! set the timeouts. A connection in an uncertain state is never reused.
 
 mod call;
+mod framing;
 mod inbound;
 mod outbound;
 mod socket;
 
 pub use call::{CallAnswer, CallClient, CallError, OutboundCall};
+pub use framing::AnswerFraming;
 pub use inbound::{InboundConnection, InboundError, InboundLimits, InboundRequest};
-pub use outbound::{
-    AnswerFraming, AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest,
-};
+pub use outbound::{AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
 pub use socket::{connect, set_socket_options};
--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -1,10 +1,11 @@
 //! The client side of an exchange.
 
+use crate::framing::{AnswerFraming, content_length};
 use crate::socket;
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{self, HeaderMap};
+use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
@@ -46,18 +47,6 @@
     pub framing: AnswerFraming,
 }
 
-/// How the end of an answer's body is recognised.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-pub enum AnswerFraming {
-    /// There is no body.
-    NoBody,
-    /// By its length or by chunked encoding.
-    Delimited,
-    /// By the end of the connection.
-    UntilClose,
-}
-
 /// Next part of an answer's body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum BodyPart {
@@ -108,6 +97,8 @@
     decoder: BodyDecoder,
     buffer: BytesMut,
     unsent: BytesMut,
+    /// Method of the last request.
+    method: Method,
     reusable: bool,
 }
 
@@ -130,6 +121,7 @@
             decoder: BodyDecoder::NoBody(ClientCodec::default()),
             buffer: BytesMut::new(),
             unsent: BytesMut::new(),
+            method: Method::GET,
             reusable: true,
         })
     }
@@ -277,6 +269,7 @@
             true => BodySize::Sized(request.body.len() as u64),
             false => BodySize::None,
         };
+        self.method = request.method.clone();
         let mut head = RequestHead::default();
         head.method = request.method;
         head.uri = request.uri;
@@ -328,31 +321,27 @@
     }
 
     fn begin_body(&mut self, head: ResponseHead) -> AnswerHead {
-        let content_length = head.headers.get(header::CONTENT_LENGTH);
-        let length = content_length.and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
-        let bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        let until_close = content_length.is_none()
-            && !head.headers.contains_key(header::TRANSFER_ENCODING)
-            && !bodiless;
-        let decoder = mem::replace(&mut self.decoder, BodyDecoder::Unknown);
-        self.decoder = match decoder {
-            // The codec treats an HTTP/1.1 answer without a length as one without a body.
-            _ if until_close => BodyDecoder::UntilClose,
-            BodyDecoder::NoBody(codec) => {
-                self.reusable &= codec.keep_alive();
-                match codec.message_type() {
-                    MessageType::None => BodyDecoder::NoBody(codec),
-                    _ => BodyDecoder::Framed(codec.into_payload_codec()),
-                }
-            }
-            other => other,
-        };
-        self.reusable &= !until_close;
-        let framing = match &self.decoder {
-            BodyDecoder::UntilClose => AnswerFraming::UntilClose,
-            BodyDecoder::Framed(_) => AnswerFraming::Delimited,
-            BodyDecoder::NoBody(_) | BodyDecoder::Unknown => AnswerFraming::NoBody,
-        };
+        let framing = AnswerFraming::of(&head, &self.method);
+        if let BodyDecoder::NoBody(codec) = mem::replace(&mut self.decoder, BodyDecoder::Unknown) {
+            self.reusable &= codec.keep_alive() && framing != AnswerFraming::UntilClose;
+            self.decoder = BodyDecoder::new(framing, codec);
+        }
+        let length = content_length(&head);
         AnswerHead { status: head.status, headers: head.headers, length, framing }
     }
 }
+
+impl BodyDecoder {
+    /// The decoder of a body with `framing`, whose head `codec` has decoded.
+    fn new(framing: AnswerFraming, codec: ClientCodec) -> Self {
+        let expects_body = codec.message_type() != MessageType::None;
+        match framing {
+            AnswerFraming::NoBody => BodyDecoder::NoBody(ClientCodec::default()),
+            AnswerFraming::UntilClose => BodyDecoder::UntilClose,
+            AnswerFraming::Delimited if expects_body => {
+                BodyDecoder::Framed(codec.into_payload_codec())
+            }
+            AnswerFraming::Delimited => BodyDecoder::Unknown,
+        }
+    }
+}
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -1,8 +1,13 @@
 //! HTTP exchanges over real TCP connections with a server that sends raw bytes.
 
+use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode};
-use buckthornwharf_exchange::{CallClient, CallError, ExchangeError, OutboundCall};
+use buckthornwharf_exchange::{
+    AnswerFraming, BodyPart, CallClient, CallError, ExchangeError, OutboundCall,
+    OutboundConnection, OutboundRequest,
+};
 use bytes::Bytes;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -20,6 +25,10 @@
 
 /// Starts a server that answers each connection with the next of `answers` and closes it.
 async fn serve(answers: &'static [&'static str]) -> CallClient {
+    CallClient::new(serve_on(answers).await)
+}
+
+async fn serve_on(answers: &'static [&'static str]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     actix_rt::spawn(async move {
@@ -32,7 +41,7 @@
             stream.shutdown().await.expect("the connection is open");
         }
     });
-    CallClient::new(address)
+    address
 }
 
 #[actix_rt::test]
@@ -41,9 +50,12 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhello",
+        "HTTP/1.0 200 OK\r\n\r\nhello",
+        "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
     ])
     .await;
-    for _ in 0..3 {
+    for _ in 0..6 {
         let answer = client.call(get("/")).await.expect("the answer is complete");
         assert_eq!(answer.status, StatusCode::OK);
         assert_eq!(answer.body, "hello");
@@ -90,3 +102,45 @@
     let answer = CallClient::new(address).call(call).await.expect("the answer is complete");
     assert_eq!(answer.body.len(), PARTS);
 }
+
+/// Reads the answer to one request with `method`; returns its framing and body.
+async fn read_answer(
+    method: Method,
+    answer: &'static [&'static str],
+) -> (AnswerFraming, Vec<BodyPart>) {
+    let address = serve_on(answer).await;
+    let timeout = Duration::from_secs(20);
+    let mut connection = OutboundConnection::open(address, timeout).await.expect("it listens");
+    let request = OutboundRequest {
+        method,
+        uri: "/".parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    let head = connection.exchange(request).await.expect("an answer");
+    let mut parts = Vec::new();
+    while parts.last().is_none_or(|part| matches!(part, BodyPart::Data(_))) {
+        parts.push(connection.read_body().await.expect("no error"));
+    }
+    (head.framing, parts)
+}
+
+#[actix_rt::test]
+async fn an_answer_with_another_transfer_encoding_than_chunked_is_not_taken_as_empty() {
+    let answer = &["HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\nhello"];
+    let (framing, parts) = read_answer(Method::GET, answer).await;
+    assert_eq!(framing, AnswerFraming::UntilClose);
+    assert_eq!(parts, [BodyPart::Data("hello".into()), BodyPart::Closed]);
+}
+
+#[actix_rt::test]
+async fn an_answer_that_has_no_body_ends_with_its_head() {
+    for (method, answer) in [
+        (Method::HEAD, &["HTTP/1.1 200 OK\r\n\r\n"]),
+        (Method::HEAD, &["HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"]),
+        (Method::GET, &["HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n"]),
+    ] {
+        let answered = read_answer(method, answer).await;
+        assert_eq!(answered, (AnswerFraming::NoBody, vec![BodyPart::End]));
+    }
+}
