Run requests at targets over the exchange, and judge answers without a length by format

What callers saw: on the product's own path, an answer with Transfer-Encoding: identity counted as complete without a body; an engine's whole answer without a length was discarded after it had run. Cause: the agent's client of its target had a second copy of the exchange, with its own rule of what is delimited: any Transfer-Encoding. Change: the client uses the exchange crate, so that one place decides on framing. An engine's answer that ends with its connection is accepted if its format shows the end (a whole JSON object, or [DONE] after the last event); if it does not, the connection counts as lost, which the detection of crashes then sees. A body of unknown format without a marked end is still refused.

--- a/src/agent/answer_check.rs
+++ b/src/agent/answer_check.rs
@@ -14,7 +14,7 @@
 /// Format of an answer's body, which determines how it is checked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AnswerFormat {
-    /// Arbitrary bytes, not checked here; HTTP framing guarantees the length.
+    /// Arbitrary bytes, not checked here; only HTTP framing shows that they are complete.
     Opaque,
     /// A JSON object with a fingerprint.
     Json,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -135,7 +135,12 @@
         if is_engine && response.status.is_server_error() {
             return Err(TargetFailure::ServerError);
         }
-        let mut checker = AnswerChecker::new(answer_format(frame, &response), frame.digest);
+        let format = answer_format(frame, &response);
+        if format == AnswerFormat::Opaque && !response.is_delimited {
+            // A complete body would look the same as a lost connection.
+            return Err(TargetFailure::InvalidAnswer);
+        }
+        let mut checker = AnswerChecker::new(format, frame.digest);
         // An engine's refusal is forwarded unchecked: it has no fingerprint and no generated
         // content.
         let mut head = Some(TargetEvent::Head {
@@ -147,7 +152,12 @@
             let checked = checker.push(bytes).map_err(reject_answer)?;
             forward_checked(events, &mut head, checked);
         }
-        let rest = checker.finish().map_err(reject_answer)?;
+        let rest = checker.finish().map_err(|fault| match fault {
+            AnswerFault::Truncated | AnswerFault::Malformed if !response.is_delimited => {
+                TargetFailure::ConnectionLost
+            }
+            fault => reject_answer(fault),
+        })?;
         forward_checked(events, &mut head, rest);
         if let Some(head) = head {
             events.send(head);
--- a/src/agent/target/exchange.rs
+++ b/src/agent/target/exchange.rs
@@ -1,19 +1,14 @@
 //! One HTTP/1.1 exchange with a target, on a new connection.
 //!
 //! Connections are not reused: a pooled one may be dead or closed by the target, and a request lost
-//! on it cannot be distinguished from one that ran. The end of an answer is determined only by HTTP
-//! framing, never by the end of the connection.
+//! on it cannot be distinguished from one that ran.
 
 use super::TargetFailure;
-use actix_codec::Framed;
-use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{HeaderName, HeaderValue};
-use actix_http::{ConnectionType, Method, RequestHead, ResponseHead, StatusCode, Uri};
-use actix_rt::net::TcpStream;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, StatusCode, Uri};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::{AnswerFraming, BodyPart, OutboundConnection, OutboundRequest};
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
 use std::net::SocketAddr;
 
 /// Timeout of opening a connection to the target.
@@ -42,7 +37,10 @@
     pub status: StatusCode,
     /// HTTP content type; empty if absent.
     pub content_type: Arc<str>,
-    body: Option<Framed<TcpStream, ClientPayloadCodec>>,
+    /// Whether the end of the body is marked. Otherwise the connection ends it, also if the target
+    /// fails, and only the format of the body can show whether it is complete.
+    pub is_delimited: bool,
+    connection: OutboundConnection,
 }
 
 impl TargetRequest {
@@ -52,68 +50,47 @@
     ///
     /// [`TargetFailure`]; [`TargetFailure::Unreachable`] only if no byte was sent.
     pub async fn send(self, target: SocketAddr) -> Result<TargetResponse, TargetFailure> {
-        let head = self.head(target).ok_or(TargetFailure::Unreachable)?;
-        let connecting = actix_rt::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target));
-        let Ok(Ok(stream)) = connecting.await else {
-            return Err(TargetFailure::Unreachable);
-        };
-        let _ = stream.set_nodelay(true);
-        let timeout = self.head_timeout;
-        match actix_rt::time::timeout(timeout, self.exchange(stream, head)).await {
+        let head_timeout = self.head_timeout;
+        let request = self.outbound(target).ok_or(TargetFailure::Unreachable)?;
+        let connection = OutboundConnection::open(target, CONNECT_TIMEOUT).await;
+        let connection = connection.map_err(|_| TargetFailure::Unreachable)?;
+        match actix_rt::time::timeout(head_timeout, exchange(connection, request)).await {
             Ok(response) => response,
             Err(_) => Err(TargetFailure::TimedOut),
         }
     }
 
-    fn head(&self, target: SocketAddr) -> Option<RequestHead> {
-        let mut head = RequestHead::default();
-        head.method = Method::from_bytes(self.method.as_bytes()).ok()?;
-        head.uri = self.path.parse::<Uri>().ok()?;
-        head.set_connection_type(ConnectionType::Close);
+    fn outbound(self, target: SocketAddr) -> Option<OutboundRequest> {
+        let mut headers = HeaderMap::with_capacity(self.headers.len() + 1);
         let host = ("host", target.to_string());
-        for (name, value) in std::iter::once(&host).chain(&self.headers) {
+        for (name, value) in std::iter::once(host).chain(self.headers) {
             if !value.is_empty() {
-                let value = HeaderValue::from_str(value).ok()?;
-                head.headers.insert(HeaderName::from_static(name), value);
+                let value = HeaderValue::from_str(&value).ok()?;
+                headers.insert(HeaderName::from_static(name), value);
             }
         }
-        Some(head)
-    }
-
-    async fn exchange(
-        self,
-        stream: TcpStream,
-        head: RequestHead,
-    ) -> Result<TargetResponse, TargetFailure> {
-        let mut framed = Framed::new(stream, ClientCodec::default());
-        let size = BodySize::Sized(self.body.len() as u64);
-        let item = Message::Item((head.into(), size));
-        framed.feed(item).await.map_err(|_| TargetFailure::ConnectionLost)?;
-        if !self.body.is_empty() {
-            let chunk = Message::Chunk(Some(self.body));
-            framed.feed(chunk).await.map_err(|_| TargetFailure::ConnectionLost)?;
-        }
-        framed.send(Message::Chunk(None)).await.map_err(|_| TargetFailure::ConnectionLost)?;
-        let Some(Ok(head)) = framed.next().await else {
-            return Err(TargetFailure::ConnectionLost);
-        };
-        let content_type = head.headers.get("content-type");
-        let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
-        // Without framing, the end of the body looks the same as a lost connection.
-        if self.method.as_ref() != "HEAD" && !is_delimited(&head) {
-            return Err(TargetFailure::InvalidAnswer);
-        }
-        let has_body = framed.codec_ref().message_type() != MessageType::None;
-        let body = has_body.then(|| framed.into_map_codec(ClientCodec::into_payload_codec));
-        Ok(TargetResponse { status: head.status, content_type: content_type.into(), body })
+        Some(OutboundRequest {
+            method: Method::from_bytes(self.method.as_bytes()).ok()?,
+            uri: self.path.parse::<Uri>().ok()?,
+            headers,
+            body: self.body,
+        })
     }
 }
 
-fn is_delimited(head: &ResponseHead) -> bool {
-    let is_bodiless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    is_bodiless
-        || head.headers.contains_key("content-length")
-        || head.headers.contains_key("transfer-encoding")
+async fn exchange(
+    mut connection: OutboundConnection,
+    request: OutboundRequest,
+) -> Result<TargetResponse, TargetFailure> {
+    let head = connection.exchange(request).await.map_err(|_| TargetFailure::ConnectionLost)?;
+    let content_type = head.headers.get("content-type");
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    Ok(TargetResponse {
+        status: head.status,
+        content_type: content_type.into(),
+        is_delimited: head.framing != AnswerFraming::UntilClose,
+        connection,
+    })
 }
 
 impl TargetResponse {
@@ -121,13 +98,14 @@
     ///
     /// # Errors
     ///
-    /// [`TargetFailure::ConnectionLost`] if the connection ended before the body did,
+    /// [`TargetFailure::ConnectionLost`] if the connection ended before the marked end of the body,
     /// [`TargetFailure::TimedOut`] if no data came within [`BODY_IDLE_TIMEOUT`].
     pub async fn next_part(&mut self) -> Result<Option<Bytes>, TargetFailure> {
-        let Some(body) = &mut self.body else { return Ok(None) };
-        match actix_rt::time::timeout(BODY_IDLE_TIMEOUT, body.next()).await {
-            Ok(Some(Ok(part))) => Ok(part),
-            Ok(Some(Err(_)) | None) => Err(TargetFailure::ConnectionLost),
+        let reading = self.connection.read_body();
+        match actix_rt::time::timeout(BODY_IDLE_TIMEOUT, reading).await {
+            Ok(Ok(BodyPart::Data(part))) => Ok(Some(part)),
+            Ok(Ok(BodyPart::End | BodyPart::Closed)) => Ok(None),
+            Ok(Err(_)) => Err(TargetFailure::ConnectionLost),
             Err(_) => Err(TargetFailure::TimedOut),
         }
     }
