Relay a reset as a reset, and cut connections with one

Cause: the stand-in's relay read an error of a connection as its end (unwrap_or(0)) and closed the other side orderly, and cut connections with an orderly close. Change: an end by an error, or a cut, resets both sides. Evidence: a_reset_is_not_relayed_as_an_orderly_close; the test of the cut now asks for a reset.

--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -13,6 +13,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
@@ -72,9 +73,17 @@
 #[derive(Debug)]
 struct OpenConnection {
     silenced: Rc<SilencedDirections>,
+    cut: Rc<Notify>,
     task: AbortHandle,
 }
 
+/// How a direction of a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CopyEnd {
+    Closed,
+    Reset,
+}
+
 /// A relay to one address.
 #[derive(Debug)]
 pub struct RelayService {
@@ -123,55 +132,69 @@
                 continue;
             };
             let silenced = Rc::new(SilencedDirections::default());
-            let task = actix_rt::spawn(self.clone().relay(client, silenced.clone())).abort_handle();
+            let cut = Rc::new(Notify::new());
+            let relayed = self.clone().relay(client, silenced.clone(), cut.clone());
+            let task = actix_rt::spawn(relayed).abort_handle();
             self.counts.borrow_mut().opened += 1;
             let mut open_connections = self.open_connections.borrow_mut();
             open_connections.retain(|connection| !connection.task.is_finished());
-            open_connections.push(OpenConnection { silenced, task });
+            open_connections.push(OpenConnection { silenced, cut, task });
         }
     }
 
-    async fn relay(self: Rc<Self>, client: TcpStream, silenced: Rc<SilencedDirections>) {
-        let Ok(upstream) = TcpStream::connect(self.upstream_address).await else { return };
+    async fn relay(
+        self: Rc<Self>,
+        mut client: TcpStream,
+        silenced: Rc<SilencedDirections>,
+        cut: Rc<Notify>,
+    ) {
+        let Ok(mut upstream) = TcpStream::connect(self.upstream_address).await else { return };
         if client.set_nodelay(true).is_err() || upstream.set_nodelay(true).is_err() {
             return;
         }
-        let (client_reader, client_writer) = client.into_split();
-        let (upstream_reader, upstream_writer) = upstream.into_split();
-        tokio::select! {
-            () = self.copy(client_reader, upstream_writer, &silenced, &silenced.forward) => {}
-            () = self.copy(upstream_reader, client_writer, &silenced, &silenced.back) => {}
+        let (client_reader, client_writer) = client.split();
+        let (upstream_reader, upstream_writer) = upstream.split();
+        let end = tokio::select! {
+            end = self.copy(client_reader, upstream_writer, &silenced, &silenced.forward) => end,
+            end = self.copy(upstream_reader, client_writer, &silenced, &silenced.back) => end,
+            () = cut.notified() => CopyEnd::Reset,
+        };
+        if end == CopyEnd::Reset {
+            // Fails only on a socket that is closed already.
+            let _ = (client.set_zero_linger(), upstream.set_zero_linger());
         }
     }
 
-    /// Forwards one direction until it closes. The close is not forwarded if either direction is
-    /// silenced.
+    /// Forwards one direction until it closes or is reset. The end is not forwarded if either
+    /// direction is silenced.
     async fn copy(
         &self,
         mut reader: impl AsyncRead + Unpin,
         mut writer: impl AsyncWrite + Unpin,
         silenced: &SilencedDirections,
         is_silenced: &Cell<bool>,
-    ) {
+    ) -> CopyEnd {
         let mut buffer = vec![0; COPY_BUFFER_BYTES];
         loop {
-            let length = reader.read(&mut buffer).await.unwrap_or(0);
+            let read = reader.read(&mut buffer).await;
             let delay_ms = self.switches.borrow().delay_ms;
             if delay_ms > 0 {
                 sleep(Duration::from_millis(delay_ms)).await;
             }
-            let is_hidden_close = length == 0 && silenced.is_any();
-            if is_silenced.get() || is_hidden_close {
+            let is_hidden_end = matches!(read, Ok(0) | Err(_)) && silenced.is_any();
+            if is_silenced.get() || is_hidden_end {
                 pending::<()>().await;
             }
-            if length == 0 || writer.write_all(&buffer[..length]).await.is_err() {
-                return;
+            match read {
+                Ok(0) => return CopyEnd::Closed,
+                Ok(length) if writer.write_all(&buffer[..length]).await.is_ok() => {}
+                Ok(_) | Err(_) => return CopyEnd::Reset,
             }
         }
     }
 
     fn silence(&self, mode: SilenceMode) {
-        for OpenConnection { silenced, task } in &*self.open_connections.borrow() {
+        for OpenConnection { silenced, task, .. } in &*self.open_connections.borrow() {
             if task.is_finished() {
                 continue;
             }
@@ -182,7 +205,7 @@
 
     fn cut(&self) {
         for connection in std::mem::take(&mut *self.open_connections.borrow_mut()) {
-            connection.task.abort();
+            connection.cut.notify_one();
             self.counts.borrow_mut().cut += 1;
         }
     }
--- a/standin/tests/relay.rs
+++ b/standin/tests/relay.rs
@@ -5,6 +5,7 @@
 use buckthornwharf_standin::fleet::{FleetClient, SoloStandin};
 use buckthornwharf_standin::relay::RelayCounts;
 use serde_json::json;
+use std::io::ErrorKind;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -26,6 +27,32 @@
     Ok(matches!(read, Ok(Ok(b'x'))))
 }
 
+/// Whether the connection ends with a reset and not with an orderly close.
+async fn is_reset(stream: &mut TcpStream) -> Result<bool> {
+    let mut buffer = [0; 16];
+    let read = timeout(WAIT_TIMEOUT, stream.read(&mut buffer)).await?;
+    Ok(read.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset))
+}
+
+#[actix_rt::test]
+async fn a_reset_is_not_relayed_as_an_orderly_close() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let target = listener.local_addr()?.to_string();
+    let program = env!("CARGO_BIN_EXE_buckthornwharf-standin");
+    let solo = SoloStandin::start(program, "relay", &["--to", &target]).await?;
+    let relay: RelayCounts = solo.counts().await?;
+    let (mut client, mut server) = connect(&relay, &listener).await?;
+    assert!(forwards_byte(&mut server, &mut client).await?);
+    server.set_zero_linger()?;
+    drop(server);
+    assert!(is_reset(&mut client).await?);
+    let (mut client, mut server) = connect(&relay, &listener).await?;
+    assert!(forwards_byte(&mut server, &mut client).await?);
+    drop(server);
+    assert!(!is_reset(&mut client).await?);
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn silences_open_connections_permanently_and_cuts_them() -> Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -47,7 +74,7 @@
     let (mut client, mut server) = connect(&relay, &listener).await?;
     assert!(forwards_byte(&mut client, &mut server).await?);
     solo.set_faults(&json!({ "cut": true })).await?;
-    assert!(timeout(WAIT_TIMEOUT, client.read_u8()).await?.is_err());
+    assert!(is_reset(&mut client).await?);
     let counts: RelayCounts = FleetClient::default().counts(solo.address()).await?;
     assert_eq!((counts.opened, counts.silenced, counts.cut), (2, 1, 2));
     Ok(())
