Let the engines of stand-ins and soak answer without a length

Change: AnswerShape, used by both, says how an answer is framed and ends; the soak draws from five more shapes. A crash of a soak engine resets its connections: between two events, an orderly close of an answer without a length cannot be told from its end.

--- a/exchange/src/inbound.rs
+++ b/exchange/src/inbound.rs
@@ -6,7 +6,6 @@
 use actix_http::header::HeaderMap;
 use actix_http::{ConnectionType, Method, Response, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
-use socket2::SockRef;
 use std::time::Duration;
 use std::{fmt, io};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -259,7 +258,7 @@
     ///
     /// The error of the operating system.
     pub fn reset_on_drop(&self) -> io::Result<()> {
-        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        self.stream.set_zero_linger()
     }
 
     /// Appends a part of the body to the output buffer.
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -7,6 +7,7 @@
 
 use fleet::{DirectFleet, eventually};
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
+use standin::shape::AnswerShape;
 
 #[actix_rt::test]
 async fn a_dispatched_request_carries_the_headers_set_by_the_entry() {
@@ -53,9 +54,11 @@
 #[actix_rt::test]
 async fn a_non_idempotent_request_is_not_retried_after_a_lost_answer() {
     let fleet = DirectFleet::start(2).await;
-    for behaviour in
-        [EngineBehaviour::LostAnswer, EngineBehaviour::TruncatedAnswer, EngineBehaviour::Unsealed]
-    {
+    for behaviour in [
+        EngineBehaviour::LostAnswer,
+        EngineBehaviour::Shaped(AnswerShape::Truncated),
+        EngineBehaviour::Unsealed,
+    ] {
         fleet.engines.iter().for_each(|engine| engine.behaviour.set(behaviour));
         let before = fleet.runs();
         let reply = fleet.post("/once/x", &format!("id-{behaviour:?}")).await;
@@ -68,9 +71,11 @@
 #[actix_rt::test]
 async fn an_idempotent_request_is_retried_at_another_target() {
     let fleet = DirectFleet::start(2).await;
-    for behaviour in
-        [EngineBehaviour::LostAnswer, EngineBehaviour::TruncatedAnswer, EngineBehaviour::Unsealed]
-    {
+    for behaviour in [
+        EngineBehaviour::LostAnswer,
+        EngineBehaviour::Shaped(AnswerShape::Truncated),
+        EngineBehaviour::Unsealed,
+    ] {
         fleet.engines[0].behaviour.set(behaviour);
         for number in 0..4 {
             let reply = fleet.get("/plain/x", &format!("id-{behaviour:?}-{number}")).await;
@@ -110,7 +115,7 @@
 #[actix_rt::test]
 async fn a_truncated_stream_is_resumed_at_another_target() {
     let fleet = DirectFleet::start(2).await;
-    fleet.engines[0].behaviour.set(EngineBehaviour::TruncatedAnswer);
+    fleet.engines[0].behaviour.set(EngineBehaviour::Shaped(AnswerShape::Truncated));
     let expected: String =
         (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect();
     for number in 0..4 {
@@ -124,7 +129,10 @@
 #[actix_rt::test]
 async fn a_stream_that_no_target_can_resume_ends_as_incomplete() {
     let fleet = DirectFleet::start(2).await;
-    fleet.engines.iter().for_each(|engine| engine.behaviour.set(EngineBehaviour::TruncatedAnswer));
+    fleet
+        .engines
+        .iter()
+        .for_each(|engine| engine.behaviour.set(EngineBehaviour::Shaped(AnswerShape::Truncated)));
     let reply = fleet.post("/stream/x", "id-1").await;
     assert!(!reply.complete);
     assert!(reply.body.ends_with("\n\n"), "the body ends within an event: {:?}", reply.body);
--- a/tests/direct_answers.rs
+++ b/tests/direct_answers.rs
@@ -9,6 +9,7 @@
 
 use fleet::DirectFleet;
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
+use standin::shape::AnswerShape;
 
 fn whole_stream() -> String {
     (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect()
@@ -17,7 +18,7 @@
 #[actix_rt::test]
 async fn an_answer_without_a_length_is_passed_on_whole() {
     let fleet = DirectFleet::start(1).await;
-    fleet.engines[0].behaviour.set(EngineBehaviour::Undelimited);
+    fleet.engines[0].behaviour.set(EngineBehaviour::Shaped(AnswerShape::Undelimited));
     for number in 0..3 {
         let reply = fleet.post("/stream/x", &format!("stream-{number}")).await;
         assert_eq!((reply.status, reply.body.as_str()), (200, whole_stream().as_str()));
@@ -29,7 +30,8 @@
 
 #[actix_rt::test]
 async fn a_stream_that_ends_within_an_event_is_not_passed_on_as_complete() {
-    for behaviour in [EngineBehaviour::UndelimitedCut, EngineBehaviour::EndedWithinEvent] {
+    for shape in [AnswerShape::UndelimitedCut, AnswerShape::EndedWithinEvent] {
+        let behaviour = EngineBehaviour::Shaped(shape);
         let fleet = DirectFleet::start(2).await;
         fleet.engines.iter().for_each(|engine| engine.behaviour.set(behaviour));
         let reply = fleet.post("/stream/x", "id-1").await;
@@ -40,7 +42,8 @@
 
 #[actix_rt::test]
 async fn a_stream_that_ends_within_an_event_is_resumed_at_another_target() {
-    for behaviour in [EngineBehaviour::UndelimitedCut, EngineBehaviour::EndedWithinEvent] {
+    for shape in [AnswerShape::UndelimitedCut, AnswerShape::EndedWithinEvent] {
+        let behaviour = EngineBehaviour::Shaped(shape);
         let fleet = DirectFleet::start(2).await;
         fleet.engines[0].behaviour.set(behaviour);
         for number in 0..4 {
@@ -55,7 +58,9 @@
 #[actix_rt::test]
 async fn a_stream_that_closes_before_its_first_event_is_not_passed_on_as_complete() {
     let fleet = DirectFleet::start(2).await;
-    fleet.engines.iter().for_each(|engine| engine.behaviour.set(EngineBehaviour::UndelimitedEmpty));
+    fleet.engines.iter().for_each(|engine| {
+        engine.behaviour.set(EngineBehaviour::Shaped(AnswerShape::UndelimitedEmpty))
+    });
     let reply = fleet.post("/stream/x", "id-1").await;
     assert_eq!(reply.status, 502);
 }
@@ -63,7 +68,9 @@
 #[actix_rt::test]
 async fn a_reset_answer_without_a_length_is_not_passed_on_as_complete() {
     let fleet = DirectFleet::start(2).await;
-    fleet.engines.iter().for_each(|engine| engine.behaviour.set(EngineBehaviour::UndelimitedReset));
+    fleet.engines.iter().for_each(|engine| {
+        engine.behaviour.set(EngineBehaviour::Shaped(AnswerShape::UndelimitedReset))
+    });
     let reply = fleet.post("/stream/x", "id-1").await;
     assert!(!reply.complete, "{:?} is framed as complete", reply.body);
     fleet.pause().await;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -4,6 +4,7 @@
 use super::standin::model_engine::EngineFault;
 use super::standin::operator;
 use super::standin::origin::{CHUNKS, OriginFault};
+use super::standin::shape::AnswerShape;
 use super::standin::store::StoreFault;
 use buckthornwharf_standin::fleet::FleetProcess;
 use buckthornwharf_standin::relay::{RelayService, RelaySwitches, SilenceMode};
@@ -64,10 +65,15 @@
         rng,
         &[
             EngineFault::LostAnswer,
-            EngineFault::TruncatedAnswer,
+            EngineFault::Shaped(AnswerShape::Truncated),
             EngineFault::ExtraAnswer,
             EngineFault::Fail,
             EngineFault::Hang,
+            EngineFault::Shaped(AnswerShape::EndedWithinEvent),
+            EngineFault::Shaped(AnswerShape::Undelimited),
+            EngineFault::Shaped(AnswerShape::UndelimitedCut),
+            EngineFault::Shaped(AnswerShape::UndelimitedEmpty),
+            EngineFault::Shaped(AnswerShape::UndelimitedReset),
         ],
     )
 }
