Do not take a truncated response of the platform as complete

What users saw: nothing known; a list or a value that was cut off reached its parser as whole. Change: a body that is shorter than its Content-Length is an error. Chunked bodies cannot be checked so; their readers parse JSON, which has to be whole.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,6 +2,7 @@
 
 use awc::Client;
 use awc::error::{ConnectError, SendRequestError};
+use awc::http::header::{self, HeaderMap};
 use awc::http::{Method, StatusCode};
 use bytes::Bytes;
 use std::io::ErrorKind;
@@ -83,12 +84,29 @@
         let mut response = request.send_body(self.body).await.map_err(describe_send_error)?;
         let body = response.body().limit(self.max_response_bytes).await;
         let body = body.map_err(|error| HttpError::Broken(error.to_string()))?;
+        if response.status() != StatusCode::NOT_MODIFIED {
+            check_length(response.headers(), &body)?;
+        }
         let etag = response.headers().get("etag");
         let etag = etag.and_then(|etag| etag.to_str().ok()).map(str::to_owned);
         Ok(HttpResponse { status: response.status(), etag, body })
     }
 }
 
+/// Compares the body with `Content-Length`: `awc` takes a lost connection for the end of a body. The
+/// length of an encoded body cannot be compared, since `awc` has decoded it.
+fn check_length(headers: &HeaderMap, body: &[u8]) -> Result<(), HttpError> {
+    let is_encoded = headers.contains_key(header::CONTENT_ENCODING);
+    let Some(announced) = headers.get(header::CONTENT_LENGTH).filter(|_| !is_encoded) else {
+        return Ok(());
+    };
+    let announced = announced.to_str().unwrap_or_default();
+    if announced.parse() == Ok(body.len()) {
+        return Ok(());
+    }
+    Err(HttpError::Broken(format!("{} of {announced} bytes arrived", body.len())))
+}
+
 fn describe_send_error(error: SendRequestError) -> HttpError {
     if is_never_sent(&error) {
         return HttpError::Unreachable(error.to_string());
