Log what a fetch of a version waits for

Change: without a new chunk for 3 s, event=fetch_waiting names the next missing chunk, its owner, the fetches in flight, and the sources and links that are not used for now.

--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -8,11 +8,13 @@
 mod in_flight;
 mod peers;
 mod region_links;
+mod status;
 mod takeover;
 
 pub use event::{
     ChunkFetch, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchTicket,
 };
+pub use status::FetchStatus;
 
 use crate::prelude::*;
 use crate::weights::plan::{DistributionPlan, HostIndex, RegionIndex, mix};
--- a/core/src/weights/fetch/region_links.rs
+++ b/core/src/weights/fetch/region_links.rs
@@ -36,6 +36,11 @@
         link.in_flight == 0 && now >= link.next_fetch
     }
 
+    /// Time until each link may be used.
+    pub fn waits(&self, now: MonoTime) -> Vec<Duration> {
+        self.links.iter().map(|link| link.next_fetch.since(now)).collect()
+    }
+
     /// Records a new fetch, whose bytes take at least `transfer_time` at the allowed rate.
     pub fn fetch_started(&mut self, now: MonoTime, region: RegionIndex, transfer_time: Duration) {
         let link = &mut self.links[region];
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -18,6 +18,9 @@
 use std::net::SocketAddr;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+/// Time without a new chunk after which the state of a fetch is logged, each time.
+const STALL_LOG_INTERVAL: Duration = Duration::from_secs(3);
+
 /// Where fetched chunks are stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ChunkDestination {
@@ -39,6 +42,9 @@
     events: UnboundedReceiver<FetchEvent>,
     tasks: SortedTable<FetchTicket, JoinHandle<()>>,
     poll: Option<JoinHandle<()>>,
+    /// Number of chunks held at `progress_at`, when one arrived last or the wait was logged.
+    last_held: usize,
+    progress_at: MonoTime,
     pub started: MonoTime,
 }
 
@@ -74,6 +80,8 @@
             events,
             tasks: SortedTable::new(),
             poll: None,
+            last_held: 0,
+            progress_at: started,
             started,
         }
     }
@@ -82,6 +90,7 @@
     pub async fn finish(&mut self) {
         let mut event = FetchEvent::Tick;
         loop {
+            self.log_stall(clock::now());
             let actions = self.machine.on_event(clock::now(), event);
             for action in actions {
                 if self.carry_out(action).await {
@@ -92,6 +101,18 @@
         }
     }
 
+    /// Logs what the fetch waits for if no chunk has arrived for [`STALL_LOG_INTERVAL`].
+    fn log_stall(&mut self, now: MonoTime) {
+        let held = self.machine.held().count();
+        if held != self.last_held {
+            (self.last_held, self.progress_at) = (held, now);
+        } else if now.since(self.progress_at) >= STALL_LOG_INTERVAL {
+            self.progress_at = now;
+            let (version, status) = (self.version.version, self.machine.status(now));
+            warn!("event=fetch_waiting version={version} {status}");
+        }
+    }
+
     async fn next_event(&mut self) -> FetchEvent {
         let wake = self.machine.next_wake();
         let pause = wake.map_or(Duration::ZERO, |wake| wake.since(clock::now()));
