Register the port that a process listens on, not the configured one

An agent fetched nothing for 24 s. Cause: with port 0 in the settings, entries and agents registered 127.0.0.1:0 in the store. No agent of the soak could fetch from another one or report its load to an entry; each read the origin, and one whose region does not read it tried the unreachable hosts in turn. Change: the settings take on the port that the listener got, and the process registers it. Deployments with fixed ports are not affected.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -33,9 +33,9 @@
     actix_rt::System::new().block_on(serve(settings_path, settings))
 }
 
-async fn serve(settings_path: PathBuf, settings: DirectSettings) -> Result<()> {
+async fn serve(settings_path: PathBuf, mut settings: DirectSettings) -> Result<()> {
     let agent_settings = settings.agent.clone().context("the settings have no section `agent`")?;
-    let listener = process::bind(settings.peer_address())?;
+    let listener = settings.bind_peer_address()?;
     let mut shutdown = process::shutdown_signal()?;
     println!("ready agent peers={}", listener.local_addr()?);
     info!("event=started host={} engine={}", settings.host, agent_settings.engine);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -49,12 +49,12 @@
 
 async fn serve(
     settings_path: PathBuf,
-    settings: DirectSettings,
+    mut settings: DirectSettings,
     entry_settings: DirectEntrySettings,
 ) -> Result<()> {
     let caller_listener = TcpListener::from_std(process::bind(entry_settings.callers)?)?;
     let readiness_listener = process::bind(entry_settings.readiness)?;
-    let load_listener = process::bind(settings.peer_address())?;
+    let load_listener = settings.bind_peer_address()?;
     let shutdown = process::shutdown_signal()?;
     let (caller_address, readiness_address) =
         (caller_listener.local_addr()?, readiness_listener.local_addr()?);
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -1,12 +1,13 @@
 //! Settings of an entry or agent of the direct path.
 
+use crate::process;
 use crate::settings::{parse_yaml, read_file};
 use anyhow::{Result, bail};
 use buckthornwharf_core::prelude::*;
 use serde::Deserialize;
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 use std::collections::BTreeMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::Path;
 
 /// Bytes in a megabit.
@@ -156,6 +157,18 @@
         sites.map(|(site, _)| site.clone()).collect()
     }
 
+    /// Listens on the address for other processes of the system. If its port is 0, the settings take on
+    /// the port that the operating system assigns, under which the process then registers.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub fn bind_peer_address(&mut self) -> Result<TcpListener> {
+        let listener = process::bind(self.peer_address())?;
+        self.peers.ports[0] = listener.local_addr()?.port();
+        Ok(listener)
+    }
+
     /// Returns the address at which other processes of the system reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.peers.ip, self.peers.ports[0])
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -9,6 +9,7 @@
 use fleet::{SoakFleet, holds_within};
 use standin::operator;
 use standin::origin::{CHUNKS, OriginFault};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Timeout for a condition to hold.
@@ -29,6 +30,21 @@
     assert!(invalid.is_empty(), "{invalid:?}");
 }
 
+#[actix_rt::test]
+async fn processes_register_the_port_that_the_operating_system_assigned() {
+    const PREFIXES: [&str; 2] = ["buckthornwharf/agent/", "buckthornwharf/entry/"];
+    let fleet = SoakFleet::start(1, 1).await;
+    for prefix in PREFIXES {
+        eventually("the process is registered", || fleet.store.contains_prefix(prefix)).await;
+        for record in fleet.store.values(prefix) {
+            let record: serde_json::Value = serde_json::from_str(&record).expect("JSON");
+            let address: SocketAddr =
+                record["address"].as_str().expect("text").parse().expect("it");
+            assert_ne!(address.port(), 0, "{record}");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn an_agent_recovers_if_its_engine_returns_while_its_lease_is_being_revoked() {
     let fleet = SoakFleet::start(1, 2).await;
