Read the origin where the peers of its region fail repeatedly

Cause: the origin was asked only at a moment at which every host of its region was suspect; a host stops being suspect before it is tried again, and each failure doubles the pause of the link. Change: a host whose last fetches and polls failed, two or more in a row, ranks after the origin; it is still tried while the origin is in back-off, and in regions that do not read it.

--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -123,7 +123,8 @@
     }
 
     /// The host of region `other` to fetch `chunk` from, or the origin if all hosts there are
-    /// unusable and the region reads it. `None` if the selected host is in back-off.
+    /// unusable or failed repeatedly and the region reads it. `None` if the selected source is in
+    /// back-off.
     fn remote_source(
         &self,
         now: MonoTime,
@@ -142,10 +143,16 @@
         let later = self.plan.owner_candidates(chunk, other)[lapsed_owners..].iter().copied();
         let owner = later.into_iter().find(|host| !is_deferred(*host));
         let owner = owner.or_else(|| self.plan.owner(chunk, other, is_deferred));
-        match owner.or_else(|| self.plan.owner(chunk, other, is_unusable)) {
+        let owner = owner.or_else(|| self.plan.owner(chunk, other, is_unusable));
+        let reads_origin = other == self.plan.reader_region();
+        let is_failing = owner.is_none_or(|host| self.sources.hosts[host].fails_repeatedly());
+        if is_failing && reads_origin && self.sources.origin.is_ready(now) {
+            return Some(ChunkSource::Origin);
+        }
+        match owner {
             Some(host) if self.sources.hosts[host].is_ready(now) => Some(self.peer_source(host)),
             Some(_) => None,
-            None if other == self.plan.reader_region() => Some(ChunkSource::Origin),
+            None if reads_origin => Some(ChunkSource::Origin),
             None => None,
         }
     }
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -8,6 +8,8 @@
 /// Time for which a source is suspect after the first failure in a row; it doubles with each further
 /// one.
 const INITIAL_SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// Failures in a row after which a source is used only if there is no better one.
+const REPEATED_FAILURES: u32 = 2;
 const MAX_SUSPECT_TIME: Duration = Duration::from_secs(64);
 /// Short, because no other source can replace the origin.
 const MAX_ORIGIN_SUSPECT_TIME: Duration = Duration::from_secs(4);
@@ -76,6 +78,11 @@
         now >= self.suspect_until && now >= self.busy_until
     }
 
+    /// Whether the last fetches and polls of the source failed, several in a row.
+    pub fn fails_repeatedly(&self) -> bool {
+        self.failures >= REPEATED_FAILURES
+    }
+
     /// Time without progress after which a fetch of `length` bytes counts as stalled.
     pub fn stall_timeout(&self, length: u64) -> Duration {
         let seconds = STALL_CHUNK_FRACTION * length as f64 / self.bytes_per_second.max(1.0);
--- a/core/tests/weights_fetch.rs
+++ b/core/tests/weights_fetch.rs
@@ -3,13 +3,15 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::fetch::ChunkFetch;
 use buckthornwharf_core::weights::{
-    ChunkSet, ChunkSource, DistributionPlan, FetchAction, FetchEvent, FetchFailure, FetchLimits,
-    FetchMachine, PlanHost, VersionManifest,
+    ChunkSet, ChunkSource, CrossRegionMode, DistributionPlan, FetchAction, FetchEvent,
+    FetchFailure, FetchLimits, FetchMachine, PlanHost, VersionManifest,
 };
 use bytes::Bytes;
 
 const CHUNKS: usize = 32;
 const CHUNK_BYTES: usize = 16;
+/// Time after its declaration within which an urgent version has to be in use.
+const MAX_VERSION_TIME: Duration = Duration::from_secs(8);
 
 fn content() -> Bytes {
     (0..CHUNKS * CHUNK_BYTES).map(|index| (index / CHUNK_BYTES) as u8).collect()
@@ -126,3 +128,59 @@
     machine.on_event(MonoTime::ZERO, FetchEvent::Arrived(99, chunk_bytes(0)));
     assert_eq!(machine.held().count(), 0);
 }
+
+/// Runs the machine of a host in a region that does not read the origin; no fetch or poll of a peer is
+/// answered, and the origin is down until `origin_back`. Returns when it holds everything, within
+/// `limit`.
+fn held_without_peers(origin_back: MonoTime, limit: MonoTime) -> Option<MonoTime> {
+    let manifest = Arc::new(VersionManifest::of_content(&content(), CHUNK_BYTES as u64));
+    let plan_host = |index: usize| PlanHost {
+        name: HostName::from(format!("host-{index}")),
+        region: RegionName::from(format!("region-{}", index % 2)),
+    };
+    let hosts = (0..4).map(plan_host).collect();
+    let plan = DistributionPlan::new(&manifest, hosts, &RegionName::from("region-1"));
+    let plan = Arc::new(plan.with_cross_region_mode(CrossRegionMode::Owners));
+    let mut limits = FetchLimits::new(10_000, 10_000, 10_000);
+    limits.time_scale_percent = FetchLimits::URGENT_TIME_SCALE_PERCENT;
+    limits.is_urgent = true;
+    let (name, held) = (HostName::from("host-0"), ChunkSet::new(CHUNKS));
+    let mut machine = FetchMachine::new(MonoTime::ZERO, manifest, plan, name, limits, held, 1);
+    let mut now = MonoTime::ZERO;
+    let mut events = vec![FetchEvent::Tick];
+    while now < limit {
+        let actions: Vec<FetchAction> =
+            events.drain(..).flat_map(|event| machine.on_event(now, event)).collect();
+        for action in actions {
+            match action {
+                FetchAction::Complete => return Some(now),
+                FetchAction::Poll(peer) => events.push(FetchEvent::PollFailed(peer)),
+                FetchAction::Fetch(fetch)
+                    if fetch.source == ChunkSource::Origin && now >= origin_back =>
+                {
+                    events.push(FetchEvent::Arrived(fetch.ticket, chunk_bytes(fetch.chunk)));
+                }
+                FetchAction::Fetch(fetch) => {
+                    events.push(FetchEvent::Failed(fetch.ticket, FetchFailure::Unreachable));
+                }
+                FetchAction::Cancel(_)
+                | FetchAction::Store(..)
+                | FetchAction::ReportCorrupt(..) => {}
+            }
+        }
+        if events.is_empty() {
+            now = now + Duration::from_millis(10);
+            events.push(FetchEvent::Tick);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_host_that_reaches_no_peer_reads_the_origin_as_soon_as_it_is_back() {
+    for seconds in [0, 1, 3, 6] {
+        let origin_back = MonoTime::from_millis(seconds * 1000);
+        let held = held_without_peers(origin_back, origin_back + MAX_VERSION_TIME);
+        assert!(held.is_some(), "the origin was back after {seconds} s");
+    }
+}
