Split the stored form of a claim from its state in memory

Cause: claim/cursor used the stored value in claim/record, and claim/record the cursor. Change: ClaimKey and ClaimValue have a file of their own, claim/value. Nothing else changes.

--- a/core/src/request/claim.rs
+++ b/core/src/request/claim.rs
@@ -2,6 +2,7 @@
 
 mod cursor;
 mod record;
+mod value;
 
 use super::ledger::ClaimVerdict;
 use crate::frame::SubmitFrame;
@@ -10,7 +11,7 @@
 use cursor::{CursorStep, LogCall, LogCursor};
 use record::{ClaimPhase, LocalClaim, WaitingClaim};
 
-pub use record::{ClaimKey, ClaimValue};
+pub use value::{ClaimKey, ClaimValue};
 
 /// Time within which a claim must be settled, including retries after lost answers.
 pub const CLAIM_TIMEOUT: Duration = Duration::from_secs(2);
--- a/core/src/request/claim/cursor.rs
+++ b/core/src/request/claim/cursor.rs
@@ -1,6 +1,6 @@
 //! The log of one idempotency key in the key-value service, and an agent's cursor in it.
 
-use super::record::ClaimValue;
+use super::value::ClaimValue;
 
 /// The record that a cursor is to append to the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
