Split the agent's requests by queue and answers, and use one type of gate

Change: agent/requests keeps links and ledger, requests/queue and requests/answers the rest; AnswerEvent belongs to agent/target; the control thread's gate is a TargetGate, and what was called its position is called the gate. Behaviour is unchanged.

--- a/src/agent.rs
+++ b/src/agent.rs
@@ -16,11 +16,12 @@
 use crate::metrics::AgentMetrics;
 use crate::process;
 use crate::settings::{AgentSettings, ProcessSettings};
-use crate::shared::{ConfigReceiver, GateControl, GateLoad, GatePosition};
+use crate::shared::{ConfigReceiver, GateControl, GateLoad};
 use actix_http::body::BoxBody;
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use anyhow::{Context, Result};
 use buckthornwharf_core::membership::HostRole;
+use buckthornwharf_core::request::ledger::TargetGate;
 use live_times::{LiveTimeParts, LiveTimeRecorder};
 use tokio::sync::watch;
 use traffic::TrafficParts;
@@ -45,9 +46,9 @@
     let metrics = AgentMetrics::new()?;
     let state = ControlState::start(&settings);
     let config = state.config;
-    let (position_sender, position) = watch::channel(GatePosition::Closed);
+    let (gate_sender, gate) = watch::channel(TargetGate::Closed);
     let (load_sender, load) = watch::channel(GateLoad::default());
-    let gate = GateControl { position: position_sender, in_flight: load };
+    let gate_control = GateControl { gate: gate_sender, in_flight: load };
     let service = agent.service.clone();
     let parts = TrafficParts {
         identity: LinkIdentity::of(&settings),
@@ -57,7 +58,7 @@
         hosts: state.hosts.clone(),
         kv: state.kv,
         config_frames: state.config_frames,
-        position,
+        gate,
         load: load_sender,
         leaving: leaving.clone(),
         metrics: metrics.clone(),
@@ -67,7 +68,7 @@
         settings: settings.clone(),
         config: config.clone(),
         hosts: state.hosts,
-        gate,
+        gate: gate_control,
         metrics: metrics.weights.clone(),
     };
     let handles = weights::start(weights_parts);
--- a/src/agent/requests.rs
+++ b/src/agent/requests.rs
@@ -1,19 +1,22 @@
 //! The requests at an agent: from the links through the queue to the target, and the answers back.
 
+mod answers;
+mod queue;
+
 use super::claims::{ClaimDriver, SettledClaim};
-use super::crash::{CrashDetector, CrashVerdict};
-use super::target::{TargetClient, TargetEvent, TargetFailure};
+use super::crash::CrashDetector;
+use super::target::{AnswerEvent, TargetClient};
 use crate::clock;
 use crate::link::LinkHandle;
 use crate::metrics::AgentMetrics;
-use crate::shared::{GateLoad, GatePosition};
-use buckthornwharf_core::frame::{LinkFrame, SubmitFrame, TargetState};
+use crate::shared::GateLoad;
+use buckthornwharf_core::frame::{LinkFrame, TargetState};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::claim::ClaimEvent;
 use buckthornwharf_core::request::heartbeat::HEARTBEAT_TIMEOUT;
 use buckthornwharf_core::request::ledger::{ClaimVerdict, LedgerAction, LedgerEvent, TargetGate};
 use buckthornwharf_core::request::{LinkId, RequestLedger};
-use buckthornwharf_core::routing::{FairQueue, QueueItem, QueueLimits, RefusedItem};
+use buckthornwharf_core::routing::{FairQueue, QueueItem, QueueLimits};
 use std::collections::VecDeque;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -29,9 +32,6 @@
 /// resolve query for the answer.
 const ANSWER_DELIVERY_TIME: Duration = HEARTBEAT_TIMEOUT.saturating_add(Duration::from_secs(2));
 
-/// An event of the target's answer to a request.
-pub type AnswerEvent = (RequestId, TargetEvent);
-
 /// A request that was dispatched to the target.
 struct DispatchedRequest {
     item: Option<QueueItem>,
@@ -55,8 +55,8 @@
     client: TargetClient,
     answers: mpsc::UnboundedSender<AnswerEvent>,
     links: SortedTable<LinkId, LinkHandle>,
-    position: GatePosition,
-    position_since: MonoTime,
+    gate: TargetGate,
+    gate_since: MonoTime,
     leaving: bool,
     load: watch::Sender<GateLoad>,
     metrics: AgentMetrics,
@@ -99,8 +99,8 @@
             client: parts.client,
             answers: parts.answers,
             links: SortedTable::new(),
-            position: GatePosition::Closed,
-            position_since: clock::now(),
+            gate: TargetGate::Closed,
+            gate_since: clock::now(),
             leaving: false,
             load: parts.load,
             metrics: parts.metrics,
@@ -117,15 +117,15 @@
 
     /// The state that is reported to the entries.
     pub fn state(&self) -> TargetState {
-        let serving = match self.position {
-            GatePosition::OpenEngine(digest) => Some(digest),
-            GatePosition::Closed | GatePosition::OpenPlain => None,
+        let serving = match self.gate {
+            TargetGate::Engine(digest) => Some(digest),
+            TargetGate::Closed | TargetGate::Plain => None,
         };
-        let serving_for = clock::now().since(self.position_since);
+        let serving_for = clock::now().since(self.gate_since);
         TargetState {
             service: self.service.clone(),
             serving,
-            accepting: self.position != GatePosition::Closed && !self.leaving,
+            accepting: self.gate != TargetGate::Closed && !self.leaving,
             leaving: self.leaving,
             running: self.ledger.running(),
             waiting: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
@@ -185,11 +185,11 @@
         self.dispatch_waiting();
     }
 
-    /// Sets the position of the gate, as decided by the control thread.
-    pub fn set_position(&mut self, position: GatePosition) {
-        if position != self.position {
-            self.position = position;
-            self.position_since = clock::now();
+    /// Sets the gate, as decided by the control thread.
+    pub fn set_gate(&mut self, gate: TargetGate) {
+        if gate != self.gate {
+            self.gate = gate;
+            self.gate_since = clock::now();
         }
         self.dispatch_waiting();
         self.publish_load();
@@ -202,33 +202,6 @@
         self.dispatch_waiting();
     }
 
-    /// Handles an event of the target's answer to a request.
-    pub fn on_answer(&mut self, (id, event): AnswerEvent) {
-        match event {
-            TargetEvent::Head { status, content_type, digest } => {
-                self.apply(LedgerEvent::TargetHead { id, status, content_type, digest });
-            }
-            TargetEvent::Body(bytes) => {
-                if let Some(request) = self.dispatched.get_mut(&id) {
-                    request.body_parts += 1;
-                }
-                self.apply(LedgerEvent::TargetBody { id, bytes });
-            }
-            TargetEvent::Complete => self.end_target(id, ResultCode::Ok),
-            TargetEvent::Probed(crashed) => self.on_probed(crashed),
-            TargetEvent::Failed(TargetFailure::ConnectionLost) => {
-                self.crashes.record_broken(clock::now(), id)
-            }
-            TargetEvent::Failed(TargetFailure::InvalidAnswer) => {
-                self.end_target(id, ResultCode::AnswerDiscarded);
-            }
-            TargetEvent::Failed(failure) => {
-                log::debug!("request={id} failed at the target: {failure}");
-                self.end_target(id, ResultCode::TargetFailed);
-            }
-        }
-    }
-
     /// Handles timeouts. Must be called at least every
     /// [`CRASH_WINDOW`](super::crash::CRASH_WINDOW).
     pub fn on_tick(&mut self) {
@@ -237,48 +210,6 @@
         self.apply(LedgerEvent::Tick);
     }
 
-    /// Handles the requests whose connections broke, once the crash window is over.
-    fn check_broken(&mut self) {
-        let is_engine = self.dispatched.values().any(|request| request.digest.is_some());
-        match self.crashes.decide(clock::now(), self.dispatched.keys(), is_engine) {
-            CrashVerdict::Nothing => {}
-            CrashVerdict::Alive(ids) => self.end_broken(ids),
-            CrashVerdict::Crashed(ids) => {
-                self.apply(LedgerEvent::TargetCrashed);
-                self.end_broken(ids);
-            }
-            CrashVerdict::Probe(first) => {
-                actix_rt::spawn(self.client.probe(first, self.answers.clone()));
-            }
-        }
-    }
-
-    fn on_probed(&mut self, crashed: bool) {
-        if crashed {
-            self.apply(LedgerEvent::TargetCrashed);
-        }
-        let ids = self.crashes.take_probed();
-        self.end_broken(ids);
-    }
-
-    fn end_broken(&mut self, ids: Vec<RequestId>) {
-        for id in ids {
-            self.end_target(id, ResultCode::TargetFailed);
-        }
-    }
-
-    fn end_target(&mut self, id: RequestId, code: ResultCode) {
-        self.last_ended_at = Some(clock::now());
-        if let Some(request) = self.dispatched.remove(&id)
-            && let Some(item) = &request.item
-        {
-            let actual = if request.body_parts > 1 { request.body_parts } else { item.cost_tokens };
-            self.queue.on_done(clock::now(), item, actual);
-        }
-        self.publish_load();
-        self.apply(LedgerEvent::TargetEnd { id, code });
-    }
-
     fn apply(&mut self, event: LedgerEvent) {
         self.feed(event);
         self.dispatch_waiting();
@@ -330,73 +261,6 @@
         }
     }
 
-    fn enqueue(&mut self, submit: &SubmitFrame) {
-        let now = clock::now();
-        let item = QueueItem {
-            id: submit.id,
-            organisation: submit.organisation.clone(),
-            weight: submit.weight,
-            priority: submit.priority,
-            cost_tokens: submit.cost_tokens,
-            deadline: now + Duration::from_millis(submit.deadline_ms),
-        };
-        let refused = self.queue.push(now, item);
-        self.refuse_all(refused);
-    }
-
-    fn refuse_all(&mut self, refused: Vec<RefusedItem>) {
-        for refusal in refused {
-            self.feed(LedgerEvent::Refused { id: refusal.item.id, code: refusal.code });
-        }
-    }
-
-    /// Takes requests from the queue while the target has free slots. While the gate is closed or
-    /// the host is leaving, refuses every queued request at once.
-    fn dispatch_waiting(&mut self) {
-        loop {
-            let is_refusing = self.leaving || self.position == GatePosition::Closed;
-            let may_dispatch = self.ledger.allows_dispatch() && self.ledger.running() < self.slots;
-            if !may_dispatch && !is_refusing {
-                break;
-            }
-            let popped = self.queue.pop(clock::now());
-            self.refuse_all(popped.refused);
-            let Some(item) = popped.next else { break };
-            let id = item.id;
-            if self.leaving {
-                self.feed(LedgerEvent::Refused { id, code: ResultCode::Leaving });
-            } else if is_refusing {
-                self.feed(LedgerEvent::Refused { id, code: ResultCode::NotServing });
-            } else {
-                self.popped.insert(id, item);
-                self.offer_to_ledger(id);
-            }
-        }
-        self.metrics.waiting.set(self.queue.len() as i64);
-        self.metrics.running.set(i64::from(self.ledger.running()));
-    }
-
-    fn offer_to_ledger(&mut self, id: RequestId) {
-        let gate = self.gate();
-        self.feed(LedgerEvent::Ready { id, gate });
-    }
-
-    /// Releases a request that was taken from the queue and will not run, so that its organisation
-    /// is not charged for it.
-    fn refund_popped(&mut self, id: RequestId) {
-        if let Some(item) = self.popped.remove(&id) {
-            self.queue.on_done(clock::now(), &item, 0);
-        }
-    }
-
-    fn gate(&self) -> TargetGate {
-        match self.position {
-            GatePosition::Closed => TargetGate::Closed,
-            GatePosition::OpenPlain => TargetGate::Plain,
-            GatePosition::OpenEngine(digest) => TargetGate::Engine(digest),
-        }
-    }
-
     fn settle_claims(&mut self, settled: Vec<SettledClaim>) {
         for (id, verdict) in settled {
             let outcome = match verdict {
@@ -405,26 +269,12 @@
                 ClaimVerdict::Refused(code) => code.into(),
             };
             self.metrics.claims.with_label_values(&[outcome]).inc();
-            let gate = self.gate();
-            self.feed(LedgerEvent::Claimed { id, verdict, gate });
+            self.feed(LedgerEvent::Claimed { id, verdict, gate: self.gate });
         }
     }
 
-    fn dispatch(&mut self, submit: &Arc<SubmitFrame>) {
-        let id = submit.id;
-        let (cancel, cancelled) = oneshot::channel();
-        let item = self.popped.remove(&id);
-        let request =
-            DispatchedRequest { item, digest: submit.digest, cancel: Some(cancel), body_parts: 0 };
-        self.dispatched.insert(id, request);
-        self.publish_load();
-        let client = self.client;
-        let answers = self.answers.clone();
-        actix_rt::spawn(client.run(submit.clone(), cancelled, answers));
-    }
-
     fn publish_load(&self) {
-        let mut load = GateLoad { position: self.position, ..GateLoad::default() };
+        let mut load = GateLoad { gate: self.gate, ..GateLoad::default() };
         for request in self.dispatched.values() {
             match request.digest {
                 Some(digest) => *load.engine.get_or_insert_with(digest, || 0) += 1,
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -3,7 +3,6 @@
 mod exchange;
 
 use super::answer_check::{AnswerChecker, AnswerFault, AnswerFormat};
-use super::requests::AnswerEvent;
 use actix_http::StatusCode;
 use actix_rt::net::TcpStream;
 use buckthornwharf_core::frame::SubmitFrame;
@@ -19,6 +18,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 const EVENT_STREAM_TYPE: &str = "text/event-stream";
 
+/// An event of a target's answer, with the id of the request.
+pub type AnswerEvent = (RequestId, TargetEvent);
+
 /// An event of a target's answer to a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TargetEvent {
--- a/src/agent/traffic.rs
+++ b/src/agent/traffic.rs
@@ -9,7 +9,7 @@
 use crate::metrics::AgentMetrics;
 use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
-use crate::shared::{ActiveConfig, ConfigReceiver, GateLoad, GatePosition, HostsReceiver};
+use crate::shared::{ActiveConfig, ConfigReceiver, GateLoad, HostsReceiver};
 use actix_rt::net::TcpListener;
 use anyhow::Result;
 use buckthornwharf_core::config::{ConfigExchange, ExchangeAction};
@@ -17,6 +17,7 @@
 use buckthornwharf_core::membership::is_leaving;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::LinkId;
+use buckthornwharf_core::request::ledger::TargetGate;
 use std::rc::Rc;
 use tokio::sync::{mpsc, watch};
 
@@ -48,8 +49,8 @@
     pub kv: KvClient,
     /// Receives the configuration frames that entries send.
     pub config_frames: mpsc::UnboundedSender<ConfigFrame>,
-    /// The position that the gate must take.
-    pub position: watch::Receiver<GatePosition>,
+    /// The gate to apply, as decided by the control thread.
+    pub gate: watch::Receiver<TargetGate>,
     /// Publishes the number of dispatched requests.
     pub load: watch::Sender<GateLoad>,
     /// Becomes true when the process must leave.
@@ -97,12 +98,12 @@
         last_report_at: clock::now(),
     };
     let mut config = parts.config;
-    let mut position = parts.position;
+    let mut gate = parts.gate;
     let mut leaving = parts.leaving;
     let mut hosts = parts.hosts;
     let mut tick = actix_rt::time::interval(CRASH_WINDOW);
     config.mark_changed();
-    position.mark_changed();
+    gate.mark_changed();
     let mut leaving_since = None;
     loop {
         tokio::select! {
@@ -113,9 +114,9 @@
                 let active = config.borrow_and_update().clone();
                 traffic.on_config(active);
             }
-            Ok(()) = position.changed() => {
-                let position = *position.borrow_and_update();
-                traffic.dispatcher.set_position(position);
+            Ok(()) = gate.changed() => {
+                let gate = *gate.borrow_and_update();
+                traffic.dispatcher.set_gate(gate);
             }
             Ok(()) = leaving.changed(), if leaving_since.is_none() => {
                 if *leaving.borrow_and_update() {
--- a/src/agent/weights/manager.rs
+++ b/src/agent/weights/manager.rs
@@ -10,10 +10,11 @@
 use crate::platform::engine::EngineClient;
 use crate::platform::kv::KvClient;
 use crate::settings::AgentSettings;
-use crate::shared::{ConfigReceiver, GatePosition};
+use crate::shared::ConfigReceiver;
 use anyhow::Result;
 use buckthornwharf_core::config::TargetKind;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::ledger::TargetGate;
 use buckthornwharf_core::weights::lifecycle::{HeldVersion, ServingVersion};
 pub use gate::ServingGate;
 use log::{debug, warn};
@@ -119,7 +120,7 @@
                 Ok(())
             }
             DesiredState::Plain => {
-                self.parts.gate.set_position(GatePosition::OpenPlain);
+                self.parts.gate.set_gate(TargetGate::Plain);
                 Ok(())
             }
             DesiredState::Version(wanted) => self.step_engine(wanted).await,
--- a/src/agent/weights/manager/gate.rs
+++ b/src/agent/weights/manager/gate.rs
@@ -1,11 +1,12 @@
 //! The control thread's end of the gate in front of the target.
 
-use crate::shared::{GateControl, GatePosition};
+use crate::shared::GateControl;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::ledger::TargetGate;
 use buckthornwharf_core::weights::lifecycle::ServingVersion;
 use tokio::sync::watch;
 
-/// Sets the position of the gate, and publishes the version that it is open for.
+/// Sets the gate, and publishes the version that it is open for.
 pub struct ServingGate {
     control: GateControl,
     serving: watch::Sender<Option<VersionDigest>>,
@@ -19,21 +20,21 @@
 
     /// Opens the gate for a version that the target confirmed.
     pub fn open(&self, version: &ServingVersion) {
-        self.set_position(GatePosition::OpenEngine(version.digest()));
+        self.set_gate(TargetGate::Engine(version.digest()));
         self.publish_serving(Some(version.digest()));
     }
 
     /// Closes the gate, and publishes first that no version is served.
     pub fn close(&self) {
         self.publish_serving(None);
-        self.set_position(GatePosition::Closed);
+        self.set_gate(TargetGate::Closed);
     }
 
-    /// Sets the position of the gate.
-    pub fn set_position(&self, position: GatePosition) {
-        self.control.position.send_if_modified(|current| {
-            let changed = *current != position;
-            *current = position;
+    /// Sets the gate.
+    pub fn set_gate(&self, gate: TargetGate) {
+        self.control.gate.send_if_modified(|current| {
+            let changed = *current != gate;
+            *current = gate;
             changed
         });
     }
@@ -47,10 +48,10 @@
     }
 
     /// Requests in flight under the version `digest`, or under any version if `None`. The result is
-    /// `None` while the traffic thread has not applied the gate's position yet.
+    /// `None` while the traffic thread has not applied the gate yet.
     pub fn in_flight(&self, digest: Option<&VersionDigest>) -> Option<u32> {
         let load = self.control.in_flight.borrow();
-        if load.position != *self.control.position.borrow() {
+        if load.gate != *self.control.gate.borrow() {
             return None;
         }
         Some(match digest {
@@ -59,7 +60,7 @@
         })
     }
 
-    /// Waits until the traffic thread has applied the gate's position and no request is in flight.
+    /// Waits until the traffic thread has applied the gate and no request is in flight.
     pub async fn drained(&mut self) {
         while self.in_flight(None) != Some(0) {
             if self.control.in_flight.changed().await.is_err() {
--- a/src/shared.rs
+++ b/src/shared.rs
@@ -6,6 +6,7 @@
 use buckthornwharf_core::config::ConfigDocument;
 use buckthornwharf_core::membership::HostRecord;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::request::ledger::TargetGate;
 use bytes::Bytes;
 use tokio::sync::watch;
 
@@ -26,34 +27,23 @@
 /// Publishes the hosts known to the process, sorted by name.
 pub type HostsReceiver = watch::Receiver<Arc<Vec<HostRecord>>>;
 
-/// Position of an agent's gate: which requests the agent dispatches to its target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum GatePosition {
-    /// No new request is dispatched.
-    #[default]
-    Closed,
-    /// Requests are dispatched to a plain service.
-    OpenPlain,
-    /// Requests for this digest are dispatched to an engine.
-    OpenEngine(VersionDigest),
-}
-
-/// The weight manager's handle on an agent's gate. The weight manager sets the position; the traffic
-/// thread applies it and reports the number of dispatched requests that have not ended.
+/// The weight manager's handle on an agent's gate, which decides what may be dispatched to the target.
+/// The weight manager sets the gate; the traffic thread applies it and reports the number of dispatched
+/// requests that have not ended.
 #[derive(Debug)]
 pub struct GateControl {
-    /// The position that the traffic thread must apply.
-    pub position: watch::Sender<GatePosition>,
+    /// The gate that the traffic thread must apply.
+    pub gate: watch::Sender<TargetGate>,
     /// Dispatched requests that have not ended, reported by the traffic thread after it has applied
-    /// the position.
+    /// the gate.
     pub in_flight: watch::Receiver<GateLoad>,
 }
 
 /// Dispatched requests that have not ended, by version.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct GateLoad {
-    /// The position that the traffic thread has applied.
-    pub position: GatePosition,
+    /// The gate that the traffic thread has applied.
+    pub gate: TargetGate,
     /// Requests to an engine, by digest of the version; requests to a plain service count in `plain`.
     pub engine: SortedTable<VersionDigest, u32>,
     /// Requests to a plain service.
