Do not reuse a connection that has waited long for an answer

Cause: a connection counted as idle from the end of its last answer. One whose link was silenced one way during a long poll still got its answer, was reused, and the next poll hung until its timeout of 10.2 s. Change: a connection is reused for 4 s after its last request was sent. Watches of an agent, which wait up to 9 s, then open a connection each.

--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -13,7 +13,8 @@
 
 /// Maximum idle connections that a client keeps.
 const MAX_IDLE_CONNECTIONS: usize = 4;
-/// How long an idle connection is kept for another call.
+/// How long a connection is kept for another call after its last request was sent. A long poll leaves it
+/// as unproved as an idle time does: whether the server still receives anything is not known.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest time without progress while reading the body of an answer.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -74,7 +75,7 @@
 
 impl std::error::Error for CallError {}
 
-/// Client of one server. Reuses connections that were idle only briefly.
+/// Client of one server. Reuses connections whose last request was sent only briefly before.
 #[derive(Clone)]
 pub struct CallClient {
     address: SocketAddr,
@@ -101,6 +102,7 @@
     /// [`CallError`]. Only [`CallError::Unreachable`] and [`CallError::InvalidRequest`] guarantee
     /// that the server did not receive the call.
     pub async fn call(&self, call: OutboundCall) -> Result<CallAnswer, CallError> {
+        let sent_at = Instant::now();
         let max_answer_bytes = call.max_answer_bytes;
         let answered = tokio::time::timeout(call.head_timeout, self.send(call)).await;
         let (mut connection, head) = answered.map_err(|_| CallError::TimedOut)??;
@@ -119,7 +121,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS && connection.is_reusable() {
-            idle.push((Instant::now(), connection));
+            idle.push((sent_at, connection));
         }
         Ok(CallAnswer { status: head.status, headers: head.headers, body: body.freeze() })
     }
@@ -156,7 +158,7 @@
     fn take_idle(&self) -> Option<OutboundConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|(idle_since, _)| now.duration_since(*idle_since) < IDLE_TIMEOUT);
+        idle.retain(|(sent_at, _)| now.duration_since(*sent_at) < IDLE_TIMEOUT);
         while let Some((_, mut connection)) = idle.pop() {
             if connection.is_reusable() {
                 return Some(connection);
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -7,7 +7,9 @@
     OutboundConnection, OutboundRequest,
 };
 use bytes::Bytes;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
@@ -144,3 +146,37 @@
         assert_eq!(answered, (AnswerFraming::NoBody, vec![BodyPart::End]));
     }
 }
+
+/// Starts a server that answers each request on a connection after `delay`; returns its client and the
+/// number of connections accepted.
+async fn serve_after(delay: Duration) -> (CallClient, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    let accepted = Rc::new(Cell::new(0));
+    let counter = accepted.clone();
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counter.set(counter.get() + 1);
+            actix_rt::spawn(async move {
+                let mut request = vec![0; 4096];
+                while stream.read(&mut request).await.is_ok_and(|read| read > 0) {
+                    actix_rt::time::sleep(delay).await;
+                    let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+                    stream.write_all(answer).await.expect("the client reads");
+                }
+            });
+        }
+    });
+    (CallClient::new(address), accepted)
+}
+
+#[actix_rt::test]
+async fn a_connection_that_waited_long_for_an_answer_is_not_reused() {
+    for (delay, connections) in [(Duration::ZERO, 1), (Duration::from_millis(4100), 2)] {
+        let (client, accepted) = serve_after(delay).await;
+        for _ in 0..2 {
+            client.call(get("/")).await.expect("an answer");
+        }
+        assert_eq!(accepted.get(), connections, "{delay:?}");
+    }
+}
