Name the ids of fetches as ids

Cause: FetchTicket is the number of a fetch; the name suggests a permission. Change: FetchId, and id for its values, in the core, both fetchers and the model.

--- a/benches/burst/links.rs
+++ b/benches/burst/links.rs
@@ -2,7 +2,7 @@
 
 use super::{FleetModel, STEP};
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::fetch::FetchTicket;
+use buckthornwharf_core::weights::fetch::FetchId;
 use buckthornwharf_core::weights::{FetchEvent, FetchFailure, UploadTicket};
 
 const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,7 +30,7 @@
 pub(super) struct ModelFlow {
     pub to: usize,
     pub from: Option<usize>,
-    pub ticket: FetchTicket,
+    pub id: FetchId,
     pub chunk: usize,
     pub remaining_units: f64,
     pub max_units_per_second: f64,
@@ -54,21 +54,17 @@
                 Some(from) => self.hosts[from].uploaded_units += moved,
             }
             if flow.remaining_units <= 0.0 {
-                done.push((flow.to, flow.ticket));
+                done.push((flow.to, flow.id));
             } else if rate > 0.0 && self.now.since(flow.progress_reported_at) >= PROGRESS_INTERVAL {
                 flow.progress_reported_at = self.now;
                 let bytes =
                     (self.manifest.chunk_len(flow.chunk) as f64 - flow.remaining_units) as u64;
-                self.pending_events.push((
-                    self.now,
-                    flow.to,
-                    FetchEvent::Progress(flow.ticket, bytes),
-                ));
+                self.pending_events.push((self.now, flow.to, FetchEvent::Progress(flow.id, bytes)));
             }
         }
         self.flows = flows;
-        for (host, ticket) in done {
-            self.complete_flow(host, ticket);
+        for (host, id) in done {
+            self.complete_flow(host, id);
         }
     }
 
@@ -149,8 +145,8 @@
         used
     }
 
-    fn complete_flow(&mut self, host: usize, ticket: FetchTicket) {
-        let is_match = |flow: &ModelFlow| flow.to == host && flow.ticket == ticket;
+    fn complete_flow(&mut self, host: usize, id: FetchId) {
+        let is_match = |flow: &ModelFlow| flow.to == host && flow.id == id;
         let Some(at) = self.flows.iter().position(is_match) else {
             return;
         };
@@ -160,9 +156,9 @@
         let start = flow.chunk * length;
         let end = (start + length).min(self.content.len());
         let event = match self.faults.get(&flow.from) {
-            Some(SourceFault::Cut) => FetchEvent::Failed(ticket, FetchFailure::Cut),
-            Some(SourceFault::Corrupt) => FetchEvent::Arrived(ticket, vec![0; end - start].into()),
-            _ => FetchEvent::Arrived(ticket, self.content.slice(start..end)),
+            Some(SourceFault::Cut) => FetchEvent::Failed(id, FetchFailure::Cut),
+            Some(SourceFault::Corrupt) => FetchEvent::Arrived(id, vec![0; end - start].into()),
+            _ => FetchEvent::Arrived(id, self.content.slice(start..end)),
         };
         if let Some(from) = flow.from.filter(|_| self.distribution.announces_held) {
             let held = self.hosts[from].machine.held().clone();
--- a/benches/burst/model.rs
+++ b/benches/burst/model.rs
@@ -8,7 +8,7 @@
 mod links;
 
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchTicket};
+use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchId};
 use buckthornwharf_core::weights::{
     ChunkSet, ChunkSource, CrossRegionMode, DistributionPlan, FetchAction, FetchEvent,
     FetchFailure, FetchLimits, FetchMachine, PlanHost, UploadClass, UploadLimiter, UploadSlots,
@@ -219,7 +219,7 @@
     fn execute(&mut self, host: usize, action: FetchAction) {
         match action {
             FetchAction::Fetch(fetch) => self.fetch(host, fetch),
-            FetchAction::Cancel(ticket) => self.cancel_flow(host, ticket),
+            FetchAction::Cancel(id) => self.cancel_flow(host, id),
             FetchAction::Poll(peer) => self.poll(host, &peer),
             FetchAction::Complete => self.hosts[host].completed_at = Some(self.now),
             FetchAction::Store(_, bytes) => self.hosts[host].stored_chunks.push(bytes),
@@ -227,8 +227,8 @@
         }
     }
 
-    fn cancel_flow(&mut self, host: usize, ticket: FetchTicket) {
-        let is_match = |flow: &ModelFlow| flow.to == host && flow.ticket == ticket;
+    fn cancel_flow(&mut self, host: usize, id: FetchId) {
+        let is_match = |flow: &ModelFlow| flow.to == host && flow.id == id;
         let Some(at) = self.flows.iter().position(is_match) else {
             return;
         };
@@ -288,7 +288,7 @@
         let is_up = from.is_none_or(|from| self.hosts[from].alive);
         let is_up = is_up && self.faults.get(&from) != Some(&SourceFault::Down);
         if !is_up || !self.is_reachable(host, from) {
-            let event = FetchEvent::Failed(fetch.ticket, FetchFailure::Unreachable);
+            let event = FetchEvent::Failed(fetch.id, FetchFailure::Unreachable);
             self.schedule(CONNECT_TIMEOUT, host, event);
             return;
         }
@@ -307,7 +307,7 @@
                 Ok(ticket) => upload = ticket,
                 Err(failure) => {
                     self.count_message(from, RESPONSE_BYTES);
-                    self.schedule(STEP, host, FetchEvent::Failed(fetch.ticket, failure));
+                    self.schedule(STEP, host, FetchEvent::Failed(fetch.id, failure));
                     return;
                 }
             }
@@ -315,7 +315,7 @@
         self.flows.push(ModelFlow {
             to: host,
             from,
-            ticket: fetch.ticket,
+            id: fetch.id,
             chunk: fetch.chunk,
             remaining_units: self.manifest.chunk_len(fetch.chunk) as f64,
             max_units_per_second: fetch.bytes_per_second.map_or(f64::INFINITY, |rate| rate as f64),
--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -12,7 +12,7 @@
 mod takeover;
 
 pub use event::{
-    ChunkFetch, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchLimits, FetchTicket,
+    ChunkFetch, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchId, FetchLimits,
 };
 pub use status::FetchStatus;
 
@@ -124,9 +124,9 @@
         let mut actions = Vec::new();
         match event {
             FetchEvent::Tick => {}
-            FetchEvent::Progress(ticket, bytes) => self.on_progress(now, ticket, bytes),
-            FetchEvent::Arrived(ticket, bytes) => self.on_arrived(now, ticket, bytes, &mut actions),
-            FetchEvent::Failed(ticket, failure) => self.on_failed(now, ticket, failure),
+            FetchEvent::Progress(id, bytes) => self.on_progress(now, id, bytes),
+            FetchEvent::Arrived(id, bytes) => self.on_arrived(now, id, bytes, &mut actions),
+            FetchEvent::Failed(id, failure) => self.on_failed(now, id, failure),
             FetchEvent::HeldBy(peer, chunks) => self.on_held_by(now, &peer, chunks),
             FetchEvent::PollFailed(peer) => self.on_poll_failed(now, &peer),
             FetchEvent::Replanned(plan) => self.on_replanned(now, plan, &mut actions),
@@ -157,8 +157,8 @@
         Some(deadline.map_or(poll, |deadline| deadline.min(poll)))
     }
 
-    fn on_progress(&mut self, now: MonoTime, ticket: FetchTicket, bytes: u64) {
-        let Some(fetch) = self.in_flight.get_mut(ticket) else {
+    fn on_progress(&mut self, now: MonoTime, id: FetchId, bytes: u64) {
+        let Some(fetch) = self.in_flight.get_mut(id) else {
             return;
         };
         if bytes > fetch.bytes {
@@ -170,11 +170,11 @@
     fn on_arrived(
         &mut self,
         now: MonoTime,
-        ticket: FetchTicket,
+        id: FetchId,
         bytes: Bytes,
         actions: &mut Vec<FetchAction>,
     ) {
-        let Some(fetch) = self.in_flight.remove(ticket) else {
+        let Some(fetch) = self.in_flight.remove(id) else {
             return;
         };
         self.release(&fetch);
@@ -206,7 +206,7 @@
     fn cancel_duplicates(&mut self, chunk: usize, actions: &mut Vec<FetchAction>) {
         for fetch in self.in_flight.take_chunk(chunk) {
             self.release(&fetch);
-            actions.push(FetchAction::Cancel(fetch.ticket));
+            actions.push(FetchAction::Cancel(fetch.id));
         }
     }
 
@@ -223,8 +223,8 @@
         }
     }
 
-    fn on_failed(&mut self, now: MonoTime, ticket: FetchTicket, failure: FetchFailure) {
-        let Some(fetch) = self.in_flight.remove(ticket) else {
+    fn on_failed(&mut self, now: MonoTime, id: FetchId, failure: FetchFailure) {
+        let Some(fetch) = self.in_flight.remove(id) else {
             return;
         };
         self.release(&fetch);
@@ -262,7 +262,7 @@
     /// Cancels fetches on which no data arrived before their deadline, and times out the poll.
     fn cancel_stalled(&mut self, now: MonoTime, actions: &mut Vec<FetchAction>) {
         for fetch in self.in_flight.take_expired(now) {
-            actions.push(FetchAction::Cancel(fetch.ticket));
+            actions.push(FetchAction::Cancel(fetch.id));
             self.release(&fetch);
             self.record_failure(now, &fetch, FetchFailure::Unreachable);
         }
@@ -345,7 +345,7 @@
         }
         self.complete = true;
         let rest = self.in_flight.take_all();
-        actions.extend(rest.into_iter().map(|fetch| FetchAction::Cancel(fetch.ticket)));
+        actions.extend(rest.into_iter().map(|fetch| FetchAction::Cancel(fetch.id)));
         actions.push(FetchAction::Complete);
     }
 
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -343,7 +343,7 @@
                 stall_timeout.max(Duration::from_secs_f64(0.5 * length as f64 / rate as f64));
         }
         let fetch = InFlightFetch {
-            ticket: 0,
+            id: 0,
             chunk,
             source: source.clone(),
             remote_region,
@@ -352,8 +352,8 @@
             stall_timeout,
             bytes: 0,
         };
-        let ticket = self.in_flight.add(fetch);
-        let chunk_fetch = ChunkFetch { ticket, chunk, source, bytes_per_second: rate };
+        let id = self.in_flight.add(fetch);
+        let chunk_fetch = ChunkFetch { id, chunk, source, bytes_per_second: rate };
         actions.push(FetchAction::Fetch(chunk_fetch));
     }
 
--- a/core/src/weights/fetch/event.rs
+++ b/core/src/weights/fetch/event.rs
@@ -18,13 +18,13 @@
 }
 
 /// Identifies one fetch of a machine.
-pub type FetchTicket = u64;
+pub type FetchId = u64;
 
 /// A request to fetch one chunk.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ChunkFetch {
     /// Identifies the fetch in events and in [`FetchAction::Cancel`].
-    pub ticket: FetchTicket,
+    pub id: FetchId,
     /// Position of the chunk in the manifest.
     pub chunk: usize,
     /// Where to fetch the chunk from.
@@ -52,11 +52,11 @@
     /// The time of [`FetchMachine::next_wake`](super::FetchMachine::next_wake) has come.
     Tick,
     /// Total bytes of the chunk received so far.
-    Progress(FetchTicket, u64),
+    Progress(FetchId, u64),
     /// All bytes of the chunk have arrived, not yet verified.
-    Arrived(FetchTicket, Bytes),
+    Arrived(FetchId, Bytes),
     /// The fetch failed.
-    Failed(FetchTicket, FetchFailure),
+    Failed(FetchId, FetchFailure),
     /// The chunks that a host reported to hold.
     HeldBy(HostName, ChunkSet),
     /// A poll of a host failed.
@@ -73,7 +73,7 @@
     /// Fetch a chunk.
     Fetch(ChunkFetch),
     /// Cancel a fetch; the machine ignores any later event of it.
-    Cancel(FetchTicket),
+    Cancel(FetchId),
     /// Ask a host which chunks it holds, and report [`FetchEvent::HeldBy`] or
     /// [`FetchEvent::PollFailed`].
     Poll(HostName),
--- a/core/src/weights/fetch/in_flight.rs
+++ b/core/src/weights/fetch/in_flight.rs
@@ -1,13 +1,13 @@
 //! Fetches in flight, and sources to avoid or defer for single chunks.
 
-use super::{ChunkSource, FetchTicket};
+use super::{ChunkSource, FetchId};
 use crate::prelude::*;
 use crate::weights::plan::{DistributionPlan, RegionIndex};
 
 /// A fetch in flight.
 #[derive(Debug, Clone)]
 pub(super) struct InFlightFetch {
-    pub ticket: FetchTicket,
+    pub id: FetchId,
     pub chunk: usize,
     pub source: ChunkSource,
     /// The region of the source, if the fetch crosses regions.
@@ -40,27 +40,27 @@
     fetches: Vec<InFlightFetch>,
     avoided: Vec<AvoidedSource>,
     deferred: Vec<AvoidedSource>,
-    next_ticket: FetchTicket,
+    last_id: FetchId,
 }
 
 impl InFlightTable {
-    pub fn add(&mut self, mut fetch: InFlightFetch) -> FetchTicket {
-        self.next_ticket += 1;
-        fetch.ticket = self.next_ticket;
+    pub fn add(&mut self, mut fetch: InFlightFetch) -> FetchId {
+        self.last_id += 1;
+        fetch.id = self.last_id;
         self.fetches.push(fetch);
-        self.next_ticket
+        self.last_id
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &InFlightFetch> {
         self.fetches.iter()
     }
 
-    pub fn get_mut(&mut self, ticket: FetchTicket) -> Option<&mut InFlightFetch> {
-        self.fetches.iter_mut().find(|fetch| fetch.ticket == ticket)
+    pub fn get_mut(&mut self, id: FetchId) -> Option<&mut InFlightFetch> {
+        self.fetches.iter_mut().find(|fetch| fetch.id == id)
     }
 
-    pub fn remove(&mut self, ticket: FetchTicket) -> Option<InFlightFetch> {
-        let position = self.fetches.iter().position(|fetch| fetch.ticket == ticket)?;
+    pub fn remove(&mut self, id: FetchId) -> Option<InFlightFetch> {
+        let position = self.fetches.iter().position(|fetch| fetch.id == id)?;
         Some(self.fetches.swap_remove(position))
     }
 
@@ -127,19 +127,19 @@
         std::mem::take(&mut self.fetches)
     }
 
-    /// Removes the fetches from hosts that are not in `plan`, and returns their tickets.
-    pub fn take_unknown_sources(&mut self, plan: &DistributionPlan) -> Vec<FetchTicket> {
+    /// Removes the fetches from hosts that are not in `plan`, and returns their ids.
+    pub fn take_unknown_sources(&mut self, plan: &DistributionPlan) -> Vec<FetchId> {
         let is_unknown = |fetch: &mut InFlightFetch| match &fetch.source {
             ChunkSource::Origin => false,
             ChunkSource::Peer(name) => plan.index_of(name).is_none(),
         };
-        self.fetches.extract_if(.., is_unknown).map(|fetch| fetch.ticket).collect()
+        self.fetches.extract_if(.., is_unknown).map(|fetch| fetch.id).collect()
     }
 
-    /// Removes the cross-region fetches, and returns their tickets.
-    pub fn take_cross_region(&mut self) -> Vec<FetchTicket> {
+    /// Removes the cross-region fetches, and returns their ids.
+    pub fn take_cross_region(&mut self) -> Vec<FetchId> {
         let is_cross_region = |fetch: &mut InFlightFetch| fetch.remote_region.is_some();
-        self.fetches.extract_if(.., is_cross_region).map(|fetch| fetch.ticket).collect()
+        self.fetches.extract_if(.., is_cross_region).map(|fetch| fetch.id).collect()
     }
 
     /// Records that `source` does not hold `chunk`. Until `until` it is asked for it only if no other
--- a/core/tests/weights_fetch.rs
+++ b/core/tests/weights_fetch.rs
@@ -58,7 +58,7 @@
     let mut machine = machine(2, ChunkSet::new(CHUNKS));
     let report = FetchEvent::HeldBy(HostName::from("host-1"), full_set());
     let fetch = peer_fetches(&machine.on_event(MonoTime::ZERO, report)).remove(0);
-    let corrupt = FetchEvent::Arrived(fetch.ticket, vec![0xee; CHUNK_BYTES].into());
+    let corrupt = FetchEvent::Arrived(fetch.id, vec![0xee; CHUNK_BYTES].into());
     let mut actions = machine.on_event(MonoTime::from_millis(10), corrupt);
     assert!(actions.contains(&FetchAction::ReportCorrupt(fetch.source.clone(), fetch.chunk)));
     for second in 1..30 {
@@ -82,7 +82,7 @@
         panic!("one chunk is missing: {actions:?}");
     };
     assert_eq!(fetch.chunk, CHUNKS - 1);
-    let arrived = FetchEvent::Arrived(fetch.ticket, chunk_bytes(fetch.chunk));
+    let arrived = FetchEvent::Arrived(fetch.id, chunk_bytes(fetch.chunk));
     let actions = machine.on_event(MonoTime::from_millis(60_100), arrived);
     assert_eq!(
         actions,
@@ -110,13 +110,12 @@
     let mut machine = machine(2, ChunkSet::new(CHUNKS));
     let report = FetchEvent::HeldBy(HostName::from("host-1"), full_set());
     let first = peer_fetches(&machine.on_event(MonoTime::ZERO, report)).remove(0);
-    let is_cancelled =
-        |actions: &[FetchAction]| actions.contains(&FetchAction::Cancel(first.ticket));
+    let is_cancelled = |actions: &[FetchAction]| actions.contains(&FetchAction::Cancel(first.id));
     for second in 1..8 {
-        let progress = FetchEvent::Progress(first.ticket, second);
+        let progress = FetchEvent::Progress(first.id, second);
         assert!(!is_cancelled(&machine.on_event(MonoTime::from_millis(second * 1_000), progress)));
     }
-    let stalled = FetchEvent::Progress(first.ticket, 7);
+    let stalled = FetchEvent::Progress(first.id, 7);
     assert!(!is_cancelled(&machine.on_event(MonoTime::from_millis(8_000), stalled)));
     assert!(is_cancelled(&machine.on_event(MonoTime::from_millis(9_500), FetchEvent::Tick)));
 }
@@ -158,10 +157,10 @@
                 FetchAction::Fetch(fetch)
                     if fetch.source == ChunkSource::Origin && now >= origin_back =>
                 {
-                    events.push(FetchEvent::Arrived(fetch.ticket, chunk_bytes(fetch.chunk)));
+                    events.push(FetchEvent::Arrived(fetch.id, chunk_bytes(fetch.chunk)));
                 }
                 FetchAction::Fetch(fetch) => {
-                    events.push(FetchEvent::Failed(fetch.ticket, FetchFailure::Unreachable));
+                    events.push(FetchEvent::Failed(fetch.id, FetchFailure::Unreachable));
                 }
                 FetchAction::Cancel(_)
                 | FetchAction::Store(..)
--- a/src/agent/weights/body.rs
+++ b/src/agent/weights/body.rs
@@ -2,7 +2,7 @@
 
 use actix_http::error::PayloadError;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::fetch::FetchTicket;
+use buckthornwharf_core::weights::fetch::FetchId;
 use buckthornwharf_core::weights::{FetchEvent, FetchFailure};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -15,7 +15,7 @@
 /// A rate-limited read of one chunk.
 pub struct PacedBody {
     /// The fetch whose progress is reported.
-    pub ticket: FetchTicket,
+    pub id: FetchId,
     /// Bytes of the chunk; a longer body is rejected.
     pub length: usize,
     /// Maximum rate in bytes per second.
@@ -45,7 +45,7 @@
             body.extend_from_slice(&data);
             if last_report.elapsed() >= PROGRESS_INTERVAL {
                 last_report = Instant::now();
-                let _ = self.events.send(FetchEvent::Progress(self.ticket, body.len() as u64));
+                let _ = self.events.send(FetchEvent::Progress(self.id, body.len() as u64));
             }
             self.pace(started, body.len()).await;
         }
--- a/src/agent/weights/fetcher.rs
+++ b/src/agent/weights/fetcher.rs
@@ -160,7 +160,7 @@
         for action in actions {
             match action {
                 FetchAction::Fetch(fetch) => self.tasks.fetch(fetch),
-                FetchAction::Cancel(ticket) => self.tasks.cancel(ticket),
+                FetchAction::Cancel(id) => self.tasks.cancel(id),
                 FetchAction::Poll(peer) => self.tasks.poll(peer),
                 FetchAction::Store(chunk, bytes) => {
                     store.insert_chunk(self.version.manifest().chunks[chunk], bytes);
--- a/src/agent/weights/fetcher/tasks.rs
+++ b/src/agent/weights/fetcher/tasks.rs
@@ -7,7 +7,7 @@
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::membership::HostRecord;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchTicket};
+use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchId};
 use buckthornwharf_core::weights::lifecycle::FetchingVersion;
 use buckthornwharf_core::weights::{
     ChunkSet, ChunkSource, FetchEvent, FetchFailure, FetchLimits, VersionManifest,
@@ -32,7 +32,7 @@
     peers: PeerClient,
     events: UnboundedSender<FetchEvent>,
     bytes: IntCounterVec,
-    fetches: SortedTable<FetchTicket, JoinHandle<()>>,
+    fetches: SortedTable<FetchId, JoinHandle<()>>,
     poll: Option<JoinHandle<()>>,
 }
 
@@ -63,18 +63,18 @@
 
     pub fn fetch(&mut self, fetch: ChunkFetch) {
         self.fetches.retain(|_, task| !task.is_finished());
-        let ticket = fetch.ticket;
+        let id = fetch.id;
         let events = self.events.clone();
         let hash = self.manifest.chunks[fetch.chunk];
         let length = usize::try_from(self.manifest.chunk_len(fetch.chunk)).unwrap_or(usize::MAX);
         let rate = fetch.bytes_per_second.unwrap_or_else(|| self.default_rate(&fetch.source));
-        let body = PacedBody { ticket, length, bytes_per_second: rate, events: events.clone() };
+        let body = PacedBody { id, length, bytes_per_second: rate, events: events.clone() };
         let source = match &fetch.source {
             ChunkSource::Origin => None,
             ChunkSource::Peer(name) => match self.address_of(name) {
                 Some(address) => Some(address),
                 None => {
-                    let _ = events.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
+                    let _ = events.send(FetchEvent::Failed(id, FetchFailure::Unreachable));
                     return;
                 }
             },
@@ -90,13 +90,13 @@
             if let Ok(bytes) = &fetched {
                 counter.inc_by(bytes.len() as u64);
             }
-            let _ = events.send(fetch_event(ticket, fetched));
+            let _ = events.send(fetch_event(id, fetched));
         });
-        self.fetches.insert(ticket, task);
+        self.fetches.insert(id, task);
     }
 
-    pub fn cancel(&mut self, ticket: FetchTicket) {
-        if let Some(task) = self.fetches.remove(&ticket) {
+    pub fn cancel(&mut self, id: FetchId) {
+        if let Some(task) = self.fetches.remove(&id) {
             task.abort();
         }
     }
@@ -157,9 +157,9 @@
     body.read(response.timeout(BODY_TIMEOUT)).await
 }
 
-fn fetch_event(ticket: FetchTicket, fetched: Result<Bytes, FetchFailure>) -> FetchEvent {
+fn fetch_event(id: FetchId, fetched: Result<Bytes, FetchFailure>) -> FetchEvent {
     match fetched {
-        Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
-        Err(failure) => FetchEvent::Failed(ticket, failure),
+        Ok(bytes) => FetchEvent::Arrived(id, bytes),
+        Err(failure) => FetchEvent::Failed(id, failure),
     }
 }
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -5,7 +5,7 @@
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchTicket};
+use buckthornwharf_core::weights::fetch::{ChunkFetch, FetchId};
 use buckthornwharf_core::weights::{
     ChunkSet, ChunkSource, FetchAction, FetchEvent, FetchFailure, FetchMachine, UploadClass,
     VersionManifest,
@@ -40,7 +40,7 @@
     machine: FetchMachine,
     sender: UnboundedSender<FetchEvent>,
     events: UnboundedReceiver<FetchEvent>,
-    tasks: SortedTable<FetchTicket, JoinHandle<()>>,
+    tasks: SortedTable<FetchId, JoinHandle<()>>,
     poll: Option<JoinHandle<()>>,
     /// Number of chunks held at `progress_at`, when one arrived last or the wait was logged.
     last_held: usize,
@@ -130,8 +130,8 @@
     async fn carry_out(&mut self, action: FetchAction) -> bool {
         match action {
             FetchAction::Fetch(fetch) => self.fetch(fetch),
-            FetchAction::Cancel(ticket) => {
-                if let Some(task) = self.tasks.remove(&ticket) {
+            FetchAction::Cancel(id) => {
+                if let Some(task) = self.tasks.remove(&id) {
                     task.abort();
                 }
             }
@@ -171,14 +171,14 @@
     fn fetch(&mut self, fetch: ChunkFetch) {
         self.tasks.retain(|_, task| !task.is_finished());
         self.count(&fetch.source, "asked");
-        let ticket = fetch.ticket;
+        let id = fetch.id;
         let source = match &fetch.source {
             ChunkSource::Origin => self.fetcher.state.origin().map(|origin| origin.address),
             ChunkSource::Peer(host) => self.address_of(host),
         };
         let Some(address) = source else {
             // Reported by an event, like any other failure. The send fails only if the run has ended.
-            let _ = self.sender.send(FetchEvent::Failed(ticket, FetchFailure::Unreachable));
+            let _ = self.sender.send(FetchEvent::Failed(id, FetchFailure::Unreachable));
             return;
         };
         let peers = self.fetcher.peers.clone();
@@ -213,12 +213,12 @@
                 }
             };
             let event = match fetched {
-                Ok(bytes) => FetchEvent::Arrived(ticket, bytes),
-                Err(failure) => FetchEvent::Failed(ticket, failure),
+                Ok(bytes) => FetchEvent::Arrived(id, bytes),
+                Err(failure) => FetchEvent::Failed(id, failure),
             };
             let _ = sender.send(event);
         });
-        self.tasks.insert(ticket, task);
+        self.tasks.insert(id, task);
     }
 
     fn poll(&mut self, peer: HostName) {
