Count an aborted answer once, and start the relay of its tests in one place

Cause: a large answer that broke off was counted in direct_answers_total as broken_off and as complete; two tests of the relay repeated how it is started. Result: tests/direct.rs, direct_answers and the relay's tests pass.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -234,7 +234,9 @@
         let now = clock::now();
         let framing: &str = answer.framing.into();
         count_ended_request(self.state, answer.status, "answered");
-        self.state.metrics.answers.with_label_values(&[framing, "complete"]).inc();
+        if answer.connection_action != ConnectionAction::Abort {
+            self.state.metrics.answers.with_label_values(&[framing, "complete"]).inc();
+        }
         info!(
             "event=answered request={} status={} target={target} service={} attempts={} \
              elapsed_before_ms={} placed_after_ms={} age_ms={} framing={framing}",
--- a/standin/tests/relay.rs
+++ b/standin/tests/relay.rs
@@ -15,6 +15,15 @@
 /// absence of data can only be tested by a timeout.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Starts a relay to `listener`.
+async fn start_relay(listener: &TcpListener) -> Result<(SoloStandin, RelayCounts)> {
+    let target = listener.local_addr()?.to_string();
+    let program = env!("CARGO_BIN_EXE_buckthornwharf-standin");
+    let solo = SoloStandin::start(program, "relay", &["--to", &target]).await?;
+    let relay = solo.counts().await?;
+    Ok((solo, relay))
+}
+
 async fn connect(relay: &RelayCounts, listener: &TcpListener) -> Result<(TcpStream, TcpStream)> {
     let client = TcpStream::connect(relay.address).await?;
     let (server, _) = timeout(WAIT_TIMEOUT, listener.accept()).await??;
@@ -37,10 +46,7 @@
 #[actix_rt::test]
 async fn a_reset_is_not_relayed_as_an_orderly_close() -> Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let target = listener.local_addr()?.to_string();
-    let program = env!("CARGO_BIN_EXE_buckthornwharf-standin");
-    let solo = SoloStandin::start(program, "relay", &["--to", &target]).await?;
-    let relay: RelayCounts = solo.counts().await?;
+    let (_solo, relay) = start_relay(&listener).await?;
     let (mut client, mut server) = connect(&relay, &listener).await?;
     assert!(forwards_byte(&mut server, &mut client).await?);
     server.set_zero_linger()?;
@@ -56,10 +62,7 @@
 #[actix_rt::test]
 async fn silences_open_connections_permanently_and_cuts_them() -> Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
-    let target = listener.local_addr()?.to_string();
-    let program = env!("CARGO_BIN_EXE_buckthornwharf-standin");
-    let solo = SoloStandin::start(program, "relay", &["--to", &target]).await?;
-    let relay: RelayCounts = solo.counts().await?;
+    let (solo, relay) = start_relay(&listener).await?;
     let (mut client, mut server) = connect(&relay, &listener).await?;
     assert!(forwards_byte(&mut client, &mut server).await?);
     assert!(forwards_byte(&mut server, &mut client).await?);
