--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -1,32 +1,24 @@
 //! Handles a request: admits it, sends it to one target after another, and responds to the caller.
 
+mod admission;
 mod attempt;
 mod reply;
 
 use super::state::{EntryState, QueueDecision};
 use crate::clock;
 use actix_http::StatusCode;
+use admission::{AdmittedRequest, admit};
 use attempt::{AttemptResult, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
 use buckthornwharf_core::direct::{
-    AttemptFailure, FinalAnswer, NextStep, SlotGrant, SlotRequest, WorkKind, next_step,
-    wait_allowance,
+    AttemptFailure, FinalAnswer, NextStep, SlotGrant, SlotRequest, next_step, wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{InboundConnection, InboundRequest};
-use buckthornwharf_platform::request::{RequestTags, read_request};
 use log::info;
-use rand::RngExt;
 use reply::{LocalReply, StreamReply};
 use std::rc::Rc;
 
-/// Timeout of requests to routes whose configuration sets none.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-/// Range of the retry-after time, in milliseconds, that an entry without a configuration sends. Callers
-/// reach such an entry only if all entries have just started, and retry once, so the time leaves room for
-/// a short outage of the store. Jitter keeps callers that were refused together from retrying together.
-const UNCONFIGURED_RETRY_MS: std::ops::Range<u64> = 1200..1900;
-
 /// What happens to the caller's connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionAction {
@@ -38,34 +30,6 @@
     Abort,
 }
 
-/// A request that was admitted, with the settings of its route.
-#[derive(Debug)]
-struct AdmittedRequest {
-    inbound: InboundRequest,
-    tags: RequestTags,
-    service: ServiceName,
-    kind: WorkKind,
-    priority: u8,
-    max_attempts: u32,
-    organisation: Option<OrganisationName>,
-    received: MonoTime,
-    /// Time from the caller's first try to this one.
-    elapsed_before: Duration,
-    deadline: MonoTime,
-    /// Latency objective: time within which the response, or the first event of a stream, should arrive.
-    objective: Duration,
-}
-
-/// Why a request was not admitted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-enum Rejection {
-    NoConfig,
-    NoId,
-    NoRoute,
-    UnknownKey,
-}
-
 /// Handles a request of `caller` and returns what happens to its connection.
 pub async fn handle(
     state: &Rc<EntryState>,
@@ -76,7 +40,7 @@
     let request = match admit(state, now, inbound) {
         Ok(request) => request,
         Err((rejection, id)) => {
-            let reply = rejection_reply(rejection, id.as_deref());
+            let reply = rejection.reply(id.as_deref());
             count_ended_request(state, reply.status, &rejection.to_string());
             info!(
                 "event=rejected request={} reason={rejection} status={}",
@@ -92,54 +56,6 @@
         .await
 }
 
-fn admit(
-    state: &EntryState,
-    now: MonoTime,
-    inbound: InboundRequest,
-) -> Result<AdmittedRequest, (Rejection, Option<Arc<str>>)> {
-    let tags = read_request(&inbound.headers, &inbound.uri).ok_or((Rejection::NoId, None))?;
-    let reject = |rejection: Rejection| (rejection, Some(tags.id.clone()));
-    let table = state.routes().ok_or_else(|| reject(Rejection::NoConfig))?;
-    let found = table.find(&tags.host, inbound.uri.path());
-    let route = found.ok_or_else(|| reject(Rejection::NoRoute))?;
-    let organisation = tags.key.as_deref().and_then(|key| table.organisation(key));
-    if organisation.is_none() && table.requires_key() && !route.anonymous {
-        return Err(reject(Rejection::UnknownKey));
-    }
-    let timeout = if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout };
-    let caller_timeout =
-        tags.caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
-    let priority = organisation.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
-    Ok(AdmittedRequest {
-        service: table.service_of(route, &tags.id).clone(),
-        kind: route.kind,
-        priority,
-        max_attempts: route.max_attempts,
-        organisation: organisation.map(|(name, _)| name.clone()),
-        received: now,
-        elapsed_before: tags.caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
-            state.observe_caller_timeout(now, &route.name, caller_timeout)
-        }),
-        deadline: now + caller_timeout,
-        objective: route.objective,
-        inbound,
-        tags,
-    })
-}
-
-fn rejection_reply(rejection: Rejection, id: Option<&str>) -> LocalReply {
-    let (status, retry_after) = match rejection {
-        Rejection::NoConfig => {
-            let retry_ms = rand::rng().random_range(UNCONFIGURED_RETRY_MS);
-            (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(retry_ms)))
-        }
-        Rejection::NoId => (StatusCode::BAD_REQUEST, None),
-        Rejection::NoRoute => (StatusCode::NOT_FOUND, None),
-        Rejection::UnknownKey => (StatusCode::UNAUTHORIZED, None),
-    };
-    LocalReply { status, id: id.map(Arc::from), retry_after }
-}
-
 /// An admitted request with the state of its attempts.
 struct RequestRun<'a> {
     state: &'a Rc<EntryState>,
--- /dev/null
+++ b/src/direct/entry/request/admission.rs
@@ -0,0 +1,101 @@
+//! Admission of a request: its route, organisation, priority and deadline.
+
+use super::reply::LocalReply;
+use crate::direct::entry::state::EntryState;
+use actix_http::StatusCode;
+use buckthornwharf_core::direct::WorkKind;
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::InboundRequest;
+use buckthornwharf_platform::request::{RequestTags, read_request};
+use rand::RngExt;
+
+/// Timeout of requests to routes whose configuration sets none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Range of the retry-after time, in milliseconds, that an entry without a configuration sends. Callers
+/// reach such an entry only if all entries have just started, and retry once, so the time leaves room for
+/// a short outage of the store. Jitter keeps callers that were refused together from retrying together.
+const UNCONFIGURED_RETRY_MS: std::ops::Range<u64> = 1200..1900;
+
+/// A request that was admitted, with the settings of its route.
+#[derive(Debug)]
+pub(super) struct AdmittedRequest {
+    pub inbound: InboundRequest,
+    pub tags: RequestTags,
+    pub service: ServiceName,
+    pub kind: WorkKind,
+    pub priority: u8,
+    pub max_attempts: u32,
+    pub organisation: Option<OrganisationName>,
+    pub received: MonoTime,
+    /// Time from the caller's first try to this one.
+    pub elapsed_before: Duration,
+    pub deadline: MonoTime,
+    /// Latency objective: time within which the response, or the first event of a stream, should arrive.
+    pub objective: Duration,
+}
+
+/// Why a request was not admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Rejection {
+    NoConfig,
+    NoId,
+    NoRoute,
+    UnknownKey,
+}
+
+/// Finds the route, the organisation and the deadline of a request.
+///
+/// # Errors
+///
+/// The reason for which the request is rejected, and its id if it has one.
+pub(super) fn admit(
+    state: &EntryState,
+    now: MonoTime,
+    inbound: InboundRequest,
+) -> Result<AdmittedRequest, (Rejection, Option<Arc<str>>)> {
+    let tags = read_request(&inbound.headers, &inbound.uri).ok_or((Rejection::NoId, None))?;
+    let reject = |rejection: Rejection| (rejection, Some(tags.id.clone()));
+    let table = state.routes().ok_or_else(|| reject(Rejection::NoConfig))?;
+    let found = table.find(&tags.host, inbound.uri.path());
+    let route = found.ok_or_else(|| reject(Rejection::NoRoute))?;
+    let organisation = tags.key.as_deref().and_then(|key| table.organisation(key));
+    if organisation.is_none() && table.requires_key() && !route.anonymous {
+        return Err(reject(Rejection::UnknownKey));
+    }
+    let timeout = if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout };
+    let caller_timeout =
+        tags.caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
+    let priority = organisation.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
+    Ok(AdmittedRequest {
+        service: table.service_of(route, &tags.id).clone(),
+        kind: route.kind,
+        priority,
+        max_attempts: route.max_attempts,
+        organisation: organisation.map(|(name, _)| name.clone()),
+        received: now,
+        elapsed_before: tags.caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
+            state.observe_caller_timeout(now, &route.name, caller_timeout)
+        }),
+        deadline: now + caller_timeout,
+        objective: route.objective,
+        inbound,
+        tags,
+    })
+}
+
+impl Rejection {
+    /// The response to the rejected request `id`.
+    pub fn reply(self, id: Option<&str>) -> LocalReply {
+        let (status, retry_after) = match self {
+            Rejection::NoConfig => {
+                let retry_ms = rand::rng().random_range(UNCONFIGURED_RETRY_MS);
+                (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(retry_ms)))
+            }
+            Rejection::NoId => (StatusCode::BAD_REQUEST, None),
+            Rejection::NoRoute => (StatusCode::NOT_FOUND, None),
+            Rejection::UnknownKey => (StatusCode::UNAUTHORIZED, None),
+        };
+        LocalReply { status, id: id.map(Arc::from), retry_after }
+    }
+}
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -2,8 +2,9 @@
 
 mod relay;
 
+use super::ConnectionAction;
+use super::admission::AdmittedRequest;
 use super::reply::StreamReply;
-use super::{AdmittedRequest, ConnectionAction};
 use crate::clock;
 use crate::direct::entry::state::EntryState;
 use actix_http::StatusCode;
