Log what requests contained when a target crashed

event=attempt_failed lists the fingerprints of the shared parts and of the whole request. When a connection to a target breaks, the entry opens another; if it is refused, event=target_crashed lists the causes of all requests that broke with it, and direct_target_crashes_total counts it.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod caller_timeout;
 pub mod catalog;
+pub mod crashes;
 pub mod event_stream;
 pub mod rollout;
 pub mod routes;
@@ -19,6 +20,7 @@
 pub use budget::RetryBudget;
 pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
+pub use crashes::{CauseId, request_causes};
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use routes::RouteTable;
 pub use serving::{
--- /dev/null
+++ b/core/src/direct/crashes/cause.rs
@@ -0,0 +1,54 @@
+//! What a request contains that may crash the targets that run it.
+
+use crate::prelude::*;
+use crate::routing::hash::{combine_hashes, hash_bytes, hash_text};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+/// Fingerprint of a possible cause of crashes at the targets of one service: a part of a prompt, or a
+/// whole request. It is written as 16 hexadecimal digits.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct CauseId(u64);
+
+impl CauseId {
+    /// Creates the fingerprint of something in a request to `service` that hashes to `content`.
+    pub fn new(service: &ServiceName, content: u64) -> Self {
+        Self(combine_hashes(hash_text(service.as_str()), content))
+    }
+}
+
+impl fmt::Display for CauseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for CauseId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// Returns the possible causes of crashes in a request to `service`, sorted: the parts of its prompt that
+/// other requests may share, as hashes in `shared_parts`, and the request as a whole.
+pub fn request_causes(
+    service: &ServiceName,
+    shared_parts: &[u64],
+    caller: &str,
+    path: &str,
+    body: &[u8],
+) -> Vec<CauseId> {
+    let request =
+        combine_hashes(combine_hashes(hash_text(caller), hash_text(path)), hash_bytes(body));
+    let contents = shared_parts.iter().copied().chain([request]);
+    let mut causes: Vec<CauseId> = contents.map(|content| CauseId::new(service, content)).collect();
+    causes.sort_unstable();
+    causes.dedup();
+    causes
+}
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -4,7 +4,7 @@
 mod attempt;
 mod reply;
 
-use super::state::{EntryState, QueueDecision};
+use super::state::{EntryState, QueueDecision, cause_list};
 use crate::clock;
 use actix_http::StatusCode;
 use admission::{AdmittedRequest, admit};
@@ -124,12 +124,16 @@
             let metrics = &self.state.metrics;
             metrics.failed_attempts.with_label_values(&[&failure.to_string()]).inc();
             info!(
-                "event=attempt_failed request={} target={} end={failure} attempt={} age_ms={}",
+                "event=attempt_failed request={} target={} end={failure} attempt={} age_ms={} causes={}",
                 self.request.tags.id,
                 target.id,
                 self.attempts,
-                clock::now().since(self.request.received).as_millis()
+                clock::now().since(self.request.received).as_millis(),
+                cause_list(&self.request.causes)
             );
+            if failure == AttemptFailure::Broken {
+                self.state.on_request_broken(&target, &self.request.causes);
+            }
             self.tried.push(target.id.clone());
             match self.decide_next_step(failure) {
                 NextStep::Retry => {}
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -3,7 +3,7 @@
 use super::reply::LocalReply;
 use crate::direct::entry::state::EntryState;
 use actix_http::StatusCode;
-use buckthornwharf_core::direct::WorkKind;
+use buckthornwharf_core::direct::{CauseId, WorkKind, request_causes};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::{RequestTags, read_request};
@@ -23,6 +23,8 @@
     pub tags: RequestTags,
     pub service: ServiceName,
     pub kind: WorkKind,
+    /// What the request contains that may crash targets.
+    pub causes: Arc<[CauseId]>,
     pub priority: u8,
     pub max_attempts: u32,
     pub organisation: Option<OrganisationName>,
@@ -67,8 +69,13 @@
     let caller_timeout =
         tags.caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
     let priority = organisation.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
+    let service = table.service_of(route, &tags.id).clone();
+    let path = inbound.uri.path_and_query().map_or("", |path| path.as_str());
+    let caller = tags.key.as_deref().unwrap_or_default();
+    let causes = request_causes(&service, &tags.shared_parts, caller, path, &inbound.body);
     Ok(AdmittedRequest {
-        service: table.service_of(route, &tags.id).clone(),
+        service,
+        causes: causes.into(),
         kind: route.kind,
         priority,
         max_attempts: route.max_attempts,
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -1,8 +1,10 @@
 //! State of an entry: configuration, versions, targets, slots and requests that wait for a slot.
 
+mod crashes;
 mod queue;
 mod updates;
 
+pub use crashes::cause_list;
 pub use queue::{QueueDecision, run_queue};
 
 use super::pool::ConnectionPool;
@@ -17,6 +19,7 @@
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
+use crashes::BrokenRequests;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot, watch};
@@ -40,6 +43,7 @@
     waiters: RefCell<SortedTable<WaitTicket, oneshot::Sender<QueueDecision>>>,
     retry_budgets: RefCell<SortedTable<ServiceName, RetryBudget>>,
     caller_timeouts: RefCell<SortedTable<RouteName, CallerTimeoutEstimate>>,
+    broken_requests: RefCell<SortedTable<Arc<str>, BrokenRequests>>,
     pool: RefCell<ConnectionPool>,
     queue_changed: Notify,
     open_requests: Cell<usize>,
@@ -70,6 +74,7 @@
             waiters: RefCell::default(),
             retry_budgets: RefCell::default(),
             caller_timeouts: RefCell::default(),
+            broken_requests: RefCell::default(),
             pool: RefCell::default(),
             queue_changed: Notify::new(),
             open_requests: Cell::new(0),
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -6,7 +6,9 @@
 use actix_http::StatusCode;
 use anyhow::Result;
 use log::warn;
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 use std::net::SocketAddr;
 
 /// HTTP path of the metrics.
@@ -26,6 +28,8 @@
     pub answers: IntCounterVec,
     /// Attempts that gave no answer to relay to the caller, by how they ended.
     pub failed_attempts: IntCounterVec,
+    /// Targets that refused connections after a request's connection broke.
+    pub target_crashes: IntCounter,
     /// Time from the request to the first bytes of its answer, in seconds.
     pub time_to_first_byte: Histogram,
     /// Time that a request waited for a slot, in seconds.
@@ -69,6 +73,11 @@
                 "Attempts without an answer to pass on, by how they ended",
                 &["end"],
             )?,
+            target_crashes: new_counter(
+                &registry,
+                "direct_target_crashes_total",
+                "Targets that crashed while they had requests of this entry",
+            )?,
             time_to_first_byte: new_histogram(
                 &registry,
                 "direct_first_bytes_seconds",
@@ -212,6 +221,12 @@
     Ok(counters)
 }
 
+fn new_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
 fn new_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
