--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -1,5 +1,6 @@
 //! End-to-end tests of direct dispatch: an entry process against the stand-in of the platform.
 
+#[allow(dead_code)]
 #[path = "direct/fleet.rs"]
 mod fleet;
 #[path = "../platform/tests/standin/standin.rs"]
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -18,6 +18,10 @@
 
 /// Timeout for a condition to hold, and for connecting and exiting.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which a caller waits for an answer, in milliseconds.
+const DEADLINE_MS: &str = "5000";
+/// Input and output tokens of a request.
+const TOKENS: &str = "10,10";
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Longer than the time for which a failed target stays suspect and gets no requests.
 const SUSPECT_EXPIRY: Duration = Duration::from_millis(1500);
@@ -39,16 +43,21 @@
 }
 
 /// Time after its declaration by which a version must have replaced the older ones.
-const VERSION_TIME_MS: u64 = 8000;
+pub const VERSION_TIME_MS: u64 = 8000;
 
 /// An entry between callers and targets.
 pub struct DirectFleet {
     pub store: Rc<StoreStandin>,
     pub engines: Vec<Rc<EngineStandin>>,
-    entry: FleetProcess,
+    entries: Vec<EntryProcess>,
+    folder: TempDir,
+}
+
+/// An entry process and the addresses that it listens on.
+struct EntryProcess {
+    process: FleetProcess,
     callers: SocketAddr,
     readiness: SocketAddr,
-    _folder: TempDir,
 }
 
 /// Waits until `condition` holds.
@@ -72,6 +81,11 @@
     /// Like `start`, with `version_time_ms` as the time by which a declared version must replace
     /// the older ones.
     pub async fn start_with(targets: usize, version_time_ms: u64) -> Self {
+        Self::start_entries(targets, 1, version_time_ms).await
+    }
+
+    /// Starts several entries with `targets` targets and waits until all are ready.
+    pub async fn start_entries(targets: usize, entries: usize, version_time_ms: u64) -> Self {
         let store = StoreStandin::start().await;
         let mut engines = Vec::new();
         for number in 0..targets {
@@ -80,9 +94,30 @@
             engines.push(engine);
         }
         let folder = TempDir::new().expect("a temporary directory");
+        let mut fleet = Self { store, engines, entries: Vec::new(), folder };
+        for number in 0..entries {
+            let entry = fleet.start_entry(number, version_time_ms).await;
+            fleet.entries.push(entry);
+        }
+        assert_eq!(
+            fleet.readiness().await,
+            Some(503),
+            "the entry is ready before it has a configuration"
+        );
+        assert_eq!(fleet.get("/plain/x", "early").await.status, 503);
+        fleet.put_config(1, "/plain/", "secret");
+        fleet.wait_status("/plain/x", "secret", 200).await;
+        for entry in 0..entries {
+            fleet.wait_ready(entry).await;
+        }
+        fleet.engines.iter().for_each(|engine| engine.received.borrow_mut().clear());
+        fleet
+    }
+
+    async fn start_entry(&self, number: usize, version_time_ms: u64) -> EntryProcess {
         let settings = json!({
-            "host": "entry-1", "site": "a", "regions": { "a": "a" },
-            "store": store.address.to_string(),
+            "host": format!("entry-{}", number + 1), "site": "a", "regions": { "a": "a" },
+            "store": self.store.address.to_string(),
             "peers": { "ip": "127.0.0.1", "ports": [0, 0] },
             "bounds": {
                 "retry_ratio": 0.2, "retry_extra": 100, "retry_window": 10, "grace": 8,
@@ -90,28 +125,36 @@
             },
             "entry": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0" },
         });
-        let path = folder.path().join("settings.yml");
+        let name = format!("entry-{}", number + 1);
+        let path = self.folder.path().join(format!("{name}.yml"));
         std::fs::write(&path, settings.to_string()).expect("the settings can be written");
         let program = Path::new(env!("CARGO_BIN_EXE_buckthornwharf"));
         let path = path.to_str().expect("the path is UTF-8");
         let arguments = ["entry", "--settings", path];
-        let entry = FleetProcess::spawn("entry", program, &arguments, folder.path());
-        let mut entry = entry.expect("the entry starts");
-        let ready = entry.wait_ready().await.expect("the entry listens");
+        let process = FleetProcess::spawn(&name, program, &arguments, self.folder.path());
+        let mut process = process.expect("the entry starts");
+        let ready = process.wait_ready().await.expect("the entry listens");
         let address = |name: &str| *ready.get(name).expect("an address");
         let (callers, readiness) = (address("callers"), address("readiness"));
-        let fleet = Self { store, engines, entry, callers, readiness, _folder: folder };
-        assert_eq!(
-            fleet.readiness().await,
-            Some(503),
-            "the entry is ready before it has a configuration"
-        );
-        assert_eq!(fleet.get("/plain/x", "early").await.status, 503);
-        fleet.put_config(1, "/plain/", "secret");
-        fleet.wait_status("/plain/x", "secret", 200).await;
-        assert_eq!(fleet.readiness().await, Some(200));
-        fleet.engines.iter().for_each(|engine| engine.received.borrow_mut().clear());
-        fleet
+        EntryProcess { process, callers, readiness }
+    }
+
+    /// Kills an entry and starts it again, without what it knew.
+    pub async fn restart_entry(&mut self, number: usize) {
+        let process = &mut self.entries[number].process;
+        process.kill().expect("the entry runs");
+        process.wait_exit(CONDITION_TIMEOUT).await.expect("the entry ends");
+        self.entries[number] = self.start_entry(number, VERSION_TIME_MS).await;
+        self.wait_ready(number).await;
+    }
+
+    /// Waits until an entry reports that it is ready.
+    async fn wait_ready(&self, entry: usize) {
+        let deadline = tokio::time::Instant::now() + CONDITION_TIMEOUT;
+        while self.readiness_of(entry).await != Some(200) {
+            assert!(tokio::time::Instant::now() < deadline, "entry {entry} does not become ready");
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
     }
 
     /// Writes a configuration with an idempotent route at `prefix`, and a single key.
@@ -163,6 +206,21 @@
         self.send(Method::POST, path, id, "secret", "an order").await
     }
 
+    /// Sends a request whose prompt consists of `parts` to an entry.
+    pub async fn prompt(&self, entry: usize, path: &str, id: &str, parts: &str) -> EntryReply {
+        let request = CallerRequest {
+            method: Method::POST,
+            path,
+            id,
+            key: "secret",
+            deadline_ms: DEADLINE_MS,
+            tokens: TOKENS,
+            prompt_parts: parts,
+            body: format!("body of {id}"),
+        };
+        self.exchange(entry, request.outbound()).await
+    }
+
     async fn send(
         &self,
         method: Method,
@@ -171,8 +229,11 @@
         key: &str,
         body: &str,
     ) -> EntryReply {
-        let mut connection = self.connect().await;
-        let request = caller_request(method, path, id, key, body);
+        self.exchange(0, caller_request(method, path, id, key, body)).await
+    }
+
+    async fn exchange(&self, entry: usize, request: OutboundRequest) -> EntryReply {
+        let mut connection = self.connect(entry).await;
         let head = connection.exchange(request).await.expect("an answer");
         let mut bytes = Vec::new();
         let complete = loop {
@@ -186,15 +247,15 @@
         EntryReply { status: head.status.as_u16(), body, complete, head }
     }
 
-    async fn connect(&self) -> OutboundConnection {
-        OutboundConnection::open(self.callers, CONDITION_TIMEOUT)
+    async fn connect(&self, entry: usize) -> OutboundConnection {
+        OutboundConnection::open(self.entries[entry].callers, CONDITION_TIMEOUT)
             .await
             .expect("the entry takes connections")
     }
 
     /// Sends a request and closes the connection once a target has it.
     pub async fn disconnect_early(&self, path: &str, id: &str) {
-        let mut connection = self.connect().await;
+        let mut connection = self.connect(0).await;
         let exchange = connection.exchange(caller_request(Method::GET, path, id, "secret", ""));
         let arrived = eventually("the request arrives", || self.runs() > 0);
         tokio::select! {
@@ -205,10 +266,10 @@
 
     /// Sends a request and terminates the entry (SIGTERM) once a target has it.
     pub async fn get_during_shutdown(&mut self, path: &str, id: &str) -> EntryReply {
-        let mut connection = self.connect().await;
+        let mut connection = self.connect(0).await;
         let exchange = connection.exchange(caller_request(Method::GET, path, id, "secret", ""));
         let engines = self.engines.clone();
-        let entry = &mut self.entry;
+        let entry = &mut self.entries[0].process;
         let shutdown = async move {
             let arrived = || engines.iter().any(|engine| engine.runs() > 0);
             eventually("the request arrives", arrived).await;
@@ -254,6 +315,10 @@
 
     /// The status of the entry's readiness endpoint; `None` if it can't be reached.
     pub async fn readiness(&self) -> Option<u16> {
+        self.readiness_of(0).await
+    }
+
+    async fn readiness_of(&self, entry: usize) -> Option<u16> {
         let call = OutboundCall {
             method: Method::GET,
             path_and_query: "/buckthornwharf/readiness".to_owned(),
@@ -262,13 +327,17 @@
             head_timeout: CONDITION_TIMEOUT,
             max_answer_bytes: 1000,
         };
-        let answer = CallClient::new(self.readiness).call(call).await.ok()?;
+        let answer = CallClient::new(self.entries[entry].readiness).call(call).await.ok()?;
         Some(answer.status.as_u16())
     }
 
     /// Waits for the entry to exit; returns whether it did so with success and in time.
     pub async fn exits_cleanly(&mut self) -> bool {
-        self.entry.wait_exit(CONDITION_TIMEOUT).await.is_ok_and(|status| status.success())
+        self.entries[0]
+            .process
+            .wait_exit(CONDITION_TIMEOUT)
+            .await
+            .is_ok_and(|status| status.success())
     }
 }
 
@@ -281,6 +350,6 @@
 
 fn caller_request(method: Method, path: &str, id: &str, key: &str, body: &str) -> OutboundRequest {
     let body = body.to_owned();
-    let (deadline_ms, tokens) = ("5000", "10,10");
-    CallerRequest { method, path, id, key, deadline_ms, tokens, body }.outbound()
+    let (deadline_ms, tokens, prompt_parts) = (DEADLINE_MS, TOKENS, "");
+    CallerRequest { method, path, id, key, deadline_ms, tokens, prompt_parts, body }.outbound()
 }
