Give up an answer whose head or framing never ends

A server in trouble may send bytes that are no answer without end. The head of an answer was bounded only while one read loop waited for it: informational heads or a chunk extension without end kept a request until its deadline, and a head without end that came while a long request was still being sent was buffered without limit.

The connection now counts the bytes that complete neither a head nor a part of a body, and fails as malformed above 64 KiB, as it did for a head. Any data of a body resets the count.

an_answer_without_end_in_its_head_or_framing_is_given_up failed before after 20 s, and passes.

--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -18,8 +18,9 @@
 
 /// Free space reserved in the read buffer before each read, in bytes.
 const READ_RESERVE_BYTES: usize = 4096;
-/// Maximum size of an answer's head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum bytes received without completing a head or adding to a body: the size of a head with the
+/// informational ones before it, or of the framing between two parts of a body.
+const MAX_OVERHEAD_BYTES: usize = 64 * 1024;
 
 /// A request to send.
 #[derive(Debug, Clone)]
@@ -97,6 +98,8 @@
     decoder: BodyDecoder,
     buffer: BytesMut,
     unsent: BytesMut,
+    /// Bytes received since the last head or part of a body.
+    overhead_bytes: usize,
     /// Method of the last request.
     method: Method,
     reusable: bool,
@@ -121,6 +124,7 @@
             decoder: BodyDecoder::NoBody(ClientCodec::default()),
             buffer: BytesMut::new(),
             unsent: BytesMut::new(),
+            overhead_bytes: 0,
             method: Method::GET,
             reusable: true,
         })
@@ -181,11 +185,7 @@
             if let Some(head) = self.decode_head()? {
                 return Ok(head);
             }
-            if self.buffer.len() > MAX_HEAD_BYTES {
-                return Err(ExchangeError::Malformed);
-            }
-            self.buffer.reserve(READ_RESERVE_BYTES);
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            if self.read_more().await? == 0 {
                 return Err(ExchangeError::ClosedEarly);
             }
         }
@@ -199,15 +199,32 @@
     pub async fn read_body(&mut self) -> Result<BodyPart, ExchangeError> {
         loop {
             if let Some(part) = self.decode_body()? {
+                self.overhead_bytes = 0;
                 return Ok(part);
             }
-            self.buffer.reserve(READ_RESERVE_BYTES);
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            if self.read_more().await? == 0 {
                 return self.on_eof();
             }
         }
     }
 
+    /// Reads bytes that continue the current head or the framing of the body; returns their number, 0 if
+    /// the peer has closed. Cancel-safe.
+    async fn read_more(&mut self) -> Result<usize, ExchangeError> {
+        self.check_overhead()?;
+        self.buffer.reserve(READ_RESERVE_BYTES);
+        let count = self.stream.read_buf(&mut self.buffer).await?;
+        self.overhead_bytes += count;
+        Ok(count)
+    }
+
+    fn check_overhead(&self) -> Result<(), ExchangeError> {
+        match self.overhead_bytes > MAX_OVERHEAD_BYTES {
+            true => Err(ExchangeError::Malformed),
+            false => Ok(()),
+        }
+    }
+
     /// Decodes the next part of the body from the bytes already read; `None` if more are needed.
     ///
     /// # Errors
@@ -295,12 +312,16 @@
     }
 
     /// Reads the available bytes without waiting; returns whether the peer has closed.
-    fn read_some(&mut self) -> io::Result<bool> {
+    fn read_some(&mut self) -> Result<bool, ExchangeError> {
+        self.check_overhead()?;
         self.buffer.reserve(READ_RESERVE_BYTES);
         match self.stream.try_read_buf(&mut self.buffer) {
-            Ok(count) => Ok(count == 0),
+            Ok(count) => {
+                self.overhead_bytes += count;
+                Ok(count == 0)
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
-            Err(error) => Err(error),
+            Err(error) => Err(error.into()),
         }
     }
 
@@ -321,6 +342,7 @@
     }
 
     fn begin_body(&mut self, head: ResponseHead) -> AnswerHead {
+        self.overhead_bytes = 0;
         let framing = AnswerFraming::of(&head, &self.method);
         if let BodyDecoder::NoBody(codec) = mem::replace(&mut self.decoder, BodyDecoder::Unknown) {
             self.reusable &= codec.keep_alive() && framing != AnswerFraming::UntilClose;
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -180,3 +180,56 @@
         assert_eq!(accepted.get(), connections, "{delay:?}");
     }
 }
+
+/// Starts a server that answers with `head`, and then with `repeated` until the client closes.
+async fn serve_endless(head: &'static str, repeated: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client connects");
+        let mut request = vec![0; 4096];
+        let read = stream.read(&mut request).await.expect("the request arrives");
+        assert!(read > 0);
+        stream.write_all(head.as_bytes()).await.expect("the client reads");
+        let block = repeated.repeat(64);
+        while stream.write_all(block.as_bytes()).await.is_ok() {}
+    });
+    address
+}
+
+/// Sends a request with `body`, and reads an answer whose body is not expected to have any bytes.
+async fn read_endless(address: SocketAddr, body: Bytes) -> Result<BodyPart, ExchangeError> {
+    let timeout = Duration::from_secs(20);
+    let mut connection = OutboundConnection::open(address, timeout).await.expect("a server");
+    let request = OutboundRequest {
+        method: Method::POST,
+        uri: "/x".parse().expect("a path"),
+        headers: HeaderMap::new(),
+        body,
+    };
+    let read = async {
+        connection.exchange(request).await?;
+        connection.read_body().await
+    };
+    tokio::time::timeout(timeout, read).await.expect("the answer is given up")
+}
+
+#[actix_rt::test]
+async fn an_answer_without_end_in_its_head_or_framing_is_given_up() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\n";
+    const CHUNKED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;";
+    for (head, repeated) in [
+        (HEAD, "x-header: value\r\n"),
+        (HEAD, "x"),
+        ("", "no answer "),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        (CHUNKED, "extension"),
+    ] {
+        // The server does not read the long body, so that it is still being sent.
+        for body in [Bytes::new(), Bytes::from(vec![0; 32 * 1024 * 1024])] {
+            let address = serve_endless(head, repeated).await;
+            let result = read_endless(address, body).await;
+            assert!(matches!(result, Err(ExchangeError::Malformed)), "{repeated:?}: {result:?}");
+        }
+    }
+}
