Bound the size of a stream's event, and search each byte once

The caller got an incomplete stream.

EventStream gives up an event above 256 KiB, after it has returned the events that are complete; the attempt counts as garbled, and the stream is resumed at another target. It remembers how far it has searched.

The soak draws the new shape of answers too.

--- a/core/src/direct/event_stream.rs
+++ b/core/src/direct/event_stream.rs
@@ -4,8 +4,11 @@
 
 const ID_FIELD: &[u8] = b"id:";
 const COMMENT: &[u8] = b":";
+/// Maximum size of an event in bytes.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// The line ends that separate two events; a line ends with LF, CR LF or CR.
 const SEPARATORS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+const MAX_SEPARATOR_BYTES: usize = 3;
 
 /// How the transport of a stream ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -16,13 +19,15 @@
     Closed,
 }
 
-/// Why a stream that ended without an error of the transport is not complete.
+/// Why a stream is not complete although its transport reported no error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, displaydoc::Display)]
 pub enum StreamFault {
     /// the stream ended within an event
     WithinEvent,
     /// the connection closed before the first event
     NoEvent,
+    /// an event exceeds the size limit
+    EventTooLarge,
 }
 
 impl std::error::Error for StreamFault {}
@@ -32,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct EventStream {
     partial: BytesMut,
+    /// Length of the beginning of `partial` that is known to hold no separator.
+    scanned: usize,
     last_id: Option<String>,
     has_events: bool,
 }
@@ -41,17 +48,33 @@
     /// the previous one.
     pub fn begin_attempt(&mut self) {
         self.partial.clear();
+        self.scanned = 0;
         self.has_events = false;
     }
 
     /// Adds received bytes and returns the events that are complete now; empty if there are none.
-    pub fn push(&mut self, bytes: &Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// [`StreamFault::EventTooLarge`] if the event that has not arrived completely is too large. Its
+    /// target's part of the stream cannot be continued.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, StreamFault> {
         self.partial.extend_from_slice(bytes);
-        let Some(end) = complete_length(&self.partial) else {
-            return Bytes::new();
-        };
-        self.has_events = true;
-        let complete = self.partial.split_to(end).freeze();
+        let complete = self.take_complete();
+        // Complete events are returned first: their ids are remembered, so they must be forwarded.
+        if complete.is_empty() && self.partial.len() > MAX_EVENT_BYTES {
+            return Err(StreamFault::EventTooLarge);
+        }
+        Ok(complete)
+    }
+
+    fn take_complete(&mut self) -> Bytes {
+        // A separator may have begun in the part that was scanned before.
+        let from = (self.scanned + 1).saturating_sub(MAX_SEPARATOR_BYTES);
+        let end = complete_length(&self.partial[from..]).map(|length| from + length);
+        let complete = self.partial.split_to(end.unwrap_or(0)).freeze();
+        self.scanned = self.partial.len();
+        self.has_events |= !complete.is_empty();
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -70,6 +93,7 @@
         if end == StreamEnd::Closed && !self.has_events {
             return Err(StreamFault::NoEvent);
         }
+        self.scanned = 0;
         Ok(self.partial.split().freeze())
     }
 
--- a/core/tests/direct_streams.rs
+++ b/core/tests/direct_streams.rs
@@ -11,7 +11,7 @@
     let mut stream = EventStream::default();
     let mut forwarded = String::new();
     for part in parts {
-        let events = stream.push(&Bytes::copy_from_slice(part.as_bytes()));
+        let events = stream.push(&Bytes::copy_from_slice(part.as_bytes())).expect("no fault");
         forwarded.push_str(std::str::from_utf8(&events).expect("text"));
     }
     (forwarded, stream)
@@ -47,6 +47,34 @@
     assert_eq!(stream.finish(StreamEnd::Closed), Err(StreamFault::NoEvent));
 }
 
+#[test]
+fn an_event_without_end_is_given_up_and_not_held() {
+    let mut stream = EventStream::default();
+    let part = Bytes::from(vec![b'x'; 4096]);
+    let fault = (0..4096).find_map(|_| stream.push(&part).err());
+    assert_eq!(fault, Some(StreamFault::EventTooLarge));
+    assert!(stream.partial_bytes() < 1024 * 1024, "{}", stream.partial_bytes());
+}
+
+#[test]
+fn events_before_one_without_end_are_forwarded() {
+    let mut stream = EventStream::default();
+    let mut bytes = b"id: 1\ndata: a\n\n".to_vec();
+    let event_bytes = bytes.len();
+    bytes.resize(1024 * 1024, b'x');
+    assert_eq!(stream.push(&bytes.into()).map(|events| events.len()), Ok(event_bytes));
+    assert_eq!(stream.push(&Bytes::from_static(b"x")), Err(StreamFault::EventTooLarge));
+    assert_eq!(stream.last_id(), Some("1"));
+}
+
+#[test]
+fn a_stream_of_any_length_may_consist_of_small_events() {
+    let mut stream = EventStream::default();
+    let event = Bytes::from_static(b"data: token\n\n");
+    let forwarded: usize = (0..100_000).map(|_| stream.push(&event).expect("no fault").len()).sum();
+    assert_eq!(forwarded, 100_000 * event.len());
+}
+
 proptest! {
     #[test]
     fn a_stream_cut_within_an_event_is_never_complete(
@@ -60,7 +88,7 @@
         let mut stream = EventStream::default();
         let mut forwarded = 0;
         for bytes in received.chunks(part) {
-            forwarded += stream.push(&Bytes::copy_from_slice(bytes)).len();
+            forwarded += stream.push(&Bytes::copy_from_slice(bytes)).expect("no fault").len();
         }
         let boundaries: Vec<usize> =
             (0..=events).map(|count| (1..=count).map(event).collect::<String>().len()).collect();
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -42,6 +42,7 @@
     fn failure(&self) -> AttemptFailure {
         match self {
             BrokenAnswer::Exchange(error) => failure_of(error),
+            BrokenAnswer::Stream(StreamFault::EventTooLarge) => AttemptFailure::Garbled,
             BrokenAnswer::Stream(_) => AttemptFailure::Broken,
         }
     }
@@ -258,7 +259,10 @@
     while let Some(part) = received {
         let finished = match part {
             Ok(BodyPart::Data(bytes)) => {
-                events = concat(events, reply.events.push(&bytes));
+                match reply.events.push(&bytes) {
+                    Ok(complete) => events = concat(events, complete),
+                    Err(fault) => return StreamStep { events, end: Some(Err(fault.into())) },
+                }
                 received = connection.decode_body().transpose();
                 continue;
             }
--- a/tests/direct_answers.rs
+++ b/tests/direct_answers.rs
@@ -76,3 +76,15 @@
     fleet.pause().await;
     assert_eq!(fleet.post("/once/x", "id-2").await.status, 502);
 }
+
+#[actix_rt::test]
+async fn a_stream_with_an_event_without_end_is_resumed_at_another_target() {
+    let fleet = DirectFleet::start(2).await;
+    fleet.engines[0].behaviour.set(EngineBehaviour::Shaped(AnswerShape::EndlessEvent));
+    for number in 0..4 {
+        let reply = fleet.post("/stream/x", &format!("id-{number}")).await;
+        assert_eq!((reply.status, reply.body), (200, whole_stream()));
+        assert!(reply.complete);
+    }
+    assert!(fleet.engines[0].runs() > 0, "the first target got none of the streams");
+}
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -74,6 +74,7 @@
             EngineFault::Shaped(AnswerShape::UndelimitedCut),
             EngineFault::Shaped(AnswerShape::UndelimitedEmpty),
             EngineFault::Shaped(AnswerShape::UndelimitedReset),
+            EngineFault::Shaped(AnswerShape::EndlessEvent),
         ],
     )
 }
