Search each byte of a checked stream once on the product's own path

The same fault as in EventStream: each read searched the whole buffer of up to 8 MiB again for the end of an event. AnswerChecker remembers how far it has searched.

--- a/src/agent/answer_check.rs
+++ b/src/agent/answer_check.rs
@@ -48,13 +48,15 @@
     format: AnswerFormat,
     expected: Option<VersionDigest>,
     buffer: BytesMut,
+    /// Length of the beginning of `buffer` that is known to hold no end of an event.
+    scanned: usize,
     end_seen: bool,
 }
 
 impl AnswerChecker {
     /// A checker for an answer in `format`. If `expected` is given, each fingerprint must equal it.
     pub fn new(format: AnswerFormat, expected: Option<VersionDigest>) -> Self {
-        Self { format, expected, buffer: BytesMut::new(), end_seen: false }
+        Self { format, expected, buffer: BytesMut::new(), scanned: 0, end_seen: false }
     }
 
     /// Adds bytes of the answer and returns those that passed the check and may be forwarded.
@@ -97,8 +99,11 @@
 
     fn take_events(&mut self) -> Result<Bytes, AnswerFault> {
         let mut checked = 0;
-        while let Some(length) = find_event_end(&self.buffer[checked..]) {
-            let event = &self.buffer[checked..checked + length];
+        // The end of an event may have begun in the part that was scanned before.
+        let mut from = (self.scanned + 1).saturating_sub(EVENT_END.len());
+        while let Some(length) = find_event_end(&self.buffer[from..]) {
+            let end = from + length;
+            let event = &self.buffer[checked..end];
             let Some(data) = event.strip_prefix(EVENT_PREFIX) else {
                 return Err(AnswerFault::Malformed);
             };
@@ -110,9 +115,12 @@
             } else {
                 self.check_object(data)?;
             }
-            checked += length + EVENT_END.len();
+            checked = end + EVENT_END.len();
+            from = checked;
         }
-        Ok(self.buffer.split_to(checked).freeze())
+        let events = self.buffer.split_to(checked).freeze();
+        self.scanned = self.buffer.len();
+        Ok(events)
     }
 
     fn check_object(&self, json: &[u8]) -> Result<(), AnswerFault> {
