Bound an answer to another request that is skipped

A target may send an answer that belongs to another request before its own. The entry skipped its body without limit, so that a body without end used up the deadline and the request was not retried. Above 256 KiB the attempt now fails as garbled.

Without the bound an_extra_answer_without_end_does_not_use_up_the_deadline fails with 504.

--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -23,6 +23,8 @@
 
 /// Timeout for opening a connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum size of the body of a response that belongs to another request, in bytes.
+const MAX_SKIPPED_BYTES: usize = 256 * 1024;
 /// An attempt fails after this number of responses that belong to other requests.
 const MAX_FOREIGN_ANSWERS: usize = 3;
 
@@ -246,7 +248,13 @@
 
 /// Skips the rest of a response that belongs to another request, and reads the head of the next one.
 async fn skip_answer(connection: &mut OutboundConnection) -> Result<AnswerHead, ExchangeError> {
-    while let BodyPart::Data(_) = connection.read_body().await? {}
+    let mut skipped_bytes = 0;
+    while let BodyPart::Data(bytes) = connection.read_body().await? {
+        skipped_bytes += bytes.len();
+        if skipped_bytes > MAX_SKIPPED_BYTES {
+            return Err(ExchangeError::Malformed);
+        }
+    }
     connection.read_head().await
 }
 
--- a/tests/direct_answers.rs
+++ b/tests/direct_answers.rs
@@ -88,3 +88,14 @@
     }
     assert!(fleet.engines[0].runs() > 0, "the first target got none of the streams");
 }
+
+#[actix_rt::test]
+async fn an_extra_answer_without_end_does_not_use_up_the_deadline() {
+    let fleet = DirectFleet::start(2).await;
+    fleet.engines[0].behaviour.set(EngineBehaviour::EndlessExtraAnswer);
+    for number in 0..4 {
+        let reply = fleet.get("/plain/x", &format!("id-{number}")).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-1"));
+    }
+    assert!(fleet.engines[0].runs() > 0, "the first target got none of the requests");
+}
