Answer requests on connections that are new when an entry shuts down

After SIGTERM an entry accepts connections for 2.5 s, until the platform sends no more. It closed each of them at once unless its request had arrived with it, and reset those that still waited in the listener's backlog when that time ended: callers whose connection had just been accepted got no answer.

A new connection may now send its first request until 1 s after the signal, or after it was accepted, and counts as open meanwhile. The backlog is accepted before the listener closes.

Both new tests failed before: a close without an answer for a request 20 ms after the connection was accepted, and resets for connections that waited while the entry was suspended.

--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -25,7 +25,7 @@
 use state::EntryState;
 use std::path::PathBuf;
 use std::rc::Rc;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// Time for which the entry still accepts connections during shutdown. The platform stops sending them
@@ -147,7 +147,7 @@
             () = sleep_until(accept_until) => break,
         }
     }
-    drop(listener);
+    accept_backlog(listener, &state);
     let Some(shutdown_at) = shutdown_at else {
         return;
     };
@@ -158,6 +158,20 @@
     }
 }
 
+/// Accepts the connections that are already open, and closes the listener, which would reset them.
+fn accept_backlog(listener: TcpListener, state: &Rc<EntryState>) {
+    let Ok(listener) = listener.into_std() else {
+        return;
+    };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        match stream {
+            Ok(stream) => caller::spawn(stream, state.clone()),
+            Err(error) => warn!("event=accept_failed reason=\"{error}\""),
+        }
+    }
+}
+
 async fn sleep_until(at: Option<tokio::time::Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/src/direct/entry/caller.rs
+++ b/src/direct/entry/caller.rs
@@ -1,7 +1,7 @@
 //! Serves a caller's connection: reads its requests one after the other and responds to them.
 
 use super::request;
-use super::state::EntryState;
+use super::state::{EntryState, RequestGuard};
 use crate::direct::entry::request::ConnectionAction;
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
@@ -16,30 +16,44 @@
 /// Time that a caller has to close its side of the connection after the entry has closed its own.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Time after the shutdown signal for which a new connection may still send its first request.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1000);
+
 /// Spawns a task that serves the requests of a connection.
 pub fn spawn(stream: TcpStream, state: Rc<EntryState>) {
     if let Err(error) = buckthornwharf_exchange::set_socket_options(&stream) {
         debug!("event=caller_not_prepared reason=\"{error}\"");
         return;
     }
+    // Counted from the start, so that a shutdown waits for the first request.
+    let first_request = state.begin_request();
     actix_rt::spawn(async move {
         let mut caller = InboundConnection::new(stream);
-        if serve(&mut caller, &state).await {
+        if serve(&mut caller, &state, first_request).await {
             caller.finish(CLOSE_TIMEOUT).await;
         }
     });
 }
 
 /// Serves requests until the connection has to end. Returns whether it should be closed gracefully.
-async fn serve(caller: &mut InboundConnection, state: &Rc<EntryState>) -> bool {
+async fn serve(
+    caller: &mut InboundConnection,
+    state: &Rc<EntryState>,
+    first_request: RequestGuard,
+) -> bool {
+    let mut first_request = Some(first_request);
     loop {
         let limits = inbound_limits(&state.limits());
-        match wait_request(caller, state, limits.idle_timeout).await {
+        let shutdown_time = match first_request {
+            Some(_) => FIRST_REQUEST_TIME,
+            None => Duration::ZERO,
+        };
+        match wait_request(caller, state, limits.idle_timeout, shutdown_time).await {
             Ok(()) => {}
             Err(InboundError::IdleTimeout) => return true,
             Err(_) => return false,
         }
-        let _request_guard = state.begin_request();
+        let _request_guard = first_request.take().unwrap_or_else(|| state.begin_request());
         let inbound = match caller.read_request(&limits).await {
             Ok(inbound) => inbound,
             Err(failure) => return refuse_unread(caller, &failure).await,
@@ -52,16 +66,24 @@
     }
 }
 
+/// Waits for the next request, at most until `shutdown_time` after the shutdown signal or, if it has been
+/// sent before, from now.
 async fn wait_request(
     caller: &mut InboundConnection,
     state: &Rc<EntryState>,
     idle_timeout: Duration,
+    shutdown_time: Duration,
 ) -> Result<(), InboundError> {
     let mut shutdown = state.shutdown();
+    let shut_down = async {
+        // An error means that the sender is gone, so the process ends anyway.
+        let _ = shutdown.wait_for(|shutdown| *shutdown).await;
+        actix_rt::time::sleep(shutdown_time).await;
+    };
     tokio::select! {
         biased;
         waited = caller.wait_request(idle_timeout) => waited,
-        _ = shutdown.wait_for(|shutdown| *shutdown) => Err(InboundError::Closed),
+        () = shut_down => Err(InboundError::Closed),
     }
     .or_else(|failure| match failure {
         InboundError::Closed if state.is_shutting_down() => Err(InboundError::IdleTimeout),
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -178,7 +178,8 @@
         f(retry_budgets.get_or_insert_with(service.clone(), || RetryBudget::new(window)))
     }
 
-    /// Returns the number of open requests: those being read or responded to.
+    /// Returns the number of open requests: those being read or responded to, and new connections that
+    /// wait for their first one.
     pub fn open_requests(&self) -> usize {
         self.open_requests.get()
     }
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -36,7 +36,8 @@
     pub time_to_first_byte: Histogram,
     /// Time that a request waited for a slot, in seconds.
     pub queue_time: Histogram,
-    /// Requests in progress, from reading the request to the end of its answer.
+    /// Requests in progress, from reading the request to the end of its answer, and new connections that
+    /// wait for their first one.
     pub open_requests: IntGauge,
     /// Requests that wait for a slot.
     pub waiting_requests: IntGauge,
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -213,6 +213,42 @@
     .await;
 }
 
+#[actix_rt::test]
+async fn requests_on_connections_accepted_during_shutdown_are_answered() {
+    let fleet = DirectFleet::start(1).await;
+    fleet.terminate_entry();
+    eventually_unready(&fleet).await;
+    for number in 0..10 {
+        let reply = fleet.get_on_idle_connection("/plain/x", &format!("id-{number}")).await;
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-0"));
+    }
+}
+
+#[actix_rt::test]
+async fn requests_on_connections_that_wait_to_be_accepted_at_shutdown_are_answered() {
+    let fleet = DirectFleet::start(12).await;
+    fleet.terminate_entry();
+    eventually_unready(&fleet).await;
+    fleet.suspend_entry();
+    let ids: Vec<String> = (0..20).map(|number| format!("id-{number}")).collect();
+    let requests = ids.iter().map(|id| fleet.get("/plain/x", id));
+    let resume = async {
+        fleet.pause_longer_than_accepting().await;
+        fleet.resume_entry();
+    };
+    let (replies, ()) =
+        futures_util::future::join(futures_util::future::join_all(requests), resume).await;
+    for reply in replies {
+        assert_eq!(reply.status, 200);
+    }
+}
+
+async fn eventually_unready(fleet: &DirectFleet) {
+    while fleet.readiness().await == Some(200) {
+        actix_rt::task::yield_now().await;
+    }
+}
+
 #[actix_rt::test]
 async fn an_unanswered_request_is_cancelled_when_its_version_is_retired() {
     let fleet = DirectFleet::start_with(1, 1600).await;
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -10,6 +10,7 @@
 use buckthornwharf_standin::fleet::FleetProcess;
 use bytes::Bytes;
 use serde_json::json;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -18,6 +19,8 @@
 
 /// Timeout for a condition to hold, and for connecting and exiting.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longer than the time for which an entry accepts connections after SIGTERM.
+const ACCEPT_EXPIRY: Duration = Duration::from_secs(3);
 /// Time for which a caller waits for an answer, in milliseconds.
 const DEADLINE_MS: &str = "5000";
 /// Input and output tokens of a request.
@@ -55,7 +58,7 @@
 
 /// An entry process and the addresses that it listens on.
 struct EntryProcess {
-    process: FleetProcess,
+    process: RefCell<FleetProcess>,
     callers: SocketAddr,
     readiness: SocketAddr,
 }
@@ -136,12 +139,12 @@
         let ready = process.wait_ready().await.expect("the entry listens");
         let address = |name: &str| *ready.get(name).expect("an address");
         let (callers, readiness) = (address("callers"), address("readiness"));
-        EntryProcess { process, callers, readiness }
+        EntryProcess { process: RefCell::new(process), callers, readiness }
     }
 
     /// Kills an entry and starts it again, without what it knew.
     pub async fn restart_entry(&mut self, number: usize) {
-        let process = &mut self.entries[number].process;
+        let process = self.entries[number].process.get_mut();
         process.kill().expect("the entry runs");
         process.wait_exit(CONDITION_TIMEOUT).await.expect("the entry ends");
         self.entries[number] = self.start_entry(number, VERSION_TIME_MS).await;
@@ -232,8 +235,23 @@
         self.exchange(0, caller_request(method, path, id, key, body)).await
     }
 
+    /// Opens a connection, and sends a request on it after a pause.
+    pub async fn get_on_idle_connection(&self, path: &str, id: &str) -> EntryReply {
+        let connection = self.connect(0).await;
+        actix_rt::time::sleep(POLL_INTERVAL).await;
+        let request = caller_request(Method::GET, path, id, "secret", "");
+        Self::exchange_on(connection, request).await
+    }
+
     async fn exchange(&self, entry: usize, request: OutboundRequest) -> EntryReply {
-        let mut connection = self.connect(entry).await;
+        let connection = self.connect(entry).await;
+        Self::exchange_on(connection, request).await
+    }
+
+    async fn exchange_on(
+        mut connection: OutboundConnection,
+        request: OutboundRequest,
+    ) -> EntryReply {
         let head = connection.exchange(request).await.expect("an answer");
         let mut bytes = Vec::new();
         let complete = loop {
@@ -269,11 +287,11 @@
         let mut connection = self.connect(0).await;
         let exchange = connection.exchange(caller_request(Method::GET, path, id, "secret", ""));
         let engines = self.engines.clone();
-        let entry = &mut self.entries[0].process;
+        let entry = &self.entries[0].process;
         let shutdown = async move {
             let arrived = || engines.iter().any(|engine| engine.runs() > 0);
             eventually("the request arrives", arrived).await;
-            entry.terminate().expect("the entry runs");
+            entry.borrow_mut().terminate().expect("the entry runs");
         };
         let (head, ()) = tokio::join!(exchange, shutdown);
         let head = head.expect("an answer");
@@ -288,6 +306,26 @@
         EntryReply { status: head.status.as_u16(), body, complete: true, head }
     }
 
+    /// Sends the first entry SIGTERM.
+    pub fn terminate_entry(&self) {
+        self.entries[0].process.borrow_mut().terminate().expect("the entry runs");
+    }
+
+    /// Suspends the first entry (SIGSTOP).
+    pub fn suspend_entry(&self) {
+        self.entries[0].process.borrow_mut().suspend().expect("the entry runs");
+    }
+
+    /// Resumes the first entry (SIGCONT).
+    pub fn resume_entry(&self) {
+        self.entries[0].process.borrow_mut().resume().expect("the entry is suspended");
+    }
+
+    /// Pauses for longer than an entry accepts connections after SIGTERM.
+    pub async fn pause_longer_than_accepting(&self) {
+        actix_rt::time::sleep(ACCEPT_EXPIRY).await;
+    }
+
     /// Repeats a request until the entry answers with `status`.
     pub async fn wait_status(&self, path: &str, key: &str, status: u16) {
         let deadline = tokio::time::Instant::now() + CONDITION_TIMEOUT;
@@ -335,6 +373,7 @@
     pub async fn exits_cleanly(&mut self) -> bool {
         self.entries[0]
             .process
+            .get_mut()
             .wait_exit(CONDITION_TIMEOUT)
             .await
             .is_ok_and(|status| status.success())
