Heed targets that leave or ask for a pause in their answers

A target that leaves says so in its answers, and one that refuses with 503 may ask for a pause. Entries heeded neither: they sent requests until the registry changed, and again 60 ms after a refusal.

What an answer says counts from then on for that start of the target, whatever the registry says, and survives a lapse of its registration. Queued requests and retries go to other targets; a request that none accepts in time is refused at once with the rest of the shortest pause. A pause is limited to ten minutes; a malformed one is logged and ignored.

The own path does not heed these yet.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -6,12 +6,15 @@
 //! request therefore waits only as long as a response in time can still be expected.
 
 mod load;
+mod notices;
 mod queue;
 
 use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget, WaitAllowance};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 use load::TargetLoad;
+pub use notices::MAX_PAUSE;
+use notices::NoticeTable;
 use queue::{ServiceQueue, Waiter};
 
 /// Cool-down of a target after a first failure (unreachable, or the exchange failed).
@@ -108,6 +111,7 @@
     own_sites: Vec<SiteName>,
     entry_counts: EntryCounts,
     targets: SortedTable<Arc<str>, TargetLoad>,
+    notices: NoticeTable,
     queues: SortedTable<ServiceName, ServiceQueue>,
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
@@ -123,6 +127,7 @@
             own_sites,
             entry_counts: EntryCounts { entries: 1, in_region: 1 },
             targets: SortedTable::new(),
+            notices: NoticeTable::default(),
             queues: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
@@ -177,6 +182,17 @@
         }
     }
 
+    /// Records that a target said that it leaves: it gets no further requests before its next start.
+    /// Returns whether that is new.
+    pub fn record_leaving(&mut self, now: MonoTime, target: &RegisteredTarget) -> bool {
+        self.notices.record_leaving(now, target)
+    }
+
+    /// Records that a target wants no requests for `pause`, at most [`MAX_PAUSE`].
+    pub fn record_pause(&mut self, now: MonoTime, target: &RegisteredTarget, pause: Duration) {
+        self.notices.record_pause(now, target, pause);
+    }
+
     /// Grants a slot to a request, queues it, or refuses it if the expected wait is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
@@ -192,7 +208,8 @@
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         if expected_wait > request.wait.max_wait {
-            return Admission::Refused(retry_after(ticket));
+            let pause = if usable_slots == 0 { self.pause_left(now, &request) } else { None };
+            return Admission::Refused(retry_after(ticket).max(pause.unwrap_or_default()));
         }
         queue.push(Waiter { ticket, expires_at: now + request.wait.max_wait, request });
         Admission::Queued(ticket)
@@ -264,7 +281,11 @@
     pub fn next_wake(&self) -> Option<MonoTime> {
         let expiry = self.queues.values().filter_map(ServiceQueue::next_expiry).min()?;
         let cooldown_end = self.targets.values().filter_map(|load| load.cooldown_until()).min();
-        Some(cooldown_end.map_or(expiry, |cooldown_end| cooldown_end.min(expiry)))
+        let accepts_from = |load: &TargetLoad| {
+            self.notices.accepts_from(&load.record).filter(|at| *at > MonoTime::ZERO)
+        };
+        let pause_end = self.targets.values().filter_map(accepts_from).min();
+        [Some(expiry), cooldown_end, pause_end].into_iter().flatten().min()
     }
 
     /// Returns the number of requests that wait for a slot.
@@ -290,6 +311,7 @@
         };
         let has_room = |load: &&TargetLoad| {
             load.is_eligible(now, request, required)
+                && self.notices.accepts_from(&load.record).is_some_and(|at| at <= now)
                 && load.available_slots(now, entry_counts) > 0
                 && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
@@ -313,8 +335,11 @@
     /// one also counts those that are loading a version.
     fn usable_slots(&self, now: MonoTime, request: &SlotRequest) -> u32 {
         let required = self.required_version(now, request);
+        let accepts_until = now + request.wait.max_wait;
         let usable = |load: &&TargetLoad| {
-            load.serves(request, required) && (request.wait.late || load.is_accepting(now))
+            load.serves(request, required)
+                && (request.wait.late || load.is_accepting(now))
+                && self.notices.accepts_from(&load.record).is_some_and(|at| at <= accepts_until)
         };
         self.targets
             .values()
@@ -323,6 +348,14 @@
             .sum()
     }
 
+    /// Returns the time until the first target of `request` that is paused accepts requests again.
+    fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
+        let required = self.required_version(now, request);
+        let loads = self.targets.values().filter(|load| load.serves(request, required));
+        let pause_end = loads.filter_map(|load| self.notices.accepts_from(&load.record)).min()?;
+        Some(pause_end.since(now))
+    }
+
     /// Returns the oldest version of the request's model that may be used; `None` if any version
     /// may.
     fn required_version(&self, now: MonoTime, request: &SlotRequest) -> Option<u64> {
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -16,7 +16,7 @@
     OutboundRequest,
 };
 use buckthornwharf_platform::request::{
-    AnswerClass, DispatchTags, classify_answer, dispatch_headers, keep_alive_timeout,
+    AnswerClass, DispatchTags, classify_answer, dispatch_headers, keep_alive_timeout, target_notice,
 };
 use std::cell::Cell;
 use std::future::Future;
@@ -151,7 +151,11 @@
                 Ok(answer) => answer,
                 Err(error) => return Ok(AttemptResult::Failed(failure_of(&error))),
             };
-            match classify_answer(answer.status, &answer.headers, &self.request.tags.id) {
+            let class = classify_answer(answer.status, &answer.headers, &self.request.tags.id);
+            if class != AnswerClass::WrongTarget {
+                self.state.on_target_notice(target, target_notice(answer.status, &answer.headers));
+            }
+            match class {
                 AnswerClass::Valid => {
                     self.prefill.mark_done();
                     let age = clock::now().since(self.request.received);
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -1,6 +1,7 @@
 //! State of an entry: configuration, versions, targets, slots and requests that wait for a slot.
 
 mod crashes;
+mod notices;
 mod queue;
 mod updates;
 
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -30,6 +30,8 @@
     pub failed_attempts: IntCounterVec,
     /// Targets that refused connections after a request's connection broke.
     pub target_crashes: IntCounter,
+    /// Targets that said that they leave, and pauses that targets asked for.
+    pub target_notices: IntCounterVec,
     /// Causes of crashes whose requests are refused.
     pub refused_causes: IntGauge,
     /// Time from the request to the first bytes of its answer, in seconds.
@@ -81,6 +83,12 @@
                 "direct_target_crashes_total",
                 "Targets that crashed while they had requests of this entry",
             )?,
+            target_notices: new_counters(
+                &registry,
+                "direct_target_notices_total",
+                "Notices of targets in their answers: that they leave, or want a pause",
+                &["notice"],
+            )?,
             refused_causes: new_gauge(
                 &registry,
                 "direct_refused_causes",
