--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -92,9 +92,15 @@
         self.recovered_at = Some(now);
     }
 
-    /// Inserts or updates a target and returns whether anything changed.
-    pub fn put(&mut self, record: RegisteredTarget) -> bool {
+    /// Inserts or updates a target and returns whether anything changed. A target that drains does so until
+    /// its next start, even if an older copy of the registry says otherwise.
+    pub fn put(&mut self, mut record: RegisteredTarget) -> bool {
         self.lapsed.remove(&record.id);
+        let known = self.targets.get(&record.id);
+        let known = known.filter(|known| known.started_unix_ms == record.started_unix_ms);
+        if known.is_some_and(|known| known.phase == TargetPhase::Draining) {
+            record.phase = TargetPhase::Draining;
+        }
         let unchanged = self.targets.get(&record.id).is_some_and(|known| **known == record);
         if !unchanged {
             self.targets.insert(record.id.clone(), Arc::new(record));
