Compare revisions of the store only within its era

After a store came back from an older copy, a watch whose revision the store had passed again missed the changes in between, agents ignored the list of processes until its revision was reached, and an agent that registered again got a lower fencing token, so that its engine refused its orders for good.

StorePosition orders era and revision; watches, polls and fencing tokens use it. A watch that meets another era or a lost history reads all again after up to 0.3 s, and an answer of an earlier era is not believed. Entries write the configuration for agents and their reports of crashes again.

Not measured: calls to the store after a drill by fleet size.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -13,6 +13,7 @@
 pub mod routes;
 pub mod serving;
 pub mod slots;
+pub mod store_position;
 pub mod versions;
 pub mod watch_backoff;
 
@@ -30,5 +31,6 @@
     ServingService,
 };
 pub use slots::{Admission, SlotGrant, SlotRequest, SlotScheduler, WaitTicket};
+pub use store_position::{StoreEra, StorePosition};
 pub use versions::{DeclaredVersion, DeclaredVersions};
 pub use watch_backoff::{PROBE_TIMEOUT, PollBackoff, WatchBackoff, WatchTiming};
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -58,7 +58,7 @@
     actix_rt::spawn(follow::poll_prefix(store.clone(), presence::PREFIX, refresh, on_items));
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
-    let on_registered = move |revision| fence_state.set_fence(revision);
+    let on_registered = move |position| fence_state.set_fence(position);
     let engine_up = state.subscribe_engine_up();
     let registration =
         presence::keep_registered(store, presence::AGENT_PREFIX, record, engine_up, on_registered);
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -10,7 +10,7 @@
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
-    DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, OriginSpec,
+    DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, OriginSpec, StorePosition,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
@@ -101,10 +101,10 @@
         })
     }
 
-    /// Sets the fencing token: the store's revision of the agent's registration. It rises with each
+    /// Sets the fencing token: the store's position of the agent's registration. It rises with each
     /// registration, so orders of earlier incarnations are rejected.
-    pub fn set_fence(&self, revision: u64) {
-        self.fence.set(Some(revision));
+    pub fn set_fence(&self, position: StorePosition) {
+        self.fence.set(Some(position.fencing_token()));
     }
 
     /// Subscribes to whether the engine answers. Other agents rely on this one only while it does.
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -32,15 +32,10 @@
 
 fn on_event(state: &EntryState, own_key: &str, event: StoreEvent) {
     match event {
+        // The store may have lost this entry's item, or hold an older one.
+        StoreEvent::Recovered if !state.crash_report().causes.is_empty() => state.report_crashes(),
         StoreEvent::Recovered => {}
-        StoreEvent::Snapshot(items) => {
-            items.iter().for_each(|item| merge(state, item));
-            // The store may have lost this entry's item.
-            let is_missing = !items.iter().any(|item| &*item.key == own_key);
-            if is_missing && !state.crash_report().causes.is_empty() {
-                state.report_crashes();
-            }
-        }
+        StoreEvent::Snapshot(items) => items.iter().for_each(|item| merge(state, item)),
         StoreEvent::Changes(changes) => {
             for change in &changes {
                 match change {
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -40,7 +40,7 @@
                     }
                 }
             }
-            StoreEvent::Recovered => {}
+            StoreEvent::Recovered => self.republish_agent_config(),
         }
     }
 
@@ -85,6 +85,13 @@
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
     }
 
+    /// Writes the configuration for agents again, which the store may have lost.
+    fn republish_agent_config(&self) {
+        if let Some(config) = self.published_config.borrow().clone() {
+            actix_rt::spawn(facts::publish(self.store.clone(), config));
+        }
+    }
+
     /// Writes `config` to the store, unless it differs from the one written before only in its
     /// generation.
     fn publish_agent_config(&self, config: AgentConfig) {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,6 +1,8 @@
 //! Watches and polls the items below a prefix of the platform's store.
 
-use buckthornwharf_core::direct::{PROBE_TIMEOUT, PollBackoff, WatchBackoff, WatchTiming};
+use buckthornwharf_core::direct::{
+    PROBE_TIMEOUT, PollBackoff, StorePosition, WatchBackoff, WatchTiming,
+};
 use buckthornwharf_platform::{ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
@@ -11,6 +13,9 @@
 /// Number of initial polls that read current rather than slightly stale data, so that processes that
 /// start at the same time find each other.
 const INITIAL_CURRENT_READS: u64 = 4;
+/// Range of the delay before a prefix is read again whose history was lost, in milliseconds, so that
+/// processes do not read it all at once.
+const REREAD_DELAY_MS: std::ops::Range<u64> = 0..300;
 
 /// An event of a watched prefix.
 #[derive(Debug)]
@@ -19,7 +24,7 @@
     Snapshot(Vec<StoreItem>),
     /// Changes since the last event, in order.
     Changes(Vec<StoreChange>),
-    /// The store answers again after an outage.
+    /// The store answers again after an outage, or was set back to an older copy.
     Recovered,
 }
 
@@ -31,6 +36,7 @@
     mut on_event: impl FnMut(StoreEvent),
 ) {
     let mut health = StoreHealth::new(prefix, timing);
+    let mut era = None;
     loop {
         // A list may take long; a probe shows sooner whether the store responds at all.
         if health.may_be_down()
@@ -46,28 +52,42 @@
                 continue;
             }
         };
-        if health.on_success() {
+        let mut position = range.position;
+        if era.is_some_and(|era| position.era < era) {
+            // An answer from before the store was set back came late.
+            continue;
+        }
+        let is_set_back = era.is_some_and(|era| era < position.era);
+        era = Some(position.era);
+        if is_set_back {
+            info!("event=store_set_back prefix={prefix} era={}", position.era.number());
+        }
+        if health.on_success() || is_set_back {
             on_event(StoreEvent::Recovered);
         }
         on_event(StoreEvent::Snapshot(range.items));
-        let mut revision = range.revision;
         loop {
             match store
-                .watch(prefix, revision, health.backoff.long_poll(), health.backoff.timeout())
+                .watch(prefix, position, health.backoff.long_poll(), health.backoff.timeout())
                 .await
             {
                 Ok((changes, next)) => {
                     if health.on_success() {
                         on_event(StoreEvent::Recovered);
                     }
-                    revision = revision.max(next);
+                    position = position.max(next);
                     if !changes.is_empty() {
                         on_event(StoreEvent::Changes(changes));
                         actix_rt::time::sleep(health.backoff.change_delay()).await;
                     }
                 }
-                Err(StoreError::Compacted) => {
-                    info!("event=history_lost prefix={prefix} revision={revision}");
+                Err(error @ (StoreError::Compacted | StoreError::OtherEra(_))) => {
+                    let revision = position.revision;
+                    info!(
+                        "event=history_lost prefix={prefix} revision={revision} reason=\"{error}\""
+                    );
+                    let delay_ms = rand::rng().random_range(REREAD_DELAY_MS);
+                    actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
                     break;
                 }
                 Err(error) => health.wait_after_failure(&error).await,
@@ -87,7 +107,7 @@
 ) {
     let mut health = StoreHealth::new(prefix, WatchTiming::RELAXED);
     let mut backoff = PollBackoff::default();
-    let mut revision = 0;
+    let mut position = StorePosition::default();
     for read in 0_u64.. {
         let consistency = if read < INITIAL_CURRENT_READS {
             ReadConsistency::Current
@@ -105,9 +125,9 @@
                 if health.on_success() {
                     backoff.reset();
                 }
-                // A stale read may return an older revision than the previous read; it is ignored.
-                let is_newer = range.revision >= revision;
-                revision = revision.max(range.revision);
+                // A stale read may return an older position than the previous read; it is ignored.
+                let is_newer = range.position >= position;
+                position = position.max(range.position);
                 is_newer && on_items(range.items)
             }
             Err(error) => {
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -1,7 +1,7 @@
 //! Service discovery: each process registers itself in the store under a lease.
 
 use super::settings::DirectSettings;
-use buckthornwharf_core::direct::PROBE_TIMEOUT;
+use buckthornwharf_core::direct::{PROBE_TIMEOUT, StorePosition};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreClient, StoreError, StoreWrite};
 use log::warn;
@@ -58,13 +58,13 @@
 }
 
 /// Keeps the process registered below `prefix` while `wanted` is true, for the rest of the process.
-/// Calls `on_registered` with the store's revision of each registration.
+/// Calls `on_registered` with the store's position of each registration.
 pub async fn keep_registered(
     store: StoreClient,
     prefix: &'static str,
     record: PresenceRecord,
     mut wanted: watch::Receiver<bool>,
-    on_registered: impl Fn(u64),
+    on_registered: impl Fn(StorePosition),
 ) {
     let key = format!("{prefix}{}", record.host);
     let value = match serde_json::to_vec(&record) {
@@ -76,8 +76,8 @@
     };
     while wait_until(&mut wanted, true).await {
         let error = match register(&store, &key, &value).await {
-            Ok((lease, revision)) => {
-                on_registered(revision);
+            Ok((lease, position)) => {
+                on_registered(position);
                 tokio::select! {
                     error = renew(&store, lease) => error,
                     _ = wait_until(&mut wanted, false) => {
@@ -99,14 +99,18 @@
     wanted.wait_for(|wanted| *wanted == value).await.is_ok()
 }
 
-async fn register(store: &StoreClient, key: &str, value: &[u8]) -> Result<(u64, u64), StoreError> {
+async fn register(
+    store: &StoreClient,
+    key: &str,
+    value: &[u8],
+) -> Result<(u64, StorePosition), StoreError> {
     // If the store is unreachable, the probe fails fast and is retried soon. A write gets the longer
     // timeout of other calls, since the store may yet carry it out.
     store.probe(PROBE_TIMEOUT).await?;
     let lease = store.open_lease(LEASE_TTL).await?;
-    let revision =
+    let position =
         store.write(&[StoreWrite { key, value, lease, expected_revision: None }]).await?;
-    Ok((lease, revision))
+    Ok((lease, position))
 }
 
 /// Renews `lease` until it has expired, and returns the error of the last renewal.
