Give up the body of a platform's answer that hardly progresses

A call failed only when no byte arrived for 1.5 s, so that a server that sent a byte now and then held a watch or a fetch of a chunk without end.

--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -18,9 +18,18 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Longest time without progress while reading the body of an answer.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time that the body of an answer may take however little of it arrives.
+const SLOW_BODY_GRACE: Duration = Duration::from_secs(5);
+/// Slowest average rate of a body after that time, in bytes per second.
+const MIN_BODY_RATE: f64 = 1024.0;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Returns the longest time in which `length` bytes of a body may arrive.
+fn slow_body_time(length: usize) -> Duration {
+    SLOW_BODY_GRACE + Duration::from_secs_f64(length as f64 / MIN_BODY_RATE)
+}
+
 /// A call to a server that is not part of a live request.
 #[derive(Debug, Clone)]
 pub struct OutboundCall {
@@ -107,8 +116,11 @@
         let answered = tokio::time::timeout(call.head_timeout, self.send(call)).await;
         let (mut connection, head) = answered.map_err(|_| CallError::TimedOut)??;
         let mut body = BytesMut::new();
+        let body_started = Instant::now();
         loop {
-            let part = tokio::time::timeout(BODY_STALL_TIMEOUT, connection.read_body()).await;
+            let slow_at = body_started + slow_body_time(body.len());
+            let deadline = slow_at.min(Instant::now() + BODY_STALL_TIMEOUT);
+            let part = tokio::time::timeout_at(deadline, connection.read_body()).await;
             let part = part.map_err(|_| CallError::TimedOut)?;
             let bytes = match part.map_err(CallError::Failed)? {
                 BodyPart::Data(bytes) => bytes,
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -105,6 +105,25 @@
     assert_eq!(answer.body.len(), PARTS);
 }
 
+#[actix_rt::test]
+async fn a_body_that_hardly_progresses_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client connects");
+        let mut request = vec![0; 4096];
+        assert!(stream.read(&mut request).await.expect("the request arrives") > 0);
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n";
+        stream.write_all(head.as_bytes()).await.expect("the client reads");
+        while stream.write_all(b"x").await.is_ok() {
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    });
+    let client = CallClient::new(address);
+    let call = tokio::time::timeout(Duration::from_secs(30), client.call(get("/"))).await;
+    assert!(matches!(call, Ok(Err(CallError::TimedOut))), "{call:?}");
+}
+
 /// Reads the answer to one request with `method`; returns its framing and body.
 async fn read_answer(
     method: Method,
