Do not wake the queue for a cool-down that has ended

SlotScheduler::next_wake returned the end of each target's last cool-down, also long after it, so that the queue was served every 4 ms while any request waited.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -277,15 +277,16 @@
     }
 
     /// Returns when [`SlotScheduler::expire`] or [`SlotScheduler::grant_free_slots`] is due next if
-    /// no event occurs before; `None` if no request waits. The time may have passed.
-    pub fn next_wake(&self) -> Option<MonoTime> {
-        let expiry = self.queues.values().filter_map(ServiceQueue::next_expiry).min()?;
-        let cooldown_end = self.targets.values().filter_map(|load| load.cooldown_until()).min();
-        let accepts_from = |load: &TargetLoad| {
-            self.notices.accepts_from(&load.record).filter(|at| *at > MonoTime::ZERO)
-        };
-        let pause_end = self.targets.values().filter_map(accepts_from).min();
-        [Some(expiry), cooldown_end, pause_end].into_iter().flatten().min()
+    /// no event occurs before; `None` if no request waits. Both were called last at `served_at`; the
+    /// returned time is later, but may have passed.
+    pub fn next_wake(&self, served_at: MonoTime) -> Option<MonoTime> {
+        let expiries = self.queues.values().filter_map(ServiceQueue::next_expiry);
+        let expiry = expiries.min()?;
+        let cooldown_ends = self.targets.values().filter_map(|load| load.cooldown_until());
+        let pause_ends =
+            self.targets.values().filter_map(|load| self.notices.accepts_from(&load.record));
+        let slot_times = cooldown_ends.chain(pause_ends).filter(|at| *at > served_at);
+        Some(slot_times.min().map_or(expiry, |slot_time| slot_time.min(expiry)))
     }
 
     /// Returns the number of requests that wait for a slot.
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -298,3 +298,19 @@
     assert!(try_slot(&mut scheduler, at(1300)).is_some(), "3 x 0.6 s fit into 1.9 s");
     assert!(try_slot(&mut scheduler, at(2400)).is_none(), "3 x 0.6 s exceed 0.8 s");
 }
+
+#[test]
+fn a_cooldown_that_has_ended_does_not_wake_the_queue_again() {
+    let mut scheduler = scheduler(&[target("a", "here", 1)]);
+    let grants: Vec<SlotGrant> =
+        (0..SLOTS).map(|_| try_slot(&mut scheduler, at(0)).expect("a free slot")).collect();
+    scheduler.release(at(0), "a", SlotOutcome::Full);
+    let cooldown_end = scheduler.next_wake(at(0));
+    assert_eq!(cooldown_end, None, "no request waits");
+    let Admission::Queued(_) = scheduler.request(at(0), request(true)) else {
+        panic!("the target is in its cool-down");
+    };
+    assert_eq!(scheduler.next_wake(at(0)), Some(at(60)));
+    assert_eq!(scheduler.next_wake(at(60)), Some(at(600)), "only the request's own time is left");
+    drop(grants);
+}
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -100,8 +100,8 @@
         }
     }
 
-    fn next_wake(&self) -> Option<MonoTime> {
-        let queue = self.scheduler.borrow().next_wake();
+    fn next_wake(&self, served_at: MonoTime) -> Option<MonoTime> {
+        let queue = self.scheduler.borrow().next_wake(served_at);
         let target_expiry = self.catalog.borrow().next_expiry();
         queue.into_iter().chain(target_expiry).min()
     }
@@ -120,15 +120,17 @@
 
 /// Grants slots, and expires waiting requests and missing targets, for the lifetime of the process.
 pub async fn run_queue(state: Rc<EntryState>) {
+    let mut served_at = MonoTime::ZERO;
     loop {
         let now = clock::now();
-        let wake_at = state.next_wake();
+        let wake_at = state.next_wake(served_at);
         let delay = wake_at.map(|wake_at| wake_at.since(now).max(MIN_QUEUE_INTERVAL));
         tokio::select! {
             () = state.queue_changed.notified() => {}
             () = sleep_for(delay) => {}
         }
-        state.expire_targets(clock::now());
+        served_at = clock::now();
+        state.expire_targets(served_at);
         state.serve_queue();
     }
 }
