Write a test server for one answer, and a crash, once

serve_once stood in tests/target.rs and tests/platform_http.rs, the crash of a target in core/tests/direct_crashes.rs and its simulated fleet. No check is changed.

--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -3,33 +3,19 @@
 #[path = "support/crash_fleet.rs"]
 mod crash_fleet;
 
-use buckthornwharf_core::direct::{CauseId, CrashId, CrashLedger, CrashReport, RegisteredTarget};
-use buckthornwharf_core::direct::{TargetPhase, request_causes};
+use buckthornwharf_core::direct::{CauseId, CrashId, CrashLedger, CrashReport, request_causes};
 use buckthornwharf_core::prelude::*;
-use crash_fleet::{CrashFleet, FleetPlan};
+use crash_fleet::{CrashFleet, FleetPlan, crash_id, service};
 
 const NOW: MonoTime = MonoTime::from_millis(1_000_000);
 
-fn service() -> ServiceName {
-    ServiceName::from("llm")
-}
-
 /// The cause that stands for a part of a prompt.
 fn part(number: u64) -> CauseId {
     CauseId::new(&service(), number)
 }
 
 fn crash(number: u64) -> CrashId {
-    CrashId::of(&RegisteredTarget {
-        id: format!("engine-{number}").into(),
-        service: service(),
-        address: ([127, 0, 0, 1], 1).into(),
-        site: SiteName::from("a"),
-        slots: 1,
-        phase: TargetPhase::Ready,
-        models: Vec::new(),
-        started_unix_ms: number,
-    })
+    crash_id(0, number)
 }
 
 /// Sends a request with `causes` to a target, which crashes, while an answer to another request follows.
--- a/core/tests/support/crash_fleet.rs
+++ b/core/tests/support/crash_fleet.rs
@@ -115,10 +115,25 @@
     sound: Vec<(MonoTime, bool)>,
 }
 
-fn service() -> ServiceName {
+/// The service of all requests.
+pub fn service() -> ServiceName {
     ServiceName::from("llm")
 }
 
+/// The crash of an engine after its start number `start`.
+pub fn crash_id(engine: usize, start: u64) -> CrashId {
+    CrashId::of(&RegisteredTarget {
+        id: format!("engine-{engine}").into(),
+        service: service(),
+        address: ([127, 0, 0, 1], 1).into(),
+        site: SiteName::from("a"),
+        slots: SLOTS as u32,
+        phase: TargetPhase::Ready,
+        models: Vec::new(),
+        started_unix_ms: start,
+    })
+}
+
 impl<'a> CrashFleet<'a> {
     /// Plays a run; returns the violated bounds.
     pub fn play(plan: &'a FleetPlan, seed: u64) -> Vec<String> {
@@ -275,16 +290,7 @@
         if engine.up_at > self.now {
             return Vec::new();
         }
-        let crash = CrashId::of(&RegisteredTarget {
-            id: format!("engine-{index}").into(),
-            service: service(),
-            address: ([127, 0, 0, 1], 1).into(),
-            site: SiteName::from("a"),
-            slots: SLOTS as u32,
-            phase: TargetPhase::Ready,
-            models: Vec::new(),
-            started_unix_ms: engine.starts,
-        });
+        let crash = crash_id(index, engine.starts);
         engine.starts += 1;
         engine.up_at = self.now + RESTART_TIME;
         let broken = std::mem::take(&mut engine.runs);
--- a/tests/platform_http.rs
+++ b/tests/platform_http.rs
@@ -1,25 +1,13 @@
 //! Calls to the platform whose responses break off.
 
+#[path = "support/serve_once.rs"]
+mod serve_once;
+
 use buckthornwharf::platform::http::{HttpCall, HttpError};
 use bytes::Bytes;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::thread;
+use serve_once::serve_once;
 use std::time::Duration;
 
-/// Starts a server that sends `response` to one request and closes the connection.
-fn serve_once(response: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut buffer = [0; 4096];
-        assert!(stream.read(&mut buffer).expect("a request") > 0);
-        stream.write_all(response.as_bytes()).expect("a response");
-    });
-    address
-}
-
 fn call(response: &'static str) -> Result<Bytes, HttpError> {
     let call = HttpCall {
         method: awc::http::Method::GET,
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -1,14 +1,15 @@
 //! The agent's target client against targets that close the connection before or after the end of
 //! the body.
 
+#[path = "support/serve_once.rs"]
+mod serve_once;
+
 use buckthornwharf::agent::target::{TargetClient, TargetEvent, TargetFailure};
 use buckthornwharf_core::config::PriorityClass;
 use buckthornwharf_core::frame::SubmitFrame;
 use buckthornwharf_core::prelude::*;
 use bytes::Bytes;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
-use std::thread;
+use serve_once::serve_once;
 use tokio::sync::{mpsc, oneshot};
 
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n";
@@ -16,20 +17,6 @@
 const DIGEST: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\nhello";
 
-/// Starts a target that sends `answer` to one request and closes the connection.
-fn serve_once(answer: String) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    thread::spawn(move || {
-        let (mut stream, _) = listener.accept().expect("a connection");
-        let mut buffer = [0; 4096];
-        let read = stream.read(&mut buffer).expect("a request");
-        assert!(read > 0);
-        stream.write_all(answer.as_bytes()).expect("an answer");
-    });
-    address
-}
-
 fn plain_request() -> SubmitFrame {
     SubmitFrame {
         id: RequestId(7),
@@ -77,7 +64,7 @@
 
 /// Last event of `request` to a target that sends `answer`.
 fn last_event_of(request: SubmitFrame, answer: &str) -> TargetEvent {
-    let target = serve_once(answer.to_owned());
+    let target = serve_once(answer);
     actix_rt::System::new().block_on(async {
         let (sender, mut receiver) = mpsc::unbounded_channel();
         let (_cancel, cancelled) = oneshot::channel();
