Name the bounds of the verdict on causes, and pause before a list is read again

A list from before the store was set back was read again without a pause, so that a store that keeps answering from an old copy would be asked in a loop. The verdict's bounds have names in place of bare numbers; no change there.

--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -7,7 +7,7 @@
 use crate::prelude::*;
 use crate::request::poison::{CRASH_RETENTION, MAX_SUSPECTS};
 
-/// Rounds from which other processes are told that a cause was cleared.
+/// Rounds of crashes from which other processes are told of answers that speak for or against a cause.
 const REPORTED_ROUNDS: u32 = 2;
 
 /// A possible cause in a request that was sent to a target.
@@ -126,8 +126,8 @@
 
     /// Returns for how long requests to `service` with these causes are refused; `None` if they are not.
     ///
-    /// A guilty cause that was answered before may be sound again, or was blamed wrongly. So a request with
-    /// it is let through from time to time if it contains no other suspect.
+    /// A guilty cause may be sound again, or was blamed wrongly. So a request with it is let through from
+    /// time to time if it contains no other suspect.
     pub fn refusal(
         &self,
         now: MonoTime,
--- a/core/src/direct/crashes/verdict.rs
+++ b/core/src/direct/crashes/verdict.rs
@@ -3,6 +3,7 @@
 use super::record::CauseRecord;
 use super::{CauseId, CrashId};
 use crate::prelude::*;
+use std::cmp::Reverse;
 
 /// Rounds of crashes that make a cause a suspect which was never answered, while requests without it are.
 const SUSPECT_ROUNDS: u32 = 3;
@@ -10,6 +11,8 @@
 pub(super) const DOUBTFUL_SUSPECT_ROUNDS: u32 = 5;
 /// Rounds that no other cause explains, after which a suspect is guilty too that was never answered.
 const UNEXPLAINED_ROUNDS: u32 = 2;
+/// The same if it has been in flight at [`DOUBTFUL_SUSPECT_ROUNDS`] in all.
+const LAST_UNEXPLAINED_ROUNDS: u32 = 1;
 
 /// A cause with enough crashes to be guilty.
 #[derive(Debug)]
@@ -26,7 +29,7 @@
 /// first, and each of the others only for the crashes that remain.
 pub(super) fn guilty_groups(causes: &SortedTable<CauseId, CauseRecord>) -> Vec<GuiltyGroup> {
     let mut suspects: Vec<Suspect<'_>> = causes.iter().filter_map(Suspect::of).collect();
-    suspects.sort_by_key(|suspect| (suspect.answers, usize::MAX - suspect.record.counting().len()));
+    suspects.sort_by_key(|suspect| (suspect.answers, Reverse(suspect.record.counting().len())));
     let mut explained: Vec<CrashId> = Vec::new();
     let mut groups: Vec<Vec<&Suspect<'_>>> = Vec::new();
     for (index, suspect) in suspects.iter().enumerate() {
@@ -75,12 +78,15 @@
         }
     }
 
+    /// Returns the rounds among the crashes that no other cause explains from which the suspect is guilty.
     fn required_rounds(&self, unexplained: &[CrashId]) -> u32 {
-        let is_whole = unexplained.len() == self.record.counting().len();
-        match self.answers == 0 && !is_whole {
-            true if self.record.evidence(&self.record.counting()) >= DOUBTFUL_SUSPECT_ROUNDS => 1,
-            true => UNEXPLAINED_ROUNDS,
-            false => self.suspect_rounds(),
+        let crashes = self.record.counting();
+        if self.answers > 0 || unexplained.len() == crashes.len() {
+            return self.suspect_rounds();
+        }
+        match self.record.evidence(&crashes) >= DOUBTFUL_SUSPECT_ROUNDS {
+            true => LAST_UNEXPLAINED_ROUNDS,
+            false => UNEXPLAINED_ROUNDS,
         }
     }
 
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -55,6 +55,7 @@
         let mut position = range.position;
         if era.is_some_and(|era| position.era < era) {
             // An answer from before the store was set back came late.
+            reread_delay().await;
             continue;
         }
         let is_set_back = era.is_some_and(|era| era < position.era);
@@ -86,8 +87,7 @@
                     info!(
                         "event=history_lost prefix={prefix} revision={revision} reason=\"{error}\""
                     );
-                    let delay_ms = rand::rng().random_range(REREAD_DELAY_MS);
-                    actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+                    reread_delay().await;
                     break;
                 }
                 Err(error) => health.wait_after_failure(&error).await,
@@ -96,6 +96,11 @@
     }
 }
 
+async fn reread_delay() {
+    let delay_ms = rand::rng().random_range(REREAD_DELAY_MS);
+    actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+}
+
 /// Polls the items below `prefix` for the rest of the process and passes them to `on_items`, which
 /// returns whether they differ from the previous ones. A notification of `refresh` triggers a read at
 /// once.
