Check a target whose answer ended only with its connection

An answer without framing that closes between two events looks complete, also if its target crashed.

The entry now opens another connection to the target before such an answer counts; if it is refused, the answer counts as a crash. Answers with a length or chunks, the usual ones, are not checked.

--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -4,6 +4,7 @@
 use crate::clock;
 use buckthornwharf_core::direct::{CauseId, CrashId, CrashReport, RegisteredTarget, SentCause};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::AnswerFraming;
 use log::info;
 use std::io;
 use std::rc::Rc;
@@ -35,9 +36,28 @@
         self.after_crash_change(is_news);
     }
 
-    /// Records that a target answered a request completely and with success.
-    pub fn on_answer_complete(&self, service: &ServiceName, causes: &[CauseId]) {
-        let is_news = self.crash_ledger.borrow_mut().record_answer(service, causes);
+    /// Records that the answer of `target` to a request with these causes ended without an error, with
+    /// success. If nothing but the close of the connection marks the end, the target may have crashed, so
+    /// it is checked first.
+    pub fn on_answer_ended(
+        self: &Rc<Self>,
+        target: &Arc<RegisteredTarget>,
+        framing: AnswerFraming,
+        causes: Vec<SentCause>,
+    ) {
+        match framing {
+            AnswerFraming::UntilClose => {
+                actix_rt::spawn(check_closed_answer(self.clone(), target.clone(), causes));
+            }
+            AnswerFraming::Delimited | AnswerFraming::NoBody => {
+                self.on_answer_complete(&target.service, &causes);
+            }
+        }
+    }
+
+    fn on_answer_complete(&self, service: &ServiceName, causes: &[SentCause]) {
+        let ids: Vec<CauseId> = causes.iter().map(|sent| sent.cause).collect();
+        let is_news = self.crash_ledger.borrow_mut().record_answer(service, &ids);
         self.after_crash_change(is_news);
     }
 
@@ -124,10 +144,27 @@
 }
 
 async fn check_target(state: Rc<EntryState>, target: Arc<RegisteredTarget>) {
-    let connected = buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await;
+    let is_gone = is_gone(&target).await;
     let broken = state.broken_requests.borrow_mut().remove(&target.id).unwrap_or_default();
-    // Only a refused connection proves that the process is gone; a silent host may be cut off.
-    if connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
+    if is_gone {
         state.on_target_crashed(&target, broken);
     }
 }
+
+async fn check_closed_answer(
+    state: Rc<EntryState>,
+    target: Arc<RegisteredTarget>,
+    causes: Vec<SentCause>,
+) {
+    match is_gone(&target).await {
+        true => state.on_target_crashed(&target, BrokenRequests { requests: 1, causes }),
+        false => state.on_answer_complete(&target.service, &causes),
+    }
+}
+
+/// Returns whether the target's process is gone. Only a refused connection proves that; a silent host may be
+/// cut off.
+async fn is_gone(target: &RegisteredTarget) -> bool {
+    let connected = buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
