Assert again that an entry which serves is ready

When the test fleet learnt to start several entries, its assertion that the first one reports itself ready as soon as it serves became a wait of up to 30 s. That was a weaker check. The first entry is asserted again; only further ones are waited for.

--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -110,7 +110,8 @@
         assert_eq!(fleet.get("/plain/x", "early").await.status, 503);
         fleet.put_config(1, "/plain/", "secret");
         fleet.wait_status("/plain/x", "secret", 200).await;
-        for entry in 0..entries {
+        assert_eq!(fleet.readiness().await, Some(200));
+        for entry in 1..entries {
             fleet.wait_ready(entry).await;
         }
         fleet.engines.iter().for_each(|engine| engine.received.borrow_mut().clear());
