Compare the refused causes only when an answer may have changed them

Each answer and each first event of a stream copied and compared the refused causes and set their metric, although only an answer that the ledger reports as news can change them. No change of behaviour; the same 39 tests pass.

--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -32,8 +32,9 @@
 
     /// Records that the first event of a stream has arrived.
     pub fn on_answer_begun(&self, service: &ServiceName, causes: &[CauseId]) {
-        let is_news = self.crash_ledger.borrow_mut().record_begun(service, causes);
-        self.after_crash_change(is_news);
+        if self.crash_ledger.borrow_mut().record_begun(service, causes) {
+            self.after_crash_change(true);
+        }
     }
 
     /// Records that the answer of `target` to a request with these causes ended without an error, with
@@ -57,8 +58,9 @@
 
     fn on_answer_complete(&self, service: &ServiceName, causes: &[SentCause]) {
         let ids: Vec<CauseId> = causes.iter().map(|sent| sent.cause).collect();
-        let is_news = self.crash_ledger.borrow_mut().record_answer(service, &ids);
-        self.after_crash_change(is_news);
+        if self.crash_ledger.borrow_mut().record_answer(service, &ids) {
+            self.after_crash_change(true);
+        }
     }
 
     /// Records that the connection of a request with these possible causes broke at `target`, and checks
