Log and count callers that leave before their answer is complete

Change: event=caller_left with stage, target and sent_for_ms, and the counter direct_callers_left_total{stage}.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -8,7 +8,7 @@
 use crate::clock;
 use actix_http::StatusCode;
 use admission::{AdmittedRequest, admit};
-use attempt::{AttemptResult, PendingPrefill, RelayedAnswer, TargetAttempt};
+use attempt::{AttemptResult, AttemptStage, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
 use buckthornwharf_core::direct::{
     AttemptFailure, FinalAnswer, NextStep, SlotGrant, SlotRequest, next_step, wait_allowance,
@@ -17,6 +17,7 @@
 use buckthornwharf_exchange::{InboundConnection, InboundRequest};
 use log::info;
 use reply::{LocalReply, StreamReply};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// What happens to the caller's connection after a response.
@@ -67,6 +68,14 @@
     stream: Option<StreamReply>,
 }
 
+/// When a caller left before its answer was complete.
+enum CallerLeft<'a> {
+    /// While its request waited for a slot.
+    Queued,
+    /// During the attempt at this target.
+    InAttempt(&'a str, AttemptStage),
+}
+
 /// Result of a request for a slot.
 enum SlotResult {
     Granted(SlotGrant),
@@ -97,7 +106,10 @@
                     self.state.metrics.queue_time.observe(waited);
                     grant
                 }
-                SlotResult::CallerDisconnected => return ConnectionAction::Abort,
+                SlotResult::CallerDisconnected => {
+                    self.log_caller_left(CallerLeft::Queued);
+                    return ConnectionAction::Abort;
+                }
                 SlotResult::Refused(retry_after) => {
                     return self.refuse(caller, retry_after, "no_place").await;
                 }
@@ -116,8 +128,15 @@
             let prefill = PendingPrefill::new(self.state, &grant);
             let request = &self.request;
             let may_retry = request.kind.may_repeat() && self.attempts < request.max_attempts;
-            let attempt =
-                TargetAttempt { state: self.state, request, grant: &grant, prefill, may_retry };
+            let stage = Cell::new(AttemptStage::Connecting);
+            let attempt = TargetAttempt {
+                state: self.state,
+                request,
+                grant: &grant,
+                prefill,
+                may_retry,
+                stage,
+            };
             let result = attempt.run(caller, &mut self.stream).await;
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
@@ -129,7 +148,10 @@
                     self.log_answer(&answer, &target.id, requested_at);
                     return answer.connection_action;
                 }
-                AttemptResult::CallerDisconnected => return ConnectionAction::Abort,
+                AttemptResult::CallerDisconnected(stage) => {
+                    self.log_caller_left(CallerLeft::InAttempt(&target.id, stage));
+                    return ConnectionAction::Abort;
+                }
                 AttemptResult::TimedOut => return self.give_up_timed_out(caller).await,
                 AttemptResult::Failed(failure) => failure,
             };
@@ -182,6 +204,26 @@
         );
     }
 
+    /// Counts and logs that the caller left before its answer was complete.
+    fn log_caller_left(&self, left: CallerLeft<'_>) {
+        let now = clock::now();
+        let (stage, target, sent_at) = match left {
+            CallerLeft::Queued => ("queued", "-", None),
+            CallerLeft::InAttempt(target, AttemptStage::Connecting) => ("connecting", target, None),
+            CallerLeft::InAttempt(target, AttemptStage::Sent(at)) => ("sent", target, Some(at)),
+            CallerLeft::InAttempt(target, AttemptStage::Answering) => ("answering", target, None),
+        };
+        self.state.metrics.callers_left.with_label_values(&[stage]).inc();
+        info!(
+            "event=caller_left request={} stage={stage} target={target} attempts={} sent_for_ms={} \
+             age_ms={}",
+            self.request.tags.id,
+            self.attempts,
+            sent_at.map_or(0, |sent_at| now.since(sent_at).as_millis()),
+            now.since(self.request.received).as_millis()
+        );
+    }
+
     fn crash_refusal(&self) -> Option<Duration> {
         self.state.crash_refusal(&self.request.service, &self.request.causes)
     }
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -36,6 +36,7 @@
     pub prefill: PendingPrefill<'a>,
     /// Whether the request may be retried at another target if this one runs it and fails.
     pub may_retry: bool,
+    pub stage: Cell<AttemptStage>,
 }
 
 /// The prefill of a request's prompt that is pending at a target. It counts as done once the response has
@@ -80,13 +81,24 @@
     }
 }
 
+/// How far an attempt has got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum AttemptStage {
+    /// Nothing has been sent to the target.
+    Connecting,
+    /// The request was sent at this time; the target has not answered.
+    Sent(MonoTime),
+    /// The target's response has begun.
+    Answering,
+}
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub(super) enum AttemptResult {
     /// The target's response was relayed to the caller, at least in part.
     Answered(RelayedAnswer),
-    /// The caller disconnected.
-    CallerDisconnected,
+    /// The caller disconnected when the attempt had got this far.
+    CallerDisconnected(AttemptStage),
     /// The request's deadline has passed.
     TimedOut,
     /// There is no response that can be relayed, or a stream broke off.
@@ -101,16 +113,6 @@
     Outdated,
 }
 
-impl From<Interruption> for AttemptResult {
-    fn from(interruption: Interruption) -> Self {
-        match interruption {
-            Interruption::CallerDisconnected => AttemptResult::CallerDisconnected,
-            Interruption::TimedOut => AttemptResult::TimedOut,
-            Interruption::Outdated => AttemptResult::Failed(AttemptFailure::Outdated),
-        }
-    }
-}
-
 impl TargetAttempt<'_> {
     /// Sends the request and relays the response. `stream` is the stream that an earlier attempt began to
     /// relay; it is set if this attempt begins one.
@@ -121,7 +123,11 @@
     ) -> AttemptResult {
         match self.exchange(caller, stream).await {
             Ok(result) => result,
-            Err(interruption) => interruption.into(),
+            Err(Interruption::CallerDisconnected) => {
+                AttemptResult::CallerDisconnected(self.stage.get())
+            }
+            Err(Interruption::TimedOut) => AttemptResult::TimedOut,
+            Err(Interruption::Outdated) => AttemptResult::Failed(AttemptFailure::Outdated),
         }
     }
 
@@ -145,6 +151,7 @@
         let Some(request) = self.outbound_request(target, stream.as_ref()) else {
             return Err(Interruption::TimedOut);
         };
+        self.stage.set(AttemptStage::Sent(clock::now()));
         let mut head = self.within_begin_by(caller, connection.exchange(request)).await?;
         for _ in 0..MAX_FOREIGN_ANSWERS {
             let answer = match head {
@@ -157,6 +164,7 @@
             }
             match class {
                 AnswerClass::Valid => {
+                    self.stage.set(AttemptStage::Answering);
                     self.prefill.mark_done();
                     let age = clock::now().since(self.request.received);
                     self.state.metrics.time_to_first_byte.observe(age.as_secs_f64());
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -28,6 +28,8 @@
     pub answers: IntCounterVec,
     /// Attempts that gave no answer to relay to the caller, by how they ended.
     pub failed_attempts: IntCounterVec,
+    /// Callers that left before their answer was complete, by how far their request had got.
+    pub callers_left: IntCounterVec,
     /// Targets that refused connections after a request's connection broke.
     pub target_crashes: IntCounter,
     /// Targets that said that they leave, and pauses that targets asked for.
@@ -78,6 +80,12 @@
                 "Attempts without an answer to pass on, by how they ended",
                 &["end"],
             )?,
+            callers_left: new_counters(
+                &registry,
+                "direct_callers_left_total",
+                "Callers that left before their answer was complete, by the stage of their request",
+                &["stage"],
+            )?,
             target_crashes: new_counter(
                 &registry,
                 "direct_target_crashes_total",
