--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -252,3 +252,32 @@
         }
     }
 }
+
+/// A peer that stands still has not acknowledged the end of the request yet.
+#[actix_rt::test]
+#[ignore = "known red"]
+async fn an_aborted_exchange_does_not_deliver_the_rest_of_its_request() {
+    const BODY_BYTES: usize = 100_000;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4096).expect("an open socket");
+    let address = listener.local_addr().expect("it is bound");
+    let timeout = Duration::from_secs(20);
+    let mut connection = OutboundConnection::open(address, timeout).await.expect("it connects");
+    let request = OutboundRequest {
+        method: Method::POST,
+        uri: "/".parse().expect("a valid path"),
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![b'x'; BODY_BYTES]),
+    };
+    let (mut stream, _) = listener.accept().await.expect("a client connects");
+    tokio::select! {
+        _ = connection.exchange(request) => panic!("there is no answer"),
+        ready = stream.readable() => ready.expect("the request arrives"),
+    }
+    drop(connection);
+    let mut received = Vec::new();
+    let ended = stream.read_to_end(&mut received).await;
+    let failure = ended.expect_err("the connection is reset").kind();
+    assert_eq!(failure, std::io::ErrorKind::ConnectionReset);
+    assert!(received.len() < BODY_BYTES, "the whole request was delivered");
+}
