Look whether a caller has left before its request gets a slot or is sent

What callers saw: after an entry had stood still, requests of callers that had left meanwhile took the slots, and callers that were there got 503.

Cause: an entry noticed that a caller had left only when it next waited for something; by then a request that got a slot at once had been sent.

Change: the caller's socket is read, without waiting for the runtime to report it, before a slot is requested and again before the request is written.

--- a/exchange/src/inbound.rs
+++ b/exchange/src/inbound.rs
@@ -6,6 +6,8 @@
 use actix_http::header::HeaderMap;
 use actix_http::{ConnectionType, Method, Response, StatusCode, Uri, Version};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
+use std::io::Read;
 use std::time::Duration;
 use std::{fmt, io};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -214,6 +216,24 @@
         }
     }
 
+    /// Returns whether the caller has closed the connection, also if the runtime has not noticed it yet.
+    /// Pipelined requests are buffered as by [`InboundConnection::closed`].
+    pub fn has_closed(&mut self) -> bool {
+        let mut part = [0; READ_RESERVE_BYTES];
+        while !self.eof && self.buffer.len() < MAX_PIPELINED_BYTES {
+            match (&*SockRef::from(&self.stream)).read(&mut part) {
+                Ok(count) => {
+                    self.buffer.extend_from_slice(&part[..count]);
+                    self.eof = count == 0;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => self.eof = true,
+            }
+        }
+        self.eof
+    }
+
     /// Appends the head of an answer to the output buffer. `close` announces to the caller that the
     /// connection ends with this answer.
     ///
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -70,7 +70,7 @@
 
 /// When a caller left before its answer was complete.
 enum CallerLeft<'a> {
-    /// While its request waited for a slot.
+    /// Before its request had a slot.
     Queued,
     /// During the attempt at this target.
     InAttempt(&'a str, AttemptStage),
@@ -96,6 +96,10 @@
 impl RequestRun<'_> {
     async fn run(mut self, caller: &mut InboundConnection) -> ConnectionAction {
         loop {
+            if caller.has_closed() {
+                self.log_caller_left(CallerLeft::Queued);
+                return ConnectionAction::Abort;
+            }
             if let Some(retry_after) = self.crash_refusal() {
                 return self.refuse(caller, retry_after, "crashes_targets").await;
             }
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -148,6 +148,9 @@
                 }
             }
         };
+        if caller.has_closed() {
+            return Err(Interruption::CallerDisconnected);
+        }
         let Some(request) = self.outbound_request(target, stream.as_ref()) else {
             return Err(Interruption::TimedOut);
         };
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -147,6 +147,20 @@
     eventually("the target's connection is closed", || fleet.engines[0].abandoned.get() == 1).await;
 }
 
+#[actix_rt::test]
+async fn requests_whose_callers_left_while_the_entry_was_suspended_are_not_sent() {
+    let fleet = DirectFleet::start(2).await;
+    fleet.suspend_entry();
+    for number in 0..20 {
+        fleet.send_and_leave("/plain/x", &format!("left-{number}")).await;
+    }
+    fleet.resume_entry();
+    assert_eq!(fleet.get("/plain/x", "after").await.status, 200);
+    let received = fleet.engines.iter().flat_map(|engine| engine.received.borrow().clone());
+    let left = received.filter(|received| received.id.starts_with("left")).count();
+    assert_eq!(left, 0, "requests reached targets after their callers had left");
+}
+
 #[actix_rt::test]
 async fn a_revoked_key_and_a_new_route_take_effect_after_a_store_outage() {
     let fleet = DirectFleet::start(1).await;
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::standin::caller::CallerRequest;
 use super::standin::engine::{EngineBehaviour, EngineStandin};
-use super::standin::operator::{self, RouteTimes};
+use super::standin::operator::{self, HOST, RouteTimes};
 use super::standin::store::StoreStandin;
 use actix_http::Method;
 use buckthornwharf_exchange::{AnswerHead, OutboundRequest};
@@ -16,6 +16,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Timeout for a condition to hold, and for connecting and exiting.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -283,6 +285,16 @@
         }
     }
 
+    /// Sends a request and closes the connection at once, in an orderly way.
+    pub async fn send_and_leave(&self, path: &str, id: &str) {
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer secret\r\n\
+             attempt-id: {id}\r\ndeadline-ms: {DEADLINE_MS}\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(self.entries[0].callers).await.expect("it connects");
+        stream.write_all(head.as_bytes()).await.expect("the connection is open");
+    }
+
     /// Sends a request and terminates the entry (SIGTERM) once a target has it.
     pub async fn get_during_shutdown(&mut self, path: &str, id: &str) -> EntryReply {
         let mut connection = self.connect(0).await;
