--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,7 +5,7 @@
 pub mod entry;
 mod facts;
 mod follow;
-mod loads;
+pub mod loads;
 pub mod metrics;
 mod presence;
 mod reload;
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -184,6 +184,13 @@
             .await;
     }
 
+    /// The address at which agents reach the first entry.
+    pub fn peer_address(&self) -> SocketAddr {
+        let records = self.store.values("buckthornwharf/entry/");
+        let record: serde_json::Value = serde_json::from_str(&records[0]).expect("valid JSON");
+        record["address"].as_str().and_then(|text| text.parse().ok()).expect("an address")
+    }
+
     /// Changes the state under which a target is registered.
     pub fn set_state(&self, number: usize, state: &str) {
         let engine = &self.engines[number];
