Split the slot scheduler: requests and grants, and what targets say that they take

Change: grant.rs has the requests and the decisions on them, restrictions.rs the notices, pauses and limits of targets; constants stand beside their only use. No logic has changed.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -6,98 +6,32 @@
 //! request therefore waits only as long as a response in time can still be expected.
 
 mod entry_regions;
+mod grant;
 mod load;
 mod notices;
 mod queue;
 mod rate_limit;
+mod restrictions;
 
-use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget, WaitAllowance};
+use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 pub use entry_regions::EntryRegions;
+pub use grant::{Admission, SlotGrant, SlotOutcome, SlotRequest, WaitTicket};
 use load::TargetLoad;
 pub use notices::MAX_PAUSE;
 use notices::NoticeTable;
 use queue::{ServiceQueue, Waiter};
 
-/// Cool-down of a target after a first failure (unreachable, or the exchange failed).
-const FIRST_COOLDOWN: Duration = Duration::from_millis(250);
-/// Longest cool-down of a target after consecutive failures.
-const MAX_COOLDOWN: Duration = Duration::from_secs(4);
-/// Cool-down of a target that refused a request because it was full.
-const FULL_COOLDOWN: Duration = Duration::from_millis(60);
 /// Shortest and longest time after which a refused caller may retry. The response will miss its
 /// latency objective anyway, so the overload gets time to pass. The time is also long enough to
 /// tell retries from callers with a shorter timeout.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(1000), Duration::from_millis(1900));
-/// Percentage of the slots of a target in another region that all entries together use while there
-/// is no fresh load report.
-const UNREPORTED_REMOTE_PERCENT: u32 = 40;
-
 /// Longest time that a target may need to read the pending prompts of one entry, so that the
 /// response to the last one is not late.
 const MAX_PREFILL_TIME: Duration = Duration::from_millis(100);
 
-/// Identifies a waiting request.
-pub type WaitTicket = u64;
-
-/// A request for a slot at a target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SlotRequest {
-    /// Service that the target must belong to.
-    pub service: ServiceName,
-    /// Priority; 0 is served first.
-    pub priority: u8,
-    /// How long the request may wait, and whether it is late.
-    pub wait: WaitAllowance,
-    /// Latency objective: time within which the response should begin. Zero if there is none.
-    pub objective: Duration,
-    /// Ids of the targets that were tried already and are excluded.
-    pub tried: Vec<Arc<str>>,
-    /// Number of prompt tokens; 0 if there is no prompt.
-    pub prompt_tokens: u32,
-    /// Model that the target must have loaded, in a version that may still be used.
-    pub model: Option<ModelName>,
-}
-
-/// A slot granted to a request. It must be released by [`SlotScheduler::release`], or by
-/// [`SlotScheduler::release_unused`] if the request was not sent.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SlotGrant {
-    /// Target that the request is sent to.
-    pub target: Arc<RegisteredTarget>,
-    /// Number of prompt tokens that the target has to read.
-    pub prompt_tokens: u32,
-    /// When the slot was granted.
-    pub granted_at: MonoTime,
-    /// Time by which the target must have begun to run the request, because its loaded version is
-    /// retired then; `None` if no newer version is declared.
-    pub begin_by: Option<MonoTime>,
-}
-
-/// Decision on a [`SlotRequest`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Admission {
-    /// The request has a slot and can be sent.
-    Granted(SlotGrant),
-    /// The request waits in the queue.
-    Queued(WaitTicket),
-    /// The request cannot be served in time; the caller may retry after this time.
-    Refused(Duration),
-}
-
-/// How the target handled the request when its slot is released.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum SlotOutcome {
-    /// It responded, or the attempt ended for another reason than a fault of the target.
-    Answered,
-    /// It refused the request because it was full.
-    Full,
-    /// It was unreachable, or the exchange failed.
-    Failed,
-}
-
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
 #[derive(Debug)]
@@ -172,22 +106,6 @@
         self.update_limit_shares();
     }
 
-    fn update_limit_shares(&mut self) {
-        let mut service_regions: SortedTable<ServiceName, Vec<RegionName>> = SortedTable::new();
-        for load in self.targets.values().filter(|load| load.registered) {
-            let regions = service_regions.get_or_insert_with(load.record.service.clone(), Vec::new);
-            if let Some(region) = self.regions.region_of(&load.record.site)
-                && let Err(index) = regions.binary_search(region)
-            {
-                regions.insert(index, region.clone());
-            }
-        }
-        for load in self.targets.values_mut() {
-            let regions = service_regions.get(&load.record.service).map_or(&[][..], Vec::as_slice);
-            load.limit_share = self.regions.limit_share(&load.record.site, regions);
-        }
-    }
-
     /// Stores a target's load report: the number of requests of all entries that it runs or queues,
     /// and whether it accepts more.
     pub fn set_load(&mut self, now: MonoTime, id: &str, requests: u32, accepting: bool) {
@@ -196,29 +114,6 @@
         }
     }
 
-    /// Records that a target said that it leaves: it gets no further requests before its next start.
-    /// Returns whether that is new.
-    pub fn record_leaving(&mut self, now: MonoTime, target: &RegisteredTarget) -> bool {
-        self.notices.record_leaving(now, target)
-    }
-
-    /// Records that a target wants no requests for `pause`, at most [`MAX_PAUSE`].
-    pub fn record_pause(&mut self, now: MonoTime, target: &RegisteredTarget, pause: Duration) {
-        self.notices.record_pause(now, target, pause);
-    }
-
-    /// Records the limit in requests per second that a target names for all entries together, or that it
-    /// names none. Returns whether that has changed.
-    pub fn record_limit(
-        &mut self,
-        now: MonoTime,
-        target: &RegisteredTarget,
-        per_second: Option<f64>,
-    ) -> bool {
-        let share = self.targets.get(&target.id).map_or(1.0, |load| load.limit_share);
-        self.notices.record_limit(now, target, per_second, share)
-    }
-
     /// Grants a slot to a request, queues it, or refuses it if the expected wait is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
@@ -388,36 +283,6 @@
         self.targets.values().filter(usable).map(slots_of).sum()
     }
 
-    /// Returns how many requests the limited targets that have a free slot allow within the time that
-    /// `request` may wait.
-    fn allowed_in_time(&self, now: MonoTime, request: &SlotRequest) -> usize {
-        let required = self.required_version(now, request);
-        let accepts_until = now + request.wait.max_wait;
-        let allowed = |load: &TargetLoad| {
-            let is_free = load.is_eligible(now, request, required)
-                && load.available_slots(now, &self.regions) > 0
-                && self.accepts_from(load).is_some_and(|at| at <= accepts_until);
-            let allowed = self.notices.allowed_until(accepts_until, &load.record, load.limit_share);
-            allowed.filter(|_| is_free).unwrap_or(0) as usize
-        };
-        self.targets.values().map(allowed).sum()
-    }
-
-    /// Returns when the target accepts a request again, as far as it said; `None` if it never does
-    /// before its next start.
-    fn accepts_from(&self, load: &TargetLoad) -> Option<MonoTime> {
-        self.notices.accepts_from(&load.record, load.limit_share)
-    }
-
-    /// Returns the time until the first target of `request` that is paused or limited accepts a request
-    /// again.
-    fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
-        let required = self.required_version(now, request);
-        let loads = self.targets.values().filter(|load| load.serves(request, required));
-        let pause_end = loads.filter_map(|load| self.accepts_from(load)).min()?;
-        Some(pause_end.since(now))
-    }
-
     /// Returns the oldest version of the request's model that may be used; `None` if any version
     /// may.
     fn required_version(&self, now: MonoTime, request: &SlotRequest) -> Option<u64> {
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -1,17 +1,23 @@
 //! Load of one target, as seen by this entry.
 
-use super::{
-    EntryRegions, FIRST_COOLDOWN, FULL_COOLDOWN, MAX_COOLDOWN, SlotOutcome, SlotRequest,
-    UNREPORTED_REMOTE_PERCENT,
-};
+use super::{EntryRegions, SlotOutcome, SlotRequest};
 use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
 use crate::prelude::*;
 
+/// Cool-down of a target after a first failure (unreachable, or the exchange failed).
+const FIRST_COOLDOWN: Duration = Duration::from_millis(250);
+/// Longest cool-down of a target after consecutive failures.
+const MAX_COOLDOWN: Duration = Duration::from_secs(4);
+/// Cool-down of a target that refused a request because it was full.
+const FULL_COOLDOWN: Duration = Duration::from_millis(60);
 /// Age from which a load report is stale and ignored.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1000);
 /// Percentage of the reported free slots that the entries of the target's own region may take
 /// together before its next report; the entries of other regions may take the rest.
 const LOCAL_PERCENT: u32 = 75;
+/// Percentage of the slots of a target in another region that all entries together use while there
+/// is no fresh load report.
+const UNREPORTED_REMOTE_PERCENT: u32 = 40;
 /// Percentage of a request's latency objective after which a target that has not begun to respond
 /// gets no further requests: it hangs, or its link is far too slow, so further requests would be
 /// late too.
--- /dev/null
+++ b/core/src/direct/slots/restrictions.rs
@@ -0,0 +1,77 @@
+//! What targets have said that they take: requests only until they leave, after a pause, or up to a limit.
+
+use super::load::TargetLoad;
+use super::{SlotRequest, SlotScheduler};
+use crate::direct::RegisteredTarget;
+use crate::prelude::*;
+
+impl SlotScheduler {
+    /// Records that a target said that it leaves: it gets no further requests before its next start.
+    /// Returns whether that is new.
+    pub fn record_leaving(&mut self, now: MonoTime, target: &RegisteredTarget) -> bool {
+        self.notices.record_leaving(now, target)
+    }
+
+    /// Records that a target wants no requests for `pause`, at most [`MAX_PAUSE`](super::MAX_PAUSE).
+    pub fn record_pause(&mut self, now: MonoTime, target: &RegisteredTarget, pause: Duration) {
+        self.notices.record_pause(now, target, pause);
+    }
+
+    /// Records the limit in requests per second that a target names for all entries together, or that it
+    /// names none. Returns whether that has changed.
+    pub fn record_limit(
+        &mut self,
+        now: MonoTime,
+        target: &RegisteredTarget,
+        per_second: Option<f64>,
+    ) -> bool {
+        let share = self.targets.get(&target.id).map_or(1.0, |load| load.limit_share);
+        self.notices.record_limit(now, target, per_second, share)
+    }
+
+    /// Returns when the target accepts a request again, as far as it said; `None` if it never does
+    /// before its next start.
+    pub(super) fn accepts_from(&self, load: &TargetLoad) -> Option<MonoTime> {
+        self.notices.accepts_from(&load.record, load.limit_share)
+    }
+
+    /// Returns the time until the first target of `request` that is paused or limited accepts a request
+    /// again.
+    pub(super) fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
+        let required = self.required_version(now, request);
+        let loads = self.targets.values().filter(|load| load.serves(request, required));
+        let pause_end = loads.filter_map(|load| self.accepts_from(load)).min()?;
+        Some(pause_end.since(now))
+    }
+
+    /// Returns how many requests the limited targets that have a free slot allow within the time that
+    /// `request` may wait.
+    pub(super) fn allowed_in_time(&self, now: MonoTime, request: &SlotRequest) -> usize {
+        let required = self.required_version(now, request);
+        let accepts_until = now + request.wait.max_wait;
+        let allowed = |load: &TargetLoad| {
+            let is_free = load.is_eligible(now, request, required)
+                && load.available_slots(now, &self.regions) > 0
+                && self.accepts_from(load).is_some_and(|at| at <= accepts_until);
+            let allowed = self.notices.allowed_until(accepts_until, &load.record, load.limit_share);
+            allowed.filter(|_| is_free).unwrap_or(0) as usize
+        };
+        self.targets.values().map(allowed).sum()
+    }
+
+    pub(super) fn update_limit_shares(&mut self) {
+        let mut service_regions: SortedTable<ServiceName, Vec<RegionName>> = SortedTable::new();
+        for load in self.targets.values().filter(|load| load.registered) {
+            let regions = service_regions.get_or_insert_with(load.record.service.clone(), Vec::new);
+            if let Some(region) = self.regions.region_of(&load.record.site)
+                && let Err(index) = regions.binary_search(region)
+            {
+                regions.insert(index, region.clone());
+            }
+        }
+        for load in self.targets.values_mut() {
+            let regions = service_regions.get(&load.record.service).map_or(&[][..], Vec::as_slice);
+            load.limit_share = self.regions.limit_share(&load.record.site, regions);
+        }
+    }
+}
