Test that an entry that was suspended does not take its targets for silent

Passes as the code is: load reports that arrived meanwhile are read before the timers of the requests run. Without the test, nothing would hold that order.

--- a/tests/direct_silent.rs
+++ b/tests/direct_silent.rs
@@ -18,6 +18,8 @@
 const SLOTS: u32 = 4;
 /// Longer than the time after which a silent target's request is sent elsewhere.
 const LONG_SILENCE: Duration = Duration::from_millis(2500);
+/// Longer than the time after which a load report counts as stale, and shorter than `LONG_SILENCE`.
+const SUSPENDED_TIME: Duration = Duration::from_millis(1200);
 
 /// Load reports of targets, sent until a target is silenced.
 struct LoadReports {
@@ -141,3 +143,22 @@
     assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-0"));
     assert_eq!(fleet.engines[1].runs(), 0);
 }
+
+#[actix_rt::test]
+async fn requests_stay_at_targets_that_only_seem_silent_to_an_entry_that_was_suspended() {
+    let fleet = DirectFleet::start(2).await;
+    let reports = LoadReports::start(&fleet).await;
+    fleet.engines[0].behaviour.set(EngineBehaviour::Slow);
+    fleet.engines[0].slow_time.set(LONG_SILENCE);
+    let suspend = async {
+        eventually("the request arrives", || fleet.engines[0].runs() == 1).await;
+        reports.report(1, 0);
+        actix_rt::time::sleep(SUSPENDED_TIME).await;
+        fleet.suspend_entry();
+        actix_rt::time::sleep(SUSPENDED_TIME).await;
+        fleet.resume_entry();
+    };
+    let (reply, ()) = futures_util::future::join(fleet.get("/plain/x", "id-1"), suspend).await;
+    assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-0"));
+    assert_eq!(fleet.engines[1].runs(), 0);
+}
