Close the connection to a target in an orderly way when its version is retired

Cause, as far as it goes: a reset is not sent again, so a target that it does not reach goes on.

Change: an exchange that is aborted because the version of a live target is retired ends with an orderly close again; all others (the caller left, the deadline passed, the request moved from a silent target) are reset as before.

--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -93,7 +93,8 @@
 }
 
 /// A connection to a server, for one exchange at a time. If it is dropped before the answer has been read
-/// to its end, it is reset, which discards what the server has not acknowledged of the request.
+/// to its end, it is reset, which discards what the server has not acknowledged of the request, unless
+/// [`OutboundConnection::close_orderly_on_drop`] was called.
 pub struct OutboundConnection {
     stream: TcpStream,
     decoder: BodyDecoder,
@@ -143,6 +144,13 @@
         })
     }
 
+    /// Makes the connection end with an orderly close, also if an exchange is open. The peer gets all of the
+    /// request then, but is sure to notice the end: a reset is not sent again if it is lost.
+    pub fn close_orderly_on_drop(&mut self) {
+        self.is_exchange_open = false;
+        self.reusable = false;
+    }
+
     /// Whether the connection may be used for another exchange: the last one ended cleanly, no
     /// bytes are left over, and the peer has not closed the connection.
     pub fn is_reusable(&mut self) -> bool {
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -123,6 +123,18 @@
     Moved(ReservedSlot),
 }
 
+impl Interruption {
+    /// Chooses how the connection of the interrupted step ends. A target that is left because its version is
+    /// retired is alive, and has to notice the end for certain; any other one must not get the rest of the
+    /// request.
+    fn closing(self, connection: &mut OutboundConnection) -> Self {
+        if matches!(self, Interruption::Outdated) {
+            connection.close_orderly_on_drop();
+        }
+        self
+    }
+}
+
 impl TargetAttempt<'_> {
     /// Sends the request and relays the response. `stream` is the stream that an earlier attempt began to
     /// relay; it is set if this attempt begins one.
@@ -166,7 +178,8 @@
             return Err(Interruption::TimedOut);
         };
         self.stage.set(AttemptStage::Sent(clock::now()));
-        let mut head = self.within_begin_by(caller, connection.exchange(request)).await?;
+        let head = self.within_begin_by(caller, connection.exchange(request)).await;
+        let mut head = head.map_err(|interruption| interruption.closing(&mut connection))?;
         for _ in 0..MAX_FOREIGN_ANSWERS {
             let answer = match head {
                 Ok(answer) => answer,
@@ -195,7 +208,9 @@
                 }
                 AnswerClass::OtherRequest => {
                     let next_answer = skip_answer(&mut connection);
-                    head = self.within_begin_by(caller, next_answer).await?;
+                    let next_head = self.within_begin_by(caller, next_answer).await;
+                    head =
+                        next_head.map_err(|interruption| interruption.closing(&mut connection))?;
                 }
             }
         }
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -182,7 +182,7 @@
                 Ok(part) => part,
                 Err(interruption) => {
                     *stream = reply.into_begun();
-                    return Err(interruption);
+                    return Err(interruption.closing(&mut connection));
                 }
             };
             let step = take_received(&mut reply, &mut connection, part);
