Close the connection to a silent target in an orderly way when its request moves

Change: the connection ends with an orderly close then, too. Exchanges whose caller left, or whose deadline passed, are reset as before.

--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -124,11 +124,11 @@
 }
 
 impl Interruption {
-    /// Chooses how the connection of the interrupted step ends. A target that is left because its version is
-    /// retired is alive, and has to notice the end for certain; any other one must not get the rest of the
-    /// request.
+    /// Chooses how the connection of the interrupted step ends. A target whose version is retired, or whose
+    /// request moves, may be alive behind a slow path and has to notice the end for certain. In other cases it
+    /// must not get the rest of the request.
     fn closing(self, connection: &mut OutboundConnection) -> Self {
-        if matches!(self, Interruption::Outdated) {
+        if matches!(self, Interruption::Outdated | Interruption::Moved(_)) {
             connection.close_orderly_on_drop();
         }
         self
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -84,7 +84,8 @@
     ) -> Result<AttemptResult, Interruption> {
         let mut body = BytesMut::new();
         loop {
-            match self.unless_silent(caller, connection.read_body()).await? {
+            let part = self.unless_silent(caller, connection.read_body()).await;
+            match part.map_err(|interruption| interruption.closing(&mut connection))? {
                 Ok(BodyPart::Data(bytes)) => body.extend_from_slice(&bytes),
                 // The format of the body is not known here, so an orderly close has to be believed.
                 Ok(BodyPart::End | BodyPart::Closed) => break,
