Let requests that leave a silent target go before new ones

Change: such a request was admitted before, so it now goes before those that were not.

Tests of the direct path passed.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -144,8 +144,9 @@
             let may_retry = request.kind.may_repeat() && self.attempts < request.max_attempts;
             let retry = may_retry.then(|| {
                 let mut retry = self.slot_request(clock::now());
-                // It was admitted before, so it is not put behind requests that are in time.
+                // It was admitted before, so it goes before requests that were not.
                 retry.wait = WaitAllowance { max_wait: MAX_MOVE_WAIT, late: false };
+                retry.priority = 0;
                 retry
             });
             let stage = Cell::new(AttemptStage::Connecting);
