--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -92,9 +92,7 @@
     Unknown,
 }
 
-/// A connection to a server, for one exchange at a time. If it is dropped before the answer has been read
-/// to its end, it is reset, which discards what the server has not acknowledged of the request, unless
-/// [`OutboundConnection::close_orderly_on_drop`] was called.
+/// A connection to a server, for one exchange at a time.
 pub struct OutboundConnection {
     stream: TcpStream,
     decoder: BodyDecoder,
@@ -107,6 +105,7 @@
     reusable: bool,
     /// Whether a request was encoded whose answer has not been read to its end.
     is_exchange_open: bool,
+    reset_on_abort: bool,
 }
 
 impl fmt::Debug for OutboundConnection {
@@ -117,7 +116,7 @@
 
 impl Drop for OutboundConnection {
     fn drop(&mut self) {
-        if self.is_exchange_open {
+        if self.is_exchange_open && self.reset_on_abort {
             // If this fails, the connection ends with an orderly close.
             let _ = self.stream.set_zero_linger();
         }
@@ -141,14 +140,15 @@
             method: Method::GET,
             reusable: true,
             is_exchange_open: false,
+            reset_on_abort: false,
         })
     }
 
-    /// Makes the connection end with an orderly close, also if an exchange is open. The peer gets all of the
-    /// request then, but is sure to notice the end: a reset is not sent again if it is lost.
-    pub fn close_orderly_on_drop(&mut self) {
-        self.is_exchange_open = false;
-        self.reusable = false;
+    /// Sets how the connection ends if it is dropped before the answer has been read to its end: with a reset,
+    /// which discards what the server has not acknowledged of the request but is not sent again if it is lost,
+    /// or with an orderly close, which is the default.
+    pub fn set_reset_on_abort(&mut self, reset_on_abort: bool) {
+        self.reset_on_abort = reset_on_abort;
     }
 
     /// Whether the connection may be used for another exchange: the last one ended cleanly, no
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -257,7 +257,7 @@
 
 /// Aborts an exchange whose peer stands still, so that it has not acknowledged the whole request. Returns
 /// what the peer received after that, and how its connection ended.
-async fn abort_exchange(end: impl FnOnce(OutboundConnection)) -> (usize, std::io::Result<usize>) {
+async fn abort_exchange(reset_on_abort: bool) -> (usize, std::io::Result<usize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     socket2::SockRef::from(&listener).set_recv_buffer_size(4096).expect("an open socket");
     let address = listener.local_addr().expect("it is bound");
@@ -275,7 +275,8 @@
         _ = connection.exchange(request) => panic!("there is no answer"),
         peeked = stream.peek(&mut first_byte) => assert_eq!(peeked.expect("the request arrives"), 1),
     }
-    end(connection);
+    connection.set_reset_on_abort(reset_on_abort);
+    drop(connection);
     let mut received = Vec::new();
     let ended = stream.read_to_end(&mut received).await;
     (received.len(), ended)
@@ -283,7 +284,7 @@
 
 #[actix_rt::test]
 async fn an_aborted_exchange_does_not_deliver_the_rest_of_its_request() {
-    let (received, ended) = abort_exchange(drop).await;
+    let (received, ended) = abort_exchange(true).await;
     let failure = ended.expect_err("the connection is reset").kind();
     assert_eq!(failure, std::io::ErrorKind::ConnectionReset);
     assert!(received < BODY_BYTES, "the whole request was delivered");
@@ -291,7 +292,6 @@
 
 #[actix_rt::test]
 async fn an_exchange_that_ends_orderly_delivers_what_was_sent_and_then_its_end() {
-    let close_orderly = |mut connection: OutboundConnection| connection.close_orderly_on_drop();
-    let (received, ended) = abort_exchange(close_orderly).await;
+    let (received, ended) = abort_exchange(false).await;
     assert_eq!(ended.expect("an orderly end"), received);
 }
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -129,7 +129,7 @@
     /// must not get the rest of the request.
     fn closing(self, connection: &mut OutboundConnection) -> Self {
         if matches!(self, Interruption::Outdated | Interruption::Moved(_)) {
-            connection.close_orderly_on_drop();
+            connection.set_reset_on_abort(false);
         }
         self
     }
@@ -171,6 +171,7 @@
                 }
             }
         };
+        connection.set_reset_on_abort(true);
         if caller.has_closed() {
             return Err(Interruption::CallerDisconnected);
         }
