Build the request that leaves a silent target only when it leaves

Cause: each attempt of a repeatable request built a second slot request, with its copies, and then replaced the wait that it had just computed; nearly none is ever used. may_retry had been turned into that request and hidden by it.

Change: TargetAttempt has may_retry again and the targets tried; the slot request is built by the admitted request, in one place, when the target has fallen silent. No decision changes.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -10,10 +10,7 @@
 use admission::{AdmittedRequest, admit};
 use attempt::{AttemptResult, AttemptStage, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
-use buckthornwharf_core::direct::{
-    AttemptFailure, FinalAnswer, NextStep, SlotGrant, SlotRequest, WaitAllowance, next_step,
-    wait_allowance,
-};
+use buckthornwharf_core::direct::{AttemptFailure, FinalAnswer, NextStep, SlotGrant, next_step};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{InboundConnection, InboundRequest};
 use log::info;
@@ -21,10 +18,6 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Longest time that a request at a silent target waits for a slot at another one before it looks again
-/// which targets are silent.
-const MAX_MOVE_WAIT: Duration = Duration::from_secs(1);
-
 /// What happens to the caller's connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionAction {
@@ -142,16 +135,15 @@
             let prefill = PendingPrefill::new(self.state, &grant);
             let request = &self.request;
             let may_retry = request.kind.may_repeat() && self.attempts < request.max_attempts;
-            let retry = may_retry.then(|| {
-                let mut retry = self.slot_request(clock::now());
-                // It was admitted before, so it goes before requests that were not.
-                retry.wait = WaitAllowance { max_wait: MAX_MOVE_WAIT, late: false };
-                retry.priority = 0;
-                retry
-            });
-            let stage = Cell::new(AttemptStage::Connecting);
-            let attempt =
-                TargetAttempt { state: self.state, request, grant: &grant, prefill, retry, stage };
+            let attempt = TargetAttempt {
+                state: self.state,
+                request,
+                grant: &grant,
+                prefill,
+                may_retry,
+                tried: &self.tried,
+                stage: Cell::new(AttemptStage::Connecting),
+            };
             let result = attempt.run(caller, &mut self.stream).await;
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
@@ -262,24 +254,9 @@
         step
     }
 
-    fn slot_request(&self, now: MonoTime) -> SlotRequest {
-        let request = &self.request;
-        let elapsed = request.elapsed_before + now.since(request.received);
-        let time_left = request.deadline.since(now);
-        SlotRequest {
-            service: request.service.clone(),
-            priority: request.priority,
-            wait: wait_allowance(request.objective, elapsed, time_left),
-            objective: request.objective,
-            tried: self.tried.clone(),
-            prompt_tokens: request.tags.tokens.0,
-            model: request.tags.model.clone(),
-        }
-    }
-
     async fn acquire_slot(&mut self, caller: &mut InboundConnection) -> SlotResult {
         let now = clock::now();
-        let slot_request = self.slot_request(now);
+        let slot_request = self.request.slot_request(now, &self.tried);
         let mut pending = match self.state.request_slot(now, slot_request) {
             Ok(decision) => return decision.into(),
             Err(pending) => pending,
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -3,7 +3,7 @@
 use super::reply::LocalReply;
 use crate::direct::entry::state::EntryState;
 use actix_http::StatusCode;
-use buckthornwharf_core::direct::{CauseId, WorkKind, request_causes};
+use buckthornwharf_core::direct::{CauseId, SlotRequest, WorkKind, request_causes, wait_allowance};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::{RequestTags, read_request};
@@ -36,6 +36,22 @@
     pub objective: Duration,
 }
 
+impl AdmittedRequest {
+    /// The request for a slot of the next attempt, at none of the targets `tried`.
+    pub fn slot_request(&self, now: MonoTime, tried: &[Arc<str>]) -> SlotRequest {
+        let elapsed = self.elapsed_before + now.since(self.received);
+        SlotRequest {
+            service: self.service.clone(),
+            priority: self.priority,
+            wait: wait_allowance(self.objective, elapsed, self.deadline.since(now)),
+            objective: self.objective,
+            tried: tried.to_vec(),
+            prompt_tokens: self.tags.tokens.0,
+            model: self.tags.model.clone(),
+        }
+    }
+}
+
 /// Why a request was not admitted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -9,7 +9,9 @@
 use crate::direct::entry::state::{EntryState, ReservedSlot};
 use actix_http::StatusCode;
 use buckthornwharf_core::direct::attempt::time_left;
-use buckthornwharf_core::direct::{AttemptFailure, RegisteredTarget, SlotGrant, SlotRequest};
+use buckthornwharf_core::direct::{
+    AttemptFailure, RegisteredTarget, SlotGrant, SlotRequest, WaitAllowance,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
     AnswerFraming, AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
@@ -31,6 +33,9 @@
 const SILENCE_TIME: Duration = Duration::from_secs(1);
 /// Interval at which the entry then looks whether it has.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Longest time that a request at a silent target waits for a slot at another one before it looks again
+/// which targets are silent.
+const MAX_MOVE_WAIT: Duration = Duration::from_secs(1);
 /// An attempt fails after this number of responses that belong to other requests.
 const MAX_FOREIGN_ANSWERS: usize = 3;
 
@@ -40,9 +45,10 @@
     pub request: &'a AdmittedRequest,
     pub grant: &'a SlotGrant,
     pub prefill: PendingPrefill<'a>,
-    /// The request for a slot of the next attempt, if the request may be retried at another target although
-    /// this one may have run it.
-    pub retry: Option<SlotRequest>,
+    /// Whether the request may be retried at another target if this one runs it and fails.
+    pub may_retry: bool,
+    /// Targets of earlier attempts.
+    pub tried: &'a [Arc<str>],
     pub stage: Cell<AttemptStage>,
 }
 
@@ -296,21 +302,31 @@
         }
     }
 
+    /// The request for a slot at another target. It was admitted before, so it goes before those that were
+    /// not.
+    fn move_request(&self) -> SlotRequest {
+        SlotRequest {
+            priority: 0,
+            wait: WaitAllowance { max_wait: MAX_MOVE_WAIT, late: false },
+            ..self.request.slot_request(clock::now(), self.tried)
+        }
+    }
+
     /// Waits until the target has sent nothing for [`SILENCE_TIME`] and has fallen silent, and returns the
     /// slot of an allowed retry at another target.
     async fn moved_from_silent(&self) -> ReservedSlot {
-        let Some(retry) = &self.retry else {
+        if !self.may_retry {
             return std::future::pending().await;
-        };
+        }
         let may_move = || {
             let now = clock::now();
             self.state.is_silent(now, &self.grant.target.id)
-                && self.state.has_retry(now, &retry.service)
+                && self.state.has_retry(now, &self.request.service)
         };
         actix_rt::time::sleep(SILENCE_TIME).await;
         loop {
             if may_move()
-                && let Some(slot) = self.state.reserve_reporting(retry.clone()).await
+                && let Some(slot) = self.state.reserve_reporting(self.move_request()).await
                 && may_move()
             {
                 return slot;
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -100,7 +100,7 @@
             }
         }
         self.return_to_pool(connection, &answer);
-        if self.retry.is_some() && is_target_failure(answer.status) {
+        if self.may_retry && is_target_failure(answer.status) {
             return Ok(AttemptResult::Failed(AttemptFailure::ServerError));
         }
         let close = self.state.is_shutting_down();
