Log what is known of each cause when a target crashes, and checks that find no crash

Change: event=target_crashed has crashes, answers and contrast of each cause; event=target_not_crashed is new. No decision changes.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -22,7 +22,8 @@
 pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
 pub use crashes::{
-    CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause, request_causes,
+    CauseHistory, CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause,
+    request_causes,
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use routes::RouteTable;
--- a/core/src/direct/crashes.rs
+++ b/core/src/direct/crashes.rs
@@ -8,6 +8,6 @@
 mod verdict;
 
 pub use cause::{CauseId, CrashId, request_causes};
-pub use ledger::{CrashLedger, SentCause};
+pub use ledger::{CauseHistory, CrashLedger, SentCause};
 pub use report::{CauseRow, CrashReport, CrashRow};
 pub use verdict::GuiltyGroup;
--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -19,6 +19,17 @@
     pub known_rounds: u32,
 }
 
+/// What is known of a possible cause.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CauseHistory {
+    /// Number of crashes that count against the cause.
+    pub crashes: usize,
+    /// How often requests with the cause were answered, as far as it is remembered.
+    pub answers: u32,
+    /// Whether requests without the cause have been answered since the first of the crashes.
+    pub has_contrast: bool,
+}
+
 /// The possible causes of the crashes of targets, as far as this process knows.
 ///
 /// When a target crashes, each cause in flight there becomes a suspect, the sound ones too. An answer
@@ -203,6 +214,17 @@
         });
     }
 
+    /// Returns what is known of a cause in requests to `service`.
+    pub fn history(&self, service: &ServiceName, cause: CauseId) -> CauseHistory {
+        let record = self.services.get(service).and_then(|crashes| crashes.causes.get(&cause));
+        let answers = self.answers.get(cause);
+        CauseHistory {
+            crashes: record.map_or(0, |record| record.counting().len()),
+            answers: record.map_or(answers, |record| record.answers.max(answers)),
+            has_contrast: record.is_some_and(|record| record.has_contrast),
+        }
+    }
+
     /// Returns the groups of causes whose requests are refused.
     pub fn guilty(&self) -> Vec<GuiltyGroup> {
         self.services.values().flat_map(|crashes| crashes.guilty.iter().cloned()).collect()
--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -2,7 +2,9 @@
 
 use super::EntryState;
 use crate::clock;
-use buckthornwharf_core::direct::{CauseId, CrashId, CrashReport, RegisteredTarget, SentCause};
+use buckthornwharf_core::direct::{
+    CauseHistory, CauseId, CrashId, CrashReport, RegisteredTarget, SentCause,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::AnswerFraming;
 use log::info;
@@ -12,6 +14,17 @@
 /// Timeout of the connection that shows whether a target still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How a target reacts to a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+enum ListenStatus {
+    Listens,
+    /// It refuses the connection, so its process is gone.
+    Refuses,
+    /// Nothing answers; the host may be cut off.
+    Silent,
+}
+
 /// Requests whose connections to one target broke, until it is known whether the target crashed.
 #[derive(Debug, Default)]
 pub(super) struct BrokenRequests {
@@ -110,16 +123,19 @@
         ids.sort_unstable();
         ids.dedup();
         self.metrics.target_crashes.inc();
-        info!(
-            "event=target_crashed target={} address={} requests={requests} causes={}",
-            target.id,
-            target.address,
-            cause_list(&ids)
-        );
         let crash = CrashId::of(target);
         let mut ledger = self.crash_ledger.borrow_mut();
         ledger.record_crash(clock::now(), &target.service, crash, &causes);
+        let histories: Vec<CauseHistory> =
+            ids.iter().map(|cause| ledger.history(&target.service, *cause)).collect();
         drop(ledger);
+        info!(
+            "event=target_crashed target={} address={} requests={requests} causes={} {}",
+            target.id,
+            target.address,
+            cause_list(&ids),
+            history_fields(&histories)
+        );
         self.after_crash_change(true);
     }
 
@@ -145,11 +161,26 @@
     texts.join(",")
 }
 
+/// Formats what is known of several causes for a log line.
+fn history_fields(histories: &[CauseHistory]) -> String {
+    let list = |text: fn(&CauseHistory) -> String| {
+        histories.iter().map(text).collect::<Vec<String>>().join(",")
+    };
+    let crashes = list(|history| history.crashes.to_string());
+    let answers = list(|history| history.answers.to_string());
+    let contrast = list(|history| history.has_contrast.to_string());
+    format!("crashes={crashes} answers={answers} contrast={contrast}")
+}
+
 async fn check_target(state: Rc<EntryState>, target: Arc<RegisteredTarget>) {
-    let is_gone = is_gone(&target).await;
+    let status = listen_status(&target).await;
     let broken = state.broken_requests.borrow_mut().remove(&target.id).unwrap_or_default();
-    if is_gone {
-        state.on_target_crashed(&target, broken);
+    let (id, address, requests) = (&target.id, target.address, broken.requests);
+    match status {
+        ListenStatus::Refuses => state.on_target_crashed(&target, broken),
+        ListenStatus::Listens | ListenStatus::Silent => info!(
+            "event=target_not_crashed target={id} address={address} requests={requests} result={status}"
+        ),
     }
 }
 
@@ -158,15 +189,21 @@
     target: Arc<RegisteredTarget>,
     causes: Vec<SentCause>,
 ) {
-    match is_gone(&target).await {
-        true => state.on_target_crashed(&target, BrokenRequests { requests: 1, causes }),
-        false => state.on_answer_complete(&target.service, &causes),
+    match listen_status(&target).await {
+        ListenStatus::Refuses => {
+            state.on_target_crashed(&target, BrokenRequests { requests: 1, causes });
+        }
+        ListenStatus::Listens | ListenStatus::Silent => {
+            state.on_answer_complete(&target.service, &causes);
+        }
     }
 }
 
-/// Returns whether the target's process is gone. Only a refused connection proves that; a silent host may be
-/// cut off.
-async fn is_gone(target: &RegisteredTarget) -> bool {
-    let connected = buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await;
-    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+/// Opens a connection to the target and returns how it reacts.
+async fn listen_status(target: &RegisteredTarget) -> ListenStatus {
+    match buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await {
+        Ok(_) => ListenStatus::Listens,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ListenStatus::Refuses,
+        Err(_) => ListenStatus::Silent,
+    }
 }
