Test, failing: a request that crashes every target of a small service stops reaching them

The simulated fleets and process tests had many targets, and requests that were never answered before.

--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -146,10 +146,10 @@
 }
 
 /// Plays simulated fleets and asserts that they keep the bounds.
-fn play_fleets(seeds: std::ops::Range<u64>) {
+fn play_fleets(seeds: std::ops::Range<u64>, draw: fn(u64) -> FleetPlan) {
     let violations: Vec<String> = seeds
         .flat_map(|seed| {
-            let plan = FleetPlan::draw(seed);
+            let plan = draw(seed);
             let violations = CrashFleet::play(&plan, seed);
             violations.into_iter().map(move |text| format!("seed {seed}: {plan:?}: {text}"))
         })
@@ -159,11 +159,23 @@
 
 #[test]
 fn simulated_fleets_stop_crashing_parts_and_serve_sound_requests() {
-    play_fleets(0..40);
+    play_fleets(0..40, FleetPlan::draw);
 }
 
 #[test]
 #[ignore = "known red"]
 fn many_simulated_fleets_stop_crashing_parts_and_serve_sound_requests() {
-    play_fleets(0..2000);
+    play_fleets(0..2000, FleetPlan::draw);
+}
+
+#[test]
+#[ignore = "known red"]
+fn small_fleets_stop_requests_that_crash_all_engines_and_serve_the_others() {
+    play_fleets(0..40, FleetPlan::draw_small);
+}
+
+#[test]
+#[ignore = "known red"]
+fn many_small_fleets_stop_requests_that_crash_all_engines_and_serve_the_others() {
+    play_fleets(0..2000, FleetPlan::draw_small);
 }
--- a/core/tests/support/crash_fleet.rs
+++ b/core/tests/support/crash_fleet.rs
@@ -2,6 +2,7 @@
 
 use buckthornwharf_core::direct::{
     CauseId, CrashId, CrashLedger, CrashReport, RegisteredTarget, SentCause, TargetPhase,
+    request_causes,
 };
 use buckthornwharf_core::prelude::*;
 use rand::rngs::StdRng;
@@ -9,13 +10,13 @@
 
 const STEP: Duration = Duration::from_millis(10);
 const LENGTH: Duration = Duration::from_secs(60);
-/// Time from a crash to the restart of an engine.
-const RESTART_TIME: Duration = Duration::from_secs(4);
+/// Time from which crashing requests come, and from which they crash engines.
+const CRASHING_FROM: MonoTime = MonoTime::from_millis(5_000);
+const BAD_FROM: MonoTime = MonoTime::from_millis(10_000);
 /// Time from the arrival of a request at an engine to the first token.
 const READ_TIME: Duration = Duration::from_millis(100);
-/// Time for which a part that crashed five engines may still reach engines without limit.
+/// Time for which what crashed `known_crashes` engines may still reach engines without limit.
 const STABLE_WINDOW: Duration = Duration::from_secs(3);
-const KNOWN_CRASHES: usize = 5;
 const MAX_LATE_REQUESTS: usize = 3;
 /// Samples from which shares of served requests are compared.
 const MIN_SAMPLES: usize = 20;
@@ -36,13 +37,29 @@
     Power,
 }
 
+/// What crashes engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashingKind {
+    /// Parts of prompts that many requests share.
+    Part,
+    /// Requests that come again and again.
+    Request {
+        /// Whether they were answered before they turn bad.
+        was_answered: bool,
+    },
+}
+
 /// Size, load and faults of a run.
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
     pub entries: usize,
     pub engines: usize,
-    pub crashing_parts: u64,
-    /// Requests with a crashing part, for each of these parts.
+    /// Time from a crash to the restart of an engine.
+    pub restart_time: Duration,
+    pub crashing_kind: CrashingKind,
+    /// Number of different parts, or requests, that crash engines.
+    pub crashing_count: u64,
+    /// Requests that crash engines, for each of these parts or requests.
     pub crashing_per_s: f64,
     pub sound_per_s: f64,
     /// Crashes of engines for other reasons.
@@ -62,7 +79,9 @@
         Self {
             entries: rng.random_range(1..7),
             engines: rng.random_range(4..25),
-            crashing_parts: rng.random_range(1..4),
+            restart_time: Duration::from_secs(4),
+            crashing_kind: CrashingKind::Part,
+            crashing_count: rng.random_range(1..4),
             crashing_per_s: [0.3, 1.0, 4.0, 12.0][rng.random_range(0..4)],
             sound_per_s: [4.0, 20.0, 80.0][rng.random_range(0..3)],
             other_crashes_per_s: [0.0, 0.2, 1.0][rng.random_range(0..3)],
@@ -71,6 +90,32 @@
             lag: Duration::from_millis(rng.random_range(50..450)),
         }
     }
+
+    /// Draws the plan of a small service, which requests that come again crash.
+    pub fn draw_small(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        Self {
+            entries: rng.random_range(1..7),
+            engines: rng.random_range(3..9),
+            restart_time: Duration::from_millis(rng.random_range(2_000..4_500)),
+            crashing_kind: CrashingKind::Request { was_answered: rng.random() },
+            crashing_count: rng.random_range(1..3),
+            crashing_per_s: [0.3, 1.0, 4.0, 12.0][rng.random_range(0..4)],
+            sound_per_s: [0.5, 4.0, 20.0, 80.0][rng.random_range(0..4)],
+            other_crashes_per_s: [0.0, 0.0, 0.1][rng.random_range(0..3)],
+            outage: [OutageKind::None, OutageKind::Power][rng.random_range(0..2)],
+            restarts: rng.random(),
+            lag: Duration::from_millis(rng.random_range(50..450)),
+        }
+    }
+
+    /// Crashes after which the bound of `MAX_LATE_REQUESTS` holds.
+    fn known_crashes(&self) -> usize {
+        match self.crashing_kind {
+            CrashingKind::Part => 5,
+            CrashingKind::Request { .. } => 3,
+        }
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -120,6 +165,11 @@
     ServiceName::from("llm")
 }
 
+/// The cause that stands for a whole request.
+fn whole(content: u64) -> CauseId {
+    request_causes(&service(), &[], "key", &format!("/{content}"), &[])[0]
+}
+
 /// The crash of an engine after its start number `start`.
 pub fn crash_id(engine: usize, start: u64) -> CrashId {
     CrashId::of(&RegisteredTarget {
@@ -145,8 +195,8 @@
             engines: (0..plan.engines).map(|_| Engine::default()).collect(),
             stored: vec![None; plan.entries],
             unwritten: vec![false; plan.entries],
-            crashes: vec![Vec::new(); plan.crashing_parts as usize],
-            arrivals: vec![Vec::new(); plan.crashing_parts as usize],
+            crashes: vec![Vec::new(); plan.crashing_count as usize],
+            arrivals: vec![Vec::new(); plan.crashing_count as usize],
             sound: Vec::new(),
         };
         while fleet.now < MonoTime::ZERO + LENGTH {
@@ -165,13 +215,11 @@
             let entry = self.rng.random_range(0..self.plan.entries);
             self.dispatch(entry, request);
         }
-        for number in 0..self.plan.crashing_parts {
-            if self.now > MonoTime::from_millis(5_000)
+        for number in 0..self.plan.crashing_count {
+            if self.now > CRASHING_FROM
                 && self.rng.random_bool((self.plan.crashing_per_s * step_s).min(1.0))
             {
-                let own = self.rng.random();
-                let causes = self.causes(&[1, 10, 1_000 + number, own]);
-                let request = SimRequest { causes, crashing: Some(number), attempts: 0 };
+                let request = self.crashing_request(number);
                 let entry = self.rng.random_range(0..self.plan.entries);
                 self.dispatch(entry, request);
             }
@@ -190,8 +238,37 @@
         }
     }
 
-    /// A request of one of three routes and ten callers, mostly of a longer session.
+    fn crashing_request(&mut self, number: u64) -> SimRequest {
+        let (causes, is_bad) = match self.plan.crashing_kind {
+            CrashingKind::Part => {
+                let own = self.rng.random();
+                (self.causes(&[1, 10, 1_000 + number, own]), true)
+            }
+            CrashingKind::Request { was_answered } => {
+                (vec![whole(1_000 + number)], !was_answered || self.now > BAD_FROM)
+            }
+        };
+        SimRequest { causes, crashing: is_bad.then_some(number), attempts: 0 }
+    }
+
     fn sound_request(&mut self) -> SimRequest {
+        match self.plan.crashing_kind {
+            CrashingKind::Part => self.sound_prompt(),
+            CrashingKind::Request { .. } => self.sound_lookup(),
+        }
+    }
+
+    /// A request without a prompt, one of a few that come again or a new one.
+    fn sound_lookup(&mut self) -> SimRequest {
+        let content = match self.rng.random_bool(0.5) {
+            true => self.rng.random_range(0..20),
+            false => self.rng.random(),
+        };
+        SimRequest { causes: vec![whole(content)], crashing: None, attempts: 0 }
+    }
+
+    /// A request of one of three routes and ten callers, mostly of a longer session.
+    fn sound_prompt(&mut self) -> SimRequest {
         let route = self.rng.random_range(1..4);
         let caller = self.rng.random_range(10..20);
         let session = 100 + self.rng.random_range(0..60) * 100 + caller;
@@ -212,17 +289,21 @@
 
     fn dispatch(&mut self, entry: usize, mut request: SimRequest) {
         let refused = self.ledgers[entry].refusal(self.now, &service(), &request.causes).is_some();
-        let of_crashing_route = request.causes.contains(&CauseId::new(&service(), 1));
-        if request.crashing.is_none() && of_crashing_route && request.attempts == 0 {
-            self.sound.push((self.now, !refused));
-        }
-        if refused {
-            return;
-        }
         let now = self.now;
         let usable = |engine: &&mut Engine| engine.up_at <= now && engine.runs.len() < SLOTS;
         let mut usable: Vec<&mut Engine> = self.engines.iter_mut().filter(usable).collect();
-        if usable.is_empty() {
+        if request.crashing.is_none() && request.attempts == 0 {
+            match self.plan.crashing_kind {
+                CrashingKind::Part if request.causes.contains(&CauseId::new(&service(), 1)) => {
+                    self.sound.push((now, !refused));
+                }
+                CrashingKind::Part => {}
+                CrashingKind::Request { .. } => {
+                    self.sound.push((now, !refused && !usable.is_empty()));
+                }
+            }
+        }
+        if refused || usable.is_empty() {
             return;
         }
         let index = self.rng.random_range(0..usable.len());
@@ -292,7 +373,7 @@
         }
         let crash = crash_id(index, engine.starts);
         engine.starts += 1;
-        engine.up_at = self.now + RESTART_TIME;
+        engine.up_at = self.now + self.plan.restart_time;
         let broken = std::mem::take(&mut engine.runs);
         for run in &broken {
             self.ledgers[run.entry].record_crash(self.now, &service(), crash, &run.sent);
@@ -352,18 +433,20 @@
     fn violations(&self) -> Vec<String> {
         let mut violations = Vec::new();
         for (number, crashes) in self.crashes.iter().enumerate() {
-            let Some(fifth) = crashes.get(KNOWN_CRASHES - 1) else { continue };
-            let late = self.arrivals[number].iter().filter(|at| **at > *fifth + STABLE_WINDOW);
+            let Some(known_at) = crashes.get(self.plan.known_crashes() - 1) else { continue };
+            let late = self.arrivals[number].iter().filter(|at| **at > *known_at + STABLE_WINDOW);
             let late = late.filter(|at| !self.is_excused(**at)).count();
             if late > MAX_LATE_REQUESTS {
-                violations.push(format!(
-                    "part {number}: {late} late requests, {} crashes",
-                    crashes.len()
-                ));
+                violations
+                    .push(format!("{number}: {late} late requests, {} crashes", crashes.len()));
             }
         }
-        let known = self.crashes.iter().filter_map(|crashes| crashes.get(KNOWN_CRASHES - 1));
-        let last = self.crashes.iter().filter_map(|crashes| crashes.last());
+        let known_crashes = self.plan.known_crashes();
+        let known = self.crashes.iter().filter_map(|crashes| crashes.get(known_crashes - 1));
+        let last = match self.plan.crashing_kind {
+            CrashingKind::Part => self.crashes.iter().filter_map(|crashes| crashes.last()).max(),
+            CrashingKind::Request { .. } => None,
+        };
         let Some(known_at) = known.chain(last).max() else { return violations };
         let after = self.sound.iter().filter(|(at, _)| *at > *known_at + 2 * STABLE_WINDOW);
         let outcomes: Vec<bool> = after.map(|(_, passed)| *passed).collect();
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -18,6 +18,7 @@
 use tempfile::TempDir;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 /// Timeout for a condition to hold, and for connecting and exiting.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -245,6 +246,29 @@
         self.exchange(0, caller_request(method, path, id, key, body)).await
     }
 
+    /// Sends a request without a prompt to an entry.
+    pub async fn request(&self, entry: usize, method: Method, path: &str, id: &str) -> EntryReply {
+        self.exchange(entry, caller_request(method, path, id, "secret", "")).await
+    }
+
+    /// Registers each target again when it has started again, until the returned task is aborted.
+    pub fn keep_registered(&self) -> JoinHandle<()> {
+        let (store, engines) = (self.store.clone(), self.engines.clone());
+        actix_rt::spawn(async move {
+            let mut known: Vec<u32> = engines.iter().map(|engine| engine.starts()).collect();
+            loop {
+                for (engine, known) in engines.iter().zip(&mut known) {
+                    if engine.starts() != *known {
+                        *known = engine.starts();
+                        let registration = engine.registration("ledger", "ready");
+                        store.put(&format!("servers/{}", engine.id), &registration);
+                    }
+                }
+                actix_rt::time::sleep(POLL_INTERVAL).await;
+            }
+        })
+    }
+
     /// Opens a connection, and sends a request on it after a pause.
     pub async fn get_on_idle_connection(&self, path: &str, id: &str) -> EntryReply {
         let connection = self.connect(0).await;
