Let an answer speak only for crashes before its request was sent

Callers saw: a request or part that crashes targets is let through again, because an older request with it, sent before the crashes to another target, was answered after them.

Cause: an answer cleared its causes of all crashes so far, also of those that came after its request had been sent, of which it says nothing if the cause turned bad in between.

Change: what is sent carries its time, and an answer clears the crashes up to then.

Result: the new test failed with the old clearing and passes.

--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -17,6 +17,8 @@
     pub cause: CauseId,
     /// Rounds of crashes that were known when the request was sent.
     pub known_rounds: u32,
+    /// When the request was sent.
+    pub sent_at: MonoTime,
 }
 
 /// What is known of a possible cause.
@@ -71,6 +73,7 @@
         let sent = |cause: &CauseId| SentCause {
             cause: *cause,
             known_rounds: known_rounds(cause).unwrap_or(0),
+            sent_at: now,
         };
         causes.iter().map(sent).collect()
     }
@@ -115,18 +118,19 @@
     }
 
     /// Records that a target of `service` answered a request with these causes completely, which clears
-    /// them. Returns whether other processes should be told.
-    pub fn record_answer(&mut self, service: &ServiceName, causes: &[CauseId]) -> bool {
-        causes.iter().for_each(|cause| self.answers.count(*cause));
-        let mut is_news = self.record_begun(service, causes);
+    /// them of the crashes before it was sent. Returns whether other processes should be told.
+    pub fn record_answer(&mut self, service: &ServiceName, causes: &[SentCause]) -> bool {
+        let ids: Vec<CauseId> = causes.iter().map(|sent| sent.cause).collect();
+        ids.iter().for_each(|cause| self.answers.count(*cause));
+        let mut is_news = self.record_begun(service, &ids);
         let Some(crashes) = self.services.get_mut(service) else {
             return is_news;
         };
-        for cause in causes {
-            if let Some(record) = crashes.causes.get_mut(cause) {
+        for sent in causes {
+            if let Some(record) = crashes.causes.get_mut(&sent.cause) {
                 is_news |= record.rounds() >= REPORTED_ROUNDS;
-                record.answers = record.answers.max(self.answers.get(*cause));
-                record.clear();
+                record.answers = record.answers.max(self.answers.get(sent.cause));
+                record.clear_until(sent.sent_at);
             }
         }
         if is_news {
--- a/core/src/direct/crashes/record.rs
+++ b/core/src/direct/crashes/record.rs
@@ -104,10 +104,11 @@
         now >= self.last_crash().max(self.last_sent) + delay
     }
 
-    /// Clears the cause of all crashes so far.
-    pub fn clear(&mut self) {
-        self.crashes.values_mut().for_each(|entry| entry.is_cleared = true);
-        self.has_contrast = false;
+    /// Clears the cause of the crashes up to `sent_at`, when a request with it was sent that was answered.
+    pub fn clear_until(&mut self, sent_at: MonoTime) {
+        let earlier = self.crashes.values_mut().filter(|entry| entry.at <= sent_at);
+        earlier.for_each(|entry| entry.is_cleared = true);
+        self.has_contrast &= self.rounds() > 0;
     }
 
     /// Drops crashes that are older than the retention time; returns whether any are left.
--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -22,7 +22,13 @@
 fn crash_on(ledger: &mut CrashLedger, number: u64, causes: &[CauseId]) {
     let sent = ledger.begin(NOW, &service(), causes);
     ledger.record_crash(NOW, &service(), crash(number), &sent);
-    ledger.record_answer(&service(), &[part(900 + number)]);
+    answer(ledger, &[part(900 + number)]);
+}
+
+/// Sends a request with `causes` to a target, which answers.
+fn answer(ledger: &mut CrashLedger, causes: &[CauseId]) {
+    let sent = ledger.begin(NOW, &service(), causes);
+    ledger.record_answer(&service(), &sent);
 }
 
 fn is_refused(ledger: &CrashLedger, causes: &[CauseId]) -> bool {
@@ -49,20 +55,20 @@
     for number in 0..12 {
         ledger.record_crash(NOW, &service(), crash(number), &sent);
     }
-    ledger.record_answer(&service(), &[part(9)]);
+    answer(&mut ledger, &[part(9)]);
     assert!(!is_refused(&ledger, &[part(1)]));
 }
 
 #[test]
 fn a_cause_that_was_answered_is_not_refused_while_no_request_at_all_is_answered() {
     let mut ledger = CrashLedger::new(0);
-    ledger.record_answer(&service(), &[part(1)]);
+    answer(&mut ledger, &[part(1)]);
     for number in 0..12 {
         let sent = ledger.begin(NOW, &service(), &[part(1)]);
         ledger.record_crash(NOW, &service(), crash(number), &sent);
     }
     assert!(!is_refused(&ledger, &[part(1)]));
-    ledger.record_answer(&service(), &[part(2)]);
+    answer(&mut ledger, &[part(2)]);
     assert!(is_refused(&ledger, &[part(1)]));
 }
 
@@ -72,7 +78,7 @@
     for number in 0..6 {
         crash_on(&mut ledger, number, &[part(1), part(2)]);
         assert!(!is_refused(&ledger, &[part(1)]), "after {number} crashes");
-        ledger.record_answer(&service(), &[part(1), part(3)]);
+        answer(&mut ledger, &[part(1), part(3)]);
     }
     assert!(is_refused(&ledger, &[part(1), part(2)]));
     assert!(is_refused(&ledger, &[part(2)]));
@@ -95,20 +101,33 @@
 #[test]
 fn a_refused_cause_that_was_answered_before_is_tried_again() {
     let mut ledger = CrashLedger::new(0);
-    ledger.record_answer(&service(), &[part(1)]);
+    answer(&mut ledger, &[part(1)]);
     for number in 0..5 {
         crash_on(&mut ledger, number, &[part(1), part(2)]);
-        ledger.record_answer(&service(), &[part(2)]);
+        answer(&mut ledger, &[part(2)]);
     }
     assert!(is_refused(&ledger, &[part(1), part(2)]));
     let later = NOW + Duration::from_secs(2);
     assert_eq!(ledger.refusal(later, &service(), &[part(1), part(2)]), None, "no trial");
     ledger.begin(later, &service(), &[part(1), part(2)]);
     assert!(ledger.refusal(later, &service(), &[part(1)]).is_some(), "two trials at once");
-    ledger.record_answer(&service(), &[part(1), part(2)]);
+    answer(&mut ledger, &[part(1), part(2)]);
     assert_eq!(ledger.refusal(later, &service(), &[part(1)]), None, "it answers again");
 }
 
+#[test]
+fn an_answer_to_a_request_sent_before_crashes_does_not_clear_its_causes_of_them() {
+    let mut ledger = CrashLedger::new(0);
+    let before = ledger.begin(NOW - Duration::from_secs(1), &service(), &[part(1)]);
+    for number in 0..5 {
+        crash_on(&mut ledger, number, &[part(1)]);
+    }
+    ledger.record_answer(&service(), &before);
+    assert!(is_refused(&ledger, &[part(1)]));
+    answer(&mut ledger, &[part(1)]);
+    assert!(!is_refused(&ledger, &[part(1)]));
+}
+
 #[test]
 fn several_crashing_parts_are_refused_each_by_itself() {
     let mut ledger = CrashLedger::new(0);
@@ -125,7 +144,7 @@
     let mut ledger = CrashLedger::new(0);
     for number in 0..3 {
         crash_on(&mut ledger, number, &[part(1), part(2)]);
-        ledger.record_answer(&service(), &[part(1)]);
+        answer(&mut ledger, &[part(1)]);
     }
     let mut bytes = Vec::new();
     ciborium::into_writer(&ledger.report(NOW), &mut bytes).expect("CBOR");
--- a/core/tests/support/crash_fleet.rs
+++ b/core/tests/support/crash_fleet.rs
@@ -347,9 +347,8 @@
                 runs.into_iter().partition(|run| run.ends_at <= now);
             self.engines[index].runs = running;
             for run in ended {
-                let causes = &run.request.causes;
                 self.unwritten[run.entry] |=
-                    self.ledgers[run.entry].record_answer(&service(), causes);
+                    self.ledgers[run.entry].record_answer(&service(), &run.sent);
             }
         }
     }
--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -70,8 +70,7 @@
     }
 
     fn on_answer_complete(&self, service: &ServiceName, causes: &[SentCause]) {
-        let ids: Vec<CauseId> = causes.iter().map(|sent| sent.cause).collect();
-        if self.crash_ledger.borrow_mut().record_answer(service, &ids) {
+        if self.crash_ledger.borrow_mut().record_answer(service, causes) {
             self.after_crash_change(true);
         }
     }
