Count each crash of a target that restarts before its registration changes

Callers see: a request that crashes a target again and again is refused too late.

Cause: a crash was known by the target's id and the start time of its registration. A target may start again under its id, and an entry may send to it before the new registration arrives; all its crashes until then counted as one.

Change: if a request in flight at a crash was sent after that crash was already known, it is a crash of a later run and gets a fingerprint of its own.

--- a/core/src/direct/crashes/cause.rs
+++ b/core/src/direct/crashes/cause.rs
@@ -68,6 +68,12 @@
     pub fn of(target: &RegisteredTarget) -> Self {
         Self(combine_hashes(hash_text(&target.id), target.started_unix_ms))
     }
+
+    /// Returns the fingerprint of the next crash of the target, if it has started again and its
+    /// registration does not show it yet.
+    pub fn of_next_run(self) -> Self {
+        Self(combine_hashes(self.0, 1))
+    }
 }
 
 /// Returns the possible causes of crashes in a request to `service`, sorted: the parts of its prompt that
--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -92,7 +92,7 @@
             record.answers = record.answers.max(self.answers.get(sent.cause));
             // The cause may have been cleared since the request was sent.
             let round = 1 + sent.known_rounds.min(record.rounds());
-            record.add(crash, round, now, false);
+            record.add(record.crash_after(crash, sent.sent_at), round, now, false);
         }
         crashes.update();
     }
--- a/core/src/direct/crashes/record.rs
+++ b/core/src/direct/crashes/record.rs
@@ -84,6 +84,16 @@
         counting.map(|(crash, _)| *crash).collect()
     }
 
+    /// Returns `crash`, or the crash of a later run of the same target if `crash` is known to be older than
+    /// the sending of a request that was in flight at it.
+    pub fn crash_after(&self, crash: CrashId, sent_at: MonoTime) -> CrashId {
+        let mut crash = crash;
+        while self.crashes.get(&crash).is_some_and(|entry| entry.at < sent_at) {
+            crash = crash.of_next_run();
+        }
+        crash
+    }
+
     /// Adds a crash, or merges what another process knows of it.
     pub fn add(&mut self, crash: CrashId, round: u32, at: MonoTime, is_cleared: bool) {
         let entry = CrashEntry { round, at, is_cleared };
--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -182,6 +182,21 @@
     assert!(!is_refused(&ledger, &lookup(2)));
 }
 
+#[test]
+fn crashes_of_a_target_that_restarts_before_its_registration_changes_count_each() {
+    let mut ledger = CrashLedger::new(0);
+    for number in 0..3 {
+        let at = NOW + Duration::from_secs(4 * number);
+        assert_eq!(ledger.refusal(at, &service(), &lookup(1)), None, "after {number} crashes");
+        let sent = ledger.begin(at, &service(), &lookup(1));
+        let crashed_at = at + Duration::from_millis(50);
+        ledger.record_crash(crashed_at, &service(), crash(0), &sent);
+        ledger.record_crash(crashed_at, &service(), crash(0), &sent);
+    }
+    let last = NOW + Duration::from_secs(9);
+    assert!(ledger.refusal(last, &service(), &lookup(1)).is_some());
+}
+
 #[test]
 fn requests_that_crash_targets_together_are_refused_each_until_one_is_answered() {
     let mut ledger = CrashLedger::new(0);
