Own path: count crashes and answers by when the request was sent

Callers see: a sound request, such as a lookup that many send, is refused for ten minutes with a final code, because copies of it ran at two targets that crashed at the same time. And a request that turned bad is let through again when an older copy of it is answered late.

Cause: the table of suspects counted each crash, though the second says nothing new if its copy was sent before the first; and any answer cleared all crashes.

Change: a crash is told with the age of the request that ran; crashes count as a chain in which each copy was sent after the crash before; an answer clears the crashes before its request. The new field of the frame is optional, so that older processes understand it and are understood.

--- a/core/src/frame.rs
+++ b/core/src/frame.rs
@@ -219,6 +219,9 @@
     pub crash: u64,
     /// Milliseconds since the crash.
     pub age_ms: u64,
+    /// Milliseconds since the request was sent to the target that crashed; `None` from older processes.
+    #[serde(default)]
+    pub sent_age_ms: Option<u64>,
 }
 
 /// Failure to encode or decode a message.
--- a/core/src/request/ledger/record.rs
+++ b/core/src/request/ledger/record.rs
@@ -26,6 +26,8 @@
     pub submit: Arc<SubmitFrame>,
     pub deadline: MonoTime,
     pub phase: RecordPhase,
+    /// When it was dispatched to the target; `None` before.
+    pub dispatched_at: Option<MonoTime>,
     /// The link for the answer; `None` while the link is lost, and after the entry cancelled.
     pub link: Option<LinkId>,
     pub link_lost_at: Option<MonoTime>,
@@ -41,6 +43,7 @@
             submit: Arc::new(submit),
             deadline: now + time_left,
             phase: RecordPhase::Waiting,
+            dispatched_at: None,
             link: Some(link),
             link_lost_at: None,
             answer: AnswerBuffer::default(),
--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -5,8 +5,9 @@
 use super::{MAX_ANSWER_BYTES, RequestLedger};
 use crate::frame::{BodyFrame, HeadFrame, LinkFrame};
 use crate::prelude::*;
-use crate::request::poison::SuspectVerdict;
+use crate::request::poison::{RunningRequest, SuspectVerdict};
 use bytes::Bytes;
+use std::cmp::Reverse;
 
 impl RequestLedger {
     pub(super) fn on_ready(&mut self, now: MonoTime, id: RequestId, gate: TargetGate) {
@@ -38,12 +39,13 @@
             let submit = Arc::clone(&record.submit);
             return self.actions.push(LedgerAction::Claim(submit));
         }
-        self.dispatch(id);
+        self.dispatch(now, id);
     }
 
-    fn dispatch(&mut self, id: RequestId) {
+    fn dispatch(&mut self, now: MonoTime, id: RequestId) {
         let Some(record) = self.records.get_mut(&id) else { return };
         record.phase = RecordPhase::Running;
+        record.dispatched_at = Some(now);
         let submit = Arc::clone(&record.submit);
         self.actions.push(LedgerAction::Dispatch(submit));
     }
@@ -61,7 +63,7 @@
         }
         match verdict {
             ClaimVerdict::Won => match refusal_code(record, now, gate) {
-                None => self.dispatch(id),
+                None => self.dispatch(now, id),
                 Some(code) => {
                     // Until the release is written, another agent would find the key claimed, so the
                     // code must not make the entry retry at once.
@@ -163,7 +165,10 @@
         }
         let is_complete = code == ResultCode::Ok && record.answer.has_head();
         let fingerprint = record.submit.fingerprint;
-        if is_complete && let Some(suspects) = self.suspects.record_complete_answer(fingerprint) {
+        let sent_at = record.dispatched_at.unwrap_or(now);
+        if is_complete
+            && let Some(suspects) = self.suspects.record_complete_answer(fingerprint, sent_at)
+        {
             self.broadcast(None, &suspects);
             self.actions.push(LedgerAction::SuspectCleared(fingerprint));
         }
@@ -173,24 +178,29 @@
     }
 
     pub(super) fn on_target_crashed(&mut self, now: MonoTime) {
-        let running = self.records.iter();
-        let running = running.filter(|(_, record)| record.phase == RecordPhase::Running);
-        let running: Vec<(RequestId, u64)> =
-            running.map(|(id, record)| (*id, record.submit.fingerprint)).collect();
+        let records = self.records.iter();
+        let records = records.filter(|(_, record)| record.phase == RecordPhase::Running);
+        let running: Vec<(RequestId, RunningRequest)> = records
+            .map(|(id, record)| {
+                let sent_at = record.dispatched_at.unwrap_or(now);
+                (*id, RunningRequest { fingerprint: record.submit.fingerprint, sent_at })
+            })
+            .collect();
         if running.is_empty() {
             return;
         }
-        let mut fingerprints: Vec<u64> =
-            running.iter().map(|(_, fingerprint)| *fingerprint).collect();
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
+        let mut requests: Vec<RunningRequest> =
+            running.iter().map(|(_, request)| *request).collect();
+        requests.sort_unstable_by_key(|request| (request.fingerprint, Reverse(request.sent_at)));
+        requests.dedup_by_key(|request| request.fingerprint);
         let crash_id = derive_crash_id(now, &running);
-        let suspects = self.suspects.record_crash(now, crash_id, &fingerprints);
+        let suspects = self.suspects.record_crash(now, crash_id, &requests);
         // Sent before the ends, so that an entry knows the suspects when it retries.
         self.broadcast(None, &suspects);
+        let fingerprints = requests.iter().map(|request| request.fingerprint).collect();
         self.actions.push(LedgerAction::Crashed(fingerprints));
-        for (id, fingerprint) in running {
-            let code = match self.suspects.verdict(now, fingerprint) {
+        for (id, request) in running {
+            let code = match self.suspects.verdict(now, request.fingerprint) {
                 SuspectVerdict::Poisonous => ResultCode::Poisonous,
                 SuspectVerdict::Clear | SuspectVerdict::Suspect => ResultCode::TargetFailed,
             };
@@ -214,7 +224,7 @@
 
 /// A unique id for a crash: a hash of the random ids of the requests in flight, and of the time, so
 /// that a later crash with the same requests gets another one.
-fn derive_crash_id(now: MonoTime, running: &[(RequestId, u64)]) -> u64 {
+fn derive_crash_id(now: MonoTime, running: &[(RequestId, RunningRequest)]) -> u64 {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&now.as_micros().to_le_bytes());
     for (id, _) in running {
--- a/core/src/request/poison.rs
+++ b/core/src/request/poison.rs
@@ -3,7 +3,8 @@
 use crate::frame::{SuspectFrame, SuspectRecord};
 use crate::prelude::*;
 
-/// Number of crashes after which a request is refused.
+/// Number of crashes after which a request is refused, each but the first with a copy that was sent after
+/// the crash before.
 pub const POISON_CRASHES: usize = 2;
 /// Time that a crash is kept.
 pub const CRASH_RETENTION: Duration = Duration::from_mins(10);
@@ -23,10 +24,21 @@
     Poisonous,
 }
 
+/// A request that runs at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RunningRequest {
+    /// Hash of the request's content.
+    pub fingerprint: u64,
+    /// When it was sent to the target.
+    pub sent_at: MonoTime,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct CrashRecord {
     crash_id: u64,
     at: MonoTime,
+    /// When the request that was in flight was sent.
+    sent_at: MonoTime,
     /// Whether a later complete answer has shown that the request was not the cause.
     is_cleared: bool,
 }
@@ -51,35 +63,44 @@
     pub fn verdict(&self, now: MonoTime, fingerprint: u64) -> SuspectVerdict {
         let crashes = self.suspects.get(&fingerprint).map_or(&[][..], Vec::as_slice);
         let active = crashes.iter().filter(|crash| !crash.is_cleared && !is_expired(now, crash));
-        match active.count() {
+        match count_successive(active.copied().collect()) {
             0 => SuspectVerdict::Clear,
             1..POISON_CRASHES => SuspectVerdict::Suspect,
             _ => SuspectVerdict::Poisonous,
         }
     }
 
-    /// Records a crash, with a unique id as `crash` and the fingerprints that were in flight. Returns
-    /// the frame that informs other processes.
+    /// Records a crash, with a unique id as `crash` and the requests that were in flight. Returns the frame
+    /// that informs other processes.
     pub fn record_crash(
         &mut self,
         now: MonoTime,
         crash: u64,
-        fingerprints: &[u64],
+        requests: &[RunningRequest],
     ) -> SuspectFrame {
-        let record =
-            |fingerprint: &u64| SuspectRecord { fingerprint: *fingerprint, crash, age_ms: 0 };
-        let records: Vec<SuspectRecord> = fingerprints.iter().map(record).collect();
+        let record = |request: &RunningRequest| SuspectRecord {
+            fingerprint: request.fingerprint,
+            crash,
+            age_ms: 0,
+            sent_age_ms: Some(age_ms(now, request.sent_at)),
+        };
+        let records: Vec<SuspectRecord> = requests.iter().map(record).collect();
         for record in &records {
             self.add(now, record);
         }
         SuspectFrame { fingerprints: records, cleared: Vec::new() }
     }
 
-    /// Records a complete answer, which clears the fingerprint. Returns the frame that informs other
-    /// processes; `None` if the fingerprint was not suspected.
-    pub fn record_complete_answer(&mut self, fingerprint: u64) -> Option<SuspectFrame> {
-        let is_changed = self.clear(fingerprint);
-        is_changed.then(|| SuspectFrame { fingerprints: Vec::new(), cleared: vec![fingerprint] })
+    /// Records a complete answer to a request that was sent at `sent_at`, which clears its fingerprint of the
+    /// crashes before. Returns the frame that informs other processes; `None` if the fingerprint was not
+    /// suspected or still is.
+    pub fn record_complete_answer(
+        &mut self,
+        fingerprint: u64,
+        sent_at: MonoTime,
+    ) -> Option<SuspectFrame> {
+        let is_cleared = self.clear_until(fingerprint, Some(sent_at));
+        is_cleared.then(|| SuspectFrame { fingerprints: Vec::new(), cleared: vec![fingerprint] })
     }
 
     /// Merges the records of another process. Returns those that are new, to be forwarded to all other
@@ -89,7 +110,8 @@
         let fingerprints: Vec<SuspectRecord> =
             records.filter(|record| self.add(now, record)).collect();
         let cleared = frame.cleared.iter().copied();
-        let cleared: Vec<u64> = cleared.filter(|fingerprint| self.clear(*fingerprint)).collect();
+        let cleared: Vec<u64> =
+            cleared.filter(|fingerprint| self.clear_until(*fingerprint, None)).collect();
         let is_changed = !fingerprints.is_empty() || !cleared.is_empty();
         is_changed.then_some(SuspectFrame { fingerprints, cleared })
     }
@@ -117,7 +139,9 @@
     /// Adds a record; `false` if it was known already or has expired.
     fn add(&mut self, now: MonoTime, record: &SuspectRecord) -> bool {
         let at = now - Duration::from_millis(record.age_ms);
-        let added = CrashRecord { crash_id: record.crash, at, is_cleared: false };
+        let sent_age = record.sent_age_ms.map(Duration::from_millis);
+        let sent_at = sent_age.map_or(at, |age| now - age);
+        let added = CrashRecord { crash_id: record.crash, at, sent_at, is_cleared: false };
         if Duration::from_millis(record.age_ms) >= CRASH_RETENTION {
             return false;
         }
@@ -133,13 +157,15 @@
         true
     }
 
-    fn clear(&mut self, fingerprint: u64) -> bool {
+    /// Clears a fingerprint of the crashes up to `sent_at`, or of all; returns whether that ended its being
+    /// suspected.
+    fn clear_until(&mut self, fingerprint: u64, sent_at: Option<MonoTime>) -> bool {
         let Some(crashes) = self.suspects.get_mut(&fingerprint) else { return false };
-        let is_changed = crashes.iter().any(|crash| !crash.is_cleared);
-        for crash in crashes {
-            crash.is_cleared = true;
+        let was_suspected = crashes.iter().any(|crash| !crash.is_cleared);
+        for crash in crashes.iter_mut() {
+            crash.is_cleared |= sent_at.is_none_or(|sent_at| crash.at <= sent_at);
         }
-        is_changed
+        was_suspected && crashes.iter().all(|crash| crash.is_cleared)
     }
 
     fn evict_oldest(&mut self) {
@@ -156,11 +182,33 @@
 
 impl CrashRecord {
     fn suspect_record(&self, now: MonoTime, fingerprint: u64) -> SuspectRecord {
-        let age_ms = u64::try_from(now.since(self.at).as_millis()).unwrap_or(u64::MAX);
-        SuspectRecord { fingerprint, crash: self.crash_id, age_ms }
+        SuspectRecord {
+            fingerprint,
+            crash: self.crash_id,
+            age_ms: age_ms(now, self.at),
+            sent_age_ms: Some(age_ms(now, self.sent_at)),
+        }
     }
 }
 
+/// Returns the length of the longest chain of crashes in which each request was sent after the crash before.
+fn count_successive(mut crashes: Vec<CrashRecord>) -> usize {
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let mut count = 0;
+    let mut last = None;
+    for crash in crashes {
+        if last.is_none_or(|last| last <= crash.sent_at) {
+            count += 1;
+            last = Some(crash.at);
+        }
+    }
+    count
+}
+
+fn age_ms(now: MonoTime, at: MonoTime) -> u64 {
+    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
+}
+
 fn is_expired(now: MonoTime, crash: &CrashRecord) -> bool {
     now.since(crash.at) >= CRASH_RETENTION
 }
