--- a/core/tests/support/crash_fleet.rs
+++ b/core/tests/support/crash_fleet.rs
@@ -1,25 +1,28 @@
 //! A simulated fleet of entries and engines, some of whose requests crash engines.
 
+#[path = "crash_fleet/bounds.rs"]
+mod bounds;
+#[path = "crash_fleet/plan.rs"]
+mod plan;
+#[path = "crash_fleet/requests.rs"]
+mod requests;
+
 use buckthornwharf_core::direct::{
     CauseId, CrashId, CrashLedger, CrashReport, RegisteredTarget, SentCause, TargetPhase,
-    request_causes,
 };
 use buckthornwharf_core::prelude::*;
+pub use plan::FleetPlan;
+use plan::{CrashingKind, OutageKind};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use requests::SimRequest;
 
 const STEP: Duration = Duration::from_millis(10);
 const LENGTH: Duration = Duration::from_secs(60);
-/// Time from which crashing requests come, and from which they crash engines if they were answered first.
+/// Time from which crashing requests come.
 const CRASHING_FROM: MonoTime = MonoTime::from_millis(5_000);
-const BAD_FROM: MonoTime = MonoTime::from_millis(10_000);
 /// Time from the arrival of a request at an engine to the first token.
 const READ_TIME: Duration = Duration::from_millis(100);
-/// Time for which what crashed `known_crashes` engines may still reach engines without limit.
-const STABLE_WINDOW: Duration = Duration::from_secs(3);
-const MAX_LATE_REQUESTS: usize = 3;
-/// Samples from which shares of served requests are compared.
-const MIN_SAMPLES: usize = 20;
 const SLOTS: usize = 16;
 const MAX_ATTEMPTS: u32 = 2;
 /// Begin and end of an outage, and moment of a power failure.
@@ -27,104 +30,6 @@
 /// Interval between restarts of entries.
 const ENTRY_RESTART_INTERVAL: Duration = Duration::from_secs(7);
 
-/// An outage in the middle of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OutageKind {
-    None,
-    /// The store cannot be reached.
-    Store,
-    /// All engines lose power at the same moment.
-    Power,
-}
-
-/// What crashes engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum CrashingKind {
-    /// Parts of prompts that many requests share.
-    Part,
-    /// Requests that come again and again.
-    Request {
-        /// Whether they were answered before they turn bad.
-        was_answered: bool,
-    },
-}
-
-/// Size, load and faults of a run.
-#[derive(Debug, Clone)]
-pub struct FleetPlan {
-    pub entries: usize,
-    pub engines: usize,
-    /// Time from a crash to the restart of an engine.
-    pub restart_time: Duration,
-    pub crashing_kind: CrashingKind,
-    /// Number of different parts, or requests, that crash engines.
-    pub crashing_count: u64,
-    /// Requests that crash engines, for each of these parts or requests.
-    pub crashing_per_s: f64,
-    pub sound_per_s: f64,
-    /// Crashes of engines for other reasons.
-    pub other_crashes_per_s: f64,
-    pub outage: OutageKind,
-    /// Whether entries restart in turn.
-    pub restarts: bool,
-    /// Time until what an entry writes reaches the others.
-    pub lag: Duration,
-}
-
-impl FleetPlan {
-    /// Draws a plan.
-    pub fn draw(seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let outages = [OutageKind::None, OutageKind::Store, OutageKind::Power];
-        Self {
-            entries: rng.random_range(1..7),
-            engines: rng.random_range(4..25),
-            restart_time: Duration::from_secs(4),
-            crashing_kind: CrashingKind::Part,
-            crashing_count: rng.random_range(1..4),
-            crashing_per_s: [0.3, 1.0, 4.0, 12.0][rng.random_range(0..4)],
-            sound_per_s: [4.0, 20.0, 80.0][rng.random_range(0..3)],
-            other_crashes_per_s: [0.0, 0.2, 1.0][rng.random_range(0..3)],
-            outage: outages[rng.random_range(0..outages.len())],
-            restarts: rng.random(),
-            lag: Duration::from_millis(rng.random_range(50..450)),
-        }
-    }
-
-    /// Draws the plan of a small service, which requests that come again crash.
-    pub fn draw_small(seed: u64) -> Self {
-        let mut rng = StdRng::seed_from_u64(seed);
-        Self {
-            entries: rng.random_range(1..7),
-            engines: rng.random_range(3..9),
-            restart_time: Duration::from_millis(rng.random_range(2_000..4_500)),
-            crashing_kind: CrashingKind::Request { was_answered: rng.random() },
-            crashing_count: rng.random_range(1..3),
-            crashing_per_s: [0.3, 1.0, 4.0, 12.0][rng.random_range(0..4)],
-            sound_per_s: [0.5, 4.0, 20.0, 80.0][rng.random_range(0..4)],
-            other_crashes_per_s: [0.0, 0.0, 0.1][rng.random_range(0..3)],
-            outage: [OutageKind::None, OutageKind::Power][rng.random_range(0..2)],
-            restarts: rng.random(),
-            lag: Duration::from_millis(rng.random_range(50..450)),
-        }
-    }
-
-    /// Crashes after which the bound of `MAX_LATE_REQUESTS` holds.
-    fn known_crashes(&self) -> usize {
-        match self.crashing_kind {
-            CrashingKind::Part => 5,
-            CrashingKind::Request { .. } => 3,
-        }
-    }
-}
-
-#[derive(Debug, Clone)]
-struct SimRequest {
-    causes: Vec<CauseId>,
-    crashing: Option<u64>,
-    attempts: u32,
-}
-
 #[derive(Debug)]
 struct Run {
     entry: usize,
@@ -165,11 +70,6 @@
     ServiceName::from("llm")
 }
 
-/// The cause that stands for a whole request.
-fn whole(content: u64) -> CauseId {
-    request_causes(&service(), &[], "key", &format!("/{content}"), &[])[0]
-}
-
 /// The crash of an engine after its start number `start`.
 pub fn crash_id(engine: usize, start: u64) -> CrashId {
     CrashId::of(&RegisteredTarget {
@@ -238,59 +138,6 @@
         }
     }
 
-    fn crashing_request(&mut self, number: u64) -> SimRequest {
-        let causes = match self.plan.crashing_kind {
-            CrashingKind::Part => {
-                let own = self.rng.random();
-                self.causes(&[1, 10, 1_000 + number, own])
-            }
-            CrashingKind::Request { .. } => vec![whole(1_000 + number)],
-        };
-        SimRequest { causes, crashing: Some(number), attempts: 0 }
-    }
-
-    /// Whether requests that crash engines do so if they begin to run at `at`.
-    fn is_bad(&self, at: MonoTime) -> bool {
-        let is_answered_first = CrashingKind::Request { was_answered: true };
-        self.plan.crashing_kind != is_answered_first || at > BAD_FROM
-    }
-
-    fn sound_request(&mut self) -> SimRequest {
-        match self.plan.crashing_kind {
-            CrashingKind::Part => self.sound_prompt(),
-            CrashingKind::Request { .. } => self.sound_lookup(),
-        }
-    }
-
-    /// A request without a prompt, one of a few that come again or a new one.
-    fn sound_lookup(&mut self) -> SimRequest {
-        let content = match self.rng.random_bool(0.5) {
-            true => self.rng.random_range(0..20),
-            false => self.rng.random(),
-        };
-        SimRequest { causes: vec![whole(content)], crashing: None, attempts: 0 }
-    }
-
-    /// A request of one of three routes and ten callers, mostly of a longer session.
-    fn sound_prompt(&mut self) -> SimRequest {
-        let route = self.rng.random_range(1..4);
-        let caller = self.rng.random_range(10..20);
-        let session = 100 + self.rng.random_range(0..60) * 100 + caller;
-        let own = self.rng.random();
-        let parts = match self.rng.random_bool(0.6) {
-            true => vec![route, caller, session, own],
-            false => vec![route, caller, own],
-        };
-        SimRequest { causes: self.causes(&parts), crashing: None, attempts: 0 }
-    }
-
-    fn causes(&self, parts: &[u64]) -> Vec<CauseId> {
-        let mut causes: Vec<CauseId> =
-            parts.iter().map(|part| CauseId::of_part(&service(), *part)).collect();
-        causes.sort_unstable();
-        causes
-    }
-
     fn dispatch(&mut self, entry: usize, mut request: SimRequest) {
         let refused = self.ledgers[entry].refusal(self.now, &service(), &request.causes).is_some();
         let now = self.now;
@@ -433,49 +280,4 @@
             self.ledgers[entry].merge(self.now, report);
         }
     }
-
-    /// Whether entries were without the store within the stable window before `at`.
-    fn is_excused(&self, at: MonoTime) -> bool {
-        self.plan.outage == OutageKind::Store && OUTAGE.0 <= at && at < OUTAGE.1 + STABLE_WINDOW
-    }
-
-    fn is_without_power(&self, at: MonoTime) -> bool {
-        self.plan.outage == OutageKind::Power
-            && OUTAGE.0 <= at
-            && at < OUTAGE.0 + self.plan.restart_time
-    }
-
-    fn violations(&self) -> Vec<String> {
-        let mut violations = Vec::new();
-        for (number, crashes) in self.crashes.iter().enumerate() {
-            let Some(known_at) = crashes.get(self.plan.known_crashes() - 1) else { continue };
-            let late = self.arrivals[number].iter().filter(|at| **at > *known_at + STABLE_WINDOW);
-            let late = late.filter(|at| !self.is_excused(**at)).count();
-            if late > MAX_LATE_REQUESTS {
-                violations
-                    .push(format!("{number}: {late} late requests, {} crashes", crashes.len()));
-            }
-        }
-        let known_crashes = self.plan.known_crashes();
-        let known = self.crashes.iter().filter_map(|crashes| crashes.get(known_crashes - 1));
-        let last = match self.plan.crashing_kind {
-            CrashingKind::Part => self.crashes.iter().filter_map(|crashes| crashes.last()).max(),
-            CrashingKind::Request { .. } => None,
-        };
-        let Some(known_at) = known.chain(last).max() else { return violations };
-        let after = self
-            .sound
-            .iter()
-            .filter(|(at, _)| *at > *known_at + 2 * STABLE_WINDOW && !self.is_without_power(*at));
-        let outcomes: Vec<bool> = after.map(|(_, passed)| *passed).collect();
-        let passed = outcomes.iter().filter(|passed| **passed).count();
-        let required = match self.plan.crashing_kind {
-            CrashingKind::Part => outcomes.len() / 2,
-            CrashingKind::Request { .. } => outcomes.len() * 9 / 10,
-        };
-        if outcomes.len() >= MIN_SAMPLES && passed < required {
-            violations.push(format!("{passed} of {} sound requests passed", outcomes.len()));
-        }
-        violations
-    }
 }
