--- a/tests/direct_silent.rs
+++ b/tests/direct_silent.rs
@@ -8,7 +8,8 @@
 mod standin;
 
 use buckthornwharf::direct::loads::{LoadMessage, send_loads};
-use fleet::{DirectFleet, EntryReply, eventually};
+use fleet::calls::EntryReply;
+use fleet::{DirectFleet, eventually};
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
 use std::net::SocketAddr;
 use std::time::Duration;
