Share the time of a trial and the running request, which stood twice

Cause: the trial of a whole request and that of a part each computed the time after the last crash or sending with its spread, and the end of the retention; the end of an answer and a crash each built the request that runs from its record, with a default that never applies.

Change: CauseRecord::trial_time and expires_at, RequestRecord::running. No decision changes.

Request tests of core passed.

--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -5,7 +5,7 @@
 use super::verdict::guilty_groups;
 use super::{CauseId, CauseRow, CrashId, CrashReport, CrashRow, GuiltyGroup, request};
 use crate::prelude::*;
-use crate::request::poison::{CRASH_RETENTION, MAX_SUSPECTS};
+use crate::request::poison::MAX_SUSPECTS;
 
 /// Rounds of crashes from which other processes are told of answers that speak for or against a cause.
 const REPORTED_ROUNDS: u32 = 2;
@@ -239,7 +239,7 @@
         let mut groups = self.guilty.iter().filter(is_refused);
         let group = groups.next()?;
         let records = group.iter().filter_map(|cause| self.causes.get(cause));
-        let until = records.map(|record| record.last_crash() + CRASH_RETENTION).max()?;
+        let until = records.map(CauseRecord::expires_at).max()?;
         if now >= until {
             return None;
         }
--- a/core/src/direct/crashes/record.rs
+++ b/core/src/direct/crashes/record.rs
@@ -116,8 +116,18 @@
         };
         let doublings = self.rounds().saturating_sub(DOUBTFUL_SUSPECT_ROUNDS);
         let delay = first_delay * 2_u32.pow(doublings.min(MAX_TRIAL_DOUBLINGS));
-        let delay = delay + delay / 2 * u32::from(jitter) / 255;
-        now >= self.last_crash().max(self.last_sent) + delay
+        now >= self.trial_time(delay, delay / 2, jitter)
+    }
+
+    /// Returns the time `delay` after the last crash or sending, later by up to `spread` with a higher
+    /// `jitter`.
+    pub fn trial_time(&self, delay: Duration, spread: Duration, jitter: u8) -> MonoTime {
+        self.last_crash().max(self.last_sent) + delay + spread * u32::from(jitter) / 255
+    }
+
+    /// Returns the time at which the last crash is forgotten.
+    pub fn expires_at(&self) -> MonoTime {
+        self.last_crash() + CRASH_RETENTION
     }
 
     /// Clears the cause of the crashes up to `sent_at`, when a request with it was sent that was answered.
--- a/core/src/direct/crashes/request.rs
+++ b/core/src/direct/crashes/request.rs
@@ -5,7 +5,6 @@
 
 use super::record::CauseRecord;
 use crate::prelude::*;
-use crate::request::poison::CRASH_RETENTION;
 
 /// Crashes from which a request is refused.
 pub(super) const REFUSED_CRASHES: usize = 3;
@@ -33,12 +32,10 @@
     if !is_refused(record) {
         return None;
     }
-    let expires_at = record.last_crash() + CRASH_RETENTION;
-    let tried_at = trial_delay(record).map(|delay| {
-        let delay = delay + TRIAL_SPREAD * delay * u32::from(jitter) / 255;
-        record.last_crash().max(record.last_sent) + delay
-    });
-    let until = tried_at.unwrap_or(expires_at).min(expires_at);
+    let tried_at =
+        trial_delay(record).map(|delay| record.trial_time(delay, TRIAL_SPREAD * delay, jitter));
+    let expires_at = record.expires_at();
+    let until = tried_at.map_or(expires_at, |tried_at| tried_at.min(expires_at));
     (now < until).then(|| until.since(now))
 }
 
--- a/core/src/request/ledger/record.rs
+++ b/core/src/request/ledger/record.rs
@@ -3,6 +3,7 @@
 use crate::frame::{LinkFrame, SubmitFrame};
 use crate::prelude::*;
 use crate::request::answer::AnswerBuffer;
+use crate::request::poison::RunningRequest;
 use crate::request::{LinkId, MAX_REQUEST_DEADLINE};
 
 /// The phase of a request at its agent.
@@ -61,6 +62,12 @@
         matches!(self.phase, RecordPhase::Claiming | RecordPhase::Running)
     }
 
+    /// The request as it runs at the target; `None` while it does not.
+    pub fn running(&self) -> Option<RunningRequest> {
+        let sent_at = self.dispatched_at.filter(|_| self.phase == RecordPhase::Running)?;
+        Some(RunningRequest { fingerprint: self.submit.fingerprint, sent_at })
+    }
+
     /// The result; `None` until the request has ended.
     pub fn result(&self) -> Option<ResultCode> {
         match self.phase {
--- a/core/src/request/ledger/target.rs
+++ b/core/src/request/ledger/target.rs
@@ -160,12 +160,8 @@
 
     pub(super) fn on_target_end(&mut self, now: MonoTime, id: RequestId, code: ResultCode) {
         let Some(record) = self.records.get(&id) else { return };
-        if record.phase != RecordPhase::Running {
-            return;
-        }
+        let Some(RunningRequest { fingerprint, sent_at }) = record.running() else { return };
         let is_complete = code == ResultCode::Ok && record.answer.has_head();
-        let fingerprint = record.submit.fingerprint;
-        let sent_at = record.dispatched_at.unwrap_or(now);
         if is_complete
             && let Some(suspects) = self.suspects.record_complete_answer(fingerprint, sent_at)
         {
@@ -179,13 +175,8 @@
 
     pub(super) fn on_target_crashed(&mut self, now: MonoTime) {
         let records = self.records.iter();
-        let records = records.filter(|(_, record)| record.phase == RecordPhase::Running);
-        let running: Vec<(RequestId, RunningRequest)> = records
-            .map(|(id, record)| {
-                let sent_at = record.dispatched_at.unwrap_or(now);
-                (*id, RunningRequest { fingerprint: record.submit.fingerprint, sent_at })
-            })
-            .collect();
+        let running: Vec<(RequestId, RunningRequest)> =
+            records.filter_map(|(id, record)| Some((*id, record.running()?))).collect();
         if running.is_empty() {
             return;
         }
