--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -8,12 +8,19 @@
 use crash_fleet::{CrashFleet, FleetPlan, crash_id, service};
 
 const NOW: MonoTime = MonoTime::from_millis(1_000_000);
+/// Threads that play simulated fleets.
+const THREADS: usize = 4;
 
 /// The cause that stands for a part of a prompt.
 fn part(number: u64) -> CauseId {
     CauseId::of_part(&service(), number)
 }
 
+/// The causes of a request without a prompt.
+fn lookup(number: u64) -> Vec<CauseId> {
+    request_causes(&service(), &[], "key", &format!("/{number}"), b"")
+}
+
 fn crash(number: u64) -> CrashId {
     crash_id(0, number)
 }
@@ -164,11 +171,6 @@
     assert_eq!(first.iter().filter(|cause| second.contains(cause)).count(), 1);
 }
 
-/// The causes of a request without a prompt.
-fn lookup(number: u64) -> Vec<CauseId> {
-    request_causes(&service(), &[], "key", &format!("/{number}"), b"")
-}
-
 #[test]
 fn a_request_that_was_answered_is_refused_after_three_crashes_while_nothing_is_answered() {
     let mut ledger = CrashLedger::new(0);
@@ -234,9 +236,6 @@
     assert!(!is_refused(&other, &lookup(1)));
 }
 
-/// Threads that play simulated fleets.
-const THREADS: usize = 4;
-
 /// Plays simulated fleets and asserts that they keep the bounds.
 fn play_fleets(seeds: std::ops::Range<u64>, draw: fn(u64) -> FleetPlan) {
     let violations = |seed: u64| {
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -57,6 +57,11 @@
     }
 }
 
+/// Registers a target under `state`.
+fn register(store: &StoreStandin, engine: &EngineStandin, state: &str) {
+    store.put(&format!("servers/{}", engine.id), &engine.registration("ledger", state));
+}
+
 impl DirectFleet {
     /// Starts an entry with `targets` targets and waits until it is ready.
     pub async fn start(targets: usize) -> Self {
@@ -75,7 +80,7 @@
         let mut engines = Vec::new();
         for number in 0..targets {
             let engine = EngineStandin::start(&format!("engine-{number}")).await;
-            store.put(&format!("servers/{}", engine.id), &engine.registration("ledger", "ready"));
+            register(&store, &engine, "ready");
             engines.push(engine);
         }
         let folder = TempDir::new().expect("a temporary directory");
@@ -173,8 +178,7 @@
 
     /// Changes the state under which a target is registered.
     pub fn set_state(&self, number: usize, state: &str) {
-        let engine = &self.engines[number];
-        self.store.put(&format!("servers/{}", engine.id), &engine.registration("ledger", state));
+        register(&self.store, &self.engines[number], state);
     }
 
     /// How many requests the targets ran in total.
@@ -196,8 +200,7 @@
                 for (engine, known) in engines.iter().zip(&mut known) {
                     if engine.starts() != *known {
                         *known = engine.starts();
-                        let registration = engine.registration("ledger", "ready");
-                        store.put(&format!("servers/{}", engine.id), &registration);
+                        register(&store, engine, "ready");
                     }
                 }
                 actix_rt::time::sleep(POLL_INTERVAL).await;
--- a/tests/direct_crashing_requests.rs
+++ b/tests/direct_crashing_requests.rs
@@ -23,14 +23,14 @@
 const RESTART_TIME: Duration = Duration::from_millis(3250);
 
 /// The request that crashes targets.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct CrashingRequest {
-    method: &'static str,
+    method: Method,
     path: &'static str,
 }
 
-const READ: CrashingRequest = CrashingRequest { method: "GET", path: "/plain/bad" };
-const ORDER: CrashingRequest = CrashingRequest { method: "POST", path: "/once/bad" };
+const READ: CrashingRequest = CrashingRequest { method: Method::GET, path: "/plain/bad" };
+const ORDER: CrashingRequest = CrashingRequest { method: Method::POST, path: "/once/bad" };
 
 struct CrashTest {
     fleet: DirectFleet,
@@ -58,7 +58,7 @@
     /// Sends the request to the next entry; returns the status.
     async fn send(&mut self) -> u16 {
         self.sent += 1;
-        let method = self.request.method.parse().expect("a method");
+        let method = self.request.method.clone();
         let id = format!("repeated-{}", self.sent);
         self.fleet.request(self.sent % ENTRIES, method, self.request.path, &id).await.status
     }
