Settings: bounds may be fractions, zero or absent

Cause: the retry allowance was read as a whole number.

Entries share the allowance as a fraction and round down once. Changed settings that are invalid are also counted.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -18,7 +18,7 @@
 pub mod watch_backoff;
 
 pub use attempt::{AttemptFailure, FinalAnswer, NextStep, WorkKind, next_step};
-pub use budget::RetryBudget;
+pub use budget::{RetryAllowance, RetryBudget};
 pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
 pub use crashes::{
--- a/core/src/direct/budget.rs
+++ b/core/src/direct/budget.rs
@@ -5,9 +5,29 @@
 
 /// Granularity of the sliding window.
 const SLICE_LENGTH: Duration = Duration::from_millis(500);
-/// Percentage of the allowance that an entry may use. The rest is a margin for entries that
-/// temporarily disagree on the number of live entries.
-const USABLE_PERCENT: u64 = 70;
+/// Share of the allowance that an entry may use. The rest is a margin for entries that temporarily
+/// disagree on the number of live entries.
+const USABLE_SHARE: f64 = 0.7;
+
+/// The retries that all entries together may send in a window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryAllowance {
+    /// Maximum ratio of retries to requests.
+    pub ratio: f64,
+    /// Number of retries beyond that.
+    pub extra: f64,
+    /// Live entries, which share `extra`.
+    pub entries: u64,
+}
+
+impl RetryAllowance {
+    /// Returns the number of retries that one entry may send for `requests`, rounded down, so that
+    /// the shares of all entries do not add up to more than the allowance.
+    fn share(&self, requests: u64) -> u64 {
+        let allowance = requests as f64 * self.ratio + self.extra / self.entries.max(1) as f64;
+        (allowance * USABLE_SHARE) as u64
+    }
+}
 
 /// Counts requests and retries of one service over a sliding window.
 #[derive(Debug, Clone)]
@@ -34,22 +54,19 @@
         self.current_slice(now).requests += 1;
     }
 
-    /// Spends one retry if the budget allows it, and returns whether it did. The budget is
-    /// `percent` of the requests in the window plus an equal share of `extra` for each of the
-    /// `entries` live entries.
-    pub fn try_spend(&mut self, now: MonoTime, percent: u64, extra: u64, entries: u64) -> bool {
-        let allowed = self.has_retry(now, percent, extra, entries);
+    /// Spends one retry if the budget allows it, and returns whether it did.
+    pub fn try_spend(&mut self, now: MonoTime, allowance: RetryAllowance) -> bool {
+        let allowed = self.has_retry(now, allowance);
         self.current_slice(now).retries += u64::from(allowed);
         allowed
     }
 
     /// Returns whether [`RetryBudget::try_spend`] would spend a retry.
-    pub fn has_retry(&mut self, now: MonoTime, percent: u64, extra: u64, entries: u64) -> bool {
+    pub fn has_retry(&mut self, now: MonoTime, allowance: RetryAllowance) -> bool {
         self.current_slice(now);
         let requests: u64 = self.slices.iter().map(|slice| slice.requests).sum();
         let retries: u64 = self.slices.iter().map(|slice| slice.retries).sum();
-        let allowance = requests * percent / 100 + extra / entries.max(1);
-        retries < allowance * USABLE_PERCENT / 100
+        retries < allowance.share(requests)
     }
 
     /// Drops slices that have left the window and returns the slice that covers `now`.
--- a/core/tests/direct_requests.rs
+++ b/core/tests/direct_requests.rs
@@ -2,7 +2,8 @@
 
 use buckthornwharf_core::direct::{
     AttemptFailure, CallerLimits, CallerTimeoutEstimate, FinalAnswer, NextStep, OrganisationKeys,
-    RetryBudget, RouteTable, ServingConfig, ServingRoute, WorkKind, next_step, wait_allowance,
+    RetryAllowance, RetryBudget, RouteTable, ServingConfig, ServingRoute, WorkKind, next_step,
+    wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
@@ -76,31 +77,50 @@
 
     #[test]
     fn all_entries_together_stay_within_the_retry_budget(
-        entries in 1_u64..6,
+        entries in 1_u64..24,
         requests in 0_u64..400,
         attempted in 0_u64..600,
+        ratio in 0.0..0.5_f64,
+        extra in 0.0..300.0_f64,
     ) {
-        const RETRY_PERCENT: u64 = 20;
-        const EXTRA_RETRIES: u64 = 102;
+        let allowance = RetryAllowance { ratio, extra, entries };
         let now = MonoTime::from_millis(1000);
         let mut spent = 0;
         for _ in 0..entries {
             let mut budget = RetryBudget::new(Duration::from_secs(10));
             (0..requests).for_each(|_| budget.count_request(now));
-            let retries = (0..attempted).filter(|_| budget.try_spend(now, RETRY_PERCENT, EXTRA_RETRIES, entries));
+            let retries = (0..attempted).filter(|_| budget.try_spend(now, allowance));
             spent += retries.count() as u64;
         }
-        prop_assert!(spent <= entries * requests * RETRY_PERCENT / 100 + EXTRA_RETRIES);
+        prop_assert!(spent as f64 <= (entries * requests) as f64 * ratio + extra);
     }
 }
 
+const ALLOWANCE: RetryAllowance = RetryAllowance { ratio: 0.2, extra: 100.0, entries: 1 };
+
+/// Returns the number of retries that an entry may send for `requests`.
+fn retries_of(requests: u64, allowance: RetryAllowance) -> usize {
+    let now = MonoTime::from_millis(1000);
+    let mut budget = RetryBudget::new(Duration::from_secs(10));
+    (0..requests).for_each(|_| budget.count_request(now));
+    (0..1000).filter(|_| budget.try_spend(now, allowance)).count()
+}
+
+#[test]
+fn fractions_of_an_allowance_add_up_before_they_are_rounded_down() {
+    // 0.7 of 3 * 0.2 + 39.705 / 23 retries is 1.6; rounded one by one, the parts come to 0.
+    let allowance = RetryAllowance { ratio: 0.2, extra: 39.705, entries: 23 };
+    assert_eq!(retries_of(3, allowance), 1);
+    assert_eq!(retries_of(0, RetryAllowance { ratio: 0.2, extra: 22.9, entries: 23 }), 0);
+}
+
 #[test]
 fn a_spent_budget_is_restored_after_its_window() {
     let mut budget = RetryBudget::new(Duration::from_secs(10));
     let start = MonoTime::from_millis(1000);
-    while budget.try_spend(start, 20, 100, 1) {}
-    assert!(!budget.try_spend(MonoTime::from_millis(9000), 20, 100, 1));
-    assert!(budget.try_spend(MonoTime::from_millis(12_000), 20, 100, 1));
+    while budget.try_spend(start, ALLOWANCE) {}
+    assert!(!budget.try_spend(MonoTime::from_millis(9000), ALLOWANCE));
+    assert!(budget.try_spend(MonoTime::from_millis(12_000), ALLOWANCE));
 }
 
 fn route(host: &str, prefix: &str, services: &[(&str, u32)]) -> ServingRoute {
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -42,6 +42,7 @@
     let store = StoreClient::new(settings.store);
     let metrics = DirectAgentMetrics::new()?;
     metrics::serve(&settings, metrics.registry().clone());
+    let rejected = metrics.settings_rejected.clone();
     let engine = EngineClient::new(agent_settings.engine);
     let state = AgentState::new(settings.clone(), agent_settings, engine, metrics);
     peers::start_peer_service(listener, state.clone())?;
@@ -64,7 +65,7 @@
         presence::keep_registered(store, presence::AGENT_PREFIX, record, engine_up, on_registered);
     actix_rt::spawn(registration);
     // No setting of an agent can change at run time; a reload only checks and logs the file.
-    reload::watch_settings(settings_path, |_| {})?;
+    reload::watch_settings(settings_path, rejected, |_| {})?;
     tokio::select! {
         never = manager::run(state.clone()) => match never {},
         _ = shutdown.wait_for(|shutdown| *shutdown) => {}
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -64,6 +64,7 @@
     let store = StoreClient::new(settings.store);
     let metrics = DirectEntryMetrics::new()?;
     metrics::serve(&settings, metrics.registry().clone());
+    let rejected = metrics.settings_rejected.clone();
     let state = EntryState::new(settings.clone(), shutdown.clone(), metrics);
     start_readiness(readiness_listener, state.clone())?;
     let load_state = state.clone();
@@ -77,7 +78,8 @@
     actix_rt::spawn(registration);
     actix_rt::spawn(state::run_queue(state.clone()));
     let reloaded = state.clone();
-    reload::watch_settings(settings_path, move |settings| reloaded.set_bounds(settings.bounds))?;
+    let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
+    reload::watch_settings(settings_path, rejected, on_change)?;
     accept_connections(caller_listener, state, shutdown, settings.bounds.grace).await;
     info!("event=stopped host={}", settings.host);
     Ok(())
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -16,8 +16,8 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
 use buckthornwharf_core::direct::{
-    CallerLimits, CallerTimeoutEstimate, CrashLedger, GuiltyGroup, RetryBudget, RouteTable,
-    SlotScheduler, TargetCatalog, WaitTicket,
+    CallerLimits, CallerTimeoutEstimate, CrashLedger, GuiltyGroup, RetryAllowance, RetryBudget,
+    RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
@@ -163,22 +163,23 @@
 
     /// Spends a retry at `service` and returns true if the retry budget allows it.
     pub fn try_retry(&self, now: MonoTime, service: &ServiceName) -> bool {
-        let (percent, extra, entries) = self.retry_allowance();
-        self.with_retry_budget(service, |budget| budget.try_spend(now, percent, extra, entries))
+        let allowance = self.retry_allowance();
+        self.with_retry_budget(service, |budget| budget.try_spend(now, allowance))
     }
 
     /// Returns whether the retry budget allows a retry at `service`.
     pub fn has_retry(&self, now: MonoTime, service: &ServiceName) -> bool {
-        let (percent, extra, entries) = self.retry_allowance();
-        self.with_retry_budget(service, |budget| budget.has_retry(now, percent, extra, entries))
+        let allowance = self.retry_allowance();
+        self.with_retry_budget(service, |budget| budget.has_retry(now, allowance))
     }
 
-    /// The retries that all entries together may send, in percent of the requests and in addition to
-    /// that, and the number of entries.
-    fn retry_allowance(&self) -> (u64, u64, u64) {
+    fn retry_allowance(&self) -> RetryAllowance {
         let bounds = self.bounds.borrow();
-        let percent = (bounds.retry_ratio * 100.0) as u64;
-        (percent, bounds.retry_extra, self.entries.borrow().len().max(1) as u64)
+        RetryAllowance {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            entries: self.entries.borrow().len().max(1) as u64,
+        }
     }
 
     fn with_retry_budget<T>(
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -51,6 +51,8 @@
     pub targets: IntGauge,
     /// Live entries, this one included.
     pub entries: IntGauge,
+    /// Changed settings that were invalid.
+    pub settings_rejected: IntCounter,
 }
 
 impl DirectEntryMetrics {
@@ -127,6 +129,7 @@
             )?,
             targets: new_gauge(&registry, "direct_targets", "Targets that are registered")?,
             entries: new_gauge(&registry, "direct_entries", "Live entries")?,
+            settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
     }
@@ -151,6 +154,8 @@
     pub declared_version: IntGauge,
     /// Requests that are running or waiting in the engine.
     pub engine_requests: IntGauge,
+    /// Changed settings that were invalid.
+    pub settings_rejected: IntCounter,
 }
 
 impl DirectAgentMetrics {
@@ -189,6 +194,7 @@
                 "direct_engine_requests",
                 "Requests that the engine runs or keeps",
             )?,
+            settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
     }
@@ -251,6 +257,11 @@
     Ok(counter)
 }
 
+fn new_settings_rejected(registry: &Registry) -> Result<IntCounter> {
+    let help = "Changes of the settings file that were invalid and are not in force";
+    new_counter(registry, "direct_settings_rejected_total", help)
+}
+
 fn new_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/src/direct/reload.rs
+++ b/src/direct/reload.rs
@@ -4,6 +4,7 @@
 use actix_rt::signal::unix::{SignalKind, signal};
 use anyhow::Result;
 use log::{info, warn};
+use prometheus::IntCounter;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -11,13 +12,14 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Calls `on_change` with each valid change of the settings file at `path` for the rest of the process.
-/// Invalid settings are logged and ignored. SIGHUP triggers a check at once.
+/// Invalid settings are logged, counted in `rejected` and change nothing. SIGHUP triggers a check at once.
 ///
 /// # Errors
 ///
 /// Fails if the handler of SIGHUP cannot be installed.
 pub fn watch_settings(
     path: PathBuf,
+    rejected: IntCounter,
     mut on_change: impl FnMut(DirectSettings) + 'static,
 ) -> Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
@@ -40,7 +42,10 @@
                     info!("event=settings_reloaded file={}", path.display());
                     on_change(settings);
                 }
-                Err(error) => warn!("event=settings_kept reason=\"{error:#}\""),
+                Err(error) => {
+                    warn!("event=settings_kept reason=\"{error:#}\"");
+                    rejected.inc();
+                }
             }
         }
     });
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -1,11 +1,13 @@
 //! Settings of an entry or agent of the direct path.
 
+mod bounds;
+
 use crate::process;
 use crate::settings::{parse_yaml, read_file};
 use anyhow::{Result, bail};
+use bounds::BoundFields;
 use buckthornwharf_core::prelude::*;
 use serde::Deserialize;
-use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::Path;
@@ -50,23 +52,19 @@
     pub ports: [u16; 2],
 }
 
-/// Limits that the operators set.
-#[serde_as]
-#[derive(Debug, Clone, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// Limits that the operators set. One that is absent takes its default.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(try_from = "BoundFields")]
 pub struct BoundSettings {
     /// Maximum ratio of retries to requests.
     pub retry_ratio: f64,
-    /// Number of retries allowed in addition, for all entries together.
-    pub retry_extra: u64,
-    /// Sliding window over which retries are counted, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// Number of retries allowed in addition, for all entries together; may be a fraction.
+    pub retry_extra: f64,
+    /// Sliding window over which retries are counted.
     pub retry_window: Duration,
-    /// Time from the shutdown signal until the platform kills the process, in seconds.
-    #[serde_as(as = "DurationSeconds<u64>")]
+    /// Time from the shutdown signal until the platform kills the process.
     pub grace: Duration,
-    /// Time from the declaration of a version to the retirement of the old one, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    /// Time from the declaration of a version to the retirement of the old one.
     pub version_time: Duration,
 }
 
@@ -89,6 +87,7 @@
     /// Address of the engine on this host.
     pub engine: SocketAddr,
     /// Bandwidth of the host's link, in megabits per second.
+    #[serde(deserialize_with = "bounds::link_megabits")]
     pub link_megabits: f64,
 }
 
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -273,3 +273,12 @@
     let engine = fleet.engines[0].clone();
     eventually("the request is cancelled at the target", || engine.abandoned.get() == 1).await;
 }
+
+#[actix_rt::test]
+async fn settings_that_become_invalid_change_nothing_and_are_logged() {
+    let fleet = DirectFleet::start(1).await;
+    fleet.replace_settings(0, "bounds: { retry_extra: -1 }");
+    let is_logged = || fleet.entry_log(0).contains("event=settings_kept");
+    eventually("the entry logs that it keeps its settings", is_logged).await;
+    assert_eq!(fleet.get("/plain/x", "id-1").await.status, 200);
+}
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -130,6 +130,17 @@
         EntryProcess { process: RefCell::new(process), callers, readiness }
     }
 
+    /// Replaces the settings file of an entry that runs.
+    pub fn replace_settings(&self, number: usize, text: &str) {
+        let path = self.folder.path().join(format!("entry-{}.yml", number + 1));
+        std::fs::write(path, text).expect("the settings can be written");
+    }
+
+    /// Returns what an entry has logged, which goes to its standard output.
+    pub fn entry_log(&self, number: usize) -> String {
+        self.entries[number].process.borrow().stdout()
+    }
+
     /// Kills an entry and starts it again, without what it knew.
     pub async fn restart_entry(&mut self, number: usize) {
         let process = self.entries[number].process.get_mut();
