Read the items anew where a watch fell behind by more than their size

After a cut of 8 s an entry's watch transfers every revision of the configuration since, half a megabyte each, over a link that five entries share. front-galle-a-1 took up version 82 at 32.55 s and stayed about 4 s behind. The operator itself writes only each 1.1 s to 1.2 s then, so the interval seen in the logs is not the entries'.

Change: a watch call has a maximum size of its answer, 256 KiB or twice the size of the items. A larger one is given up at its head, and the items are read again. store_returned says how long the store did not respond.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -4,6 +4,7 @@
 //! tracks whether a request may have run.
 
 pub mod attempt;
+pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
 pub mod catalog;
@@ -18,6 +19,7 @@
 pub mod watch_backoff;
 
 pub use attempt::{AttemptFailure, FinalAnswer, NextStep, WorkKind, next_step};
+pub use backlog::BacklogLimit;
 pub use budget::{RetryAllowance, RetryBudget};
 pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -115,6 +115,9 @@
         let max_answer_bytes = call.max_answer_bytes;
         let answered = tokio::time::timeout(call.head_timeout, self.send(call)).await;
         let (mut connection, head) = answered.map_err(|_| CallError::TimedOut)??;
+        if head.length.is_some_and(|length| length > max_answer_bytes as u64) {
+            return Err(CallError::TooLong);
+        }
         let mut body = BytesMut::new();
         let body_started = Instant::now();
         loop {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,13 +1,16 @@
 //! Watches and polls the items below a prefix of the platform's store.
 
+use crate::clock;
 use buckthornwharf_core::direct::{
-    PROBE_TIMEOUT, PollBackoff, StorePosition, WatchBackoff, WatchTiming,
+    BacklogLimit, PROBE_TIMEOUT, PollBackoff, StorePosition, WatchBackoff, WatchTiming,
+};
+use buckthornwharf_core::prelude::*;
+use buckthornwharf_platform::{
+    ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem, WatchCall,
 };
-use buckthornwharf_platform::{ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem};
 use log::{info, warn};
 use rand::RngExt;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 
 /// Number of initial polls that read current rather than slightly stale data, so that processes that
@@ -36,6 +39,7 @@
     mut on_event: impl FnMut(StoreEvent),
 ) {
     let mut health = StoreHealth::new(prefix, timing);
+    let mut backlog = BacklogLimit::default();
     let mut era = None;
     loop {
         // A list may take long; a probe shows sooner whether the store responds at all.
@@ -66,22 +70,32 @@
         if health.on_success() || is_set_back {
             on_event(StoreEvent::Recovered);
         }
+        backlog.on_items(range.items.iter().map(|item| item.value.len()));
         on_event(StoreEvent::Snapshot(range.items));
         loop {
-            match store
-                .watch(prefix, position, health.backoff.long_poll(), health.backoff.timeout())
-                .await
-            {
+            let call = WatchCall {
+                prefix,
+                after: position,
+                wait: health.backoff.long_poll(),
+                timeout: health.backoff.timeout(),
+                max_answer_bytes: backlog.max_answer_bytes(),
+            };
+            match store.watch(call).await {
                 Ok((changes, next)) => {
                     if health.on_success() {
                         on_event(StoreEvent::Recovered);
                     }
                     position = position.max(next);
                     if !changes.is_empty() {
+                        backlog.on_changes(changes.iter().map(StoreChange::value_bytes));
                         on_event(StoreEvent::Changes(changes));
                         actix_rt::time::sleep(health.backoff.change_delay()).await;
                     }
                 }
+                Err(StoreError::TooManyChanges) => {
+                    info!("event=read_anew prefix={prefix} revision={}", position.revision);
+                    break;
+                }
                 Err(error @ (StoreError::Compacted | StoreError::OtherEra(_))) => {
                     let revision = position.revision;
                     info!(
@@ -155,11 +169,13 @@
     backoff: WatchBackoff,
     /// Whether the store has responded at least once.
     has_responded: bool,
+    /// When the first call of the present outage failed.
+    lost_at: Option<MonoTime>,
 }
 
 impl StoreHealth {
     fn new(prefix: &'static str, timing: WatchTiming) -> Self {
-        Self { prefix, backoff: WatchBackoff::new(timing), has_responded: false }
+        Self { prefix, backoff: WatchBackoff::new(timing), has_responded: false, lost_at: None }
     }
 
     /// Returns whether the store may be unreachable.
@@ -172,7 +188,9 @@
         self.has_responded = true;
         let recovered = self.backoff.record_success();
         if recovered {
-            info!("event=store_returned prefix={}", self.prefix);
+            let now = clock::now();
+            let outage = self.lost_at.take().map_or(Duration::ZERO, |lost_at| now.since(lost_at));
+            info!("event=store_returned prefix={} after_ms={}", self.prefix, outage.as_millis());
         }
         recovered
     }
@@ -181,6 +199,7 @@
     fn record_failure(&mut self, error: &StoreError) -> Duration {
         if !self.backoff.is_failing() {
             warn!("event=store_lost prefix={} reason=\"{error}\"", self.prefix);
+            self.lost_at = Some(clock::now());
         }
         self.backoff.record_failure()
     }
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -10,7 +10,7 @@
 use buckthornwharf_exchange::{CallClient, OutboundCall};
 use buckthornwharf_standin::fleet::FleetProcess;
 use bytes::Bytes;
-use serde_json::json;
+use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -161,13 +161,22 @@
 
     /// Writes a configuration with an idempotent route at `prefix`, and a single key.
     pub fn put_config(&self, version: u64, prefix: &str, key: &str) {
+        self.put_large_config(version, prefix, key, 0);
+    }
+
+    /// Writes a configuration with an idempotent route at `prefix`, a single key, and more routes.
+    pub fn put_large_config(&self, version: u64, prefix: &str, key: &str, more_routes: usize) {
         let times = RouteTimes { timeout_ms: 6000, objective_ms: 400 };
         let route = |prefix: &str, kind: &str| operator::route(prefix, kind, "ledger", times);
-        let routes = [
+        let more = (0..more_routes).map(|number| route(&format!("/more-{number}/"), "idempotent"));
+        let routes: Vec<Value> = [
             route(prefix, "idempotent"),
             route("/once/", "non_idempotent"),
             route("/stream/", "stream"),
-        ];
+        ]
+        .into_iter()
+        .chain(more)
+        .collect();
         let services = json!([{ "name": "ledger", "max_connections": 100 }]);
         operator::put_config(&self.store, version, &routes, &services, key);
     }
@@ -183,7 +192,7 @@
     /// The address at which agents reach the first entry.
     pub fn peer_address(&self) -> SocketAddr {
         let records = self.store.values("buckthornwharf/entry/");
-        let record: serde_json::Value = serde_json::from_str(&records[0]).expect("valid JSON");
+        let record: Value = serde_json::from_str(&records[0]).expect("valid JSON");
         record["address"].as_str().and_then(|text| text.parse().ok()).expect("an address")
     }
 
