Fewer calls to the store at a start, and lists polled in proportion to their length

At full size an agent reads 70 KB each second while processes start, over links of 29 Mbit/s that 58 agents of a region share.

Change: a process probes the store only after a failed call; opening its lease fails as fast as a probe. Agents poll two lists: the entries with their part of the configuration, and the agents, whose interval grows with the length of the list (4 KiB/s). The first two reads are current, the others may be stale. Watches of the targets wait up to 0.5 s while one answer after the other has changes.

Core and direct tests passed, the two new ones among them.

--- a/core/src/direct/watch_backoff.rs
+++ b/core/src/direct/watch_backoff.rs
@@ -12,8 +12,11 @@
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// First back-off after a failed call.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
-/// Shortest and longest interval between polls of a list.
+/// Shortest and longest interval between polls of a short list.
 const POLL_INTERVAL_RANGE: (Duration, Duration) = (Duration::from_secs(1), Duration::from_secs(8));
+/// Bytes of a list that a process reads per second at most. All processes of a region share the links to
+/// the store, and a list grows with the fleet.
+const POLL_BYTES_PER_SECOND: f64 = 4096.0;
 
 /// Timing of a watch: trades the staleness of its data against the number of calls to the store,
 /// each of which costs.
@@ -24,6 +27,8 @@
     pub long_poll: Duration,
     /// Delay from a change to the next watch call, so that changes close together cost one call.
     pub change_delay: Duration,
+    /// Longest delay while one call after the other returns changes.
+    pub max_change_delay: Duration,
     /// Longest back-off after a failed call.
     pub max_backoff: Duration,
 }
@@ -33,18 +38,23 @@
     pub const PROMPT: Self = Self {
         long_poll: Duration::from_millis(2500),
         change_delay: Duration::from_millis(200),
+        max_change_delay: Duration::from_millis(200),
         max_backoff: Duration::from_millis(400),
     };
+    /// For the list of targets, of which some change all the time in a large fleet.
+    pub const TARGETS: Self = Self { max_change_delay: Duration::from_millis(500), ..Self::PROMPT };
     /// For data that an agent must act on within the time of a rollout.
     pub const TIMELY: Self = Self {
         long_poll: Duration::from_secs(9),
         change_delay: Duration::from_millis(100),
+        max_change_delay: Duration::from_millis(100),
         max_backoff: Duration::from_millis(800),
     };
     /// For the list of live processes.
     pub const RELAXED: Self = Self {
         long_poll: Duration::from_secs(10),
         change_delay: Duration::from_millis(1000),
+        max_change_delay: Duration::from_millis(1000),
         max_backoff: Duration::from_millis(800),
     };
 }
@@ -54,18 +64,26 @@
 pub struct WatchBackoff {
     timing: WatchTiming,
     backoff: Duration,
+    change_delay: Duration,
     failing: bool,
 }
 
 impl WatchBackoff {
     /// Creates the state of a watch that has not failed yet.
     pub fn new(timing: WatchTiming) -> Self {
-        Self { timing, backoff: MIN_BACKOFF, failing: false }
+        Self { timing, backoff: MIN_BACKOFF, change_delay: timing.change_delay, failing: false }
     }
 
-    /// Returns the delay from a change to the next watch call.
-    pub fn change_delay(&self) -> Duration {
-        self.timing.change_delay
+    /// Records whether a watch call returned changes, and returns the delay before the next one. The
+    /// delay doubles with each call that did.
+    pub fn next_delay(&mut self, changed: bool) -> Duration {
+        if !changed {
+            self.change_delay = self.timing.change_delay;
+            return Duration::ZERO;
+        }
+        let delay = self.change_delay;
+        self.change_delay = (delay * 2).min(self.timing.max_change_delay);
+        delay
     }
 
     /// Returns whether the last call failed.
@@ -99,20 +117,33 @@
 }
 
 /// Interval between polls of a list: short while the list changes, then doubled at each poll
-/// without a change. A poll may return data that is some seconds old, and costs a fraction of a
-/// watch.
+/// without a change, and longer for a long list. A poll may return data that is some seconds old, and
+/// costs a fraction of a watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PollBackoff {
     interval: Duration,
+    /// Shortest interval at the length of the list.
+    min_interval: Duration,
 }
 
 impl Default for PollBackoff {
     fn default() -> Self {
-        Self { interval: POLL_INTERVAL_RANGE.0 }
+        Self { interval: POLL_INTERVAL_RANGE.0, min_interval: POLL_INTERVAL_RANGE.0 }
     }
 }
 
 impl PollBackoff {
+    /// Records the length of the list.
+    pub fn record_bytes(&mut self, bytes: usize) {
+        let reading_time = Duration::from_secs_f64(bytes as f64 / POLL_BYTES_PER_SECOND);
+        self.min_interval = reading_time.max(POLL_INTERVAL_RANGE.0);
+    }
+
+    /// Returns the shortest time between two reads of the list, whatever calls for them.
+    pub fn min_interval(&self) -> Duration {
+        self.min_interval
+    }
+
     /// Records a poll and returns the time to the next one. `changed` is whether the list differs
     /// from the previous one.
     pub fn next_interval(&mut self, changed: bool) -> Duration {
@@ -121,7 +152,7 @@
         }
         let interval = self.interval;
         self.interval = (interval * 2).min(POLL_INTERVAL_RANGE.1);
-        interval
+        interval.max(self.min_interval)
     }
 
     /// Resets the interval to the shortest one, because current data is needed.
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -110,3 +110,25 @@
     backoff.reset();
     assert_eq!(backoff.next_interval(false), Duration::from_secs(1));
 }
+
+#[test]
+fn a_list_that_grows_with_the_fleet_is_polled_less_often() {
+    let mut backoff = PollBackoff::default();
+    backoff.record_bytes(3000);
+    assert_eq!(backoff.next_interval(true), Duration::from_secs(1));
+    backoff.record_bytes(300 * 200);
+    assert!(backoff.next_interval(true) > Duration::from_secs(14));
+    assert_eq!(backoff.next_interval(false), backoff.min_interval());
+}
+
+#[test]
+fn watch_calls_are_spread_while_targets_change_all_the_time() {
+    let mut backoff = WatchBackoff::new(WatchTiming::TARGETS);
+    let delays: Vec<u128> = (0..4).map(|_| backoff.next_delay(true).as_millis()).collect();
+    assert_eq!(delays, [200, 400, 500, 500]);
+    backoff.next_delay(false);
+    assert_eq!(backoff.next_delay(true), Duration::from_millis(200));
+    let mut prompt = WatchBackoff::new(WatchTiming::PROMPT);
+    prompt.next_delay(true);
+    assert_eq!(prompt.next_delay(true), Duration::from_millis(200));
+}
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -19,6 +19,7 @@
 use log::info;
 use state::AgentState;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Time for the store to delete the agent's registration before the process exits.
@@ -53,10 +54,14 @@
         WatchTiming::TIMELY,
         move |event| versions_state.on_version_event(event),
     ));
-    let processes_state = state.clone();
-    let on_items = move |items| processes_state.update_processes(items);
-    let refresh = state.refresh_processes.clone();
-    actix_rt::spawn(follow::poll_prefix(store.clone(), presence::PREFIX, refresh, on_items));
+    let entries_state = state.clone();
+    let on_items = move |items| entries_state.update_entries(items);
+    let refresh = Rc::default();
+    actix_rt::spawn(follow::poll_prefix(store.clone(), presence::COMMON_PREFIX, refresh, on_items));
+    let agents_state = state.clone();
+    let on_items = move |items| agents_state.update_agents(items);
+    let refresh = state.refresh_agents.clone();
+    actix_rt::spawn(follow::poll_prefix(store.clone(), presence::AGENT_PREFIX, refresh, on_items));
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
     let on_registered = move |position| fence_state.set_fence(position);
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -6,7 +6,7 @@
 use crate::direct::follow::StoreEvent;
 use crate::direct::loads::{LoadMessage, send_loads};
 use crate::direct::metrics::DirectAgentMetrics;
-use crate::direct::presence::{self, PresenceRecord};
+use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
@@ -52,8 +52,8 @@
     pub wanted_changed: Notify,
     /// Notified when the set of registered agents changed.
     pub agents_changed: Notify,
-    /// Notified to read the list of processes from the store at once.
-    pub refresh_processes: Rc<Notify>,
+    /// Notified to read the list of agents from the store soon.
+    pub refresh_agents: Rc<Notify>,
     /// Newest configuration, by generation.
     config: RefCell<Option<AgentConfig>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
@@ -87,7 +87,7 @@
             engine,
             wanted_changed: Notify::new(),
             agents_changed: Notify::new(),
-            refresh_processes: Rc::default(),
+            refresh_agents: Rc::default(),
             config: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
@@ -168,22 +168,34 @@
             info!("event=version model={} version={version}", declared.model);
             self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
-            self.refresh_processes.notify_one();
+            self.refresh_agents.notify_one();
         }
     }
 
-    /// Replaces the live processes by those in `items`. Returns whether their set has changed.
-    pub fn update_processes(&self, items: Vec<StoreItem>) -> bool {
-        let agents_before = self.agents.replace(SortedTable::new());
-        let entries_before = self.linked_entries();
-        let listed = |key: &str| items.iter().any(|item| &*item.key == key);
-        self.links.borrow_mut().retain(|key, _| listed(key));
-        items.into_iter().for_each(|item| self.apply_process_item(item));
-        let agents_changed = *self.agents.borrow() != agents_before;
-        if agents_changed {
+    /// Replaces the other agents by those in `items`. Returns whether their set has changed.
+    pub fn update_agents(&self, items: Vec<StoreItem>) -> bool {
+        let mut agents = SortedTable::new();
+        for item in items {
+            if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
+                agents.insert(item.key, record);
+            }
+        }
+        let changed = *self.agents.borrow() != agents;
+        self.agents.replace(agents);
+        if changed {
             self.agents_changed.notify_waiters();
         }
-        agents_changed || self.linked_entries() != entries_before
+        changed
+    }
+
+    /// Replaces the live entries, and the configuration, by those in `items`. Returns whether the set of
+    /// entries has changed.
+    pub fn update_entries(&self, items: Vec<StoreItem>) -> bool {
+        let before = self.linked_entries();
+        let listed = |key: &str| items.iter().any(|item| &*item.key == key);
+        self.links.borrow_mut().retain(|key, _| listed(key));
+        items.into_iter().for_each(|item| self.apply_common_item(item));
+        self.linked_entries() != before
     }
 
     /// Returns the keys of the entries that receive the engine's load.
@@ -191,7 +203,7 @@
         self.links.borrow().iter().map(|(key, _)| key.clone()).collect()
     }
 
-    fn apply_process_item(&self, item: StoreItem) {
+    fn apply_common_item(&self, item: StoreItem) {
         if &*item.key == facts::KEY {
             AgentConfig::read(&item.value).into_iter().for_each(|config| self.set_config(config));
             return;
@@ -199,10 +211,6 @@
         let Some(record) = PresenceRecord::read(&item.key, &item.value) else {
             return;
         };
-        if item.key.starts_with(presence::AGENT_PREFIX) {
-            self.agents.borrow_mut().insert(item.key, record);
-            return;
-        }
         let mut links = self.links.borrow_mut();
         if links.get(&item.key).is_none_or(|link| link.address != record.address) {
             let receiver = self.loads.subscribe();
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -111,7 +111,7 @@
     actix_rt::spawn(follow::watch_prefix(
         store.clone(),
         keys::TARGETS,
-        WatchTiming::PROMPT,
+        WatchTiming::TARGETS,
         on_event,
     ));
     let entries_state = state.clone();
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -5,7 +5,7 @@
 
 use super::state::EntryState;
 use crate::direct::follow::{self, StoreEvent};
-use buckthornwharf_core::direct::{CrashReport, WatchTiming};
+use buckthornwharf_core::direct::{CrashReport, PROBE_TIMEOUT, WatchTiming};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::poison::CRASH_RETENTION;
 use buckthornwharf_platform::{StoreChange, StoreClient, StoreError, StoreItem, StoreWrite};
@@ -72,7 +72,7 @@
     key: &str,
     state: &EntryState,
 ) -> Result<(), StoreError> {
-    let lease = store.open_lease(CRASH_RETENTION).await?;
+    let lease = store.open_lease(CRASH_RETENTION, PROBE_TIMEOUT).await?;
     let value = serde_json::to_vec(&state.crash_report());
     let value = value.map_err(|error| StoreError::Unreadable(error.to_string()))?;
     let write = StoreWrite { key, value: &value, lease, expected_revision: None };
--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -12,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Key of the item. It is below the prefix of the processes, so that agents get both by one poll.
-pub const KEY: &str = "buckthornwharf/facts";
+/// Key of the item. It is below the prefix of the entries, so that agents get both by one poll.
+pub const KEY: &str = "buckthornwharf/common/facts";
 /// Number of attempts to write the item; after them, it stays as it is until the next configuration.
 const MAX_ATTEMPTS: u32 = 20;
 /// Delay between attempts.
@@ -136,7 +136,7 @@
         Err(StoreError::Absent) => 0,
         Err(error) => return Err(error),
     };
-    debug_assert!(KEY.starts_with(presence::PREFIX));
+    debug_assert!(KEY.starts_with(presence::COMMON_PREFIX));
     let value = serde_json::to_vec(config);
     let value = value.map_err(|error| StoreError::Unreadable(error.to_string()))?;
     let write = StoreWrite {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -15,7 +15,7 @@
 
 /// Number of initial polls that read current rather than slightly stale data, so that processes that
 /// start at the same time find each other.
-const INITIAL_CURRENT_READS: u64 = 4;
+const INITIAL_CURRENT_READS: u64 = 2;
 /// Range of the delay before a prefix is read again whose history was lost, in milliseconds, so that
 /// processes do not read it all at once.
 const REREAD_DELAY_MS: std::ops::Range<u64> = 0..300;
@@ -42,8 +42,8 @@
     let mut backlog = BacklogLimit::default();
     let mut era = None;
     loop {
-        // A list may take long; a probe shows sooner whether the store responds at all.
-        if health.may_be_down()
+        // A list may take long; a probe shows sooner whether the store responds again.
+        if health.backoff.is_failing()
             && let Err(error) = store.probe(PROBE_TIMEOUT).await
         {
             health.wait_after_failure(&error).await;
@@ -86,10 +86,11 @@
                         on_event(StoreEvent::Recovered);
                     }
                     position = position.max(next);
+                    let delay = health.backoff.next_delay(!changes.is_empty());
                     if !changes.is_empty() {
                         backlog.on_changes(changes.iter().map(StoreChange::value_bytes));
                         on_event(StoreEvent::Changes(changes));
-                        actix_rt::time::sleep(health.backoff.change_delay()).await;
+                        actix_rt::time::sleep(delay).await;
                     }
                 }
                 Err(StoreError::TooManyChanges) => {
@@ -134,7 +135,7 @@
             ReadConsistency::Stale
         };
         let call = async {
-            if health.may_be_down() {
+            if health.backoff.is_failing() {
                 store.probe(PROBE_TIMEOUT).await?;
             }
             store.range(prefix, consistency).await
@@ -145,6 +146,7 @@
                     backoff.reset();
                 }
                 // A stale read may return an older position than the previous read; it is ignored.
+                backoff.record_bytes(range.items.iter().map(StoreItem::encoded_bytes).sum());
                 let is_newer = range.position >= position;
                 position = position.max(range.position);
                 is_newer && on_items(range.items)
@@ -156,9 +158,14 @@
             }
         };
         let interval = backoff.next_interval(changed).mul_f64(rand::rng().random_range(0.85..1.15));
+        let read_at = clock::now();
         tokio::select! {
             () = actix_rt::time::sleep(interval) => {}
-            () = refresh.notified() => backoff.reset(),
+            () = refresh.notified() => {
+                backoff.reset();
+                let since_read = clock::now().since(read_at);
+                actix_rt::time::sleep(backoff.min_interval().saturating_sub(since_read)).await;
+            }
         }
     }
 }
@@ -167,25 +174,17 @@
 struct StoreHealth {
     prefix: &'static str,
     backoff: WatchBackoff,
-    /// Whether the store has responded at least once.
-    has_responded: bool,
     /// When the first call of the present outage failed.
     lost_at: Option<MonoTime>,
 }
 
 impl StoreHealth {
     fn new(prefix: &'static str, timing: WatchTiming) -> Self {
-        Self { prefix, backoff: WatchBackoff::new(timing), has_responded: false, lost_at: None }
-    }
-
-    /// Returns whether the store may be unreachable.
-    fn may_be_down(&self) -> bool {
-        !self.has_responded || self.backoff.is_failing()
+        Self { prefix, backoff: WatchBackoff::new(timing), lost_at: None }
     }
 
     /// Records a response and returns whether it is the first after an outage.
     fn on_success(&mut self) -> bool {
-        self.has_responded = true;
         let recovered = self.backoff.record_success();
         if recovered {
             let now = clock::now();
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -9,10 +9,10 @@
 use std::net::SocketAddr;
 use tokio::sync::watch;
 
-/// Key prefix of all processes.
-pub const PREFIX: &str = "buckthornwharf/";
+/// Key prefix of what each agent needs at all times: the entries, and its part of the configuration.
+pub const COMMON_PREFIX: &str = "buckthornwharf/common/";
 /// Key prefix of entries.
-pub const ENTRY_PREFIX: &str = "buckthornwharf/entry/";
+pub const ENTRY_PREFIX: &str = "buckthornwharf/common/entry/";
 /// Key prefix of agents.
 pub const AGENT_PREFIX: &str = "buckthornwharf/agent/";
 
@@ -104,10 +104,9 @@
     key: &str,
     value: &[u8],
 ) -> Result<(u64, StorePosition), StoreError> {
-    // If the store is unreachable, the probe fails fast and is retried soon. A write gets the longer
-    // timeout of other calls, since the store may yet carry it out.
-    store.probe(PROBE_TIMEOUT).await?;
-    let lease = store.open_lease(LEASE_TTL).await?;
+    // If the store is unreachable, this fails fast and is retried soon; a lease that the store opens late
+    // ends by itself. A write gets the longer timeout of other calls, since the store may yet carry it out.
+    let lease = store.open_lease(LEASE_TTL, PROBE_TIMEOUT).await?;
     let position =
         store.write(&[StoreWrite { key, value, lease, expected_revision: None }]).await?;
     Ok((lease, position))
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -189,7 +189,7 @@
     const MAX_PROBE_BYTES: usize = 400;
     let fleet = DirectFleet::start(1).await;
     eventually("the configuration for agents is written", || {
-        fleet.store.contains_prefix("buckthornwharf/facts")
+        fleet.store.contains_prefix("buckthornwharf/common/facts")
     })
     .await;
     fleet.store.silent.set(true);
@@ -222,7 +222,7 @@
     assert_eq!(fleet.readiness().await, Some(503));
     assert!(fleet.exits_cleanly().await, "the entry did not exit");
     eventually("the entry is no longer registered", || {
-        !fleet.store.contains_prefix("buckthornwharf/entry/")
+        !fleet.store.contains_prefix("buckthornwharf/common/entry/")
     })
     .await;
 }
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -191,7 +191,7 @@
 
     /// The address at which agents reach the first entry.
     pub fn peer_address(&self) -> SocketAddr {
-        let records = self.store.values("buckthornwharf/entry/");
+        let records = self.store.values("buckthornwharf/common/entry/");
         let record: Value = serde_json::from_str(&records[0]).expect("valid JSON");
         record["address"].as_str().and_then(|text| text.parse().ok()).expect("an address")
     }
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -32,7 +32,7 @@
 
 #[actix_rt::test]
 async fn processes_register_the_port_that_the_operating_system_assigned() {
-    const PREFIXES: [&str; 2] = ["buckthornwharf/agent/", "buckthornwharf/entry/"];
+    const PREFIXES: [&str; 2] = ["buckthornwharf/agent/", "buckthornwharf/common/entry/"];
     let fleet = SoakFleet::start(1, 1).await;
     for prefix in PREFIXES {
         eventually("the process is registered", || fleet.store.contains_prefix(prefix)).await;
--- a/tests/direct_era.rs
+++ b/tests/direct_era.rs
@@ -81,7 +81,7 @@
     operator::declare_version(&fleet.store, 2);
     eventually("all engines load version 2", || all_loaded(2)).await;
     fleet.store.set_back(copied);
-    for (prefix, count) in [("buckthornwharf/agent/", 3), ("buckthornwharf/entry/", 1)] {
+    for (prefix, count) in [("buckthornwharf/agent/", 3), ("buckthornwharf/common/entry/", 1)] {
         let are_registered = || fleet.store.values(prefix).len() == count;
         eventually("processes register again", are_registered).await;
     }
