--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -7,7 +7,7 @@
 mod stage;
 mod state;
 
-use super::follow;
+use super::follow::{self, PolledList};
 use super::metrics::{self, DirectAgentMetrics};
 use super::presence::{self, PresenceRecord};
 use super::reload;
@@ -17,11 +17,15 @@
 use buckthornwharf_core::direct::WatchTiming;
 use buckthornwharf_platform::{EngineClient, StoreClient, keys};
 use log::info;
+use rand::RngExt;
 use state::AgentState;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Time after the start at which the agents of all regions are read if no fetch needs them before.
+/// Hosts that start together leave the links between regions to the entries' configuration.
+const ALL_AGENTS_DELAY_MS: std::ops::Range<u64> = 5000..10_000;
 /// Time for the store to delete the agent's registration before the process exits.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
 
@@ -54,20 +58,13 @@
         WatchTiming::TIMELY,
         move |event| versions_state.on_version_event(event),
     ));
-    let entries_state = state.clone();
-    let on_items = move |items| entries_state.update_entries(items);
-    let refresh = Rc::default();
-    actix_rt::spawn(follow::poll_prefix(store.clone(), presence::COMMON_PREFIX, refresh, on_items));
-    let agents_state = state.clone();
-    let on_items = move |items| agents_state.update_agents(items);
-    let refresh = state.refresh_agents.clone();
-    actix_rt::spawn(follow::poll_prefix(store.clone(), presence::AGENT_PREFIX, refresh, on_items));
+    start_polls(&store, &state);
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
     let on_registered = move |position| fence_state.set_fence(position);
     let engine_up = state.subscribe_engine_up();
-    let registration =
-        presence::keep_registered(store, presence::AGENT_PREFIX, record, engine_up, on_registered);
+    let prefix = presence::region_prefix(&record.region);
+    let registration = presence::keep_registered(store, prefix, record, engine_up, on_registered);
     actix_rt::spawn(registration);
     // No setting of an agent can change at run time; a reload only checks and logs the file.
     reload::watch_settings(settings_path, rejected, |_| {})?;
@@ -80,3 +77,30 @@
     info!("event=stopped host={}", settings.host);
     Ok(())
 }
+
+/// Starts to poll the entries with the configuration for agents, the agents of the own region, and those
+/// of all regions.
+fn start_polls(store: &StoreClient, state: &Rc<AgentState>) {
+    let at_once = |prefix, current_reads| PolledList {
+        prefix,
+        current_reads,
+        first_read: Duration::ZERO,
+        refresh: Rc::default(),
+    };
+    let entries_state = state.clone();
+    let on_items = move |items| entries_state.update_entries(items);
+    // Entries that start at the same time are found by the second read.
+    let list = at_once(presence::COMMON_PREFIX.to_owned(), 2);
+    actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
+    let region_state = state.clone();
+    let on_items = move |items| region_state.update_region_agents(items);
+    let list = at_once(presence::region_prefix(&state.settings.region()), 1);
+    actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
+    let agents_state = state.clone();
+    let on_items = move |items| agents_state.update_agents(items);
+    let first_read = Duration::from_millis(rand::rng().random_range(ALL_AGENTS_DELAY_MS));
+    let refresh = state.refresh_agents.clone();
+    let prefix = presence::AGENT_PREFIX.to_owned();
+    let list = PolledList { prefix, current_reads: 0, first_read, refresh };
+    actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
+}
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -50,6 +50,7 @@
         self.state.stage.park(version, &found.manifest);
         let held = self.state.stage.staged(version).map(|parked| parked.held);
         let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
+        self.state.wait_all_agents().await;
         info!("event=parking_started version={} held={}", version.version, held.count());
         let destination = ChunkDestination::Memory;
         let mut run =
@@ -100,6 +101,9 @@
             manifest: Some(manifest.clone()),
             held: held.clone(),
         });
+        if !held.is_full() {
+            self.state.wait_all_agents().await;
+        }
         let destination = ChunkDestination::Stage;
         let mut run = FetchRun::new(
             self,
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -20,9 +20,14 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
+/// Longest time that a fetch waits for the list of the agents of all regions.
+const ALL_AGENTS_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Version that engines load as long as none has been declared.
 const FIRST_VERSION: u64 = 1;
 
+/// Agents by their keys in the store.
+type AgentTable = SortedTable<Arc<str>, PresenceRecord>;
+
 /// A version that the agent has to load into its engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WantedModel {
@@ -57,7 +62,10 @@
     /// Newest configuration, by generation.
     config: RefCell<Option<AgentConfig>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
-    agents: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
+    /// Registered agents, by their keys in the store.
+    agents: RefCell<AgentTable>,
+    /// Whether the agents of all regions have been read.
+    all_agents_known: watch::Sender<bool>,
     /// Chunks that the agent holds.
     pub stage: VersionStage,
     report: RefCell<Option<EngineReport>>,
@@ -91,6 +99,7 @@
             config: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
+            all_agents_known: watch::channel(false).0,
             stage: VersionStage::default(),
             report: RefCell::default(),
             fence: Cell::new(None),
@@ -132,6 +141,7 @@
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.apply_version_item(item);
+                        self.refresh_agents.notify_one();
                     }
                 }
             }
@@ -168,13 +178,26 @@
             info!("event=version model={} version={version}", declared.model);
             self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
-            self.refresh_agents.notify_one();
         }
     }
 
-    /// Replaces the other agents by those in `items`. Returns whether their set has changed.
+    /// Replaces the agents of all regions by those in `items`. Returns whether their set has changed.
     pub fn update_agents(&self, items: Vec<StoreItem>) -> bool {
-        let mut agents = SortedTable::new();
+        self.all_agents_known.send_replace(true);
+        self.replace_agents(SortedTable::new(), items)
+    }
+
+    /// Replaces the agents of the own region by those in `items`. Returns whether their set has changed.
+    pub fn update_region_agents(&self, items: Vec<StoreItem>) -> bool {
+        let region = self.settings.region();
+        let mut others = self.agents.borrow().clone();
+        others.retain(|_, agent| agent.region != region);
+        self.replace_agents(others, items)
+    }
+
+    /// Replaces the agents by `kept` and those in `items`. Returns whether their set has changed.
+    fn replace_agents(&self, kept: AgentTable, items: Vec<StoreItem>) -> bool {
+        let mut agents = kept;
         for item in items {
             if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
                 agents.insert(item.key, record);
@@ -188,6 +211,17 @@
         changed
     }
 
+    /// Waits until the agents of all regions have been read, at most for [`ALL_AGENTS_TIMEOUT`].
+    pub async fn wait_all_agents(&self) {
+        let mut known = self.all_agents_known.subscribe();
+        if *known.borrow() {
+            return;
+        }
+        self.refresh_agents.notify_one();
+        // An error means that the fetch begins with the agents that are known.
+        let _ = tokio::time::timeout(ALL_AGENTS_TIMEOUT, known.wait_for(|known| *known)).await;
+    }
+
     /// Replaces the live entries, and the configuration, by those in `items`. Returns whether the set of
     /// entries has changed.
     pub fn update_entries(&self, items: Vec<StoreItem>) -> bool {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -73,9 +73,13 @@
     crash_reports::start(store.clone(), settings.host.clone(), state.clone());
     let record = PresenceRecord::of(&settings);
     let running = state.running();
-    let registration =
-        presence::keep_registered(store, presence::ENTRY_PREFIX, record, running, |_| {});
-    actix_rt::spawn(registration);
+    actix_rt::spawn(presence::keep_registered(
+        store,
+        presence::ENTRY_PREFIX.to_owned(),
+        record,
+        running,
+        |_| {},
+    ));
     actix_rt::spawn(state::run_queue(state.clone()));
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -13,9 +13,6 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Number of initial polls that read current rather than slightly stale data, so that processes that
-/// start at the same time find each other.
-const INITIAL_CURRENT_READS: u64 = 2;
 /// Range of the delay before a prefix is read again whose history was lost, in milliseconds, so that
 /// processes do not read it all at once.
 const REREAD_DELAY_MS: std::ops::Range<u64> = 0..300;
@@ -116,29 +113,40 @@
     actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
 }
 
-/// Polls the items below `prefix` for the rest of the process and passes them to `on_items`, which
-/// returns whether they differ from the previous ones. A notification of `refresh` triggers a read at
-/// once.
-pub async fn poll_prefix(
+/// A list of items that is polled.
+#[derive(Debug)]
+pub struct PolledList {
+    /// Prefix of the keys.
+    pub prefix: String,
+    /// Number of initial reads of current rather than slightly stale data, which cost ten times as much.
+    pub current_reads: u64,
+    /// Time until the first read, unless it is called for earlier.
+    pub first_read: Duration,
+    /// Notified to read the list soon.
+    pub refresh: Rc<Notify>,
+}
+
+/// Polls `list` for the rest of the process and passes its items to `on_items`, which returns whether
+/// they differ from the previous ones.
+pub async fn poll_list(
     store: StoreClient,
-    prefix: &'static str,
-    refresh: Rc<Notify>,
+    list: PolledList,
     mut on_items: impl FnMut(Vec<StoreItem>) -> bool,
 ) {
-    let mut health = StoreHealth::new(prefix, WatchTiming::RELAXED);
+    let PolledList { prefix, current_reads, first_read, refresh } = list;
+    let mut health = StoreHealth::new(&prefix, WatchTiming::RELAXED);
     let mut backoff = PollBackoff::default();
+    // An error means that the list is due.
+    let _ = tokio::time::timeout(first_read, refresh.notified()).await;
     let mut position = StorePosition::default();
     for read in 0_u64.. {
-        let consistency = if read < INITIAL_CURRENT_READS {
-            ReadConsistency::Current
-        } else {
-            ReadConsistency::Stale
-        };
+        let consistency =
+            if read < current_reads { ReadConsistency::Current } else { ReadConsistency::Stale };
         let call = async {
             if health.backoff.is_failing() {
                 store.probe(PROBE_TIMEOUT).await?;
             }
-            store.range(prefix, consistency).await
+            store.range(&prefix, consistency).await
         };
         let changed = match call.await {
             Ok(range) => {
@@ -171,15 +179,15 @@
 }
 
 /// Back-off of calls to the store, with log lines when the store stops responding and recovers.
-struct StoreHealth {
-    prefix: &'static str,
+struct StoreHealth<'a> {
+    prefix: &'a str,
     backoff: WatchBackoff,
     /// When the first call of the present outage failed.
     lost_at: Option<MonoTime>,
 }
 
-impl StoreHealth {
-    fn new(prefix: &'static str, timing: WatchTiming) -> Self {
+impl<'a> StoreHealth<'a> {
+    fn new(prefix: &'a str, timing: WatchTiming) -> Self {
         Self { prefix, backoff: WatchBackoff::new(timing), lost_at: None }
     }
 
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -13,9 +13,14 @@
 pub const COMMON_PREFIX: &str = "buckthornwharf/common/";
 /// Key prefix of entries.
 pub const ENTRY_PREFIX: &str = "buckthornwharf/common/entry/";
-/// Key prefix of agents.
+/// Key prefix of agents, followed by their region.
 pub const AGENT_PREFIX: &str = "buckthornwharf/agent/";
 
+/// Returns the key prefix of the agents of `region`.
+pub fn region_prefix(region: &RegionName) -> String {
+    format!("{AGENT_PREFIX}{region}/")
+}
+
 /// Time to live of the lease: a process that has not renewed it for this time is considered gone.
 const LEASE_TTL: Duration = Duration::from_secs(6);
 /// Time between renewals; three fit into the time to live.
@@ -61,7 +66,7 @@
 /// Calls `on_registered` with the store's position of each registration.
 pub async fn keep_registered(
     store: StoreClient,
-    prefix: &'static str,
+    prefix: String,
     record: PresenceRecord,
     mut wanted: watch::Receiver<bool>,
     on_registered: impl Fn(StorePosition),
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -70,7 +70,7 @@
 async fn an_agent_deregisters_if_its_engine_is_lost_during_a_fetch() {
     let fleet = SoakFleet::start(1, 2).await;
     wait_all_loaded(&fleet, 1).await;
-    let is_registered = || fleet.store.contains_prefix("buckthornwharf/agent/agent-0");
+    let is_registered = || fleet.store.contains_prefix("buckthornwharf/agent/a/agent-0");
     eventually("the agent is registered", is_registered).await;
     fleet.origin.fault.set(OriginFault::Down);
     operator::declare_version(&fleet.store, 2);
