A target that started later supersedes those at its address

Entries that restarted read both and send requests to the earlier ones, whose addresses answer 421: 193 requests of two entries were refused after one or two such attempts within 2 s, with the callers' only retry used up by a Retry-After of 0.2 s.

Change: a registration that was written later, by a target that started later, drops those at its address. A clock that was set back supersedes nothing.

The direct tests passed.

--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -93,8 +93,10 @@
     }
 
     /// Inserts or updates a target and returns whether anything changed. A target that drains does so until
-    /// its next start, even if an older copy of the registry says otherwise.
+    /// its next start, even if an older copy of the registry says otherwise. A target that started later
+    /// supersedes those at its address, whose registrations have not lapsed yet.
     pub fn put(&mut self, mut record: RegisteredTarget) -> bool {
+        self.drop_superseded(&record);
         self.lapsed.remove(&record.id);
         let known = self.targets.get(&record.id);
         let known = known.filter(|known| known.started_unix_ms == record.started_unix_ms);
@@ -108,6 +110,18 @@
         !unchanged
     }
 
+    /// Drops the targets whose address `record` has taken over.
+    fn drop_superseded(&mut self, record: &RegisteredTarget) {
+        let is_superseded = |known: &RegisteredTarget| {
+            known.address == record.address
+                && known.id != record.id
+                && known.started_unix_ms < record.started_unix_ms
+        };
+        self.targets.retain(|_, known| !is_superseded(known));
+        let targets = &self.targets;
+        self.lapsed.retain(|id, _| targets.get(id).is_some());
+    }
+
     /// Handles the removal of a target from the registry. Returns whether the target was dropped at
     /// once; during the grace period it is kept until [`TargetCatalog::expire`] drops it.
     pub fn remove(&mut self, now: MonoTime, id: &str) -> bool {
@@ -121,7 +135,8 @@
         false
     }
 
-    /// Applies a complete listing of the registry: targets that are not in `records` are removed.
+    /// Applies a complete listing of the registry, in the order in which the records were written: targets
+    /// that are not in `records` are removed.
     pub fn replace(&mut self, now: MonoTime, records: Vec<RegisteredTarget>) {
         let mut ids: Vec<Arc<str>> = records.iter().map(|record| record.id.clone()).collect();
         ids.sort_unstable();
--- a/core/tests/direct_catalog.rs
+++ b/core/tests/direct_catalog.rs
@@ -2,12 +2,13 @@
 
 use buckthornwharf_core::direct::{RegisteredTarget, TargetCatalog, TargetPhase};
 use buckthornwharf_core::prelude::*;
+use std::net::SocketAddr;
 
 fn target(id: &str, phase: TargetPhase) -> RegisteredTarget {
     RegisteredTarget {
         id: id.into(),
         service: "ledger".into(),
-        address: "127.0.0.1:1".parse().expect("valid address"),
+        address: address(id.as_bytes()[0]),
         site: "a".into(),
         slots: 6,
         phase,
@@ -16,6 +17,15 @@
     }
 }
 
+/// The address of the targets whose ids begin with `letter`.
+fn address(letter: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::from(letter)))
+}
+
+fn started(id: &str, started_unix_ms: u64) -> RegisteredTarget {
+    RegisteredTarget { started_unix_ms, ..target(id, TargetPhase::Ready) }
+}
+
 fn ids(catalog: &TargetCatalog) -> Vec<String> {
     catalog.iter().map(|record| record.id.to_string()).collect()
 }
@@ -33,6 +43,36 @@
     assert_eq!(catalog.next_expiry(), None);
 }
 
+#[test]
+fn targets_killed_at_once_are_superseded_by_their_restarts_at_the_same_addresses() {
+    let mut catalog = TargetCatalog::new();
+    let earlier = ["a1", "b1", "c1"].map(|id| started(id, 1000));
+    let restarted = ["a2", "b2"].map(|id| started(id, 2000));
+    catalog.replace(at(0), earlier.into_iter().chain(restarted).collect());
+    assert_eq!(ids(&catalog), ["a2", "b2", "c1"]);
+    catalog.put(started("c2", 3000));
+    assert_eq!(ids(&catalog), ["a2", "b2", "c2"]);
+}
+
+#[test]
+fn a_target_whose_clock_was_set_back_before_its_restart_supersedes_none() {
+    let mut catalog = TargetCatalog::new();
+    catalog.put(started("a1", 2000));
+    catalog.put(started("a2", 1000));
+    assert_eq!(ids(&catalog), ["a1", "a2"]);
+}
+
+#[test]
+fn a_superseded_target_that_lapsed_in_an_outage_expires_without_effect() {
+    let mut catalog = TargetCatalog::new();
+    catalog.put(started("a1", 1000));
+    catalog.registry_recovered(at(0));
+    catalog.remove(at(10), "a1");
+    catalog.put(started("a2", 2000));
+    assert_eq!(ids(&catalog), ["a2"]);
+    assert_eq!(catalog.next_expiry(), None);
+}
+
 #[test]
 fn targets_that_lapsed_in_an_outage_are_kept_for_two_seconds() {
     let mut catalog = TargetCatalog::new();
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -18,6 +18,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// Time after which a caller may retry whose request was refused by the targets it was sent to.
+const NOT_RUN_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// What happens to the caller's connection after a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionAction {
@@ -184,7 +187,7 @@
                 NextStep::Retry => {}
                 NextStep::Answer(_) if self.stream.is_some() => return ConnectionAction::Abort,
                 NextStep::Answer(FinalAnswer::NotRun) => {
-                    return self.refuse(caller, Duration::from_millis(200), "not_run").await;
+                    return self.refuse(caller, NOT_RUN_RETRY_AFTER, "not_run").await;
                 }
                 NextStep::Answer(FinalAnswer::Unknown) => {
                     return self.give_up_outcome_unknown(caller).await;
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -123,7 +123,8 @@
         let mut catalog = self.catalog.borrow_mut();
         match event {
             StoreEvent::Recovered => catalog.registry_recovered(now),
-            StoreEvent::Snapshot(items) => {
+            StoreEvent::Snapshot(mut items) => {
+                items.sort_by_key(|item| item.revision);
                 catalog.replace(now, items.iter().filter_map(read_target).collect());
                 self.targets_listed.set(true);
             }
