Agents ask the store less often while it does not respond

Each of three polls probed each second, each watch asked about once a second.

A list that cannot be read is asked for after 1 s, 2 s, 4 s and 8 s, and when the watch notices the recovery.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -81,20 +81,21 @@
 /// Starts to poll the entries with the configuration for agents, the agents of the own region, and those
 /// of all regions.
 fn start_polls(store: &StoreClient, state: &Rc<AgentState>) {
-    let at_once = |prefix, current_reads| PolledList {
+    let [refresh_entries, refresh_region] = state.refresh_lists.clone();
+    let at_once = |prefix, current_reads, refresh| PolledList {
         prefix,
         current_reads,
         first_read: Duration::ZERO,
-        refresh: Rc::default(),
+        refresh,
     };
     let entries_state = state.clone();
     let on_items = move |items| entries_state.update_entries(items);
     // Entries that start at the same time are found by the second read.
-    let list = at_once(presence::COMMON_PREFIX.to_owned(), 2);
+    let list = at_once(presence::COMMON_PREFIX.to_owned(), 2, refresh_entries);
     actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
     let region_state = state.clone();
     let on_items = move |items| region_state.update_region_agents(items);
-    let list = at_once(presence::region_prefix(&state.settings.region()), 1);
+    let list = at_once(presence::region_prefix(&state.settings.region()), 1, refresh_region);
     actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
     let agents_state = state.clone();
     let on_items = move |items| agents_state.update_agents(items);
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -59,6 +59,8 @@
     pub agents_changed: Notify,
     /// Notified to read the list of agents from the store soon.
     pub refresh_agents: Rc<Notify>,
+    /// Notified to read the lists of entries and of the region's agents from the store soon.
+    pub refresh_lists: [Rc<Notify>; 2],
     /// Newest configuration, by generation.
     config: RefCell<Option<AgentConfig>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
@@ -96,6 +98,7 @@
             wanted_changed: Notify::new(),
             agents_changed: Notify::new(),
             refresh_agents: Rc::default(),
+            refresh_lists: Default::default(),
             config: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
@@ -145,7 +148,10 @@
                     }
                 }
             }
-            StoreEvent::Recovered => {}
+            StoreEvent::Recovered => {
+                self.refresh_agents.notify_one();
+                self.refresh_lists.iter().for_each(|refresh| refresh.notify_one());
+            }
         }
     }
 
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -148,24 +148,28 @@
             }
             store.range(&prefix, consistency).await
         };
-        let changed = match call.await {
+        let interval = match call.await {
             Ok(range) => {
                 if health.on_success() {
                     backoff.reset();
                 }
-                // A stale read may return an older position than the previous read; it is ignored.
                 backoff.record_bytes(range.items.iter().map(StoreItem::encoded_bytes).sum());
+                // A stale read may return an older position than the previous read; it is ignored.
                 let is_newer = range.position >= position;
                 position = position.max(range.position);
-                is_newer && on_items(range.items)
+                let changed = is_newer && on_items(range.items);
+                backoff.next_interval(changed)
             }
             Err(error) => {
+                // Later failures wait longer: the watch of the versions notices the recovery.
+                if !health.backoff.is_failing() {
+                    backoff.reset();
+                }
                 health.record_failure(&error);
-                backoff.reset();
-                false
+                backoff.next_interval(false)
             }
         };
-        let interval = backoff.next_interval(changed).mul_f64(rand::rng().random_range(0.85..1.15));
+        let interval = interval.mul_f64(rand::rng().random_range(0.85..1.15));
         let read_at = clock::now();
         tokio::select! {
             () = actix_rt::time::sleep(interval) => {}
