--- a/core/src/direct/watch_backoff.rs
+++ b/core/src/direct/watch_backoff.rs
@@ -48,7 +48,7 @@
         long_poll: Duration::from_secs(9),
         change_delay: Duration::from_millis(100),
         max_change_delay: Duration::from_millis(100),
-        max_backoff: Duration::from_millis(2000),
+        max_backoff: Duration::from_millis(800),
     };
     /// For the list of live processes.
     pub const RELAXED: Self = Self {
--- a/standin/src/fleet/process.rs
+++ b/standin/src/fleet/process.rs
@@ -155,8 +155,13 @@
     /// Sends a signal. The process ID can't have been reused by another process, because the exit
     /// status of a running child has not been collected.
     fn signal(&mut self, signal: Signal) -> Result<()> {
-        if !self.is_running() {
-            bail!("can't signal {}: the process has ended", self.name);
+        if let Some(status) = self.child.try_wait()? {
+            bail!(
+                "can't signal {}: the process has ended with {status}; its log: {}{}",
+                self.name,
+                self.stdout(),
+                self.log()
+            );
         }
         Ok(kill_process(Pid::from_child(&self.child), signal)?)
     }
