Agents hear of declared versions from entries, and watch the store only without them

Change: three entries, of the agent's region first, send the versions that they know over the links on which the agent reports its load, at each declaration and each second.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod crashes;
 pub mod event_stream;
+pub mod news;
 pub mod rollout;
 pub mod routes;
 pub mod serving;
@@ -28,6 +29,7 @@
     request_causes,
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
+pub use news::{NewsCoverage, news_sources};
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, EngineSpec, OrganisationKeys, OriginSpec, ServingConfig, ServingRoute,
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -7,6 +7,7 @@
 mod follow;
 pub mod loads;
 pub mod metrics;
+pub mod news;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -51,13 +51,7 @@
     let engine = EngineClient::new(agent_settings.engine);
     let state = AgentState::new(settings.clone(), agent_settings, engine, metrics);
     peers::start_peer_service(listener, state.clone())?;
-    let versions_state = state.clone();
-    actix_rt::spawn(follow::watch_prefix(
-        store.clone(),
-        keys::VERSIONS,
-        WatchTiming::TIMELY,
-        move |event| versions_state.on_version_event(event),
-    ));
+    actix_rt::spawn(watch_versions(store.clone(), state.clone()));
     start_polls(&store, &state);
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
@@ -78,6 +72,21 @@
     Ok(())
 }
 
+/// Watches the declared versions in the store while no entry is relied on for news of them.
+async fn watch_versions(store: StoreClient, state: Rc<AgentState>) {
+    loop {
+        state.wait_uncovered().await;
+        info!("event=versions_from source=store");
+        let watched = state.clone();
+        let on_event = move |event| watched.on_version_event(event);
+        let timing = WatchTiming::TIMELY;
+        tokio::select! {
+            () = follow::watch_prefix(store.clone(), keys::VERSIONS, timing, on_event) => {}
+            () = state.wait_covered() => info!("event=versions_from source=entries"),
+        }
+    }
+}
+
 /// Starts to poll the entries with the configuration for agents, the agents of the own region, and those
 /// of all regions.
 fn start_polls(store: &StoreClient, state: &Rc<AgentState>) {
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -4,13 +4,15 @@
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
 use crate::direct::follow::StoreEvent;
-use crate::direct::loads::{LoadMessage, send_loads};
+use crate::direct::loads::{LinkEvent, LoadMessage, run_link};
 use crate::direct::metrics::DirectAgentMetrics;
+use crate::direct::news::NewsMessage;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
-    DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, OriginSpec, StorePosition,
+    DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, NewsCoverage, OriginSpec,
+    StorePosition, news_sources,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
@@ -75,6 +77,14 @@
     fence: Cell<Option<u64>>,
     /// Whether the engine answers; the agent is registered only while it does.
     engine_up: watch::Sender<bool>,
+    /// Whether the agent's watch of the versions failed and has not worked since.
+    store_lost: Cell<bool>,
+    /// Whether the agent knows the versions that were declared before it started.
+    versions_known: Cell<bool>,
+    /// The entries from which the agent hears of declared versions.
+    coverage: RefCell<NewsCoverage>,
+    /// Notified when `coverage` changed.
+    coverage_changed: Notify,
     /// Links to entries by the store keys of the entries.
     links: RefCell<SortedTable<Arc<str>, EntryLink>>,
     loads: watch::Sender<Option<LoadMessage>>,
@@ -107,6 +117,10 @@
             report: RefCell::default(),
             fence: Cell::new(None),
             engine_up: watch::channel(false).0,
+            store_lost: Cell::new(false),
+            versions_known: Cell::new(false),
+            coverage: RefCell::default(),
+            coverage_changed: Notify::new(),
             links: RefCell::default(),
             loads: watch::channel(None).0,
             load_ordered: Cell::new(false),
@@ -138,26 +152,71 @@
     pub fn on_version_event(&self, event: StoreEvent) {
         match event {
             StoreEvent::Snapshot(items) => {
-                items.iter().for_each(|item| self.apply_version_item(item))
+                items.iter().for_each(|item| self.apply_version_item(item));
+                self.versions_known.set(true);
             }
             StoreEvent::Changes(changes) => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.apply_version_item(item);
-                        self.refresh_agents.notify_one();
                     }
                 }
             }
-            StoreEvent::Recovered => {
-                self.refresh_agents.notify_one();
-                self.refresh_lists.iter().for_each(|refresh| refresh.notify_one());
+            StoreEvent::Lost => self.store_lost.set(true),
+            StoreEvent::Recovered => self.refresh_lists_after_outage(),
+        }
+    }
+
+    /// Reads the lists of entries and agents from the store soon, if it did not respond before.
+    fn refresh_lists_after_outage(&self) {
+        if self.store_lost.take() {
+            self.refresh_agents.notify_one();
+            self.refresh_lists.iter().for_each(|refresh| refresh.notify_one());
+        }
+    }
+
+    fn on_link_event(&self, entry: &Arc<str>, event: LinkEvent) {
+        match event {
+            LinkEvent::News(news) => self.on_news(entry, &news),
+            LinkEvent::Lost => self.coverage.borrow_mut().lost(entry),
+        }
+        self.coverage_changed.notify_waiters();
+    }
+
+    fn on_news(&self, entry: &Arc<str>, news: &NewsMessage) {
+        let now = clock::now();
+        self.coverage.borrow_mut().heard(now, entry, news.current);
+        for declared in &news.versions {
+            self.declare(declared.version(), declared.declared_at(now));
+        }
+        self.versions_known.set(self.versions_known.get() || news.current);
+    }
+
+    /// Waits until no entry is relied on for news of versions.
+    pub async fn wait_uncovered(&self) {
+        loop {
+            let now = clock::now();
+            let Some(until) = self.coverage.borrow().covered_until(now) else {
+                return;
+            };
+            tokio::select! {
+                () = actix_rt::time::sleep(until.since(now)) => {}
+                () = self.coverage_changed.notified() => {}
             }
         }
     }
 
+    /// Waits until an entry is relied on for news of versions.
+    pub async fn wait_covered(&self) {
+        while self.coverage.borrow().covered_until(clock::now()).is_none() {
+            self.coverage_changed.notified().await;
+        }
+        self.refresh_lists_after_outage();
+    }
+
     fn apply_version_item(&self, item: &StoreItem) {
         match serving::read_version(&item.value) {
-            Ok(version) => self.declare(version),
+            Ok(version) => self.declare(version, clock::now()),
             Err(error) => warn!("event=bad_version key={} reason=\"{error}\"", item.key),
         }
     }
@@ -172,18 +231,21 @@
         self.wanted_changed.notify_one();
     }
 
-    fn declare(&self, declared: LoadedModel) {
-        let now = clock::now();
+    /// Records a declaration. A new one calls for the agents of all regions, from which chunks are fetched.
+    fn declare(&self, declared: LoadedModel, declared_at: MonoTime) {
         let version = declared.version;
-        let required_from = now + self.settings.bounds.version_time;
+        let required_from = declared_at + self.settings.bounds.version_time;
         let begin_by = required_from;
-        let declaration = DeclaredVersion { version, declared_at: now, required_from, begin_by };
+        let declaration = DeclaredVersion { version, declared_at, required_from, begin_by };
         let mut models = self.declared.borrow_mut();
         let versions = models.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
         if versions.declare(declaration) {
             info!("event=version model={} version={version}", declared.model);
             self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
+            if self.versions_known.get() {
+                self.refresh_agents.notify_one();
+            }
         }
     }
 
@@ -230,35 +292,57 @@
 
     /// Replaces the live entries, and the configuration, by those in `items`. Returns whether the set of
     /// entries has changed.
-    pub fn update_entries(&self, items: Vec<StoreItem>) -> bool {
+    pub fn update_entries(self: &Rc<Self>, items: Vec<StoreItem>) -> bool {
         let before = self.linked_entries();
-        let listed = |key: &str| items.iter().any(|item| &*item.key == key);
-        self.links.borrow_mut().retain(|key, _| listed(key));
-        items.into_iter().for_each(|item| self.apply_common_item(item));
+        let mut entries: SortedTable<Arc<str>, PresenceRecord> = SortedTable::new();
+        for item in items {
+            if &*item.key == facts::KEY {
+                AgentConfig::read(&item.value)
+                    .into_iter()
+                    .for_each(|config| self.set_config(config));
+            } else if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
+                entries.insert(item.key, record);
+            }
+        }
+        self.update_links(&entries);
         self.linked_entries() != before
     }
 
+    /// Opens and closes links, so that there is one to each of `entries`.
+    fn update_links(self: &Rc<Self>, entries: &SortedTable<Arc<str>, PresenceRecord>) {
+        let regions = entries.iter().map(|(key, entry)| (key, &entry.region));
+        let sources = news_sources(&self.settings.host, &self.settings.region(), regions);
+        let mut links = self.links.borrow_mut();
+        links.retain(|key, _| entries.contains_key(key));
+        for (key, entry) in entries.iter() {
+            let (address, wants_news) = (entry.address, sources.contains(key));
+            let is_open =
+                |link: &EntryLink| (link.address, link.wants_news) == (address, wants_news);
+            if !links.get(key).is_some_and(is_open) {
+                links.insert(key.clone(), self.open_link(key.clone(), address, wants_news));
+            }
+        }
+        drop(links);
+        self.coverage.borrow_mut().retain(&sources);
+    }
+
+    fn open_link(
+        self: &Rc<Self>,
+        key: Arc<str>,
+        address: SocketAddr,
+        wants_news: bool,
+    ) -> EntryLink {
+        let state = self.clone();
+        let on_event = move |event| state.on_link_event(&key, event);
+        let task = actix_rt::spawn(run_link(address, wants_news, self.loads.subscribe(), on_event));
+        EntryLink { address, wants_news, task }
+    }
+
     /// Returns the keys of the entries that receive the engine's load.
     fn linked_entries(&self) -> Vec<Arc<str>> {
         self.links.borrow().iter().map(|(key, _)| key.clone()).collect()
     }
 
-    fn apply_common_item(&self, item: StoreItem) {
-        if &*item.key == facts::KEY {
-            AgentConfig::read(&item.value).into_iter().for_each(|config| self.set_config(config));
-            return;
-        }
-        let Some(record) = PresenceRecord::read(&item.key, &item.value) else {
-            return;
-        };
-        let mut links = self.links.borrow_mut();
-        if links.get(&item.key).is_none_or(|link| link.address != record.address) {
-            let receiver = self.loads.subscribe();
-            let task = actix_rt::spawn(send_loads(record.address, receiver));
-            links.insert(item.key, EntryLink { address: record.address, task });
-        }
-    }
-
     /// Returns all registered agents and this one, sorted by host.
     pub fn agents(&self) -> Vec<PresenceRecord> {
         let mut agents: Vec<PresenceRecord> = self.agents.borrow().values().cloned().collect();
@@ -362,6 +446,7 @@
 /// A link to an entry; dropping it closes the link.
 struct EntryLink {
     address: SocketAddr,
+    wants_news: bool,
     task: JoinHandle<()>,
 }
 
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -68,7 +68,8 @@
     let state = EntryState::new(settings.clone(), shutdown.clone(), metrics);
     start_readiness(readiness_listener, state.clone())?;
     let load_state = state.clone();
-    loads::start_receiver(load_listener, move |now, load| load_state.on_load(now, load))?;
+    let on_load = move |now, load| load_state.on_load(now, load);
+    loads::start_receiver(load_listener, state.subscribe_news(), on_load)?;
     start_followers(&store, &state);
     crash_reports::start(store.clone(), settings.host.clone(), state.clone());
     let record = PresenceRecord::of(&settings);
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -34,7 +34,7 @@
     match event {
         // The store may have lost this entry's item, or hold an older one.
         StoreEvent::Recovered if !state.crash_report().causes.is_empty() => state.report_crashes(),
-        StoreEvent::Recovered => {}
+        StoreEvent::Recovered | StoreEvent::Lost => {}
         StoreEvent::Snapshot(items) => items.iter().for_each(|item| merge(state, item)),
         StoreEvent::Changes(changes) => {
             for change in &changes {
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -12,6 +12,7 @@
 use crate::clock;
 use crate::direct::facts::AgentConfig;
 use crate::direct::metrics::DirectEntryMetrics;
+use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
@@ -35,6 +36,8 @@
     settings: DirectSettings,
     store: StoreClient,
     bounds: RefCell<BoundSettings>,
+    /// The declared versions, for agents.
+    news: watch::Sender<VersionNews>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// The configuration for agents that this entry last wrote to the store.
     published_config: RefCell<Option<AgentConfig>>,
@@ -72,6 +75,7 @@
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
             settings,
+            news: watch::channel(VersionNews::default()).0,
             routes: RefCell::default(),
             published_config: RefCell::default(),
             catalog: RefCell::default(),
@@ -121,6 +125,11 @@
         self.shutdown.clone()
     }
 
+    /// Subscribes to the declared versions that the entry knows.
+    pub fn subscribe_news(&self) -> watch::Receiver<VersionNews> {
+        self.news.subscribe()
+    }
+
     /// Returns the routes of the active configuration; `None` before the first.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -31,6 +31,7 @@
         match event {
             StoreEvent::Snapshot(items) => {
                 items.iter().for_each(|item| self.on_operator_item(now, item, true));
+                self.set_news_current(true);
             }
             StoreEvent::Changes(changes) => {
                 for change in &changes {
@@ -39,7 +40,11 @@
                     }
                 }
             }
-            StoreEvent::Recovered => self.republish_agent_config(),
+            StoreEvent::Lost => self.set_news_current(false),
+            StoreEvent::Recovered => {
+                self.set_news_current(true);
+                self.republish_agent_config();
+            }
         }
     }
 
@@ -115,13 +120,22 @@
             DeclaredVersion { version, declared_at: now, required_from, begin_by };
         if self.scheduler.borrow_mut().declare(&declared.model, declared_version) {
             info!("event=version model={} version={version}", declared.model);
+            self.news.send_modify(|news| {
+                news.versions.insert(declared.model, (version, now));
+            });
         }
     }
 
+    /// Tells agents whether they may rely on this entry's news of versions.
+    fn set_news_current(&self, current: bool) {
+        self.news.send_if_modified(|news| std::mem::replace(&mut news.current, current) != current);
+    }
+
     /// Applies a change of the registered targets.
     pub fn on_target_event(&self, now: MonoTime, event: StoreEvent) {
         let mut catalog = self.catalog.borrow_mut();
         match event {
+            StoreEvent::Lost => {}
             StoreEvent::Recovered => catalog.registry_recovered(now),
             StoreEvent::Snapshot(mut items) => {
                 items.sort_by_key(|item| item.revision);
@@ -164,7 +178,7 @@
     pub fn on_entry_event(&self, event: StoreEvent) {
         let mut entries = self.entries.borrow_mut();
         match event {
-            StoreEvent::Recovered => {}
+            StoreEvent::Recovered | StoreEvent::Lost => {}
             StoreEvent::Snapshot(items) => {
                 *entries = SortedTable::new();
                 for item in items {
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -24,6 +24,8 @@
     Snapshot(Vec<StoreItem>),
     /// Changes since the last event, in order.
     Changes(Vec<StoreChange>),
+    /// A call failed; the items may have changed since.
+    Lost,
     /// The store answers again after an outage, or was set back to an older copy.
     Recovered,
 }
@@ -43,13 +45,13 @@
         if health.backoff.is_failing()
             && let Err(error) = store.probe(PROBE_TIMEOUT).await
         {
-            health.wait_after_failure(&error).await;
+            health.wait_after_failure(&error, &mut on_event).await;
             continue;
         }
         let range = match store.range(prefix, ReadConsistency::Current).await {
             Ok(range) => range,
             Err(error) => {
-                health.wait_after_failure(&error).await;
+                health.wait_after_failure(&error, &mut on_event).await;
                 continue;
             }
         };
@@ -102,7 +104,7 @@
                     reread_delay().await;
                     break;
                 }
-                Err(error) => health.wait_after_failure(&error).await,
+                Err(error) => health.wait_after_failure(&error, &mut on_event).await,
             }
         }
     }
@@ -215,7 +217,15 @@
         self.backoff.record_failure()
     }
 
-    async fn wait_after_failure(&mut self, error: &StoreError) {
+    /// Records a failure, reports the first one of an outage, and waits for the back-off.
+    async fn wait_after_failure(
+        &mut self,
+        error: &StoreError,
+        on_event: &mut impl FnMut(StoreEvent),
+    ) {
+        if !self.backoff.is_failing() {
+            on_event(StoreEvent::Lost);
+        }
         let jitter = rand::rng().random_range(0.75..1.25);
         actix_rt::time::sleep(self.record_failure(error).mul_f64(jitter)).await;
     }
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,29 +1,42 @@
-//! Load reports of engines, sent by agents to entries over WebSocket links that the agents open.
+//! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
+//! engines and to get news of declared versions.
 
+use super::news::{NewsMessage, VersionNews};
 use crate::clock;
-use anyhow::Result;
+use anyhow::{Result, bail};
 use buckthornwharf_core::prelude::*;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_tungstenite::tungstenite::{Bytes, Message};
-use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
+use tokio_tungstenite::tungstenite::{Bytes, Error, Message};
+use tokio_tungstenite::{accept_hdr_async_with_config, client_async_with_config};
 
 /// Time between messages while the load does not change; shorter than the time after which an entry
 /// considers a report stale.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between news while nothing changes; well within the time after which an agent no longer relies on
+/// the entry.
+const NEWS_INTERVAL: Duration = Duration::from_secs(1);
+/// Path of links that only report loads.
+const LOADS_PATH: &str = "/loads";
+/// Path of links on which the entry also sends news.
+const NEWS_PATH: &str = "/loads-and-news";
 /// Timeout to open a link, and to send a message.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay before a link is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum size of a message, in bytes.
-const MAX_MESSAGE_BYTES: usize = 1024;
+const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+/// Size of the read buffer of a link, in bytes.
+const READ_BUFFER_BYTES: usize = 1024;
 /// Delay after a failed accept, so that the loop does not spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -41,26 +54,29 @@
 fn link_config() -> WebSocketConfig {
     // The default buffers are far larger than the messages.
     WebSocketConfig::default()
-        .read_buffer_size(MAX_MESSAGE_BYTES)
+        .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Accepts links of agents on `listener` for the rest of the process and calls `on_load` with each
-/// message and the time of its receipt.
+/// Accepts links of agents on `listener` for the rest of the process, sends `news` on those that ask for it,
+/// and calls `on_load` with each message and the time of its receipt.
 ///
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
 pub fn start_receiver(
     listener: std::net::TcpListener,
+    news: watch::Receiver<VersionNews>,
     on_load: impl Fn(MonoTime, LoadMessage) + Clone + 'static,
 ) -> Result<()> {
     let listener = TcpListener::from_std(listener)?;
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => drop(actix_rt::spawn(receive(stream, on_load.clone()))),
+                Ok((stream, _)) => {
+                    drop(actix_rt::spawn(serve_agent(stream, news.clone(), on_load.clone())));
+                }
                 Err(error) => {
                     log::warn!("event=accept_failed reason=\"{error}\"");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -71,63 +87,139 @@
     Ok(())
 }
 
-async fn receive(stream: TcpStream, on_load: impl Fn(MonoTime, LoadMessage)) {
+async fn serve_agent(
+    stream: TcpStream,
+    news: watch::Receiver<VersionNews>,
+    on_load: impl Fn(MonoTime, LoadMessage),
+) {
     if let Err(error) = buckthornwharf_exchange::set_socket_options(&stream) {
         debug!("event=link_not_prepared reason=\"{error}\"");
         return;
     }
-    let mut link = match accept_async_with_config(stream, Some(link_config())).await {
-        Ok(link) => link,
+    let mut wants_news = false;
+    #[expect(clippy::result_large_err, reason = "the type is given by the library")]
+    let on_request = |request: &Request, response: Response| {
+        wants_news = request.uri().path() == NEWS_PATH;
+        Ok(response)
+    };
+    let link = accept_hdr_async_with_config(stream, on_request, Some(link_config())).await;
+    let (sink, messages) = match link {
+        Ok(link) => link.split(),
         Err(error) => {
             debug!("event=link_refused reason=\"{error}\"");
             return;
         }
     };
-    while let Some(Ok(message)) = link.next().await {
-        let Message::Binary(bytes) = message else {
+    let ended = tokio::select! {
+        ended = receive(messages, |load| on_load(clock::now(), load)) => ended,
+        ended = send_news(sink, news), if wants_news => ended,
+    };
+    if let Err(error) = ended {
+        debug!("event=link_ended reason=\"{error:#}\"");
+    }
+}
+
+/// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`].
+async fn send_news(
+    mut sink: impl Sink<Message, Error = Error> + Unpin,
+    mut news: watch::Receiver<VersionNews>,
+) -> Result<()> {
+    loop {
+        let message = news.borrow_and_update().message(clock::now());
+        send(&mut sink, &message).await?;
+        if let Ok(Err(_)) = tokio::time::timeout(NEWS_INTERVAL, news.changed()).await {
+            bail!("the entry ends");
+        }
+    }
+}
+
+/// Passes each message to `on_message` until the link ends.
+async fn receive<T: DeserializeOwned>(
+    mut messages: impl Stream<Item = Result<Message, Error>> + Unpin,
+    on_message: impl Fn(T),
+) -> Result<()> {
+    while let Some(message) = messages.next().await {
+        let Message::Binary(bytes) = message? else {
             continue;
         };
         match ciborium::from_reader(&bytes[..]) {
-            Ok(load) => on_load(clock::now(), load),
-            Err(error) => debug!("event=bad_load reason=\"{error}\""),
+            Ok(message) => on_message(message),
+            Err(error) => debug!("event=bad_link_message reason=\"{error}\""),
         }
     }
+    bail!("the link was closed")
+}
+
+async fn send(
+    sink: &mut (impl Sink<Message, Error = Error> + Unpin),
+    message: &impl Serialize,
+) -> Result<()> {
+    let mut bytes = Vec::with_capacity(64);
+    ciborium::into_writer(message, &mut bytes)?;
+    let send = sink.send(Message::Binary(Bytes::from(bytes)));
+    Ok(tokio::time::timeout(OPEN_TIMEOUT, send).await??)
+}
+
+/// What an agent hears on a link.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// News of declared versions.
+    News(NewsMessage),
+    /// The link has ended.
+    Lost,
 }
 
-/// Sends the engine's load to the entry at `address` and reopens the link whenever it fails. Returns
-/// when the sender of `loads` is dropped.
-pub async fn send_loads(address: SocketAddr, mut loads: watch::Receiver<Option<LoadMessage>>) {
-    let mut was_open = false;
+/// Sends the engine's load to the entry at `address` and reopens the link whenever it fails. If
+/// `wants_news`, the entry sends news on it. Returns when the sender of `loads` is dropped.
+pub async fn run_link(
+    address: SocketAddr,
+    wants_news: bool,
+    mut loads: watch::Receiver<Option<LoadMessage>>,
+    on_event: impl Fn(LinkEvent),
+) {
     loop {
-        match run_link(address, &mut loads, &mut was_open).await {
-            Ok(()) => return,
-            Err(error) => {
-                if std::mem::take(&mut was_open) {
-                    info!("event=link_lost entry={address} reason=\"{error:#}\"");
-                }
-            }
+        let mut was_open = false;
+        let ended = open_link(address, wants_news, &mut loads, &on_event, &mut was_open).await;
+        on_event(LinkEvent::Lost);
+        let Err(error) = ended else {
+            return;
+        };
+        if was_open {
+            info!("event=link_lost entry={address} reason=\"{error:#}\"");
         }
         actix_rt::time::sleep(REOPEN_DELAY).await;
     }
 }
 
-async fn run_link(
+async fn open_link(
     address: SocketAddr,
+    wants_news: bool,
     loads: &mut watch::Receiver<Option<LoadMessage>>,
+    on_event: &impl Fn(LinkEvent),
     was_open: &mut bool,
 ) -> Result<()> {
     let stream = buckthornwharf_exchange::connect(address, OPEN_TIMEOUT).await?;
+    let path = if wants_news { NEWS_PATH } else { LOADS_PATH };
     let handshake =
-        client_async_with_config(format!("ws://{address}/loads"), stream, Some(link_config()));
-    let (mut link, _) = tokio::time::timeout(OPEN_TIMEOUT, handshake).await??;
+        client_async_with_config(format!("ws://{address}{path}"), stream, Some(link_config()));
+    let (link, _) = tokio::time::timeout(OPEN_TIMEOUT, handshake).await??;
     *was_open = true;
+    let (sink, messages) = link.split();
+    tokio::select! {
+        ended = receive(messages, |news| on_event(LinkEvent::News(news))) => ended,
+        ended = send_loads(sink, loads) => ended,
+    }
+}
+
+/// Sends the loads until their sender is dropped.
+async fn send_loads(
+    mut sink: impl Sink<Message, Error = Error> + Unpin,
+    loads: &mut watch::Receiver<Option<LoadMessage>>,
+) -> Result<()> {
     loop {
         let load = *loads.borrow_and_update();
         if let Some(load) = load {
-            let mut bytes = Vec::with_capacity(64);
-            ciborium::into_writer(&load, &mut bytes)?;
-            let send = link.send(Message::Binary(Bytes::from(bytes)));
-            tokio::time::timeout(OPEN_TIMEOUT, send).await??;
+            send(&mut sink, &load).await?;
         }
         actix_rt::time::sleep(MIN_INTERVAL).await;
         let changed = tokio::time::timeout(REPEAT_INTERVAL, loads.changed()).await;
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -6,7 +6,8 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
-use fleet::{SoakFleet, holds_within};
+use buckthornwharf_standin::relay::RelaySwitches;
+use fleet::{SoakFleet, holds_within, set_switches};
 use standin::operator;
 use standin::origin::{CHUNKS, OriginFault};
 use std::net::SocketAddr;
@@ -22,6 +23,11 @@
     );
 }
 
+/// Switches of a relay that forwards nothing for as long as a test takes.
+fn slow_switches() -> RelaySwitches {
+    RelaySwitches { delay_ms: 600_000, ..RelaySwitches::default() }
+}
+
 /// Waits until all engines have loaded `version`, and checks that no load was incomplete.
 async fn wait_all_loaded(fleet: &SoakFleet, version: u64) {
     let loaded = || fleet.engines.iter().all(|engine| engine.loaded() == Some(version));
@@ -86,6 +92,31 @@
     wait_all_loaded(&fleet, 2).await;
 }
 
+#[actix_rt::test]
+async fn an_agent_cut_off_from_the_store_hears_of_a_version_from_entries() {
+    let fleet = SoakFleet::start(2, 2).await;
+    wait_all_loaded(&fleet, 1).await;
+    let agent = fleet.process("agent-0");
+    eventually("the agent relies on entries", || {
+        agent.output().contains("event=versions_from source=entries")
+    })
+    .await;
+    set_switches(&agent.store_relay, &slow_switches());
+    operator::declare_version(&fleet.store, 2);
+    wait_all_loaded(&fleet, 2).await;
+}
+
+#[actix_rt::test]
+async fn agents_hear_of_a_version_from_the_store_when_all_entries_are_cut_off_from_it() {
+    let fleet = SoakFleet::start(2, 2).await;
+    wait_all_loaded(&fleet, 1).await;
+    for entry in fleet.entries() {
+        set_switches(&entry.store_relay, &slow_switches());
+    }
+    operator::declare_version(&fleet.store, 2);
+    wait_all_loaded(&fleet, 2).await;
+}
+
 #[actix_rt::test]
 async fn a_chunk_corrupted_in_the_stage_is_fetched_again_before_the_load() {
     let fleet = SoakFleet::start(1, 4).await;
--- a/tests/direct_silent.rs
+++ b/tests/direct_silent.rs
@@ -7,7 +7,7 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
-use buckthornwharf::direct::loads::{LoadMessage, send_loads};
+use buckthornwharf::direct::loads::{LoadMessage, run_link};
 use fleet::calls::EntryReply;
 use fleet::{DirectFleet, eventually};
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
@@ -36,7 +36,7 @@
         let mut reports = Self { engines: Vec::new(), senders: Vec::new() };
         for engine in &fleet.engines {
             let (sender, receiver) = watch::channel(None);
-            actix_rt::spawn(send_loads(entry, receiver));
+            actix_rt::spawn(run_link(entry, false, receiver, |_| {}));
             reports.engines.push(engine.address);
             reports.senders.push(Some(sender));
         }
