--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -7,7 +7,7 @@
 mod stage;
 mod state;
 
-use super::follow::{self, PolledList};
+use super::follow::{self, OutageRole, PolledList, StoreOutage};
 use super::metrics::{self, DirectAgentMetrics};
 use super::presence::{self, PresenceRecord};
 use super::reload;
@@ -51,8 +51,9 @@
     let engine = EngineClient::new(agent_settings.engine);
     let state = AgentState::new(settings.clone(), agent_settings, engine, metrics);
     peers::start_peer_service(listener, state.clone())?;
-    actix_rt::spawn(watch_versions(store.clone(), state.clone()));
-    start_polls(&store, &state);
+    let outage = StoreOutage::default();
+    actix_rt::spawn(watch_versions(store.clone(), outage.clone(), state.clone()));
+    start_polls(&store, &outage, &state);
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
     let on_registered = move |position| fence_state.set_fence(position);
@@ -73,44 +74,54 @@
 }
 
 /// Watches the declared versions in the store while no entry is relied on for news of them.
-async fn watch_versions(store: StoreClient, state: Rc<AgentState>) {
+async fn watch_versions(store: StoreClient, outage: StoreOutage, state: Rc<AgentState>) {
     loop {
         state.wait_uncovered().await;
         info!("event=versions_from source=store");
         let watched = state.clone();
         let on_event = move |event| watched.on_version_event(event);
-        let timing = WatchTiming::TIMELY;
+        let watch = follow::watch_prefix(
+            store.clone(),
+            keys::VERSIONS,
+            WatchTiming::TIMELY,
+            OutageRole::Leader(outage.clone()),
+            on_event,
+        );
         tokio::select! {
-            () = follow::watch_prefix(store.clone(), keys::VERSIONS, timing, on_event) => {}
-            () = state.wait_covered() => info!("event=versions_from source=entries"),
+            () = watch => {}
+            () = state.wait_covered() => {
+                outage.end();
+                info!("event=versions_from source=entries");
+            }
         }
     }
 }
 
 /// Starts to poll the entries with the configuration for agents, the agents of the own region, and those
 /// of all regions.
-fn start_polls(store: &StoreClient, state: &Rc<AgentState>) {
-    let [refresh_entries, refresh_region] = state.refresh_lists.clone();
-    let at_once = |prefix, current_reads, refresh| PolledList {
+fn start_polls(store: &StoreClient, outage: &StoreOutage, state: &Rc<AgentState>) {
+    let at_once = |prefix, current_reads| PolledList {
         prefix,
         current_reads,
         first_read: Duration::ZERO,
-        refresh,
+        refresh: Rc::default(),
+        outage: outage.clone(),
     };
     let entries_state = state.clone();
     let on_items = move |items| entries_state.update_entries(items);
     // Entries that start at the same time are found by the second read.
-    let list = at_once(presence::COMMON_PREFIX.to_owned(), 2, refresh_entries);
+    let list = at_once(presence::COMMON_PREFIX.to_owned(), 2);
     actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
     let region_state = state.clone();
     let on_items = move |items| region_state.update_region_agents(items);
-    let list = at_once(presence::region_prefix(&state.settings.region()), 1, refresh_region);
+    let list = at_once(presence::region_prefix(&state.settings.region()), 1);
     actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
     let agents_state = state.clone();
     let on_items = move |items| agents_state.update_agents(items);
     let first_read = Duration::from_millis(rand::rng().random_range(ALL_AGENTS_DELAY_MS));
     let refresh = state.refresh_agents.clone();
     let prefix = presence::AGENT_PREFIX.to_owned();
-    let list = PolledList { prefix, current_reads: 0, first_read, refresh };
+    let outage = outage.clone();
+    let list = PolledList { prefix, current_reads: 0, first_read, refresh, outage };
     actix_rt::spawn(follow::poll_list(store.clone(), list, on_items));
 }
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -61,8 +61,6 @@
     pub agents_changed: Notify,
     /// Notified to read the list of agents from the store soon.
     pub refresh_agents: Rc<Notify>,
-    /// Notified to read the lists of entries and of the region's agents from the store soon.
-    pub refresh_lists: [Rc<Notify>; 2],
     /// Newest configuration, by generation.
     config: RefCell<Option<AgentConfig>>,
     declared: RefCell<SortedTable<ModelName, DeclaredVersions>>,
@@ -77,8 +75,6 @@
     fence: Cell<Option<u64>>,
     /// Whether the engine answers; the agent is registered only while it does.
     engine_up: watch::Sender<bool>,
-    /// Whether the agent's watch of the versions failed and has not worked since.
-    store_lost: Cell<bool>,
     /// Whether the agent knows the versions that were declared before it started.
     versions_known: Cell<bool>,
     /// The entries from which the agent hears of declared versions.
@@ -108,7 +104,6 @@
             wanted_changed: Notify::new(),
             agents_changed: Notify::new(),
             refresh_agents: Rc::default(),
-            refresh_lists: Default::default(),
             config: RefCell::default(),
             declared: RefCell::default(),
             agents: RefCell::default(),
@@ -117,7 +112,6 @@
             report: RefCell::default(),
             fence: Cell::new(None),
             engine_up: watch::channel(false).0,
-            store_lost: Cell::new(false),
             versions_known: Cell::new(false),
             coverage: RefCell::default(),
             coverage_changed: Notify::new(),
@@ -162,16 +156,7 @@
                     }
                 }
             }
-            StoreEvent::Lost => self.store_lost.set(true),
-            StoreEvent::Recovered => self.refresh_lists_after_outage(),
-        }
-    }
-
-    /// Reads the lists of entries and agents from the store soon, if it did not respond before.
-    fn refresh_lists_after_outage(&self) {
-        if self.store_lost.take() {
-            self.refresh_agents.notify_one();
-            self.refresh_lists.iter().for_each(|refresh| refresh.notify_one());
+            StoreEvent::Lost | StoreEvent::Recovered => {}
         }
     }
 
@@ -211,7 +196,6 @@
         while self.coverage.borrow().covered_until(clock::now()).is_none() {
             self.coverage_changed.notified().await;
         }
-        self.refresh_lists_after_outage();
     }
 
     fn apply_version_item(&self, item: &StoreItem) {
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -6,7 +6,7 @@
 mod request;
 mod state;
 
-use super::follow;
+use super::follow::{self, OutageRole, StoreOutage};
 use super::loads;
 use super::metrics::{self, DirectEntryMetrics};
 use super::presence::{self, PresenceRecord};
@@ -70,8 +70,8 @@
     let load_state = state.clone();
     let on_load = move |now, load| load_state.on_load(now, load);
     loads::start_receiver(load_listener, state.subscribe_news(), on_load)?;
-    start_followers(&store, &state);
-    crash_reports::start(store.clone(), settings.host.clone(), state.clone());
+    let outage = start_followers(&store, &state);
+    crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
     let running = state.running();
     actix_rt::spawn(presence::keep_registered(
@@ -102,13 +102,15 @@
     })
 }
 
-fn start_followers(store: &StoreClient, state: &Rc<EntryState>) {
+fn start_followers(store: &StoreClient, state: &Rc<EntryState>) -> StoreOutage {
+    let outage = StoreOutage::default();
     let operator_state = state.clone();
     let on_event = move |event| operator_state.on_operator_event(event);
     actix_rt::spawn(follow::watch_prefix(
         store.clone(),
         keys::OPERATOR,
         WatchTiming::PROMPT,
+        OutageRole::Leader(outage.clone()),
         on_event,
     ));
     let targets_state = state.clone();
@@ -117,6 +119,7 @@
         store.clone(),
         keys::TARGETS,
         WatchTiming::TARGETS,
+        OutageRole::Follower(outage.clone()),
         on_event,
     ));
     let entries_state = state.clone();
@@ -125,8 +128,10 @@
         store.clone(),
         presence::ENTRY_PREFIX,
         WatchTiming::RELAXED,
+        OutageRole::Follower(outage.clone()),
         on_event,
     ));
+    outage
 }
 
 /// Accepts connections from callers until shutdown, then waits for open requests to end, at most until
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -4,7 +4,7 @@
 //! restarts knows it again.
 
 use super::state::EntryState;
-use crate::direct::follow::{self, StoreEvent};
+use crate::direct::follow::{self, OutageRole, StoreEvent, StoreOutage};
 use buckthornwharf_core::direct::{CrashReport, PROBE_TIMEOUT, WatchTiming};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::poison::CRASH_RETENTION;
@@ -21,12 +21,18 @@
 const RETRY_DELAY_MS: std::ops::Range<u64> = 200..500;
 
 /// Watches the reports of all entries, and writes those of `host`, for the rest of the process.
-pub fn start(store: StoreClient, host: HostName, state: Rc<EntryState>) {
+pub fn start(store: StoreClient, host: HostName, outage: StoreOutage, state: Rc<EntryState>) {
     let watched = state.clone();
     let key = format!("{PREFIX}{host}");
     let own_key = key.clone();
     let on_event = move |event| on_event(&watched, &own_key, event);
-    actix_rt::spawn(follow::watch_prefix(store.clone(), PREFIX, WatchTiming::PROMPT, on_event));
+    actix_rt::spawn(follow::watch_prefix(
+        store.clone(),
+        PREFIX,
+        WatchTiming::PROMPT,
+        OutageRole::Follower(outage),
+        on_event,
+    ));
     actix_rt::spawn(write_reports(store, key, state));
 }
 
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -9,6 +9,7 @@
 use fleet::{DirectFleet, eventually};
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
 use standin::shape::AnswerShape;
+use standin::store::StoreFault;
 
 #[actix_rt::test]
 async fn a_dispatched_request_carries_the_headers_set_by_the_entry() {
@@ -201,6 +202,26 @@
     assert!(largest < MAX_PROBE_BYTES, "the largest item read has {largest} bytes");
 }
 
+#[actix_rt::test]
+async fn one_task_of_an_entry_asks_a_store_that_does_not_respond() {
+    const LEADING_PREFIX: &str = "op/";
+    const CALLS: u32 = 12;
+    let fleet = DirectFleet::start(1).await;
+    fleet.store.fault.set(StoreFault::Busy);
+    let refused = || fleet.store.refused_watches.borrow();
+    eventually("the entry asks the store", || {
+        refused().get(LEADING_PREFIX).is_some_and(|calls| *calls >= CALLS)
+    })
+    .await;
+    let refused = refused().clone();
+    let others = refused.iter().filter(|(prefix, _)| *prefix != LEADING_PREFIX);
+    let others: u32 = others.map(|(_, calls)| calls).sum();
+    assert!(others < CALLS, "{refused:?}");
+    fleet.store.fault.set(StoreFault::None);
+    fleet.put_config(2, "/moved/", "secret");
+    fleet.wait_status("/moved/x", "secret", 200).await;
+}
+
 #[actix_rt::test]
 async fn a_draining_target_gets_no_more_requests() {
     let fleet = DirectFleet::start(2).await;
