--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -1,29 +1,28 @@
 //! State that the tasks of an agent share: wanted versions, other agents, and the engine's state.
 
+mod agents;
+mod links;
+
 use super::stage::VersionStage;
 use crate::clock;
-use crate::direct::facts::{self, AgentConfig};
+use crate::direct::facts::AgentConfig;
 use crate::direct::follow::StoreEvent;
-use crate::direct::loads::{LinkEvent, LoadMessage, run_link};
+use crate::direct::loads::LoadMessage;
 use crate::direct::metrics::DirectAgentMetrics;
-use crate::direct::news::NewsMessage;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
-use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::{
     DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, NewsCoverage, OriginSpec,
-    StorePosition, news_sources,
+    StorePosition,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
+use links::EntryLink;
 use log::{info, warn};
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
-/// Longest time that a fetch waits for the list of the agents of all regions.
-const ALL_AGENTS_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Version that engines load as long as none has been declared.
 const FIRST_VERSION: u64 = 1;
 
@@ -160,44 +159,6 @@
         }
     }
 
-    fn on_link_event(&self, entry: &Arc<str>, event: LinkEvent) {
-        match event {
-            LinkEvent::News(news) => self.on_news(entry, &news),
-            LinkEvent::Lost => self.coverage.borrow_mut().lost(entry),
-        }
-        self.coverage_changed.notify_waiters();
-    }
-
-    fn on_news(&self, entry: &Arc<str>, news: &NewsMessage) {
-        let now = clock::now();
-        self.coverage.borrow_mut().heard(now, entry, news.current);
-        for declared in &news.versions {
-            self.declare(declared.version(), declared.declared_at(now));
-        }
-        self.versions_known.set(self.versions_known.get() || news.current);
-    }
-
-    /// Waits until no entry is relied on for news of versions.
-    pub async fn wait_uncovered(&self) {
-        loop {
-            let now = clock::now();
-            let Some(until) = self.coverage.borrow().covered_until(now) else {
-                return;
-            };
-            tokio::select! {
-                () = actix_rt::time::sleep(until.since(now)) => {}
-                () = self.coverage_changed.notified() => {}
-            }
-        }
-    }
-
-    /// Waits until an entry is relied on for news of versions.
-    pub async fn wait_covered(&self) {
-        while self.coverage.borrow().covered_until(clock::now()).is_none() {
-            self.coverage_changed.notified().await;
-        }
-    }
-
     fn apply_version_item(&self, item: &StoreItem) {
         match serving::read_version(&item.value) {
             Ok(version) => self.declare(version, clock::now()),
@@ -233,110 +194,6 @@
         }
     }
 
-    /// Replaces the agents of all regions by those in `items`. Returns whether their set has changed.
-    pub fn update_agents(&self, items: Vec<StoreItem>) -> bool {
-        self.all_agents_known.send_replace(true);
-        self.replace_agents(SortedTable::new(), items)
-    }
-
-    /// Replaces the agents of the own region by those in `items`. Returns whether their set has changed.
-    pub fn update_region_agents(&self, items: Vec<StoreItem>) -> bool {
-        let region = self.settings.region();
-        let mut others = self.agents.borrow().clone();
-        others.retain(|_, agent| agent.region != region);
-        self.replace_agents(others, items)
-    }
-
-    /// Replaces the agents by `kept` and those in `items`. Returns whether their set has changed.
-    fn replace_agents(&self, kept: AgentTable, items: Vec<StoreItem>) -> bool {
-        let mut agents = kept;
-        for item in items {
-            if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
-                agents.insert(item.key, record);
-            }
-        }
-        let changed = *self.agents.borrow() != agents;
-        self.agents.replace(agents);
-        if changed {
-            self.agents_changed.notify_waiters();
-        }
-        changed
-    }
-
-    /// Waits until the agents of all regions have been read, at most for [`ALL_AGENTS_TIMEOUT`].
-    pub async fn wait_all_agents(&self) {
-        let mut known = self.all_agents_known.subscribe();
-        if *known.borrow() {
-            return;
-        }
-        self.refresh_agents.notify_one();
-        // An error means that the fetch begins with the agents that are known.
-        let _ = tokio::time::timeout(ALL_AGENTS_TIMEOUT, known.wait_for(|known| *known)).await;
-    }
-
-    /// Replaces the live entries, and the configuration, by those in `items`. Returns whether the set of
-    /// entries has changed.
-    pub fn update_entries(self: &Rc<Self>, items: Vec<StoreItem>) -> bool {
-        let before = self.linked_entries();
-        let mut entries: SortedTable<Arc<str>, PresenceRecord> = SortedTable::new();
-        for item in items {
-            if &*item.key == facts::KEY {
-                AgentConfig::read(&item.value)
-                    .into_iter()
-                    .for_each(|config| self.set_config(config));
-            } else if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
-                entries.insert(item.key, record);
-            }
-        }
-        self.update_links(&entries);
-        self.linked_entries() != before
-    }
-
-    /// Opens and closes links, so that there is one to each of `entries`.
-    fn update_links(self: &Rc<Self>, entries: &SortedTable<Arc<str>, PresenceRecord>) {
-        let regions = entries.iter().map(|(key, entry)| (key, &entry.region));
-        let sources = news_sources(&self.settings.host, &self.settings.region(), regions);
-        let mut links = self.links.borrow_mut();
-        links.retain(|key, _| entries.contains_key(key));
-        for (key, entry) in entries.iter() {
-            let (address, wants_news) = (entry.address, sources.contains(key));
-            let is_open =
-                |link: &EntryLink| (link.address, link.wants_news) == (address, wants_news);
-            if !links.get(key).is_some_and(is_open) {
-                links.insert(key.clone(), self.open_link(key.clone(), address, wants_news));
-            }
-        }
-        drop(links);
-        self.coverage.borrow_mut().retain(&sources);
-    }
-
-    fn open_link(
-        self: &Rc<Self>,
-        key: Arc<str>,
-        address: SocketAddr,
-        wants_news: bool,
-    ) -> EntryLink {
-        let state = self.clone();
-        let on_event = move |event| state.on_link_event(&key, event);
-        let task = actix_rt::spawn(run_link(address, wants_news, self.loads.subscribe(), on_event));
-        EntryLink { address, wants_news, task }
-    }
-
-    /// Returns the keys of the entries that receive the engine's load.
-    fn linked_entries(&self) -> Vec<Arc<str>> {
-        self.links.borrow().iter().map(|(key, _)| key.clone()).collect()
-    }
-
-    /// Returns all registered agents and this one, sorted by host.
-    pub fn agents(&self) -> Vec<PresenceRecord> {
-        let mut agents: Vec<PresenceRecord> = self.agents.borrow().values().cloned().collect();
-        if !agents.iter().any(|agent| agent.host == self.settings.host) {
-            agents.push(PresenceRecord::of(&self.settings));
-        }
-        agents.sort_by(|a, b| a.host.cmp(&b.host));
-        agents
-    }
-
     /// Returns the engine settings of the agent's service, if the configuration contains them.
     pub fn engine_spec(&self) -> Option<EngineSpec> {
         self.config.borrow().as_ref()?.engine_spec(&self.agent_settings.service)
@@ -426,16 +283,3 @@
         self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
     }
 }
-
-/// A link to an entry; dropping it closes the link.
-struct EntryLink {
-    address: SocketAddr,
-    wants_news: bool,
-    task: JoinHandle<()>,
-}
-
-impl Drop for EntryLink {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
