Give outages of the store a file of their own

Cause: follow.rs held the roles of tasks in an outage beside the watches and polls.

Change: src/direct/outage.rs; no change of behaviour.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod loads;
 pub mod metrics;
 pub mod news;
+mod outage;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -7,8 +7,9 @@
 mod stage;
 mod state;
 
-use super::follow::{self, OutageRole, PolledList, StoreOutage};
+use super::follow::{self, PolledList};
 use super::metrics::{self, DirectAgentMetrics};
+use super::outage::{OutageRole, StoreOutage};
 use super::presence::{self, PresenceRecord};
 use super::reload;
 use super::settings::DirectSettings;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -6,9 +6,10 @@
 mod request;
 mod state;
 
-use super::follow::{self, OutageRole, StoreOutage};
+use super::follow;
 use super::loads;
 use super::metrics::{self, DirectEntryMetrics};
+use super::outage::{OutageRole, StoreOutage};
 use super::presence::{self, PresenceRecord};
 use super::reload;
 use super::service::{ServiceAnswer, start_service};
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -4,7 +4,8 @@
 //! restarts knows it again.
 
 use super::state::EntryState;
-use crate::direct::follow::{self, OutageRole, StoreEvent, StoreOutage};
+use crate::direct::follow::{self, StoreEvent};
+use crate::direct::outage::{OutageRole, StoreOutage};
 use buckthornwharf_core::direct::{CrashReport, PROBE_TIMEOUT, WatchTiming};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::request::poison::CRASH_RETENTION;
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,5 +1,6 @@
 //! Watches and polls the items below a prefix of the platform's store.
 
+use super::outage::{OutageRole, StoreOutage};
 use crate::clock;
 use buckthornwharf_core::direct::{
     BacklogLimit, PROBE_TIMEOUT, PollBackoff, StorePosition, WatchBackoff, WatchTiming,
@@ -11,61 +12,15 @@
 use log::{info, warn};
 use rand::RngExt;
 use std::rc::Rc;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 /// Range of the delay before a prefix is read again whose history was lost, in milliseconds, so that
 /// processes do not read it all at once.
 const REREAD_DELAY_MS: std::ops::Range<u64> = 0..300;
 
-/// Longest time that a task waits for the leading one to notice the recovery of the store.
-const MAX_FOLLOWER_WAIT: Duration = Duration::from_secs(4);
-
 /// Time over which processes spread their reads of a list after an outage.
 const LIST_SPREAD: Duration = Duration::from_secs(2);
 
-/// Whether the store responds to this process, as noticed by one of the tasks that read it. The others ask
-/// it again when this one has noticed the recovery, so that an outage costs few calls.
-#[derive(Debug, Clone)]
-pub struct StoreOutage {
-    is_down: Rc<watch::Sender<bool>>,
-}
-
-impl Default for StoreOutage {
-    fn default() -> Self {
-        Self { is_down: Rc::new(watch::channel(false).0) }
-    }
-}
-
-impl StoreOutage {
-    /// Ends the outage, because the leading task reads the store no longer.
-    pub fn end(&self) {
-        self.is_down.send_replace(false);
-    }
-
-    /// Waits until the leading task has noticed the recovery, at most [`MAX_FOLLOWER_WAIT`], and for a
-    /// random part of `spread` after it; or for `backoff` if no outage has been noticed.
-    async fn wait_over(&self, backoff: Duration, spread: Duration) {
-        let mut is_down = self.is_down.subscribe();
-        if !*is_down.borrow() {
-            actix_rt::time::sleep(backoff).await;
-            return;
-        }
-        let over = is_down.wait_for(|is_down| !*is_down);
-        // An error means that the outage lasts longer.
-        let _ = tokio::time::timeout(MAX_FOLLOWER_WAIT, over).await;
-        actix_rt::time::sleep(spread.mul_f64(rand::rng().random_range(0.0..1.0))).await;
-    }
-}
-
-/// The part of a task that reads the store in an outage.
-#[derive(Debug, Clone)]
-pub enum OutageRole {
-    /// It asks the store until it responds, and tells the others.
-    Leader(StoreOutage),
-    /// It waits for the leader.
-    Follower(StoreOutage),
-}
-
 /// An event of a watched prefix.
 #[derive(Debug)]
 pub enum StoreEvent {
@@ -251,17 +206,10 @@
         Self { prefix, backoff: WatchBackoff::new(timing), lost_at: None, role }
     }
 
-    /// Tells the other tasks whether the store responds, if this one leads them.
-    fn tell_others(&self, is_down: bool) {
-        if let OutageRole::Leader(outage) = &self.role {
-            outage.is_down.send_if_modified(|known| std::mem::replace(known, is_down) != is_down);
-        }
-    }
-
     /// Records a response and returns whether it is the first after an outage.
     fn on_success(&mut self) -> bool {
         let recovered = self.backoff.record_success();
-        self.tell_others(false);
+        self.role.tell(false);
         if recovered {
             let now = clock::now();
             let outage = self.lost_at.take().map_or(Duration::ZERO, |lost_at| now.since(lost_at));
@@ -276,7 +224,7 @@
             warn!("event=store_lost prefix={} reason=\"{error}\"", self.prefix);
             self.lost_at = Some(clock::now());
         }
-        self.tell_others(true);
+        self.role.tell(true);
         self.backoff.record_failure()
     }
 
@@ -291,9 +239,6 @@
         }
         let jitter = rand::rng().random_range(0.75..1.25);
         let backoff = self.record_failure(error).mul_f64(jitter);
-        match &self.role {
-            OutageRole::Leader(_) => actix_rt::time::sleep(backoff).await,
-            OutageRole::Follower(outage) => outage.wait_over(backoff, Duration::ZERO).await,
-        }
+        self.role.wait_after_failure(backoff).await;
     }
 }
