A registration supersedes only targets of its own service

Cause: found on reading the change again. The store may hold registrations of other writers, for a service that no configuration names. One with the address of a target and a later start would have dropped that target.

Change: the service must be the same. A target whose address another service has taken over lapses as before.

--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -94,7 +94,7 @@
 
     /// Inserts or updates a target and returns whether anything changed. A target that drains does so until
     /// its next start, even if an older copy of the registry says otherwise. A target that started later
-    /// supersedes those at its address, whose registrations have not lapsed yet.
+    /// supersedes those of its service at its address, whose registrations have not lapsed yet.
     pub fn put(&mut self, mut record: RegisteredTarget) -> bool {
         self.drop_superseded(&record);
         self.lapsed.remove(&record.id);
@@ -114,6 +114,7 @@
     fn drop_superseded(&mut self, record: &RegisteredTarget) {
         let is_superseded = |known: &RegisteredTarget| {
             known.address == record.address
+                && known.service == record.service
                 && known.id != record.id
                 && known.started_unix_ms < record.started_unix_ms
         };
--- a/core/tests/direct_catalog.rs
+++ b/core/tests/direct_catalog.rs
@@ -62,6 +62,14 @@
     assert_eq!(ids(&catalog), ["a1", "a2"]);
 }
 
+#[test]
+fn a_registration_for_another_service_supersedes_no_target_at_its_address() {
+    let mut catalog = TargetCatalog::new();
+    catalog.put(started("a1", 1000));
+    catalog.put(RegisteredTarget { service: "unknown".into(), ..started("a2", 2000) });
+    assert_eq!(ids(&catalog), ["a1", "a2"]);
+}
+
 #[test]
 fn a_superseded_target_that_lapsed_in_an_outage_expires_without_effect() {
     let mut catalog = TargetCatalog::new();
