--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -16,11 +16,6 @@
 /// Key prefix of agents, followed by their region.
 pub const AGENT_PREFIX: &str = "buckthornwharf/agent/";
 
-/// Returns the key prefix of the agents of `region`.
-pub fn region_prefix(region: &RegionName) -> String {
-    format!("{AGENT_PREFIX}{region}/")
-}
-
 /// Time to live of the lease: a process that has not renewed it for this time is considered gone.
 const LEASE_TTL: Duration = Duration::from_secs(6);
 /// Time between renewals; three fit into the time to live.
@@ -28,6 +23,11 @@
 /// Delay before the process registers again after a failure.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Returns the key prefix of the agents of `region`.
+pub fn region_prefix(region: &RegionName) -> String {
+    format!("{AGENT_PREFIX}{region}/")
+}
+
 /// The registration of a process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PresenceRecord {
