Read again: the type of a declared version, links without an out-parameter, store keys by name

No decision, bound or assertion changes. The event that a link was lost is no longer sent for links that never opened, where it had no effect.

--- a/src/direct/agent/state/links.rs
+++ b/src/direct/agent/state/links.rs
@@ -81,7 +81,9 @@
         for declared in &news.versions {
             self.declare(declared.version(), declared.declared_at(now));
         }
-        self.versions_known.set(self.versions_known.get() || news.current);
+        if news.current {
+            self.versions_known.set(true);
+        }
     }
 
     /// Waits until no entry is relied on for news of versions.
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -187,7 +187,7 @@
         RetryAllowance {
             ratio: bounds.retry_ratio,
             extra: bounds.retry_extra,
-            entries: self.entries.borrow().len().max(1) as u64,
+            entries: self.entries.borrow().len() as u64,
         }
     }
 
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -121,7 +121,7 @@
         if self.scheduler.borrow_mut().declare(&declared.model, declared_version) {
             info!("event=version model={} version={version}", declared.model);
             self.news.send_modify(|news| {
-                news.versions.insert(declared.model, (version, now));
+                news.versions.insert(declared.model, declared_version);
             });
         }
     }
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -15,7 +15,7 @@
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Error, Message};
-use tokio_tungstenite::{accept_hdr_async_with_config, client_async_with_config};
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config, client_async_with_config};
 
 /// Time between messages while the load does not change; shorter than the time after which an entry
 /// considers a report stale.
@@ -178,32 +178,33 @@
     on_event: impl Fn(LinkEvent),
 ) {
     loop {
-        let mut was_open = false;
-        let ended = open_link(address, wants_news, &mut loads, &on_event, &mut was_open).await;
-        on_event(LinkEvent::Lost);
-        let Err(error) = ended else {
-            return;
-        };
-        if was_open {
+        if let Ok(link) = open_link(address, wants_news).await {
+            let ended = use_link(link, &mut loads, &on_event).await;
+            on_event(LinkEvent::Lost);
+            let Err(error) = ended else {
+                return;
+            };
             info!("event=link_lost entry={address} reason=\"{error:#}\"");
         }
         actix_rt::time::sleep(REOPEN_DELAY).await;
     }
 }
 
-async fn open_link(
-    address: SocketAddr,
-    wants_news: bool,
-    loads: &mut watch::Receiver<Option<LoadMessage>>,
-    on_event: &impl Fn(LinkEvent),
-    was_open: &mut bool,
-) -> Result<()> {
+async fn open_link(address: SocketAddr, wants_news: bool) -> Result<WebSocketStream<TcpStream>> {
     let stream = buckthornwharf_exchange::connect(address, OPEN_TIMEOUT).await?;
     let path = if wants_news { NEWS_PATH } else { LOADS_PATH };
     let handshake =
         client_async_with_config(format!("ws://{address}{path}"), stream, Some(link_config()));
     let (link, _) = tokio::time::timeout(OPEN_TIMEOUT, handshake).await??;
-    *was_open = true;
+    Ok(link)
+}
+
+/// Sends loads and receives news until the link fails or the sender of `loads` is dropped.
+async fn use_link(
+    link: WebSocketStream<TcpStream>,
+    loads: &mut watch::Receiver<Option<LoadMessage>>,
+    on_event: &impl Fn(LinkEvent),
+) -> Result<()> {
     let (sink, messages) = link.split();
     tokio::select! {
         ended = receive(messages, |news| on_event(LinkEvent::News(news))) => ended,
--- a/src/direct/news.rs
+++ b/src/direct/news.rs
@@ -1,6 +1,6 @@
 //! News of declared versions: entries send them to agents over the links on which agents report loads.
 
-use buckthornwharf_core::direct::LoadedModel;
+use buckthornwharf_core::direct::{DeclaredVersion, LoadedModel};
 use buckthornwharf_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -10,8 +10,8 @@
 pub struct VersionNews {
     /// Whether the entry's watch of them works.
     pub current: bool,
-    /// The newest version of each model, and when the entry received its declaration.
-    pub versions: SortedTable<ModelName, (u64, MonoTime)>,
+    /// The newest version of each model.
+    pub versions: SortedTable<ModelName, DeclaredVersion>,
 }
 
 /// [`VersionNews`] on a link.
@@ -37,9 +37,9 @@
 impl VersionNews {
     /// Returns the message with the ages as of `now`.
     pub fn message(&self, now: MonoTime) -> NewsMessage {
-        let fields = |(model, (version, declared_at)): (&ModelName, &(u64, MonoTime))| {
-            let age = now.since(*declared_at);
-            DeclaredFields { model: model.clone(), version: *version, age }
+        let fields = |(model, declared): (&ModelName, &DeclaredVersion)| {
+            let age = now.since(declared.declared_at);
+            DeclaredFields { model: model.clone(), version: declared.version, age }
         };
         NewsMessage { current: self.current, versions: self.versions.iter().map(fields).collect() }
     }
--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -6,6 +6,7 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
+use buckthornwharf_platform::keys;
 use fleet::{DirectFleet, eventually};
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
 use standin::shape::AnswerShape;
@@ -204,17 +205,16 @@
 
 #[actix_rt::test]
 async fn one_task_of_an_entry_asks_a_store_that_does_not_respond() {
-    const LEADING_PREFIX: &str = "op/";
     const CALLS: u32 = 12;
     let fleet = DirectFleet::start(1).await;
     fleet.store.fault.set(StoreFault::Busy);
     let refused = || fleet.store.refused_watches.borrow();
     eventually("the entry asks the store", || {
-        refused().get(LEADING_PREFIX).is_some_and(|calls| *calls >= CALLS)
+        refused().get(keys::OPERATOR).is_some_and(|calls| *calls >= CALLS)
     })
     .await;
     let refused = refused().clone();
-    let others = refused.iter().filter(|(prefix, _)| *prefix != LEADING_PREFIX);
+    let others = refused.iter().filter(|(prefix, _)| *prefix != keys::OPERATOR);
     let others: u32 = others.map(|(_, calls)| calls).sum();
     assert!(others < CALLS, "{refused:?}");
     fleet.store.fault.set(StoreFault::None);
--- a/tests/direct_backlog.rs
+++ b/tests/direct_backlog.rs
@@ -7,6 +7,7 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
+use buckthornwharf_platform::keys;
 use fleet::{DirectFleet, eventually};
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
     let fleet = DirectFleet::start(1).await;
     put_configs(&fleet, 2..=2, Duration::ZERO).await;
     wait_in_force(&fleet, 2).await;
-    let config_bytes = fleet.store.largest_value_bytes("op/config");
+    let config_bytes = fleet.store.largest_value_bytes(keys::CONFIG);
     fleet.store.silent.set(true);
     fleet.pause().await;
     put_configs(&fleet, 3..=20, Duration::ZERO).await;
@@ -62,5 +63,5 @@
     let sent = fleet.store.sent_bytes.get();
     let sent_in_time = BANDWIDTH * CONFIG_TIME.as_secs_f64();
     assert!((sent as f64) < sent_in_time, "{sent} bytes after the last change, of {sent_in_time}");
-    eventually("the watch goes on", || fleet.store.is_watch_current("op/")).await;
+    eventually("the watch goes on", || fleet.store.is_watch_current(keys::OPERATOR)).await;
 }
