--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -185,7 +185,11 @@
         let mut models = self.declared.borrow_mut();
         let versions = models.get_or_insert_with(declared.model.clone(), DeclaredVersions::default);
         if versions.declare(declaration) {
-            info!("event=version model={} version={version}", declared.model);
+            info!(
+                "event=version model={} version={version} age_ms={}",
+                declared.model,
+                clock::now().since(declared_at).as_millis()
+            );
             self.metrics.declared_version.set(i64::try_from(version).unwrap_or(i64::MAX));
             self.wanted_changed.notify_one();
             if self.versions_known.get() {
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -119,7 +119,12 @@
         let declared_version =
             DeclaredVersion { version, declared_at: now, required_from, begin_by };
         if self.scheduler.borrow_mut().declare(&declared.model, declared_version) {
-            info!("event=version model={} version={version}", declared.model);
+            info!(
+                "event=version model={} version={version} source={} required_in_ms={}",
+                declared.model,
+                if from_snapshot { "snapshot" } else { "watch" },
+                time_until_required.as_millis()
+            );
             self.news.send_modify(|news| {
                 news.versions.insert(declared.model, declared_version);
             });
