A refusal without the id of the request proves nothing

Seen: reported from a system like this one. Callers were told "not run, try again" for requests that an engine had run, or such a request ran at a second engine, after an engine had written an earlier refusal once more on a kept connection.

Cause: an answer with Not-Executed, or with status 421, was taken as the refusal of the present request if it had no Attempt-Id. So was one with an id that is not text, and one with two ids of which the first was the right one. Engines echo the id, and nothing else tells an earlier answer from the present one.

Change: a refusal counts only if it names this request and no other one. Otherwise the outcome is unknown: 502, no retry of a request that may run once, and no 503 for one that may be repeated.

--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -210,7 +210,7 @@
                 AnswerClass::WrongTarget => {
                     return Ok(AttemptResult::Failed(AttemptFailure::Stranger));
                 }
-                AnswerClass::Unsealed => {
+                AnswerClass::Unidentified | AnswerClass::Unsealed => {
                     return Ok(AttemptResult::Failed(AttemptFailure::Garbled));
                 }
                 AnswerClass::OtherRequest => {
