An answer that may belong to an earlier request gives no notice

Seen: a target that wrote an earlier refusal with Retry-After once more got no requests for that pause again, though it had asked for it once.

Cause: pause, limit and leaving were read from every answer but a 421, also from one that is skipped for its id, or that names no request.

Change: only answers that name the request are heeded.

--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -224,16 +224,18 @@
         Ok(AttemptResult::Failed(AttemptFailure::Garbled))
     }
 
-    /// Heeds what the target says of itself in an answer.
+    /// Heeds what the target says of itself in an answer to this request. An answer that may belong to
+    /// another one may be old.
     fn heed_notice(&self, class: AnswerClass, answer: &AnswerHead) {
-        if class == AnswerClass::WrongTarget {
+        use AnswerClass::{OtherRequest, Unidentified, WrongTarget};
+        if matches!(class, WrongTarget | OtherRequest | Unidentified) {
             return;
         }
         let target = &self.grant.target;
         let notice = target_notice(answer.status, &answer.headers);
         let names_limit = notice.limit.is_some() || notice.malformed_limit.is_some();
         self.state.on_target_notice(target, notice);
-        // A second copy of an older answer, or a refusal, does not tell that a limit has ended.
+        // A refusal does not tell that a limit has ended.
         if class == AnswerClass::Valid && !names_limit {
             self.state.on_target_unlimited(target);
         }
--- a/tests/direct_repeated_refusals.rs
+++ b/tests/direct_repeated_refusals.rs
@@ -12,6 +12,8 @@
 use standin::engine::EngineBehaviour;
 use standin::refusal::{RefusalBody, RefusalForm, RefusalRepeat};
 
+const LATE: RefusalForm =
+    RefusalForm { repeat: RefusalRepeat::BeforeNextAnswer, ..RefusalForm::SOUND };
 const NAMELESS: RefusalForm = RefusalForm { has_id: false, ..RefusalForm::SOUND };
 
 /// Sends requests on `path` until a target has received one, and returns the reply to it.
@@ -99,3 +101,16 @@
         fleet.pause().await;
     }
 }
+
+#[actix_rt::test]
+async fn the_pause_of_a_refusal_that_is_written_once_more_is_not_heeded() {
+    let fleet = DirectFleet::start(1).await;
+    let engine = &fleet.engines[0];
+    engine.retry_after.replace(Some("0.2".to_owned()));
+    refuse_one(&fleet, LATE, "refused").await;
+    let reply = post_until_received(&fleet, "/once/x", "run").await;
+    assert_eq!((reply.status, engine.repeats.get()), (200, 1));
+    refuse_one(&fleet, NAMELESS, "nameless").await;
+    let pauses = fleet.entry_log(0).matches("event=target_paused").count();
+    assert_eq!(pauses, 1, "the target asked once for a pause");
+}
