A connection does not carry the id of a request that was refused on it

Seen: a caller whose request was refused and that sent it again with the same id was told "not run, try again" once more, although the request ran this time.

Cause: the second request went to the same target on the same kept connection. The target had written the refusal once more, and it bears the id of the second request, too. Within one request this cannot happen: a target that was tried gets no other attempt of it, resumed streams included. Callers should choose a new id for each try.

--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -6,6 +6,7 @@
 use super::admission::AdmittedRequest;
 use super::reply::StreamReply;
 use crate::clock;
+use crate::direct::entry::pool::TargetConnection;
 use crate::direct::entry::state::{EntryState, ReservedSlot};
 use actix_http::StatusCode;
 use buckthornwharf_core::direct::attempt::time_left;
@@ -166,13 +167,13 @@
         stream: &mut Option<StreamReply>,
     ) -> Result<AttemptResult, Interruption> {
         let target = &self.grant.target;
-        let pooled = self.state.pool().take(clock::now(), &target.id);
+        let pooled = self.state.pool().take(clock::now(), &target.id, &self.request.tags.id);
         let mut connection = match pooled {
             Some(connection) => connection,
             None => {
                 let open = OutboundConnection::open(target.address, CONNECT_TIMEOUT);
                 match self.within_deadline(caller, open).await? {
-                    Ok(connection) => connection,
+                    Ok(connection) => TargetConnection::new(connection),
                     Err(_) => return Ok(AttemptResult::Failed(AttemptFailure::Unreached)),
                 }
             }
@@ -204,6 +205,7 @@
                 }
                 AnswerClass::NotRun => {
                     self.drain_refusal(&mut connection).await;
+                    connection.add_refused(&self.request.tags.id);
                     self.return_to_pool(connection, &answer);
                     return Ok(AttemptResult::Failed(AttemptFailure::NotRun));
                 }
@@ -262,7 +264,7 @@
         })
     }
 
-    fn return_to_pool(&self, connection: OutboundConnection, answer: &AnswerHead) {
+    fn return_to_pool(&self, connection: TargetConnection, answer: &AnswerHead) {
         let idle_timeout = keep_alive_timeout(&answer.headers);
         self.state.pool().keep(clock::now(), &self.grant.target.id, connection, idle_timeout);
     }
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -2,7 +2,9 @@
 
 use super::super::ConnectionAction;
 use super::super::reply::StreamReply;
-use super::{AttemptResult, Interruption, RelayedAnswer, TargetAttempt, failure_of};
+use super::{
+    AttemptResult, Interruption, RelayedAnswer, TargetAttempt, TargetConnection, failure_of,
+};
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
 use buckthornwharf_core::direct::{AttemptFailure, StreamEnd, StreamFault};
@@ -61,7 +63,7 @@
     pub(super) async fn relay(
         &self,
         caller: &mut InboundConnection,
-        connection: OutboundConnection,
+        connection: TargetConnection,
         answer: AnswerHead,
         stream: &mut Option<StreamReply>,
     ) -> Result<AttemptResult, Interruption> {
@@ -79,7 +81,7 @@
     async fn relay_buffered(
         &self,
         caller: &mut InboundConnection,
-        mut connection: OutboundConnection,
+        mut connection: TargetConnection,
         answer: AnswerHead,
     ) -> Result<AttemptResult, Interruption> {
         let mut body = BytesMut::new();
@@ -120,7 +122,7 @@
     async fn relay_unbuffered(
         &self,
         caller: &mut InboundConnection,
-        mut connection: OutboundConnection,
+        mut connection: TargetConnection,
         answer: AnswerHead,
         received: Bytes,
     ) -> Result<AttemptResult, Interruption> {
@@ -162,7 +164,7 @@
     async fn relay_stream(
         &self,
         caller: &mut InboundConnection,
-        mut connection: OutboundConnection,
+        mut connection: TargetConnection,
         answer: AnswerHead,
         stream: &mut Option<StreamReply>,
     ) -> Result<AttemptResult, Interruption> {
--- a/tests/direct_repeated_refusals.rs
+++ b/tests/direct_repeated_refusals.rs
@@ -114,3 +114,19 @@
     let pauses = fleet.entry_log(0).matches("event=target_paused").count();
     assert_eq!(pauses, 1, "the target asked once for a pause");
 }
+
+#[actix_rt::test]
+async fn a_request_with_the_id_of_a_refused_one_is_not_answered_by_its_refusal() {
+    let fleet = DirectFleet::start(1).await;
+    let engine = &fleet.engines[0];
+    for number in 0..4 {
+        refuse_one(&fleet, LATE, &format!("same-{number}")).await;
+        let id = engine.received.borrow().last().expect("a request").id.clone();
+        let before = engine.runs();
+        let mut reply = fleet.post("/once/x", &id).await;
+        while engine.runs() == before {
+            reply = fleet.post("/once/x", &id).await;
+        }
+        assert_eq!((reply.status, reply.body.as_str()), (200, "whole engine-0"), "{id}");
+    }
+}
