The rest of a request is sent after an answer to another one

Seen: by the new test. If an earlier answer comes once more while a long request is being sent, the rest of the request is never sent, and the caller waits until its deadline.

Cause: an answer that starts before the request is complete ended the sending. The entry skips an answer with the id of another request, and then only read.

Change: read_head goes on sending. An answer that is in the buffer is read before that, so that a server that reads no further is not waited for. The connection is still not reused.

--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -177,31 +177,19 @@
         request: OutboundRequest,
     ) -> Result<AnswerHead, ExchangeError> {
         self.encode(request)?;
-        while !self.unsent.is_empty() {
-            let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
-            if ready.is_writable() {
-                self.write_some()?;
-            }
-            if ready.is_readable() && !self.unsent.is_empty() {
-                let eof = self.read_some()?;
-                if let Some(head) = self.decode_head()? {
-                    self.reusable = false;
-                    return Ok(head);
-                }
-                if eof {
-                    return Err(ExchangeError::ClosedEarly);
-                }
-            }
-        }
         self.read_head().await
     }
 
-    /// Reads the head of an answer.
+    /// Reads the head of an answer, and sends what is left of the request. To be called again after an
+    /// answer that belongs to another request.
     ///
     /// # Errors
     ///
     /// [`ExchangeError`] if there is no valid head.
     pub async fn read_head(&mut self) -> Result<AnswerHead, ExchangeError> {
+        if let Some(head) = self.send_rest().await? {
+            return Ok(head);
+        }
         loop {
             if let Some(head) = self.decode_head()? {
                 return Ok(head);
@@ -212,6 +200,28 @@
         }
     }
 
+    /// Sends what is left of the request. Returns the head of an answer that starts before that is done.
+    async fn send_rest(&mut self) -> Result<Option<AnswerHead>, ExchangeError> {
+        let mut has_ended = false;
+        while !self.unsent.is_empty() {
+            if let Some(head) = self.decode_head()? {
+                self.reusable = false;
+                return Ok(Some(head));
+            }
+            if has_ended {
+                return Err(ExchangeError::ClosedEarly);
+            }
+            let ready = self.stream.ready(Interest::READABLE | Interest::WRITABLE).await?;
+            if ready.is_writable() {
+                self.write_some()?;
+            }
+            if ready.is_readable() && !self.unsent.is_empty() {
+                has_ended = self.read_some()?;
+            }
+        }
+        Ok(None)
+    }
+
     /// Reads the next part of the answer's body. Cancel-safe.
     ///
     /// # Errors
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -295,3 +295,49 @@
     let (received, ended) = abort_exchange(false).await;
     assert_eq!(ended.expect("an orderly end"), received);
 }
+
+const FOREIGN_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull";
+const OWN_ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// Sends a request with a body of `length` bytes, to which the server writes an answer to another request,
+/// and reads that answer to its end.
+async fn skip_foreign_answer(length: usize) -> (OutboundConnection, tokio::net::TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    socket2::SockRef::from(&listener).set_recv_buffer_size(4096).expect("an open socket");
+    let address = listener.local_addr().expect("it is bound");
+    let timeout = Duration::from_secs(20);
+    let mut connection = OutboundConnection::open(address, timeout).await.expect("it connects");
+    let (mut stream, _) = listener.accept().await.expect("a client connects");
+    stream.write_all(FOREIGN_ANSWER).await.expect("the client reads");
+    let request = OutboundRequest {
+        method: Method::POST,
+        uri: "/".parse().expect("a valid path"),
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![b'x'; length]),
+    };
+    let head = connection.exchange(request).await.expect("an answer");
+    assert_eq!(head.status, StatusCode::SERVICE_UNAVAILABLE);
+    let body = connection.read_body().await.expect("a body");
+    assert_eq!(body, BodyPart::Data(Bytes::from_static(b"full")));
+    assert_eq!(connection.read_body().await.expect("an end"), BodyPart::End);
+    (connection, stream)
+}
+
+#[actix_rt::test]
+async fn the_rest_of_a_request_is_sent_after_an_answer_to_another_one() {
+    const LONG_BODY_BYTES: usize = 16 * 1024 * 1024;
+    let (mut connection, mut stream) = skip_foreign_answer(LONG_BODY_BYTES).await;
+    let answer = async {
+        let mut received = 0;
+        let mut part = vec![0; 64 * 1024];
+        while received < LONG_BODY_BYTES {
+            received += stream.read(&mut part).await.expect("the rest of the request");
+        }
+        stream.write_all(OWN_ANSWER).await.expect("the client reads");
+    };
+    let exchange = async { tokio::join!(connection.read_head(), answer) };
+    let ended = tokio::time::timeout(Duration::from_secs(20), exchange).await;
+    let (head, ()) = ended.expect("the request is sent completely");
+    assert_eq!(head.expect("an answer").status, StatusCode::OK);
+    assert!(!connection.is_reusable(), "an answer came before the request was sent");
+}
