An exchange stays open after an answer to another request

Seen: by the new test. When a caller left after an earlier answer had been skipped, the connection to the target was closed in an orderly way, and the target got the whole request of a caller that was gone.

Cause: an exchange counted as ended when the body of any answer had been read, and only an open one is reset.

Change: it is open again while the head of the next answer is awaited.

--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -187,6 +187,7 @@
     ///
     /// [`ExchangeError`] if there is no valid head.
     pub async fn read_head(&mut self) -> Result<AnswerHead, ExchangeError> {
+        self.is_exchange_open = true;
         if let Some(head) = self.send_rest().await? {
             return Ok(head);
         }
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -341,3 +341,18 @@
     assert_eq!(head.expect("an answer").status, StatusCode::OK);
     assert!(!connection.is_reusable(), "an answer came before the request was sent");
 }
+
+#[actix_rt::test]
+async fn an_exchange_that_is_aborted_after_an_answer_to_another_request_is_reset() {
+    let (mut connection, mut stream) = skip_foreign_answer(BODY_BYTES).await;
+    connection.set_reset_on_abort(true);
+    tokio::select! {
+        biased;
+        _ = connection.read_head() => panic!("there is no other answer"),
+        () = std::future::ready(()) => {}
+    }
+    drop(connection);
+    let ended = stream.read_to_end(&mut Vec::new()).await;
+    let failure = ended.expect_err("the connection is reset").kind();
+    assert_eq!(failure, std::io::ErrorKind::ConnectionReset);
+}
