A success without the id of the request is not taken for its answer

Seen: by the tests. A sealed success that names no request, or several, was passed on as the answer to the present request.

Cause: only an answer with another id than the request's was held to belong to another one. Engines echo the id, so an answer without it is none of theirs, or an earlier one that is written once more.

--- a/tests/direct.rs
+++ b/tests/direct.rs
@@ -61,6 +61,7 @@
         EngineBehaviour::LostAnswer,
         EngineBehaviour::Shaped(AnswerShape::Truncated),
         EngineBehaviour::Unsealed,
+        EngineBehaviour::Nameless,
     ] {
         fleet.engines.iter().for_each(|engine| engine.behaviour.set(behaviour));
         let before = fleet.runs();
@@ -78,6 +79,7 @@
         EngineBehaviour::LostAnswer,
         EngineBehaviour::Shaped(AnswerShape::Truncated),
         EngineBehaviour::Unsealed,
+        EngineBehaviour::Nameless,
     ] {
         fleet.engines[0].behaviour.set(behaviour);
         for number in 0..4 {
