--- a/tests/direct_repeated_refusals.rs
+++ b/tests/direct_repeated_refusals.rs
@@ -57,7 +57,8 @@
             }
         }
     }
-    assert!(fleet.engines[0].repeats.get() >= 9, "{}", fleet.engines[0].repeats.get());
+    // Nine were repeated at once.
+    assert!(fleet.engines[0].repeats.get() > 9, "no refusal was repeated when an answer was due");
 }
 
 #[actix_rt::test]
