--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -6,6 +6,7 @@
 use super::admission::AdmittedRequest;
 use super::reply::StreamReply;
 use crate::clock;
+use crate::direct::entry::pool::TargetConnection;
 use crate::direct::entry::state::{EntryState, ReservedSlot};
 use actix_http::StatusCode;
 use buckthornwharf_core::direct::attempt::time_left;
@@ -166,13 +167,13 @@
         stream: &mut Option<StreamReply>,
     ) -> Result<AttemptResult, Interruption> {
         let target = &self.grant.target;
-        let pooled = self.state.pool().take(clock::now(), &target.id);
+        let pooled = self.state.pool().take(clock::now(), &target.id, &self.request.tags.id);
         let mut connection = match pooled {
             Some(connection) => connection,
             None => {
                 let open = OutboundConnection::open(target.address, CONNECT_TIMEOUT);
                 match self.within_deadline(caller, open).await? {
-                    Ok(connection) => connection,
+                    Ok(connection) => TargetConnection::new(connection),
                     Err(_) => return Ok(AttemptResult::Failed(AttemptFailure::Unreached)),
                 }
             }
@@ -204,13 +205,14 @@
                 }
                 AnswerClass::NotRun => {
                     self.drain_refusal(&mut connection).await;
+                    connection.add_refused(&self.request.tags.id);
                     self.return_to_pool(connection, &answer);
                     return Ok(AttemptResult::Failed(AttemptFailure::NotRun));
                 }
                 AnswerClass::WrongTarget => {
                     return Ok(AttemptResult::Failed(AttemptFailure::Stranger));
                 }
-                AnswerClass::Unsealed => {
+                AnswerClass::Unidentified | AnswerClass::Unsealed => {
                     return Ok(AttemptResult::Failed(AttemptFailure::Garbled));
                 }
                 AnswerClass::OtherRequest => {
@@ -224,16 +226,18 @@
         Ok(AttemptResult::Failed(AttemptFailure::Garbled))
     }
 
-    /// Heeds what the target says of itself in an answer.
+    /// Heeds what the target says of itself in an answer to this request. An answer that may belong to
+    /// another one may be old.
     fn heed_notice(&self, class: AnswerClass, answer: &AnswerHead) {
-        if class == AnswerClass::WrongTarget {
+        use AnswerClass::{OtherRequest, Unidentified, WrongTarget};
+        if matches!(class, WrongTarget | OtherRequest | Unidentified) {
             return;
         }
         let target = &self.grant.target;
         let notice = target_notice(answer.status, &answer.headers);
         let names_limit = notice.limit.is_some() || notice.malformed_limit.is_some();
         self.state.on_target_notice(target, notice);
-        // A second copy of an older answer, or a refusal, does not tell that a limit has ended.
+        // A refusal does not tell that a limit has ended.
         if class == AnswerClass::Valid && !names_limit {
             self.state.on_target_unlimited(target);
         }
@@ -260,7 +264,7 @@
         })
     }
 
-    fn return_to_pool(&self, connection: OutboundConnection, answer: &AnswerHead) {
+    fn return_to_pool(&self, connection: TargetConnection, answer: &AnswerHead) {
         let idle_timeout = keep_alive_timeout(&answer.headers);
         self.state.pool().keep(clock::now(), &self.grant.target.id, connection, idle_timeout);
     }
