Streams: an answer that is no stream of events does not continue one that has begun

Callers saw: a stream broke off, the next target answered 200 or 204 with another body, and the stream ended with its last chunk as if it were complete; a body with an empty line in it (JSON, text) also stood in the middle of the stream.

Cause: the answer of the next target was relayed as events if its status was any 2xx. Neither the status nor the content type was compared with what continues a stream, and an empty body with a length counts as a stream without further events.

Change: only a 200 of the type text/event-stream continues a stream; any other answer fails the attempt, and the stream goes on elsewhere or the connection is aborted.

--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -9,7 +9,7 @@
 use buckthornwharf_exchange::{
     AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
 };
-use buckthornwharf_platform::request::answer_headers;
+use buckthornwharf_platform::request::{answer_headers, is_event_stream};
 use bytes::{Bytes, BytesMut};
 use log::info;
 use std::io;
@@ -65,13 +65,12 @@
         answer: AnswerHead,
         stream: &mut Option<StreamReply>,
     ) -> Result<AttemptResult, Interruption> {
+        if stream.is_some() && !may_continue_stream(&answer) {
+            return Ok(AttemptResult::Failed(AttemptFailure::Broken));
+        }
         if self.request.kind.is_stream() && answer.status.is_success() {
             return self.relay_stream(caller, connection, answer, stream).await;
         }
-        if stream.is_some() {
-            // A response that is no stream cannot continue the stream that has begun.
-            return Ok(AttemptResult::Failed(AttemptFailure::Broken));
-        }
         self.relay_buffered(caller, connection, answer).await
     }
 
@@ -300,6 +299,12 @@
     status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
 }
 
+/// Returns whether the response may go on with a stream that has begun. The end of any other response would
+/// pass for the end of the stream.
+fn may_continue_stream(answer: &AnswerHead) -> bool {
+    answer.status == StatusCode::OK && is_event_stream(&answer.headers)
+}
+
 fn connection_action(close: bool) -> ConnectionAction {
     if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive }
 }
--- a/tests/direct/calls.rs
+++ b/tests/direct/calls.rs
@@ -5,7 +5,7 @@
 use super::{CONDITION_TIMEOUT, DirectFleet, POLL_INTERVAL, eventually};
 use actix_http::Method;
 use buckthornwharf_exchange::{AnswerHead, BodyPart, OutboundConnection, OutboundRequest};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Time for which a caller waits for an answer, in milliseconds.
@@ -130,6 +130,22 @@
         stream.write_all(head.as_bytes()).await.expect("the connection is open");
     }
 
+    /// Sends a request, and returns the bytes that arrive until the connection ends.
+    pub async fn post_raw(&self, path: &str, id: &str) -> String {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer secret\r\n\
+             attempt-id: {id}\r\ndeadline-ms: {DEADLINE_MS}\r\nconnection: close\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(self.entries[0].callers).await.expect("it connects");
+        stream.write_all(head.as_bytes()).await.expect("the connection is open");
+        let mut bytes = Vec::new();
+        // A reset ends the connection like a close: what arrived before it counts.
+        let end = tokio::time::timeout(CONDITION_TIMEOUT, stream.read_to_end(&mut bytes)).await;
+        assert!(end.is_ok(), "the connection of {id} does not end");
+        String::from_utf8(bytes).expect("text")
+    }
+
     /// Sends a request and terminates the entry (SIGTERM) once a target has it.
     pub async fn get_during_shutdown(&mut self, path: &str, id: &str) -> EntryReply {
         let mut connection = self.connect(0).await;
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -5,6 +5,7 @@
 
 use super::standin::engine::{EngineBehaviour, EngineStandin};
 use super::standin::operator::{self, RouteTimes};
+use super::standin::script::{AnswerScript, ScriptedAnswer};
 use super::standin::store::StoreStandin;
 use actix_http::Method;
 use buckthornwharf_exchange::{CallClient, OutboundCall};
@@ -181,6 +182,35 @@
         operator::put_config(&self.store, version, &routes, &services, key);
     }
 
+    /// Adds routes of streams: with a third attempt, with a short timeout, and not resumable.
+    pub async fn put_stream_routes(&self, version: u64) {
+        let route = |prefix: &str, kind: &str, timeout_ms: u64, max_attempts: u64| {
+            let times = RouteTimes { timeout_ms, objective_ms: 400 };
+            let mut route = operator::route(prefix, kind, "ledger", times);
+            route["max_attempts"] = max_attempts.into();
+            route
+        };
+        let mut unresumable = route("/stream/unresumable/", "stream", 6000, 2);
+        unresumable["stream_resume"] = false.into();
+        let routes = [
+            route("/added/", "idempotent", 6000, 2),
+            route("/stream/", "stream", 6000, 2),
+            route("/stream/thrice/", "stream", 6000, 3),
+            route("/stream/short/", "stream", 1000, 3),
+            unresumable,
+        ];
+        let services = json!([{ "name": "ledger", "max_connections": 100 }]);
+        operator::put_config(&self.store, version, &routes, &services, "secret");
+        self.wait_status("/added/x", "secret", 200).await;
+        self.engines.iter().for_each(|engine| engine.received.borrow_mut().clear());
+    }
+
+    /// Prescribes the answers to the next streams, whichever target gets them.
+    pub fn play(&self, answers: &[ScriptedAnswer]) {
+        let script: AnswerScript = Rc::new(RefCell::new(answers.iter().copied().collect()));
+        self.engines.iter().for_each(|engine| *engine.script.borrow_mut() = script.clone());
+    }
+
     /// Declares a version of the model that the targets have loaded, and waits until the entry's
     /// watch has received it.
     pub async fn declare_version(&self, version: u64) {
