Streams: the first event of the next target must follow the last one that the caller has

Callers saw: a stream broke off, and the next target started again or sent events without ids, such as an error event. They were joined to the stream: pieces twice or out of another run, and the stream was ended as complete.

Cause: the entry asked the next target to go on after the last event, and took any events as such.

Change: the stream keeps the id of its last event, and the first event of another target must have a greater one; otherwise its part is refused and the attempt has failed. Ids increase but need not be consecutive, so a gap between two targets cannot be told and is not refused. Comments are no events: a target that sends only comments and closes has sent no event.

--- a/core/src/direct/event_stream.rs
+++ b/core/src/direct/event_stream.rs
@@ -28,6 +28,8 @@
     NoEvent,
     /// an event exceeds the size limit
     EventTooLarge,
+    /// the first event does not follow the last one of the previous target
+    NotContinued,
 }
 
 impl std::error::Error for StreamFault {}
@@ -40,6 +42,9 @@
     /// Length of the beginning of `partial` that is known to hold no separator.
     scanned: usize,
     last_id: Option<String>,
+    /// Whether a target has sent an event.
+    has_begun: bool,
+    /// Whether the current target has.
     has_events: bool,
 }
 
@@ -56,11 +61,13 @@
     ///
     /// # Errors
     ///
-    /// [`StreamFault::EventTooLarge`] if the event that has not arrived completely is too large. Its
-    /// target's part of the stream cannot be continued.
+    /// [`StreamFault::EventTooLarge`] if the event that has not arrived completely is too large, and
+    /// [`StreamFault::NotContinued`] if the first event of another target has no greater id than the last
+    /// one that was returned. The target's part of the stream cannot be continued.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Bytes, StreamFault> {
         self.partial.extend_from_slice(bytes);
         let complete = self.take_complete();
+        self.take_ids(&complete)?;
         // Complete events are returned first: their ids are remembered, so they must be forwarded.
         if complete.is_empty() && self.partial.len() > MAX_EVENT_BYTES {
             return Err(StreamFault::EventTooLarge);
@@ -74,13 +81,22 @@
         let end = complete_length(&self.partial[from..]).map(|length| from + length);
         let complete = self.partial.split_to(end.unwrap_or(0)).freeze();
         self.scanned = self.partial.len();
-        self.has_events |= !complete.is_empty();
-        if let Some(id) = last_id(&complete) {
-            self.last_id = Some(id);
-        }
         complete
     }
 
+    fn take_ids(&mut self, complete: &[u8]) -> Result<(), StreamFault> {
+        for event in events(complete) {
+            let id = event_id(event);
+            let is_joint = self.has_begun && !self.has_events;
+            if is_joint && !follows(id.as_deref(), self.last_id()) {
+                return Err(StreamFault::NotContinued);
+            }
+            (self.has_begun, self.has_events) = (true, true);
+            self.last_id = id.or(self.last_id.take());
+        }
+        Ok(())
+    }
+
     /// Handles the end of the stream, and returns the bytes that follow the last event.
     ///
     /// # Errors
@@ -128,9 +144,39 @@
     has_field || !unfinished_line.is_empty()
 }
 
-fn last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
-    let line = lines.find(|line| line.starts_with(ID_FIELD))?;
+/// The complete events in `bytes`, without those that consist of comments.
+fn events(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let blocks = std::iter::from_fn(move || {
+        let (block, rest) = bytes.split_at(first_length(bytes)?);
+        bytes = rest;
+        Some(block)
+    });
+    blocks.filter(|block| fields(block).next().is_some())
+}
+
+/// Returns the length of the first event: the position after the first empty line.
+fn first_length(bytes: &[u8]) -> Option<usize> {
+    let separator_at = |at: usize| {
+        let separator = SEPARATORS.into_iter().find(|separator| bytes[at..].starts_with(separator));
+        separator.map(|separator| at + separator.len())
+    };
+    (0..bytes.len()).find_map(separator_at)
+}
+
+/// The lines of an event that are neither empty nor comments.
+fn fields(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
+    let lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    lines.filter(|line| !line.is_empty() && !line.starts_with(COMMENT))
+}
+
+fn event_id(event: &[u8]) -> Option<String> {
+    let line = fields(event).rfind(|line| line.starts_with(ID_FIELD))?;
     let text = std::str::from_utf8(&line[ID_FIELD.len()..]).ok()?;
     Some(text.trim().to_owned())
 }
+
+/// Whether an event with `id` may come after the one with the id `last`. Ids are numbers and increase.
+fn follows(id: Option<&str>, last: Option<&str>) -> bool {
+    let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
+    number(id).zip(number(last)).is_some_and(|(id, last)| id > last)
+}
--- a/core/tests/direct_streams.rs
+++ b/core/tests/direct_streams.rs
@@ -75,7 +75,46 @@
     assert_eq!(forwarded, 100_000 * event.len());
 }
 
+#[test]
+fn an_event_that_does_not_follow_the_last_one_is_not_joined_to_it() {
+    let last = "id: 7\ndata: a\n\n";
+    for (next, follows) in [
+        ("id: 8\n\n", true),
+        ("version: 2\r\nid:10\r\n\r\n", true),
+        (": begin\n\nid: 8\n\n", true),
+        ("id: 7\n\n", false),
+        (": id: 8\n\ndata: a\n\n", false),
+        ("data: a\n\nid: 8\n\n", false),
+        ("id: -8\n\n", false),
+        ("id: eight\r\r", false),
+        ("id\n\n", false),
+    ] {
+        let (_, mut stream) = feed(&[last]);
+        stream.begin_attempt();
+        let joined = stream.push(&Bytes::from_static(next.as_bytes()));
+        assert_eq!(joined.is_ok(), follows, "{next:?}: {joined:?}");
+        assert!(follows || stream.last_id() == Some("7"), "{next:?}");
+    }
+}
+
 proptest! {
+    #[test]
+    fn targets_that_start_anywhere_never_repeat_an_event(
+        parts in prop::collection::vec((11_u64..19, 0_u64..5), 1..6),
+    ) {
+        let mut stream = EventStream::default();
+        let mut forwarded = String::new();
+        for (first, count) in parts {
+            stream.begin_attempt();
+            let events: String = (first..first + count).map(|id| format!("id: {id}\n\n")).collect();
+            if let Ok(events) = stream.push(&Bytes::from(events)) {
+                forwarded.push_str(std::str::from_utf8(&events).expect("text"));
+            }
+        }
+        let ids: Vec<&str> = forwarded.split_terminator("\n\n").collect();
+        prop_assert!(ids.is_sorted_by(|first, second| first < second), "{ids:?}");
+    }
+
     #[test]
     fn a_stream_cut_within_an_event_is_never_complete(
         events in 1_usize..6, cut in any::<prop::sample::Index>(), part in 1_usize..9, crlf: bool,
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -42,7 +42,9 @@
     fn failure(&self) -> AttemptFailure {
         match self {
             BrokenAnswer::Exchange(error) => failure_of(error),
-            BrokenAnswer::Stream(StreamFault::EventTooLarge) => AttemptFailure::Garbled,
+            BrokenAnswer::Stream(StreamFault::EventTooLarge | StreamFault::NotContinued) => {
+                AttemptFailure::Garbled
+            }
             BrokenAnswer::Stream(_) => AttemptFailure::Broken,
         }
     }
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -140,6 +140,27 @@
     .await;
 }
 
+#[actix_rt::test]
+async fn a_stream_that_starts_again_is_not_joined_to_one_that_has_begun() {
+    assert_cut_at_break(&[
+        stream("id: 1\ndata: token 1\n\n", ScriptedEnd::LastChunk),
+        stream("id: 2\ndata: token 2\n\nid: 3\ndata: token 3\n\n", ScriptedEnd::LastChunk),
+        stream(": begin\n\nid: 1\ndata: token 1\n\n", ScriptedEnd::Close),
+    ])
+    .await;
+}
+
+#[actix_rt::test]
+async fn events_without_an_id_are_not_joined_to_a_stream_that_has_begun() {
+    assert_cut_at_break(&[
+        stream("data: token 3\n\n", ScriptedEnd::LastChunk),
+        stream("event: error\ndata: it failed\n\n", ScriptedEnd::LastChunk),
+        stream("event: error\ndata: it failed\n\nid: 5\ndata: token\n\n", ScriptedEnd::LastChunk),
+        stream("id: five\ndata: token\n\n", ScriptedEnd::LastChunk),
+    ])
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_stream_goes_on_with_the_next_event_under_its_first_head() {
     const CHARSET: &[(&str, &str)] = &[SEAL, ("content-type", "Text/Event-Stream; charset=utf-8")];
@@ -175,6 +196,7 @@
         error(504, TEXT, text),
         error(200, JSON, "{}\n\n"),
         error(204, &[SEAL], ""),
+        stream("id: 1\ndata: token 1\n\n", ScriptedEnd::LastChunk),
         stream("id: 3\nda", ScriptedEnd::Close),
         stream("", ScriptedEnd::NoAnswer),
     ] {
