Streams: a stream whose last event has no id is not run again

Callers saw: a stream broke off after an event without an id, and the next target ran it from its beginning, or from an earlier event; every event came again, and the end. Since the first event of the next target has to follow, they saw a late abort, and a target had run the stream in vain.

Cause: the stream kept the last id that it had seen, not the id of its last event, and a stream without any was sent elsewhere without saying where to go on.

Change: the stream tells whether another target can go on; if none can, the connection is aborted before a retry is spent.

--- a/core/src/direct/event_stream.rs
+++ b/core/src/direct/event_stream.rs
@@ -92,7 +92,7 @@
                 return Err(StreamFault::NotContinued);
             }
             (self.has_begun, self.has_events) = (true, true);
-            self.last_id = id.or(self.last_id.take());
+            self.last_id = id;
         }
         Ok(())
     }
@@ -118,10 +118,16 @@
         self.partial.len()
     }
 
-    /// Returns the id of the last complete event that had one.
+    /// Returns the id of the last complete event, if there is one and it has an id.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
+
+    /// Returns whether another target can go on where the last one has stopped: no event was returned, or
+    /// the last one has an id that others can follow.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_begun || id_number(self.last_id()).is_some()
+    }
 }
 
 /// Returns the length of the complete events: the position after the last empty line.
@@ -175,8 +181,12 @@
     Some(text.trim().to_owned())
 }
 
-/// Whether an event with `id` may come after the one with the id `last`. Ids are numbers and increase.
+/// Whether an event with `id` may come after the one with the id `last`.
 fn follows(id: Option<&str>, last: Option<&str>) -> bool {
-    let number = |id: Option<&str>| id.and_then(|id| id.parse::<u64>().ok());
-    number(id).zip(number(last)).is_some_and(|(id, last)| id > last)
+    id_number(id).zip(id_number(last)).is_some_and(|(id, last)| id > last)
+}
+
+/// The number that an id consists of. Ids increase.
+fn id_number(id: Option<&str>) -> Option<u64> {
+    id?.parse().ok()
 }
--- a/core/tests/direct_streams.rs
+++ b/core/tests/direct_streams.rs
@@ -97,6 +97,22 @@
     }
 }
 
+#[test]
+fn a_stream_is_resumable_only_after_an_event_with_an_id() {
+    for (parts, is_resumable) in [
+        (&["id: 1\nda"] as &[&str], true),
+        (&[": begin\n\n"], true),
+        (&["id: 1\n\n", "data: a\n\n", "id: 2\n\n"], true),
+        (&["id: 1\n\n", ": still here\n\n"], true),
+        (&["data: a\n\n"], false),
+        (&["id: 1\n\nevent: error\n\n"], false),
+        (&["id: one\n\n"], false),
+    ] {
+        let (_, stream) = feed(parts);
+        assert_eq!(stream.is_resumable(), is_resumable, "{parts:?}");
+    }
+}
+
 proptest! {
     #[test]
     fn targets_that_start_anywhere_never_repeat_an_event(
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -183,6 +183,9 @@
                 self.state.on_request_broken(&target, sent_causes);
             }
             self.tried.push(target.id.clone());
+            if self.stream.as_ref().is_some_and(|stream| !stream.events.is_resumable()) {
+                return ConnectionAction::Abort;
+            }
             match self.decide_next_step(failure) {
                 NextStep::Retry => {}
                 NextStep::Answer(_) if self.stream.is_some() => return ConnectionAction::Abort,
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -209,6 +209,19 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_stream_whose_last_event_has_no_id_is_not_run_again() {
+    for (body, end) in [
+        ("data: token 1\n\n", ScriptedEnd::Cut),
+        ("id: 1\ndata: token 1\n\nevent: error\ndata: it failed\n\n", ScriptedEnd::Cut),
+    ] {
+        let fleet = DirectFleet::start(2).await;
+        fleet.play(&[stream(body, end)]);
+        assert_stream(&fleet.post_raw("/stream/x", "id-1").await, body, false, body);
+        assert_eq!(fleet.runs(), 1, "{body:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_stream_that_may_not_be_resumed_is_cut_where_it_broke_off() {
     for (broken, expected) in BREAKS {
