Entry: the right to send an answer's head is a value that the head uses up

No fault was seen: on the code before, every way to an answer of the entry that a begun stream could take was guarded (give_up_outcome_unknown by its two callers), and no test could make it put a second head on a connection. But each guard was a check of its own, and the next path could miss it.

Change: UnsentHead is made once for each request and is neither cloned nor copied; an answer of the entry, a buffered answer and the head of a stream each use it up. CallerReply holds it until then, and the events across attempts beside it, so an interrupted attempt has nothing to put back. An answer of the entry that finds the head sent aborts the connection, in one place.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -14,7 +14,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{InboundConnection, InboundRequest};
 use log::info;
-use reply::{LocalReply, StreamReply};
+use reply::{CallerReply, LocalReply, UnsentHead};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -32,6 +32,13 @@
     Abort,
 }
 
+impl ConnectionAction {
+    /// What happens after a complete response, which has announced the end of the connection if `close`.
+    fn after_answer(close: bool) -> Self {
+        if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive }
+    }
+}
+
 /// Handles a request of `caller` and returns what happens to its connection.
 pub async fn handle(
     state: &Rc<EntryState>,
@@ -39,6 +46,7 @@
     inbound: InboundRequest,
 ) -> ConnectionAction {
     let now = clock::now();
+    let head = UnsentHead::new();
     let request = match admit(state, now, inbound) {
         Ok(request) => request,
         Err((rejection, id)) => {
@@ -49,11 +57,12 @@
                 id.as_deref().unwrap_or("-"),
                 reply.status.as_u16()
             );
-            return reply.send(caller, state.is_shutting_down()).await;
+            return reply.send(head, caller, state.is_shutting_down()).await;
         }
     };
     state.count_request(now, &request.service);
-    RequestRun { state, request, tried: Vec::new(), attempts: 0, may_have_run: false, stream: None }
+    let reply = CallerReply::new(head);
+    RequestRun { state, request, tried: Vec::new(), attempts: 0, may_have_run: false, reply }
         .run(caller)
         .await
 }
@@ -65,8 +74,8 @@
     tried: Vec<Arc<str>>,
     attempts: u32,
     may_have_run: bool,
-    /// The stream whose head the caller has received.
-    stream: Option<StreamReply>,
+    /// What the caller has received.
+    reply: CallerReply,
 }
 
 /// When a caller left before its answer was complete.
@@ -147,7 +156,7 @@
                 tried: &self.tried,
                 stage: Cell::new(AttemptStage::Connecting),
             };
-            let result = attempt.run(caller, &mut self.stream).await;
+            let result = attempt.run(caller, &mut self.reply).await;
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
             let failure = match result {
@@ -183,12 +192,11 @@
                 self.state.on_request_broken(&target, sent_causes);
             }
             self.tried.push(target.id.clone());
-            if self.stream.as_ref().is_some_and(|stream| !stream.events.is_resumable()) {
+            if !self.reply.events.is_resumable() {
                 return ConnectionAction::Abort;
             }
             match self.decide_next_step(failure) {
                 NextStep::Retry => {}
-                NextStep::Answer(_) if self.stream.is_some() => return ConnectionAction::Abort,
                 NextStep::Answer(FinalAnswer::NotRun) => {
                     return self.refuse(caller, NOT_RUN_RETRY_AFTER, "not_run").await;
                 }
@@ -274,17 +282,13 @@
         }
     }
 
-    /// Ends a request that cannot be sent. Responds 503 if it has not run, 502 if it may have run; aborts
-    /// the connection if a stream has begun.
+    /// Ends a request that cannot be sent. Responds 503 if it has not run, 502 if it may have run.
     async fn refuse(
         self,
         caller: &mut InboundConnection,
         retry_after: Duration,
         reason: &'static str,
     ) -> ConnectionAction {
-        if self.stream.is_some() {
-            return ConnectionAction::Abort;
-        }
         if self.may_have_run {
             return self.give_up_outcome_unknown(caller).await;
         }
@@ -293,9 +297,6 @@
     }
 
     async fn give_up_timed_out(self, caller: &mut InboundConnection) -> ConnectionAction {
-        if self.stream.is_some() {
-            return ConnectionAction::Abort;
-        }
         self.send_local_reply(caller, StatusCode::GATEWAY_TIMEOUT, None, "timeout").await
     }
 
@@ -303,13 +304,15 @@
         self.send_local_reply(caller, StatusCode::BAD_GATEWAY, None, "outcome_unknown").await
     }
 
+    /// Ends the request with a response of the entry, or by aborting the connection if a stream has begun.
     async fn send_local_reply(
-        self,
+        mut self,
         caller: &mut InboundConnection,
         status: StatusCode,
         retry_after: Option<Duration>,
         reason: &'static str,
     ) -> ConnectionAction {
+        let Some(head) = self.reply.take_unsent() else { return ConnectionAction::Abort };
         let request = &self.request;
         count_ended_request(self.state, status, reason);
         info!(
@@ -323,7 +326,7 @@
             retry_after.unwrap_or_default().as_millis()
         );
         let reply = LocalReply { status, id: Some(request.tags.id.clone()), retry_after };
-        reply.send(caller, self.state.is_shutting_down()).await
+        reply.send(head, caller, self.state.is_shutting_down()).await
     }
 }
 
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -4,7 +4,7 @@
 
 use super::ConnectionAction;
 use super::admission::AdmittedRequest;
-use super::reply::StreamReply;
+use super::reply::CallerReply;
 use crate::clock;
 use crate::direct::entry::state::{EntryState, ReservedSlot};
 use actix_http::StatusCode;
@@ -142,14 +142,13 @@
 }
 
 impl TargetAttempt<'_> {
-    /// Sends the request and relays the response. `stream` is the stream that an earlier attempt began to
-    /// relay; it is set if this attempt begins one.
+    /// Sends the request and relays the response. `reply` tells what earlier attempts have sent to the caller.
     pub async fn run(
         self,
         caller: &mut InboundConnection,
-        stream: &mut Option<StreamReply>,
+        reply: &mut CallerReply,
     ) -> AttemptResult {
-        match self.exchange(caller, stream).await {
+        match self.exchange(caller, reply).await {
             Ok(result) => result,
             Err(Interruption::CallerDisconnected) => {
                 AttemptResult::CallerDisconnected(self.stage.get())
@@ -163,7 +162,7 @@
     async fn exchange(
         &self,
         caller: &mut InboundConnection,
-        stream: &mut Option<StreamReply>,
+        reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
         let target = &self.grant.target;
         let pooled = self.state.pool().take(clock::now(), &target.id);
@@ -181,7 +180,7 @@
         if caller.has_closed() {
             return Err(Interruption::CallerDisconnected);
         }
-        let Some(request) = self.outbound_request(target, stream.as_ref()) else {
+        let Some(request) = self.outbound_request(target, reply.events.last_id()) else {
             return Err(Interruption::TimedOut);
         };
         self.stage.set(AttemptStage::Sent(clock::now()));
@@ -200,7 +199,7 @@
                     self.prefill.mark_done();
                     let age = clock::now().since(self.request.received);
                     self.state.metrics.time_to_first_byte.observe(age.as_secs_f64());
-                    return self.relay(caller, connection, answer, stream).await;
+                    return self.relay(caller, connection, answer, reply).await;
                 }
                 AnswerClass::NotRun => {
                     self.drain_refusal(&mut connection).await;
@@ -242,7 +241,7 @@
     fn outbound_request(
         &self,
         target: &RegisteredTarget,
-        stream: Option<&StreamReply>,
+        resume_after: Option<&str>,
     ) -> Option<OutboundRequest> {
         let request = self.request;
         let time_left = time_left(clock::now(), request.deadline)?;
@@ -250,7 +249,7 @@
             target: &target.id,
             time_left,
             organisation: request.organisation.as_ref(),
-            resume_after: stream.and_then(|stream| stream.events.last_id()),
+            resume_after,
         };
         Some(OutboundRequest {
             method: request.inbound.method.clone(),
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -1,11 +1,11 @@
 //! Relays a target's response to the caller.
 
 use super::super::ConnectionAction;
-use super::super::reply::StreamReply;
+use super::super::reply::CallerReply;
 use super::{AttemptResult, Interruption, RelayedAnswer, TargetAttempt, failure_of};
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
-use buckthornwharf_core::direct::{AttemptFailure, StreamEnd, StreamFault};
+use buckthornwharf_core::direct::{AttemptFailure, EventStream, StreamEnd, StreamFault};
 use buckthornwharf_exchange::{
     AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
 };
@@ -65,15 +65,15 @@
         caller: &mut InboundConnection,
         connection: OutboundConnection,
         answer: AnswerHead,
-        stream: &mut Option<StreamReply>,
+        reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
-        if stream.is_some() && !may_continue_stream(&answer) {
+        if reply.has_begun() && !may_continue_stream(&answer) {
             return Ok(AttemptResult::Failed(AttemptFailure::Broken));
         }
         if self.request.kind.is_stream() && answer.status.is_success() {
-            return self.relay_stream(caller, connection, answer, stream).await;
+            return self.relay_stream(caller, connection, answer, reply).await;
         }
-        self.relay_buffered(caller, connection, answer).await
+        self.relay_buffered(caller, connection, answer, reply).await
     }
 
     /// Relays a response after it has been received completely, so that a truncated one is not relayed.
@@ -82,6 +82,7 @@
         caller: &mut InboundConnection,
         mut connection: OutboundConnection,
         answer: AnswerHead,
+        reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
         let mut body = BytesMut::new();
         loop {
@@ -97,16 +98,21 @@
                 }
             }
             if body.len() > MAX_BUFFERED_BYTES {
-                return self.relay_unbuffered(caller, connection, answer, body.freeze()).await;
+                let body = body.freeze();
+                return self.relay_unbuffered(caller, connection, answer, reply, body).await;
             }
         }
         self.return_to_pool(connection, &answer);
         if self.may_retry && is_target_failure(answer.status) {
             return Ok(AttemptResult::Failed(AttemptFailure::ServerError));
         }
+        let Some(head) = reply.take_unsent() else {
+            return Ok(answered(&answer, ConnectionAction::Abort));
+        };
         let close = self.state.is_shutting_down();
         let size = BodySize::Sized(body.len() as u64);
-        let buffered = caller.put_head(answer.status, answer_headers(&answer.headers), size, close);
+        let headers = answer_headers(&answer.headers);
+        let buffered = head.put(caller, answer.status, headers, size, close);
         let buffered = buffered.and_then(|()| match body.is_empty() {
             true => Ok(()),
             false => caller.put_body(body.freeze()),
@@ -114,7 +120,7 @@
         if buffered.is_err() || caller.flush().await.is_err() {
             return Err(Interruption::CallerDisconnected);
         }
-        Ok(answered(&answer, connection_action(close)))
+        Ok(answered(&answer, ConnectionAction::after_answer(close)))
     }
 
     /// Relays the parts of a large response as they arrive. `received` is the part received so far.
@@ -123,12 +129,16 @@
         caller: &mut InboundConnection,
         mut connection: OutboundConnection,
         answer: AnswerHead,
+        reply: &mut CallerReply,
         received: Bytes,
     ) -> Result<AttemptResult, Interruption> {
+        let Some(head) = reply.take_unsent() else {
+            return Ok(answered(&answer, ConnectionAction::Abort));
+        };
         let close = self.state.is_shutting_down();
         let size = answer.length.map_or(BodySize::Stream, BodySize::Sized);
         let headers = answer_headers(&answer.headers);
-        let buffered = caller.put_head(answer.status, headers, size, close);
+        let buffered = head.put(caller, answer.status, headers, size, close);
         if buffered.and_then(|()| caller.put_body(received)).is_err() {
             return Err(Interruption::CallerDisconnected);
         }
@@ -142,8 +152,10 @@
                     let ended = caller.put_end();
                     let sent = ended.is_ok() && caller.flush().await.is_ok();
                     self.return_to_pool(connection, &answer);
-                    let connection_action =
-                        if sent { connection_action(close) } else { ConnectionAction::Abort };
+                    let connection_action = match sent {
+                        true => ConnectionAction::after_answer(close),
+                        false => ConnectionAction::Abort,
+                    };
                     return Ok(answered(&answer, connection_action));
                 }
                 Err(error) => {
@@ -165,13 +177,8 @@
         caller: &mut InboundConnection,
         mut connection: OutboundConnection,
         answer: AnswerHead,
-        stream: &mut Option<StreamReply>,
+        reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
-        let mut reply = stream.take().unwrap_or_else(|| StreamReply {
-            head: Some(answer_headers(&answer.headers)),
-            closes: self.state.is_shutting_down(),
-            ..StreamReply::default()
-        });
         reply.events.begin_attempt();
         let mut is_first_part = true;
         let mut has_begun = false;
@@ -180,60 +187,39 @@
                 true => self.within_begin_by(caller, connection.read_body()).await,
                 false => self.unless_silent(caller, connection.read_body()).await,
             };
-            let part = match part {
-                Ok(part) => part,
-                Err(interruption) => {
-                    *stream = reply.into_begun();
-                    return Err(interruption.closing(&mut connection));
-                }
-            };
-            let step = take_received(&mut reply, &mut connection, part);
+            let part = part.map_err(|interruption| interruption.closing(&mut connection))?;
+            let step = take_received(&mut reply.events, &mut connection, part);
             if !step.events.is_empty() && !std::mem::replace(&mut has_begun, true) {
                 self.state.on_answer_begun(&self.request.service, &self.request.causes);
             }
-            if reply.send(caller, answer.status, &step).await.is_err() {
+            if self.send_step(caller, &answer, reply, &step).await.is_err() {
                 return Err(Interruption::CallerDisconnected);
             }
             match step.end {
                 None => {}
                 Some(Ok(())) => {
                     self.return_to_pool(connection, &answer);
-                    return Ok(answered(&answer, connection_action(reply.closes)));
+                    return Ok(answered(&answer, reply.after_stream()));
                 }
                 Some(Err(broken)) => {
                     self.log_broken_off(&answer, &broken, reply.events.partial_bytes());
-                    *stream = reply.into_begun();
                     return Ok(AttemptResult::Failed(broken.failure()));
                 }
             }
         }
     }
 
-    /// Counts and logs a response that broke off after its head.
-    fn log_broken_off(&self, answer: &AnswerHead, broken: &BrokenAnswer, partial_bytes: usize) {
-        let framing: &str = answer.framing.into();
-        self.state.metrics.answers.with_label_values(&[framing, "broken_off"]).inc();
-        info!(
-            "event=answer_broken_off request={} target={} framing={framing} \
-             partial_bytes={partial_bytes} reason=\"{broken}\"",
-            self.request.tags.id, self.grant.target.id,
-        );
-    }
-}
-
-impl StreamReply {
     /// Sends what a step adds to the response; the head goes with the first events or the end.
-    async fn send(
-        &mut self,
+    async fn send_step(
+        &self,
         caller: &mut InboundConnection,
-        status: StatusCode,
+        answer: &AnswerHead,
+        reply: &mut CallerReply,
         step: &StreamStep,
     ) -> io::Result<()> {
         let ended = matches!(step.end, Some(Ok(())));
-        if (ended || !step.events.is_empty())
-            && let Some(head) = self.head.take()
-        {
-            caller.put_head(status, head, BodySize::Stream, self.closes)?;
+        if ended || !step.events.is_empty() {
+            reply.begin_stream(caller, answer, self.state.is_shutting_down())?;
         }
         if !step.events.is_empty() {
             caller.put_body(step.events.clone())?;
@@ -244,15 +230,21 @@
         caller.flush().await
     }
 
-    /// The reply if the caller has received a part of it.
-    fn into_begun(self) -> Option<StreamReply> {
-        self.head.is_none().then_some(self)
+    /// Counts and logs a response that broke off after its head.
+    fn log_broken_off(&self, answer: &AnswerHead, broken: &BrokenAnswer, partial_bytes: usize) {
+        let framing: &str = answer.framing.into();
+        self.state.metrics.answers.with_label_values(&[framing, "broken_off"]).inc();
+        info!(
+            "event=answer_broken_off request={} target={} framing={framing} \
+             partial_bytes={partial_bytes} reason=\"{broken}\"",
+            self.request.tags.id, self.grant.target.id,
+        );
     }
 }
 
 /// Adds `part` and all further parts that have been received to the stream.
 fn take_received(
-    reply: &mut StreamReply,
+    stream: &mut EventStream,
     connection: &mut OutboundConnection,
     part: Result<BodyPart, ExchangeError>,
 ) -> StreamStep {
@@ -261,15 +253,15 @@
     while let Some(part) = received {
         let finished = match part {
             Ok(BodyPart::Data(bytes)) => {
-                match reply.events.push(&bytes) {
+                match stream.push(&bytes) {
                     Ok(complete) => events = concat(events, complete),
                     Err(fault) => return StreamStep { events, end: Some(Err(fault.into())) },
                 }
                 received = connection.decode_body().transpose();
                 continue;
             }
-            Ok(BodyPart::End) => reply.events.finish(StreamEnd::Delimited),
-            Ok(BodyPart::Closed) => reply.events.finish(StreamEnd::Closed),
+            Ok(BodyPart::End) => stream.finish(StreamEnd::Delimited),
+            Ok(BodyPart::Closed) => stream.finish(StreamEnd::Closed),
             Err(error) => return StreamStep { events, end: Some(Err(error.into())) },
         };
         return match finished {
@@ -306,7 +298,3 @@
 fn may_continue_stream(answer: &AnswerHead) -> bool {
     answer.status == StatusCode::OK && is_event_stream(&answer.headers)
 }
-
-fn connection_action(close: bool) -> ConnectionAction {
-    if close { ConnectionAction::Close } else { ConnectionAction::KeepAlive }
-}
