--- a/core/tests/request_driver.rs
+++ b/core/tests/request_driver.rs
@@ -9,6 +9,7 @@
 use buckthornwharf_core::request::budget::RetryTokenBucket;
 use buckthornwharf_core::request::{LinkId, RequestDriver};
 use bytes::Bytes;
+use strum::IntoEnumIterator;
 
 const ID: RequestId = RequestId(7);
 const FIRST: LinkId = LinkId(1);
@@ -113,6 +114,32 @@
     "#);
 }
 
+#[test]
+fn an_answer_that_fails_after_its_first_part_gets_nothing_from_another_host() {
+    let failures = ResultCode::iter().filter(|code| *code != ResultCode::Ok);
+    let ends = failures.map(|code| DriverEvent::Frame { link: FIRST, frame: end(code, 3) });
+    let other_incarnation = TargetChoice { incarnation: HostIncarnation(2), ..choice("a", SECOND) };
+    for failure in ends.chain([
+        DriverEvent::HostGone("a".into()),
+        DriverEvent::LinkReopened(other_incarnation),
+        DriverEvent::CallerGone,
+    ]) {
+        let mut events = frames_on(FIRST, vec![head(), body(0, "abc")]);
+        events.extend([failure.clone(), DriverEvent::TargetChosen(choice("b", SECOND))]);
+        events.extend(frames_on(SECOND, vec![head(), body(0, "abcd"), end(ResultCode::Ok, 4)]));
+        let actions = run(true, &mut RetryTokenBucket::new(), events);
+        let forwarded = "pick, not []\nsubmit on 1\nhead 200\nbody b\"abc\"\n";
+        let rest = actions.strip_prefix(forwarded).expect("the first part is forwarded");
+        let last = rest.lines().last().unwrap_or_default();
+        assert!(last.starts_with("finish ") && last != "finish ok", "{failure:?}: {actions}");
+        let again = ["pick", "submit", "head", "body"];
+        assert!(
+            !rest.lines().any(|line| again.iter().any(|word| line.starts_with(word))),
+            "{rest}"
+        );
+    }
+}
+
 #[test]
 fn missing_bytes_are_requested_by_a_resolve_query() {
     let frames = vec![head(), body(0, "abc"), body(5, "f"), end(ResultCode::Ok, 6)];
