Entry: an error in place of the rest of a stream does not count as a broken connection

What was seen: a target that answered a resumed stream with an error was noted as one whose connection had broken, and was checked for a crash over a connection of its own each time.

Cause: the answer was refused as AttemptFailure::Broken, for want of a look at its status.

Change: a server error counts as such, any other answer as garbled. What the caller gets and whether the stream may go on elsewhere stay as they are.

--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -68,7 +68,11 @@
         reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
         if reply.has_begun() && !may_continue_stream(&answer) {
-            return Ok(AttemptResult::Failed(AttemptFailure::Broken));
+            let failure = match answer.status.is_server_error() {
+                true => AttemptFailure::ServerError,
+                false => AttemptFailure::Garbled,
+            };
+            return Ok(AttemptResult::Failed(failure));
         }
         if self.request.kind.is_stream() && answer.status.is_success() {
             return self.relay_stream(caller, connection, answer, reply).await;
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -115,6 +115,25 @@
     assert_cut_at_break(&[ScriptedAnswer { end: ScriptedEnd::NoAnswer, ..failed }]).await;
 }
 
+#[actix_rt::test]
+async fn a_target_that_answers_a_resumed_stream_with_an_error_is_not_checked_for_a_crash() {
+    for (answer, end) in [
+        (error(500, TEXT, "it failed"), "end=server_error"),
+        (error(504, TEXT, "it failed"), "end=server_error"),
+        (error(404, TEXT, "it failed"), "end=garbled"),
+        (error(200, JSON, "{}"), "end=garbled"),
+    ] {
+        let fleet = DirectFleet::start(2).await;
+        fleet.play(&[stream(HALF, ScriptedEnd::Cut), answer]);
+        fleet.post_raw("/stream/x", "id-1").await;
+        let is_logged = || fleet.entry_log(0).contains(end);
+        eventually(&format!("{end} for {answer:?}"), is_logged).await;
+        let checks = || fleet.entry_log(0).matches("event=target_not_crashed").count();
+        eventually("the first target is checked", || checks() > 0).await;
+        assert_eq!(checks(), 1, "{answer:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn a_success_that_is_no_stream_of_events_does_not_continue_one() {
     assert_cut_at_break(&[
