--- /dev/null
+++ b/tests/direct_odd_entries.rs
@@ -0,0 +1,163 @@
+//! End-to-end tests of odd items of the store and odd answers of engines: processes against the stand-in of
+//! the platform.
+
+#[path = "soak/fleet.rs"]
+#[allow(dead_code)]
+mod agents;
+#[allow(dead_code)]
+#[path = "direct/fleet.rs"]
+mod fleet;
+#[path = "../platform/tests/standin/standin.rs"]
+mod standin;
+
+use agents::SoakFleet;
+use fleet::{DirectFleet, eventually};
+use serde_json::{Value, json};
+use standin::engine::EngineStandin;
+use standin::operator;
+use standin::store::StoreStandin;
+
+/// Requests in a row that are sent to an entry.
+const REQUESTS: usize = 20;
+
+/// Values that no process may stumble over.
+fn odd_values() -> Vec<Vec<u8>> {
+    let nested = |open: &str, depth: usize| open.repeat(depth).into_bytes();
+    vec![
+        Vec::new(),
+        vec![0xff, 0xfe, 0x00],
+        b"null".to_vec(),
+        b"1e400".to_vec(),
+        b"\"\\ud800\"".to_vec(),
+        nested("[", 10_000),
+        nested("{\"a\":", 10_000),
+        nested("[", 200_000),
+        vec![b'x'; 200_000],
+    ]
+}
+
+/// Registrations that name no target, as the value of the registration of `engine` with other fields.
+fn odd_registrations(engine: &EngineStandin) -> Vec<(String, Vec<u8>)> {
+    let changed = |field: &str, value: Value| {
+        let mut registration = engine.registration("ledger", "ready");
+        registration[field] = value;
+        registration.to_string().into_bytes()
+    };
+    let with_number = |field: &str, number: &str| {
+        let text = changed(field, json!("NUMBER"));
+        String::from_utf8(text).expect("text").replace("\"NUMBER\"", number).into_bytes()
+    };
+    let mut values = odd_values();
+    values.extend([
+        changed("address", json!("127.0.0.1:70000")),
+        changed("address", json!("127.0.0.1:0")),
+        changed("address", json!(format!("0.0.0.0:{}", engine.address.port()))),
+        changed("address", json!("224.0.0.1:80")),
+        changed("address", json!("engine.example:80")),
+        changed("state", json!("x".repeat(100_000))),
+        changed("service", json!({ "name": "ledger" })),
+        with_number("slots", "1e400"),
+        with_number("slots", "-1"),
+        with_number("slots", "4294967296"),
+        with_number("born", "18446744073709551616"),
+        with_number("born", "18446744073709551615"),
+        with_number("models", &"[".repeat(100_000)),
+        with_number("models", "[{\"name\":\"m\",\"version\":1e400}]"),
+    ]);
+    let numbered = values.into_iter().enumerate();
+    let mut odd: Vec<(String, Vec<u8>)> =
+        numbered.map(|(number, value)| (format!("a-odd-{number}"), value)).collect();
+    let usual = engine.registration("ledger", "ready").to_string().into_bytes();
+    odd.extend(["a\nb", "a b", "\u{e9}"].map(|id| (id.to_owned(), usual.clone())));
+    odd
+}
+
+fn put_odd_registrations(store: &StoreStandin, engine: &EngineStandin) {
+    for (id, value) in odd_registrations(engine) {
+        store.put_bytes(&format!("servers/{id}"), value);
+    }
+}
+
+/// Sends requests, which targets serve that each dispatch has named.
+async fn assert_served(fleet: &DirectFleet, name: &str) {
+    for number in 0..REQUESTS {
+        assert_eq!(fleet.get("/plain/x", &format!("{name}-{number}")).await.status, 200);
+    }
+    for engine in &fleet.engines {
+        let named = format!("expect-instance: {}", engine.id);
+        for received in engine.received.borrow().iter() {
+            assert!(received.headers.contains(&named), "{:?}", received.headers);
+        }
+    }
+}
+
+/// Starts another target, has the others leave, and waits until it serves requests alone.
+async fn add_target(fleet: &mut DirectFleet, id: &str) {
+    let engine = EngineStandin::start(id).await;
+    fleet.store.put(&format!("servers/{id}"), &engine.registration("ledger", "ready"));
+    (0..fleet.engines.len()).for_each(|number| fleet.set_state(number, "draining"));
+    fleet.engines.push(engine.clone());
+    for number in 0..fleet.engines.len() - 1 {
+        fleet.wait_untouched(number).await;
+    }
+    assert_served(fleet, id).await;
+    assert!(engine.runs() >= REQUESTS);
+}
+
+#[actix_rt::test]
+async fn odd_registrations_end_no_entry_and_hide_no_target() {
+    let mut fleet = DirectFleet::start(2).await;
+    put_odd_registrations(&fleet.store, &fleet.engines[0]);
+    eventually("the watch is current", || fleet.store.is_watch_current("servers/")).await;
+    assert_served(&fleet, "watched").await;
+    add_target(&mut fleet, "engine-2").await;
+    fleet.restart_entry(0).await;
+    assert_served(&fleet, "listed").await;
+    add_target(&mut fleet, "engine-3").await;
+}
+
+#[actix_rt::test]
+async fn odd_items_of_other_processes_end_no_entry() {
+    let mut fleet = DirectFleet::start(2).await;
+    for (number, value) in odd_values().into_iter().enumerate() {
+        for prefix in ["buckthornwharf/common/entry/", "buckthornwharf-crashes/", "op/version/"] {
+            fleet.store.put_bytes(&format!("{prefix}odd-{number}"), value.clone());
+        }
+        fleet.store.put_bytes("buckthornwharf/common/facts", value);
+    }
+    for prefix in ["buckthornwharf/common/entry/", "buckthornwharf-crashes/", "op/"] {
+        eventually("the watch is current", || fleet.store.is_watch_current(prefix)).await;
+    }
+    assert_served(&fleet, "watched").await;
+    fleet.put_config(2, "/new/", "secret");
+    fleet.wait_status("/new/x", "secret", 200).await;
+    fleet.restart_entry(0).await;
+    fleet.put_config(3, "/plain/", "secret");
+    fleet.wait_status("/plain/x", "secret", 200).await;
+    add_target(&mut fleet, "engine-2").await;
+}
+
+async fn eventually_all_loaded(fleet: &SoakFleet, version: u64) {
+    let loaded = || fleet.engines.iter().all(|engine| engine.loaded() == Some(version));
+    eventually(&format!("all engines load version {version}"), loaded).await;
+}
+
+fn assert_agents_run(fleet: &SoakFleet) {
+    for process in fleet.processes.iter().filter(|process| process.name.starts_with("agent")) {
+        assert!(!process.has_exited(), "{} has ended", process.name);
+    }
+}
+
+#[actix_rt::test]
+async fn odd_items_of_other_processes_end_no_agent() {
+    let fleet = SoakFleet::start(1, 2).await;
+    eventually_all_loaded(&fleet, 1).await;
+    for (number, value) in odd_values().into_iter().enumerate() {
+        for prefix in ["buckthornwharf/common/entry/", "buckthornwharf/agent/a/", "op/version/"] {
+            fleet.store.put_bytes(&format!("{prefix}odd-{number}"), value.clone());
+        }
+    }
+    operator::declare_version(&fleet.store, 2);
+    eventually_all_loaded(&fleet, 2).await;
+    assert_agents_run(&fleet);
+}
