--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -116,6 +116,20 @@
     add_target(&mut fleet, "engine-3").await;
 }
 
+#[actix_rt::test]
+async fn all_pages_of_the_list_are_read_whatever_the_keys_are() {
+    let mut fleet = DirectFleet::start(2).await;
+    for id in ["a&after=z", "b c", "d#e", "e%41", "f\ng", "h\u{e9}"] {
+        fleet.store.put_bytes(&format!("servers/{id}"), Vec::new());
+    }
+    fleet.store.page_items.set(Some(1));
+    fleet.restart_entry(0).await;
+    assert_served(&fleet, "paged").await;
+    fleet.set_state(0, "draining");
+    fleet.wait_untouched(0).await;
+    assert_served(&fleet, "changed").await;
+}
+
 #[actix_rt::test]
 async fn odd_items_of_other_processes_end_no_entry() {
     let mut fleet = DirectFleet::start(2).await;
