--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -130,6 +130,14 @@
     assert_served(&fleet, "changed").await;
 }
 
+#[actix_rt::test]
+async fn requests_are_served_by_a_target_with_an_endless_keep_alive() {
+    let fleet = DirectFleet::start(1).await;
+    let endless = "timeout=18446744073709551615".to_owned();
+    fleet.engines[0].keep_alive.replace(Some(endless));
+    assert_served(&fleet, "kept").await;
+}
+
 #[actix_rt::test]
 async fn odd_items_of_other_processes_end_no_entry() {
     let mut fleet = DirectFleet::start(2).await;
