Slots: targets with very many slots are used like others

In builds with overflow checks, callers saw their connection closed without an answer once a target was registered with slots; without the checks the shares of its slots wrap around.

Cause: percentages of the slots, and the sum of the slots of all targets, were computed in 32 bits.

Evidence: on the code before, targets_with_very_many_slots_are_used_like_others and a_remote_target_with_very_many_slots_counts_as_free ended with "attempt to multiply with overflow", a_registration_of_very_many_slots_stops_no_requests with ClosedEarly (all in debug builds; the last one passes in a release build of the code before). a_load_report_of_very_many_requests_counts_as_full passed on it.

Change: the percentages are computed in 64 bits, the sums saturate. No share changes.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -280,7 +280,7 @@
             let allowed = self.notices.allowed_until(accepts_until, &load.record, load.limit_share);
             allowed.map_or(slots, |allowed| slots.min(allowed))
         };
-        self.targets.values().filter(usable).map(slots_of).sum()
+        self.targets.values().filter(usable).map(slots_of).fold(0, u32::saturating_add)
     }
 
     /// Returns the oldest version of the request's model that may be used; `None` if any version
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -14,10 +14,10 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1000);
 /// Percentage of the reported free slots that the entries of the target's own region may take
 /// together before its next report; the entries of other regions may take the rest.
-const LOCAL_PERCENT: u32 = 75;
+const LOCAL_PERCENT: u64 = 75;
 /// Percentage of the slots of a target in another region that all entries together use while there
 /// is no fresh load report.
-const UNREPORTED_REMOTE_PERCENT: u32 = 40;
+const UNREPORTED_REMOTE_PERCENT: u64 = 40;
 /// Percentage of a request's latency objective after which a target that has not begun to respond
 /// gets no further requests: it hangs, or its link is far too slow, so further requests would be
 /// late too.
@@ -238,8 +238,8 @@
         if self.local {
             return self.record.slots.div_ceil(entries.in_region().max(1));
         }
-        let remote_slots = self.record.slots * UNREPORTED_REMOTE_PERCENT / 100;
-        (remote_slots / entries.entries().max(1)).max(1)
+        let remote_slots = u64::from(self.record.slots) * UNREPORTED_REMOTE_PERCENT / 100;
+        (remote_slots as u32 / entries.entries().max(1)).max(1)
     }
 
     /// Returns how many further requests this entry may send to the target. All entries receive a
@@ -248,14 +248,20 @@
         if !self.has_fresh_report(now) {
             return self.limit_without_report(entries).saturating_sub(self.in_flight);
         }
+        let free_slots = u64::from(self.free_slots);
         let share = match self.local {
-            true => (self.free_slots * LOCAL_PERCENT).div_ceil(100 * entries.in_region().max(1)),
+            true => {
+                let local_entries = u64::from(entries.in_region().max(1));
+                (free_slots * LOCAL_PERCENT).div_ceil(100 * local_entries)
+            }
             false => {
                 let remote_entries = entries.entries().saturating_sub(entries.in_region()).max(1);
-                self.free_slots * (100 - LOCAL_PERCENT) / (100 * remote_entries)
+                free_slots * (100 - LOCAL_PERCENT) / (100 * u64::from(remote_entries))
             }
         };
-        let unused = (share + self.released_since_report).saturating_sub(self.taken_since_report);
+        let unused = (share as u32)
+            .saturating_add(self.released_since_report)
+            .saturating_sub(self.taken_since_report);
         unused.min(self.record.slots.saturating_sub(self.in_flight))
     }
 
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -334,3 +334,43 @@
     scheduler.set_load(at(1200), "a", 0, true);
     assert!(scheduler.silent_targets(at(1200)).is_empty());
 }
+
+#[test]
+fn targets_with_very_many_slots_are_used_like_others() {
+    let many =
+        |id, site| Arc::new(RegisteredTarget { slots: u32::MAX, ..(*target(id, site, 1)).clone() });
+    let mut scheduler = scheduler(&[many("a", "here"), many("b", "here"), many("c", "far")]);
+    for now in [at(0), at(10)] {
+        assert!(try_slot(&mut scheduler, now).is_some());
+        for id in ["a", "b", "c"] {
+            scheduler.set_load(now, id, 0, true);
+        }
+        assert!(try_slot(&mut scheduler, now).is_some());
+    }
+    let mut last = request(false);
+    last.tried = ["a", "b", "c"].map(Arc::from).to_vec();
+    assert!(matches!(scheduler.request(at(20), last), Admission::Queued(_)));
+}
+
+#[test]
+fn a_remote_target_with_very_many_slots_counts_as_free() {
+    let many = RegisteredTarget { slots: u32::MAX, ..(*target("c", "far", 1)).clone() };
+    let mut scheduler = scheduler(&[Arc::new(many)]);
+    let granted = (0..100).filter(|_| try_slot(&mut scheduler, at(0)).is_some()).count();
+    assert_eq!(granted, 100);
+}
+
+#[test]
+fn a_load_report_of_very_many_requests_counts_as_full() {
+    let mut scheduler = scheduler(&[target("a", "here", 1), target("b", "here", 1)]);
+    let first = try_slot(&mut scheduler, at(0)).expect("a slot");
+    scheduler.set_load(at(0), &first.target.id, u32::MAX, true);
+    let second = try_slot(&mut scheduler, at(1)).expect("a slot");
+    assert_ne!(first.target.id, second.target.id);
+    scheduler.set_load(at(100), &first.target.id, u32::MAX, true);
+    scheduler.release(at(101), &first.target.id, SlotOutcome::Answered);
+    for _ in 0..3 {
+        let grant = try_slot(&mut scheduler, at(102)).expect("a slot");
+        assert_eq!(grant.target.id, second.target.id);
+    }
+}
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -116,6 +116,21 @@
     add_target(&mut fleet, "engine-3").await;
 }
 
+#[actix_rt::test]
+async fn a_registration_of_very_many_slots_stops_no_requests() {
+    let mut fleet = DirectFleet::start(1).await;
+    for zone in ["a", "elsewhere"] {
+        let engine = EngineStandin::start(&format!("engine-{zone}")).await;
+        let mut registration = engine.registration("ledger", "ready");
+        registration["slots"] = json!(u32::MAX);
+        registration["zone"] = json!(zone);
+        fleet.store.put(&format!("servers/{}", engine.id), &registration);
+        fleet.engines.push(engine);
+    }
+    eventually("the watch is current", || fleet.store.is_watch_current("servers/")).await;
+    assert_served(&fleet, "many").await;
+}
+
 #[actix_rt::test]
 async fn all_pages_of_the_list_are_read_whatever_the_keys_are() {
     let mut fleet = DirectFleet::start(2).await;
