Loads: a report reaches all targets at the engine's address

A target kept getting requests although its agent reported that it accepts none, if another entry with the same address came before it in the list, whatever its service.

Cause: a report was applied to the first target at the address only.

Evidence: on the code before, a_load_report_reaches_a_target_whose_address_another_registration_has_too failed: "the target still gets requests" (debug and release builds).

Change: a report is applied to each target at the address.

Already held, test kept (passed on the code before): odd_messages_on_a_link_do_not_end_it sends arrays, maps and tags nested 16,000 times, and sizes that are far too large.

Result: both tests pass.

--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -163,14 +163,15 @@
         self.serve_queue();
     }
 
-    /// Applies an agent's load report on its engine. Reports on unknown targets are ignored.
+    /// Applies an agent's load report on its engine, to all targets at that address: an entry of a target
+    /// that is gone may name it too. Reports on unknown targets are ignored.
     pub fn on_load(&self, now: MonoTime, load: LoadMessage) {
         let catalog = self.catalog.borrow();
-        let Some(target) = catalog.iter().find(|target| target.address == load.engine) else {
-            return;
-        };
-        self.scheduler.borrow_mut().set_load(now, &target.id, load.requests, load.accepting);
-        drop(catalog);
+        let mut scheduler = self.scheduler.borrow_mut();
+        for target in catalog.iter().filter(|target| target.address == load.engine) {
+            scheduler.set_load(now, &target.id, load.requests, load.accepting);
+        }
+        drop((catalog, scheduler));
         self.serve_queue();
     }
 
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -11,11 +11,17 @@
 mod standin;
 
 use agents::SoakFleet;
+use buckthornwharf::direct::loads::{LoadMessage, run_link};
 use fleet::{DirectFleet, eventually};
+use futures_util::SinkExt;
 use serde_json::{Value, json};
 use standin::engine::EngineStandin;
 use standin::operator;
 use standin::store::StoreStandin;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
 
 /// Requests in a row that are sent to an entry.
 const REQUESTS: usize = 20;
@@ -131,6 +137,20 @@
     assert_served(&fleet, "many").await;
 }
 
+#[actix_rt::test]
+async fn a_load_report_reaches_a_target_whose_address_another_registration_has_too() {
+    let fleet = DirectFleet::start(2).await;
+    let mut odd = fleet.engines[0].registration("ledger", "ready");
+    odd["born"] = json!(0);
+    odd["service"] = json!("elsewhere");
+    fleet.store.put("servers/a-odd", &odd);
+    eventually("the watch is current", || fleet.store.is_watch_current("servers/")).await;
+    let load = LoadMessage { engine: fleet.engines[0].address, requests: 0, accepting: false };
+    let (_sender, receiver) = watch::channel(Some(load));
+    actix_rt::spawn(run_link(fleet.peer_address(), false, receiver, |_| {}));
+    fleet.wait_untouched(0).await;
+}
+
 #[actix_rt::test]
 async fn all_pages_of_the_list_are_read_whatever_the_keys_are() {
     let mut fleet = DirectFleet::start(2).await;
@@ -174,6 +194,28 @@
     add_target(&mut fleet, "engine-2").await;
 }
 
+#[actix_rt::test]
+async fn odd_messages_on_a_link_do_not_end_it() {
+    let fleet = DirectFleet::start(2).await;
+    let address = fleet.peer_address();
+    let stream = TcpStream::connect(address).await.expect("the entry listens");
+    let (mut link, _) =
+        client_async(format!("ws://{address}/loads"), stream).await.expect("a link");
+    // Nested arrays, maps and tags, and sizes that are far too large.
+    for first in [0x81, 0x9f, 0xa1, 0xbf, 0xc1, 0x5f] {
+        link.send(Message::Binary(vec![first; 16_000].into())).await.expect("an open link");
+    }
+    for first in [0x5b, 0x7b, 0x9b, 0xbb] {
+        let bytes = [&[first], &[0xff; 8][..], &[0; 8]].concat();
+        link.send(Message::Binary(bytes.into())).await.expect("an open link");
+    }
+    let load = LoadMessage { engine: fleet.engines[0].address, requests: 0, accepting: false };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&load, &mut bytes).expect("CBOR");
+    link.send(Message::Binary(bytes.into())).await.expect("an open link");
+    fleet.wait_untouched(0).await;
+}
+
 async fn eventually_all_loaded(fleet: &SoakFleet, version: u64) {
     let loaded = || fleet.engines.iter().all(|engine| engine.loaded() == Some(version));
     eventually(&format!("all engines load version {version}"), loaded).await;
