Agents: the counts of an engine's report are added without overflow

Cause: both were added in 32 bits, in the agent's control loop.

Evidence: on the code before, odd_reports_of_an_engine_do_not_end_its_agent failed: "agent-0 has ended" (debug build). Its other reports, with numbers out of range and with 200,000 nested arrays, were not reached then; in a release build of the code before, the test passes with all of them.

Change: the sum saturates, and is computed in one place.

Result: the test passes with all its reports.

--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -238,7 +238,7 @@
     pub fn set_report(&self, report: EngineReport) {
         let loaded = report.models.iter().map(|loaded| loaded.version).max().unwrap_or(0);
         self.metrics.loaded_version.set(i64::try_from(loaded).unwrap_or(i64::MAX));
-        self.metrics.engine_requests.set(i64::from(report.running + report.waiting));
+        self.metrics.engine_requests.set(i64::from(report.requests()));
         self.report.replace(Some(report));
         self.publish_load();
     }
@@ -262,7 +262,7 @@
         };
         let load = LoadMessage {
             engine: self.agent_settings.engine,
-            requests: report.running + report.waiting,
+            requests: report.requests(),
             accepting: !self.load_ordered.get() && !report.loading,
         };
         self.loads.send_if_modified(|known| {
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -25,6 +25,8 @@
 
 /// Requests in a row that are sent to an entry.
 const REQUESTS: usize = 20;
+/// Reports of an engine that an agent reads before the next odd one.
+const REPORTS: usize = 3;
 
 /// Values that no process may stumble over.
 fn odd_values() -> Vec<Vec<u8>> {
@@ -240,3 +242,35 @@
     eventually_all_loaded(&fleet, 2).await;
     assert_agents_run(&fleet);
 }
+
+#[actix_rt::test]
+async fn odd_reports_of_an_engine_do_not_end_its_agent() {
+    let fleet = SoakFleet::start(1, 1).await;
+    let seen = || fleet.process("agent-0").output().contains("event=engine_seen");
+    eventually("the agent knows its engine", seen).await;
+    let usual = json!({
+        "models": [{ "name": "m", "version": 1, "adapters": [] }], "busy": false, "sequence": 0,
+        "waiting": u32::MAX, "running": u32::MAX, "born": 1,
+    });
+    let reports = [
+        usual.to_string(),
+        usual.to_string().replace("4294967295", "4294967296"),
+        usual.to_string().replace("4294967295", "1e400"),
+        "[".repeat(200_000),
+        format!("{{\"models\":{}", "[".repeat(200_000)),
+        format!("{{\"sequence\":{}}}", u64::MAX),
+    ];
+    for report in reports {
+        fleet.engines[0].odd_report.replace(Some(report));
+        let asked = fleet.engines[0].reports.get();
+        let is_asked_again = || fleet.engines[0].reports.get() >= asked + REPORTS;
+        eventually("the agent asks its engine again", || {
+            fleet.process("agent-0").has_exited() || is_asked_again()
+        })
+        .await;
+        assert_agents_run(&fleet);
+    }
+    fleet.engines[0].odd_report.replace(None);
+    operator::declare_version(&fleet.store, 2);
+    eventually_all_loaded(&fleet, 2).await;
+}
