Agents: a peer or origin that names endless chunks does not end an agent

An agent that asked the others of its region for a version ended if one answered that the version has chunks, as whatever listens at the address of a former agent may do.

Cause: a set of so many chunks was allocated, which panics in release builds too, in the agent's control loop. The sizes of a manifest with chunks of bytes overflowed.

Evidence: on the code before, a_peer_that_names_endless_chunks_does_not_end_an_agent failed: "agent-0 has ended" (debug and release builds); a_manifest_with_endless_chunks_has_sizes ended with "attempt to multiply with overflow" (debug build).

Change: a number of chunks that does not fit the bit set beside it means that nothing is held. The sizes saturate.

Result: both tests pass.

--- a/core/src/weights/manifest.rs
+++ b/core/src/weights/manifest.rs
@@ -78,7 +78,7 @@
 
     /// The manifest of chunks of `chunk_bytes` bytes each, with the given SHA-256 hashes.
     pub fn of_sha256(chunks: Vec<ChunkHash>, chunk_bytes: u64) -> Self {
-        let total_bytes = chunk_bytes * chunks.len() as u64;
+        let total_bytes = chunk_bytes.saturating_mul(chunks.len() as u64);
         Self { total_bytes, chunk_bytes, chunks, hash_kind: HashKind::Sha256 }
     }
 
@@ -125,7 +125,7 @@
 
     /// Size of the chunk at `index` in bytes; zero past the end.
     pub fn chunk_len(&self, index: usize) -> u64 {
-        let start = index as u64 * self.chunk_bytes;
+        let start = self.chunk_bytes.saturating_mul(index as u64);
         self.total_bytes.saturating_sub(start).min(self.chunk_bytes)
     }
 }
--- a/core/tests/weights_plan.rs
+++ b/core/tests/weights_plan.rs
@@ -23,6 +23,13 @@
     DistributionPlan::new(&manifest(), plan_hosts, &RegionName::from("region-0"))
 }
 
+#[test]
+fn a_manifest_with_endless_chunks_has_sizes() {
+    let manifest = VersionManifest::of_sha256(manifest().chunks, u64::MAX);
+    assert_eq!((manifest.total_bytes, manifest.chunk_len(0)), (u64::MAX, u64::MAX));
+    assert_eq!(manifest.chunk_len(1), 0);
+}
+
 #[test]
 fn chunks_are_split_evenly_over_links_and_owners() {
     let plan = plan(plan_hosts(0..40, 4));
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -56,14 +56,18 @@
         Self { chunk_count: held.len(), held: held.to_bytes() }
     }
 
-    /// Returns the chunks that are held.
+    /// Returns the chunks that are held; none if their number does not fit the bit set.
     pub fn chunks(&self) -> ChunkSet {
-        ChunkSet::from_bytes(&self.held, self.chunk_count)
+        match self.chunk_count.div_ceil(8) == self.held.len() {
+            true => ChunkSet::from_bytes(&self.held, self.chunk_count),
+            false => ChunkSet::default(),
+        }
     }
 
     /// Returns whether all chunks are held.
     pub fn is_whole(&self) -> bool {
-        self.chunk_count > 0 && self.chunks().is_full()
+        let chunks = self.chunks();
+        !chunks.is_empty() && chunks.is_full()
     }
 }
 
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -10,7 +10,7 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
-use agents::SoakFleet;
+use agents::{SoakFleet, holds_within};
 use buckthornwharf::direct::loads::{LoadMessage, run_link};
 use fleet::{DirectFleet, eventually};
 use futures_util::SinkExt;
@@ -18,7 +18,11 @@
 use standin::engine::EngineStandin;
 use standin::operator;
 use standin::store::StoreStandin;
-use tokio::net::TcpStream;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
@@ -274,3 +278,39 @@
     operator::declare_version(&fleet.store, 2);
     eventually_all_loaded(&fleet, 2).await;
 }
+
+/// Answers each request with `body`, and counts them.
+async fn answer_all(listener: TcpListener, body: &'static str, answers: Rc<Cell<u32>>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut head = [0; 4096];
+        if stream.read(&mut head).await.is_ok_and(|bytes| bytes > 0) {
+            let length = body.len();
+            let text = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+            let written = stream.write_all(text.as_bytes()).await;
+            answers.set(answers.get() + u32::from(written.is_ok()));
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_peer_that_names_endless_chunks_does_not_end_an_agent() {
+    let fleet = SoakFleet::start(1, 1).await;
+    eventually_all_loaded(&fleet, 1).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let answers: Rc<Cell<u32>> = Rc::default();
+    let body = "{\"pieces\":18446744073709551615,\"held\":\"ff\"}";
+    actix_rt::spawn(answer_all(listener, body, answers.clone()));
+    let record = json!({ "host": "odd", "region": "a", "address": address });
+    fleet.store.put("buckthornwharf/agent/a/odd", &record);
+    let agent = fleet.process("agent-0");
+    // An engine without weights makes its agent ask the others of its region.
+    fleet.engines[0].crash(false);
+    let lost = || agent.output().contains("event=engine_lost");
+    eventually("the agent reports its engine as lost", lost).await;
+    fleet.engines[0].restart();
+    eventually("the peer is asked", || answers.get() > 0).await;
+    let loaded = || agent.has_exited() || fleet.engines[0].loaded() == Some(1);
+    assert!(holds_within(Duration::from_secs(30), loaded).await);
+    assert_agents_run(&fleet);
+}
