Crashes: the round after the largest one does not overflow

No caller was seen to notice. In builds with overflow checks, the task that records a crash would end after a report has named round for a cause; without the checks the round starts at 0 again.

Evidence: on the code before, a_report_with_the_largest_numbers_does_not_stop_the_ledger ended with "attempt to add with overflow" (debug build).

Change: the round saturates.

Result: core/tests/direct_crashes.rs: 18 passed, the known red one ignored.

--- a/core/src/direct/crashes/ledger.rs
+++ b/core/src/direct/crashes/ledger.rs
@@ -91,7 +91,7 @@
             let record = crashes.causes.get_or_insert_with(sent.cause, CauseRecord::default);
             record.answers = record.answers.max(self.answers.get(sent.cause));
             // The cause may have been cleared since the request was sent.
-            let round = 1 + sent.known_rounds.min(record.rounds());
+            let round = sent.known_rounds.min(record.rounds()).saturating_add(1);
             record.add(record.crash_after(crash, sent.sent_at), round, now, false);
         }
         crashes.update();
--- a/core/tests/direct_crashes.rs
+++ b/core/tests/direct_crashes.rs
@@ -146,6 +146,22 @@
     }
 }
 
+#[test]
+fn a_report_with_the_largest_numbers_does_not_stop_the_ledger() {
+    let mut ledger = CrashLedger::new(0);
+    crash_on(&mut ledger, 0, &[part(1)]);
+    let mut report = ledger.report(NOW);
+    report.causes[0].answers = u32::MAX;
+    report.causes[0].crashes[0].round = u32::MAX;
+    report.causes[0].crashes[0].age = Duration::from_millis(u64::MAX);
+    ledger.merge(NOW, &report);
+    report.causes[0].crashes[0].age = Duration::ZERO;
+    ledger.merge(NOW, &report);
+    crash_on(&mut ledger, 1, &[part(1)]);
+    answer(&mut ledger, &[part(1)]);
+    assert!(!is_refused(&ledger, &[part(2)]));
+}
+
 #[test]
 fn a_restarted_entry_refuses_what_the_others_refuse() {
     let mut ledger = CrashLedger::new(0);
