Hosts: an odd row of the list hides no other

A process of the own path kept to an older list of hosts, or to none, as long as one row of the list had a port out of range, a number too large, deep nesting or an unknown phase.

Cause: the list was read as a whole, so one such row made all of it unreadable.

Evidence: on the code before, an_odd_row_of_the_list_of_hosts_hides_no_other failed: "malformed: invalid socket address syntax".

Change: rows are read one by one, and those that name no usable host are left out. A list that is no array is still an error.

--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -4,6 +4,7 @@
 use awc::http::{Method, StatusCode};
 use buckthornwharf_core::membership::HostRecord;
 use bytes::Bytes;
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -91,9 +92,16 @@
     }
 }
 
+/// Reads a list. A row that names no usable host does not invalidate the others.
 fn parse_list(body: &[u8]) -> Result<Vec<HostRecord>, HostsError> {
-    let mut records: Vec<HostRecord> =
+    let rows: Vec<&RawValue> =
         serde_json::from_slice(body).map_err(|error| HostsError::Malformed(error.to_string()))?;
+    let mut records: Vec<HostRecord> = rows.into_iter().filter_map(parse_row).collect();
     records.sort_by(|a, b| a.name.cmp(&b.name));
     Ok(records)
 }
+
+fn parse_row(row: &RawValue) -> Option<HostRecord> {
+    let record = serde_json::from_str(row.get());
+    record.inspect_err(|error| log::debug!("ignoring a row of the list of hosts: {error}")).ok()
+}
