--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -63,7 +63,8 @@
 }
 
 impl AgentMessage {
-    fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
+    /// Creates the message that reports `load` and tells of `versions`.
+    pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
         let EngineLoad { engine, requests, accepting } = load;
         Self { engine, requests, accepting, versions }
     }
