Entry: a stream that has begun and cannot go on is logged

What was seen: a begun stream that no target could continue left no line of its own; the last one was its failed attempt, and whether the retry budget, the deadline or a missing id had ended it could not be told.

Change: event=stream_cut with the reason, the last event's id and the attempts.

--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -193,7 +193,7 @@
             }
             self.tried.push(target.id.clone());
             if !self.reply.events.is_resumable() {
-                return ConnectionAction::Abort;
+                return self.cut_stream("no_event_id");
             }
             match self.decide_next_step(failure) {
                 NextStep::Retry => {}
@@ -304,6 +304,19 @@
         self.send_local_reply(caller, StatusCode::BAD_GATEWAY, None, "outcome_unknown").await
     }
 
+    /// Logs a stream that has begun and cannot go on. The caller must notice that it is not complete.
+    fn cut_stream(&self, reason: &'static str) -> ConnectionAction {
+        let request = &self.request;
+        info!(
+            "event=stream_cut request={} reason={reason} last_event={} attempts={} age_ms={}",
+            request.tags.id,
+            self.reply.events.last_id().unwrap_or("-"),
+            self.attempts,
+            clock::now().since(request.received).as_millis()
+        );
+        ConnectionAction::Abort
+    }
+
     /// Ends the request with a response of the entry, or by aborting the connection if a stream has begun.
     async fn send_local_reply(
         mut self,
@@ -312,7 +325,7 @@
         retry_after: Option<Duration>,
         reason: &'static str,
     ) -> ConnectionAction {
-        let Some(head) = self.reply.take_unsent() else { return ConnectionAction::Abort };
+        let Some(head) = self.reply.take_unsent() else { return self.cut_stream(reason) };
         let request = &self.request;
         count_ended_request(self.state, status, reason);
         info!(
--- a/tests/direct_resumed_streams.rs
+++ b/tests/direct_resumed_streams.rs
@@ -249,6 +249,8 @@
         fleet.play(&[broken]);
         let received = fleet.post_raw("/stream/unresumable/x", "id-1").await;
         assert_stream(&received, expected, false, broken.body);
+        let is_logged = || fleet.entry_log(0).contains("event=stream_cut request=id-1");
+        eventually("the entry logs that it cuts the stream", is_logged).await;
         assert_eq!(fleet.runs(), 1, "{:?}", broken.body);
     }
 }
