The earliest times of a declared version hold in whatever order a process hears of it

An entry that starts requires declared versions 1.5 s later, but 7.35 s later if an agent told it of one, with an age close to zero, before its first read of the store: only the time of the declaration was compared, not those that follow from it. Besides, a first read that came late counted as a declaration of that moment.

--- a/core/src/direct/versions.rs
+++ b/core/src/direct/versions.rs
@@ -38,6 +38,16 @@
             begin_by: self.begin_by.min(other.begin_by),
         }
     }
+
+    /// Returns whether a time of `earlier` is earlier by at least [`MIN_CORRECTION`].
+    fn differs(self, earlier: DeclaredVersion) -> bool {
+        let corrections = [
+            self.declared_at.since(earlier.declared_at),
+            self.required_from.since(earlier.required_from),
+            self.begin_by.since(earlier.begin_by),
+        ];
+        corrections.iter().any(|correction| *correction >= MIN_CORRECTION)
+    }
 }
 
 impl DeclaredVersions {
@@ -51,8 +61,9 @@
         }
         let mut changed = found.is_err();
         for known in self.versions.iter_mut().filter(|known| known.version <= declared.version) {
-            if known.declared_at.since(declared.declared_at) >= MIN_CORRECTION {
-                *known = known.min_times(declared);
+            let earlier = known.min_times(declared);
+            if known.differs(earlier) {
+                *known = earlier;
                 changed = true;
             }
         }
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -34,19 +34,36 @@
     let mut versions = DeclaredVersions::default();
     assert!(versions.declare(declared(2, 4000, 11_000)));
     assert!(!versions.declare(declared(2, 5000, 12_000)));
-    versions.declare(declared(2, 100, 7100));
+    assert!(versions.declare(declared(2, 100, 7100)));
+    assert!(!versions.declare(declared(2, 90, 7090)), "transit and rounding");
+    assert_eq!(versions.first_unmet(1), Some(declared(2, 100, 7100)));
     assert_eq!(versions.required(MonoTime::from_millis(7099)), None);
     assert_eq!(versions.required(MonoTime::from_millis(7100)), Some(2));
 }
 
+#[test]
+fn the_earliest_times_hold_in_whatever_order_they_are_heard_of() {
+    let from_agent = declared(2, 0, 7350);
+    let from_snapshot = declared(2, 4000, 5500);
+    for order in [[from_agent, from_snapshot], [from_snapshot, from_agent]] {
+        let mut versions = DeclaredVersions::default();
+        assert!(order.map(|times| versions.declare(times)).iter().all(|changed| *changed));
+        assert_eq!(versions.newest(), Some(declared(2, 0, 5500)));
+    }
+}
+
 #[test]
 fn a_version_heard_of_after_a_newer_one_still_retires_those_before_it() {
     let mut versions = DeclaredVersions::default();
     assert!(versions.declare(declared(3, 2000, 9000)));
-    versions.declare(declared(2, 0, 7000));
+    assert!(versions.declare(declared(2, 0, 7000)));
     assert_eq!(versions.newest().map(|newest| newest.version), Some(3));
     assert_eq!(versions.required(MonoTime::from_millis(7000)), Some(2));
     assert_eq!(versions.first_unmet(1).map(|unmet| unmet.version), Some(2));
+    let deciding = |at| versions.deciding(MonoTime::from_millis(at)).len();
+    assert_eq!((deciding(6999), deciding(7000), deciding(9000)), (2, 2, 1));
+    assert!(!versions.is_settled(MonoTime::from_millis(8999)));
+    assert!(versions.is_settled(MonoTime::from_millis(9000)));
 }
 
 #[test]
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -9,7 +9,6 @@
 pub use queue::{QueueDecision, ReservedSlot, run_queue};
 
 use super::pool::ConnectionPool;
-use crate::clock;
 use crate::direct::facts::AgentConfig;
 use crate::direct::metrics::DirectEntryMetrics;
 use crate::direct::news::VersionNews;
@@ -31,7 +30,6 @@
 pub struct EntryState {
     /// The entry's metrics.
     pub metrics: DirectEntryMetrics,
-    started_at: MonoTime,
     shutdown: watch::Receiver<bool>,
     settings: DirectSettings,
     store: StoreClient,
@@ -43,6 +41,8 @@
     published_config: RefCell<Option<AgentConfig>>,
     catalog: RefCell<TargetCatalog>,
     targets_listed: Cell<bool>,
+    /// Whether the versions that were declared before the entry started are known.
+    versions_listed: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     scheduler: RefCell<SlotScheduler>,
     waiters: RefCell<SortedTable<WaitTicket, oneshot::Sender<QueueDecision>>>,
@@ -70,7 +70,6 @@
         let regions = EntryRegions::new(settings.region(), sites);
         Rc::new(Self {
             metrics,
-            started_at: clock::now(),
             shutdown,
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
@@ -80,6 +79,7 @@
             published_config: RefCell::default(),
             catalog: RefCell::default(),
             targets_listed: Cell::new(false),
+            versions_listed: Cell::new(false),
             entries: RefCell::default(),
             scheduler: RefCell::new(SlotScheduler::new(regions)),
             waiters: RefCell::default(),
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -46,6 +46,7 @@
         match event {
             StoreEvent::Snapshot(items) => {
                 items.iter().for_each(|item| self.on_operator_item(now, item, true));
+                self.versions_listed.set(true);
                 self.set_news_current(true);
             }
             StoreEvent::Changes(changes) => {
@@ -74,8 +75,7 @@
         } else if item.key.starts_with(keys::VERSIONS) {
             match serving::read_version(&item.value) {
                 Ok(version) => {
-                    let during_startup = now.since(self.started_at) < STARTUP_VERSION_TIME;
-                    let source = match from_snapshot && during_startup {
+                    let source = match from_snapshot && !self.versions_listed.get() {
                         true => DeclarationSource::Startup,
                         false => DeclarationSource::Store,
                     };
--- a/tests/direct_late_news.rs
+++ b/tests/direct_late_news.rs
@@ -56,6 +56,8 @@
     operator::declare_version(&fleet.store, 2);
     actix_rt::time::sleep(SUSPENDED_TIME).await;
     late.with_process(|process| process.resume());
+    wait_status(&fleet, "entry-1", 200).await;
+    assert!(loaded(), "no engine has version 2");
     wait_status(&fleet, "entry-0", 503).await;
     actix_rt::time::sleep(RETIREMENT_DIFFERENCE).await;
     assert_eq!(status(&fleet, "entry-1", "late").await, Some(503));
