Agents pass on a changed declaration at once

A change of the declared versions that came while an agent waited for the next report was marked as seen by the wait itself, so that it was passed on only with the next repetition, and not at all if it made the version required. Change: what was sent last is compared.

--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -254,7 +254,7 @@
     loop {
         let load = *reports.loads.borrow_and_update();
         if let Some(load) = load {
-            let versions = repeat.due_versions(clock::now(), &mut reports.news);
+            let versions = repeat.due_versions(clock::now(), &reports.news.borrow_and_update());
             send(&mut sink, &AgentMessage::new(load, versions)).await?;
         }
         actix_rt::time::sleep(MIN_INTERVAL).await;
@@ -282,24 +282,19 @@
 #[derive(Debug, Default)]
 struct NewsRepeat {
     sent_at: Option<MonoTime>,
+    sent: VersionNews,
 }
 
 impl NewsRepeat {
     /// Returns the declared versions to send at `now`; none if they are not due.
-    fn due_versions(
-        &mut self,
-        now: MonoTime,
-        news: &mut watch::Receiver<VersionNews>,
-    ) -> Vec<DeclaredFields> {
-        let has_changed = news.has_changed().unwrap_or(false);
-        let news = news.borrow_and_update();
-        let interval_over = self.sent_at.is_none_or(|sent_at| now.since(sent_at) >= NEWS_INTERVAL);
-        let is_due =
-            self.sent_at.is_none() || has_changed || (interval_over && !news.is_settled(now));
-        if !is_due {
+    fn due_versions(&mut self, now: MonoTime, news: &VersionNews) -> Vec<DeclaredFields> {
+        let is_over = |sent_at: MonoTime| now.since(sent_at) >= NEWS_INTERVAL;
+        let is_repeated = !news.is_settled(now) && self.sent_at.is_none_or(is_over);
+        if self.sent_at.is_some() && self.sent == *news && !is_repeated {
             return Vec::new();
         }
         self.sent_at = Some(now);
+        self.sent = news.clone();
         news.message(now).versions
     }
 }
