What is known of a target's time to first byte does not expire near the end of a version

A request that was never sent, or failed, counted as a fast response, too.

Change: the last measurement holds until there is another one; a request that does not begin is evidence of at least the time that it was waited for.

The wait in a link's queue itself remains.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -137,14 +137,20 @@
         Admission::Queued(ticket)
     }
 
-    /// Records that a request's prompt is no longer pending at the target: its response has begun,
-    /// or never will.
+    /// Records that a request's prompt is no longer pending at the target: its response has begun.
     pub fn prefill_done(&mut self, now: MonoTime, grant: &SlotGrant) {
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.record_first_byte(now, grant.granted_at, grant.prompt_tokens);
         }
     }
 
+    /// Records that a request's prompt is no longer pending at the target: its response will never begin.
+    pub fn prefill_ended(&mut self, now: MonoTime, grant: &SlotGrant) {
+        if let Some(load) = self.targets.get_mut(&grant.target.id) {
+            load.record_no_first_byte(now, grant.granted_at, grant.prompt_tokens);
+        }
+    }
+
     /// Releases the slot of a request that was sent to target `id`.
     pub fn release(&mut self, now: MonoTime, id: &str, outcome: SlotOutcome) {
         let Some(load) = self.targets.get_mut(id) else {
@@ -159,7 +165,7 @@
 
     /// Releases the slot of a request that was never sent.
     pub fn release_unused(&mut self, now: MonoTime, grant: &SlotGrant) {
-        self.prefill_done(now, grant);
+        self.prefill_ended(now, grant);
         self.notices.uncount(&grant.target);
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -22,7 +22,7 @@
 /// gets no further requests: it hangs, or its link is far too slow, so further requests would be
 /// late too.
 const STUCK_PERCENT: u32 = 175;
-/// Time for which the longest time to first byte is remembered.
+/// Time after which a shorter time to first byte replaces the longest one.
 const FIRST_BYTE_RETENTION: Duration = Duration::from_secs(3);
 /// Time that must be left until a version is retired for a request to be sent to it, in percent of
 /// the longest recent time to first byte.
@@ -138,14 +138,33 @@
         self.taken_since_report += 1;
     }
 
-    /// Records that the response to the request granted at `granted_at` has begun, or never will.
+    /// Records that the response to the request granted at `granted_at` has begun.
     pub fn record_first_byte(&mut self, now: MonoTime, granted_at: MonoTime, prompt_tokens: u32) {
-        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_sub(prompt_tokens);
+        self.remove_pending(granted_at, prompt_tokens);
         let (longest, measured_at) = self.slowest_first_byte;
         let first_byte_time = now.since(granted_at);
         if first_byte_time >= longest || now.since(measured_at) > FIRST_BYTE_RETENTION {
             self.slowest_first_byte = (first_byte_time, now);
         }
+    }
+
+    /// Records that the response to the request granted at `granted_at` will never begin. The time that it
+    /// was waited for is less than it would have taken.
+    pub fn record_no_first_byte(
+        &mut self,
+        now: MonoTime,
+        granted_at: MonoTime,
+        prompt_tokens: u32,
+    ) {
+        self.remove_pending(granted_at, prompt_tokens);
+        let waited = now.since(granted_at);
+        if waited >= self.slowest_first_byte.0 {
+            self.slowest_first_byte = (waited, now);
+        }
+    }
+
+    fn remove_pending(&mut self, granted_at: MonoTime, prompt_tokens: u32) {
+        self.pending_prefill_tokens = self.pending_prefill_tokens.saturating_sub(prompt_tokens);
         if let Some(index) =
             self.pending.iter().position(|request| request.granted_at == granted_at)
         {
@@ -154,13 +173,12 @@
     }
 
     /// Returns whether a request sent now is expected to begin safely before `begin_by`, judged by
-    /// the recent times to first byte and by the requests that still wait for theirs.
+    /// the last measured times to first byte, however old, and by the requests that still wait for
+    /// theirs.
     pub fn will_begin_by(&self, now: MonoTime, begin_by: MonoTime) -> bool {
-        let (longest, measured_at) = self.slowest_first_byte;
-        let recent =
-            if now.since(measured_at) > FIRST_BYTE_RETENTION { Duration::ZERO } else { longest };
+        let (longest, _) = self.slowest_first_byte;
         let waiting = self.pending.iter().map(|request| now.since(request.granted_at)).max();
-        let expected = recent.max(waiting.unwrap_or_default());
+        let expected = longest.max(waiting.unwrap_or_default());
         now + expected * BEGIN_MARGIN_PERCENT / 100 < begin_by
     }
 
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -301,6 +301,25 @@
     assert!(try_slot(&mut scheduler, at(2400)).is_none(), "3 x 0.6 s exceed 0.8 s");
 }
 
+/// The slow target gets no requests for some seconds, so nothing newer is known of it.
+#[test]
+fn an_outdated_target_that_was_slow_when_it_was_last_used_gets_no_request_near_the_end() {
+    let mut scheduler = scheduler(&[target("slow", "here", 1)]);
+    let first = try_slot(&mut scheduler, at(0)).expect("a slot");
+    scheduler.prefill_done(at(600), &first);
+    let declared = DeclaredVersion {
+        version: 2,
+        declared_at: at(700),
+        required_from: at(7700),
+        begin_by: at(8000),
+    };
+    assert!(scheduler.declare(&"m".into(), declared));
+    assert!(try_slot(&mut scheduler, at(7200)).is_none(), "3 x 0.6 s exceed 0.8 s");
+    let unused = try_slot(&mut scheduler, at(6100)).expect("3 x 0.6 s fit into 1.9 s");
+    scheduler.release_unused(at(6100), &unused);
+    assert!(try_slot(&mut scheduler, at(7200)).is_none(), "an unsent request is no evidence");
+}
+
 #[test]
 fn a_cooldown_that_has_ended_does_not_wake_the_queue_again() {
     let mut scheduler = scheduler(&[target("a", "here", 1)]);
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -76,7 +76,9 @@
 
 impl Drop for PendingPrefill<'_> {
     fn drop(&mut self) {
-        self.mark_done();
+        if !self.is_done.get() {
+            self.state.prefill_ended(self.grant);
+        }
     }
 }
 
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -123,7 +123,13 @@
         }
     }
 
-    /// Records that the response to the request with this slot has begun, or never will.
+    /// Records that the response to the request with this slot will never begin.
+    pub fn prefill_ended(&self, grant: &SlotGrant) {
+        self.scheduler.borrow_mut().prefill_ended(clock::now(), grant);
+        self.serve_queue();
+    }
+
+    /// Records that the response to the request with this slot has begun.
     pub fn prefill_done(&self, grant: &SlotGrant) {
         self.scheduler.borrow_mut().prefill_done(clock::now(), grant);
         self.serve_queue();
