--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,7 +1,7 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
 //! engines and to exchange news of declared versions.
 
-use super::news::{DeclaredFields, NewsMessage, VersionNews};
+use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
 use anyhow::{Result, bail};
 use buckthornwharf_core::prelude::*;
@@ -22,9 +22,6 @@
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between messages.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between news while nothing changes; well within the time after which an agent no longer relies on
-/// the entry.
-const NEWS_INTERVAL: Duration = Duration::from_secs(1);
 /// Path of links that only report loads.
 const LOADS_PATH: &str = "/loads";
 /// Path of links on which the entry also sends news.
@@ -275,26 +272,3 @@
         }
     }
 }
-
-/// Decides when an agent sends the declared versions on a link: at once, whenever they change, and each
-/// [`NEWS_INTERVAL`] until they are required, so that an entry which stood still or was cut off hears how
-/// long ago they were declared.
-#[derive(Debug, Default)]
-struct NewsRepeat {
-    sent_at: Option<MonoTime>,
-    sent: VersionNews,
-}
-
-impl NewsRepeat {
-    /// Returns the declared versions to send at `now`; none if they are not due.
-    fn due_versions(&mut self, now: MonoTime, news: &VersionNews) -> Vec<DeclaredFields> {
-        let is_over = |sent_at: MonoTime| now.since(sent_at) >= NEWS_INTERVAL;
-        let is_repeated = !news.is_settled(now) && self.sent_at.is_none_or(is_over);
-        if self.sent_at.is_some() && self.sent == *news && !is_repeated {
-            return Vec::new();
-        }
-        self.sent_at = Some(now);
-        self.sent = news.clone();
-        news.message(now).versions
-    }
-}
--- a/src/direct/news.rs
+++ b/src/direct/news.rs
@@ -5,6 +5,10 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
 
+/// Time between news while nothing changes; well within the time after which an agent no longer relies on
+/// an entry.
+pub const NEWS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The declared versions that a process knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionNews {
@@ -76,3 +80,26 @@
         now - self.age
     }
 }
+
+/// Decides when an agent sends the declared versions on a link: at once, whenever they change, and each
+/// [`NEWS_INTERVAL`] until they are required, so that an entry which stood still or was cut off hears how
+/// long ago they were declared.
+#[derive(Debug, Default)]
+pub struct NewsRepeat {
+    sent_at: Option<MonoTime>,
+    sent: VersionNews,
+}
+
+impl NewsRepeat {
+    /// Returns the declared versions to send at `now`; none if they are not due.
+    pub fn due_versions(&mut self, now: MonoTime, news: &VersionNews) -> Vec<DeclaredFields> {
+        let is_over = |sent_at: MonoTime| now.since(sent_at) >= NEWS_INTERVAL;
+        let is_repeated = !news.is_settled(now) && self.sent_at.is_none_or(is_over);
+        if self.sent_at.is_some() && self.sent == *news && !is_repeated {
+            return Vec::new();
+        }
+        self.sent_at = Some(now);
+        self.sent = news.clone();
+        news.message(now).versions
+    }
+}
--- /dev/null
+++ b/tests/version_news.rs
@@ -0,0 +1,74 @@
+//! News of declared versions: when they are sent, and their form on a link.
+
+use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
+use buckthornwharf::direct::news::{DeclaredFields, NEWS_INTERVAL, NewsRepeat, VersionNews};
+use buckthornwharf_core::direct::DeclaredVersion;
+use buckthornwharf_core::prelude::*;
+use serde::Serialize;
+use serde_json::json;
+use std::net::SocketAddr;
+
+const DECLARED_AT: MonoTime = MonoTime::from_millis(100_000);
+const VERSION_TIME: Duration = Duration::from_secs(8);
+
+fn declared(version: u64, declared_at: MonoTime) -> DeclaredVersion {
+    let required_from = declared_at + VERSION_TIME;
+    DeclaredVersion { version, declared_at, required_from, begin_by: required_from }
+}
+
+fn load() -> EngineLoad {
+    let engine = "127.0.0.1:1".parse().expect("an address");
+    EngineLoad { engine, requests: 3, accepting: true }
+}
+
+/// The message of an agent that knows no news.
+#[derive(Serialize)]
+struct EarlierMessage {
+    engine: SocketAddr,
+    requests: u32,
+    accepting: bool,
+}
+
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    ciborium::into_writer(message, &mut bytes).expect("CBOR");
+    bytes
+}
+
+#[test]
+fn changed_declarations_are_passed_on_at_once_and_repeated_until_they_are_required() {
+    let mut news = VersionNews::default();
+    let mut repeat = NewsRepeat::default();
+    let model = ModelName::from("m");
+    assert!(news.declare(&model, declared(2, DECLARED_AT)));
+    let at = |millis| DECLARED_AT + Duration::from_millis(millis);
+    let mut count = |now, news: &VersionNews| repeat.due_versions(now, news).len();
+    assert_eq!(count(at(0), &news), 1);
+    assert_eq!(count(at(500), &news), 0, "nothing has changed");
+    assert!(news.declare(&model, declared(2, DECLARED_AT - Duration::from_secs(3))));
+    assert_eq!(count(at(600), &news), 1, "the time was corrected");
+    assert!(news.declare(&model, declared(3, at(700))));
+    assert_eq!(count(at(700), &news), 2, "both decide which versions may be used");
+    assert_eq!(count(at(700) + NEWS_INTERVAL, &news), 2, "repeated");
+    assert_eq!(count(at(6000), &news), 2, "version 2 is required, and 3 will be");
+    assert_eq!(count(at(9000), &news), 0, "version 3 is required");
+}
+
+#[test]
+fn an_age_of_any_size_is_read() {
+    for (age, declared_at) in [(400_u64, MonoTime::from_millis(99_600)), (u64::MAX, MonoTime::ZERO)]
+    {
+        let fields = json!({ "model": "m", "version": 2, "age": age });
+        let fields: DeclaredFields = serde_json::from_value(fields).expect("valid fields");
+        assert_eq!(fields.declared_at(DECLARED_AT), declared_at);
+    }
+}
+
+#[test]
+fn messages_with_and_without_news_are_understood_by_both_sides() {
+    let EngineLoad { engine, requests, accepting } = load();
+    let earlier = encode(&EarlierMessage { engine, requests, accepting });
+    assert_eq!(encode(&AgentMessage::new(load(), Vec::new())), earlier);
+    let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
+    assert_eq!((message.load(), message.versions), (load(), Vec::new()));
+}
