Tests of agents wait until the agents are configured and registered

an_agent_cut_off_from_the_store_hears_of_a_version_from_entries and two others failed in 5 of 20 runs, four at a time on a busy machine: the engines of the stand-in hold version 1 from the start, so the tests cut processes off from the store before an agent had registered (event=order_waits reason=not_registered), or before it had a configuration. The tests were wrong, not the agent, which gives no order without a fencing token.

--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -36,6 +36,16 @@
     assert!(invalid.is_empty(), "{invalid:?}");
 }
 
+/// Waits until all engines have loaded the first version, and all agents are configured and registered.
+async fn wait_settled(fleet: &SoakFleet) {
+    wait_all_loaded(fleet, 1).await;
+    let agents = || fleet.processes.iter().filter(|process| process.name.starts_with("agent"));
+    let configured = || agents().all(|agent| agent.output().contains("event=config"));
+    eventually("all agents are configured", configured).await;
+    let registered = || fleet.store.values("buckthornwharf/agent/").len() == agents().count();
+    eventually("all agents are registered", registered).await;
+}
+
 #[actix_rt::test]
 async fn processes_register_the_port_that_the_operating_system_assigned() {
     const PREFIXES: [&str; 2] = ["buckthornwharf/agent/", "buckthornwharf/common/entry/"];
@@ -54,7 +64,7 @@
 #[actix_rt::test]
 async fn an_agent_recovers_if_its_engine_returns_while_its_lease_is_being_revoked() {
     let fleet = SoakFleet::start(1, 2).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     fleet.store.silent.set(true);
     fleet.engines[0].crash(true);
     let agent = fleet.process("agent-0");
@@ -75,7 +85,7 @@
 #[actix_rt::test]
 async fn an_agent_deregisters_if_its_engine_is_lost_during_a_fetch() {
     let fleet = SoakFleet::start(1, 2).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     let is_registered = || fleet.store.contains_prefix("buckthornwharf/agent/a/agent-0");
     eventually("the agent is registered", is_registered).await;
     fleet.origin.fault.set(OriginFault::Down);
@@ -95,7 +105,7 @@
 #[actix_rt::test]
 async fn an_agent_cut_off_from_the_store_hears_of_a_version_from_entries() {
     let fleet = SoakFleet::start(2, 2).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     let agent = fleet.process("agent-0");
     eventually("the agent relies on entries", || {
         agent.output().contains("event=versions_from source=entries")
@@ -109,7 +119,7 @@
 #[actix_rt::test]
 async fn agents_hear_of_a_version_from_the_store_when_all_entries_are_cut_off_from_it() {
     let fleet = SoakFleet::start(2, 2).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     for entry in fleet.entries() {
         set_switches(&entry.store_relay, &slow_switches());
     }
@@ -120,7 +130,7 @@
 #[actix_rt::test]
 async fn a_chunk_corrupted_in_the_stage_is_fetched_again_before_the_load() {
     let fleet = SoakFleet::start(1, 4).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     operator::declare_version(&fleet.store, 2);
     // Hosts swap one after the other: the last one swaps some seconds after it has staged the
     // version.
@@ -134,7 +144,7 @@
 #[actix_rt::test]
 async fn a_version_that_supersedes_one_still_being_swapped_in_is_loaded_completely() {
     let fleet = SoakFleet::start(1, 4).await;
-    wait_all_loaded(&fleet, 1).await;
+    wait_settled(&fleet).await;
     operator::declare_version(&fleet.store, 2);
     let last_engine = &fleet.engines[3];
     eventually("the version is staged", || last_engine.valid_chunks(2) == CHUNKS).await;
