A corrected declaration does not call for the list of all agents

Cause: an agent reads the agents of all regions, whose list fills the links to the store's region, when it hears of a new version; it did so for each correction of a known one, too. Change: only a version newer than all others does.

--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -189,6 +189,7 @@
         let required_from = declared_at + self.settings.bounds.version_time;
         let begin_by = required_from;
         let declaration = DeclaredVersion { version, declared_at, required_from, begin_by };
+        let is_newest = self.news.borrow().newest(&declared.model) < Some(version);
         let changed = self.news.send_if_modified(|news| news.declare(&declared.model, declaration));
         if !changed {
             return;
@@ -201,7 +202,7 @@
         let known = &self.metrics.declared_version;
         known.set(known.get().max(i64::try_from(version).unwrap_or(i64::MAX)));
         self.wanted_changed.notify_one();
-        if self.versions_known.get() {
+        if is_newest && self.versions_known.get() {
             self.refresh_agents.notify_one();
         }
     }
--- a/src/direct/news.rs
+++ b/src/direct/news.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns the newest declared version of `model`.
+    pub fn newest(&self, model: &ModelName) -> Option<u64> {
+        Some(self.versions.get(model)?.newest()?.version)
+    }
+
     /// Returns whether the newest version of each model is required at `now`.
     pub fn is_settled(&self, now: MonoTime) -> bool {
         self.versions.values().all(|versions| versions.is_settled(now))
