--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -8,9 +8,11 @@
 mod inbound;
 mod outbound;
 mod socket;
+mod uri;
 
 pub use call::{CallAnswer, CallClient, CallError, OutboundCall};
 pub use framing::AnswerFraming;
 pub use inbound::{InboundConnection, InboundError, InboundLimits, InboundRequest};
 pub use outbound::{AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
 pub use socket::{connect, set_socket_options};
+pub use uri::percent_encode;
--- a/src/platform/kv.rs
+++ b/src/platform/kv.rs
@@ -6,6 +6,7 @@
 use base64::prelude::{BASE64_STANDARD, Engine};
 use buckthornwharf_core::config::budget::{CallBudget, RetryBackoff};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::percent_encode;
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
@@ -106,7 +107,7 @@
     ///
     /// [`KvError`] if the call fails.
     pub async fn get(&self, key: &str) -> Result<Option<KvRow>, KvError> {
-        let rows = self.read_rows(&format!("kv/{}", encode_key(key)), CALL_TIMEOUT).await?;
+        let rows = self.read_rows(&format!("kv/{}", percent_encode(key)), CALL_TIMEOUT).await?;
         Ok(rows.into_iter().next())
     }
 
@@ -116,7 +117,7 @@
     ///
     /// [`KvError`] if the call fails.
     pub async fn list(&self, prefix: &str) -> Result<Vec<KvRow>, KvError> {
-        let path = format!("kv/{}?recurse=true", encode_key(prefix));
+        let path = format!("kv/{}?recurse=true", percent_encode(prefix));
         self.read_rows(&path, CALL_TIMEOUT).await
     }
 
@@ -133,7 +134,7 @@
         wait: Duration,
     ) -> Result<Option<KvRow>, KvError> {
         let wait_ms = wait.as_millis();
-        let path = format!("kv/{}?index={after_index}&wait={wait_ms}ms", encode_key(key));
+        let path = format!("kv/{}?index={after_index}&wait={wait_ms}ms", percent_encode(key));
         let rows = self.read_rows(&path, wait + WATCH_MARGIN).await?;
         Ok(rows.into_iter().next())
     }
@@ -148,7 +149,7 @@
         if value.len() > MAX_VALUE_BYTES {
             return Err(KvError::TooLarge);
         }
-        let path = format!("kv/{}?cas={index}", encode_key(key));
+        let path = format!("kv/{}?cas={index}", percent_encode(key));
         self.write(Method::PUT, &path, value).await
     }
 
@@ -195,7 +196,7 @@
     ///
     /// [`KvError::Unknown`] if the deletion may have taken effect. Any other error means that it did not.
     pub async fn delete_cas(&self, key: &str, index: u64) -> Result<bool, KvError> {
-        let path = format!("kv/{}?cas={index}", encode_key(key));
+        let path = format!("kv/{}?cas={index}", percent_encode(key));
         self.write(Method::DELETE, &path, Bytes::new()).await
     }
 
@@ -243,7 +244,7 @@
         value: Bytes,
         session: &KvSession,
     ) -> Result<bool, KvError> {
-        let path = format!("kv/{}?acquire={}", encode_key(key), session.0);
+        let path = format!("kv/{}?acquire={}", percent_encode(key), session.0);
         self.write(Method::PUT, &path, value).await
     }
 
@@ -253,7 +254,7 @@
     ///
     /// [`KvError::Unknown`] if the write may have taken effect. Any other error means that it did not.
     pub async fn release(&self, key: &str, session: &KvSession) -> Result<bool, KvError> {
-        let path = format!("kv/{}?release={}", encode_key(key), session.0);
+        let path = format!("kv/{}?release={}", percent_encode(key), session.0);
         self.write(Method::PUT, &path, Bytes::new()).await
     }
 
@@ -343,16 +344,3 @@
 fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, KvError> {
     serde_json::from_slice(body).map_err(|error| KvError::Unknown(error.to_string()))
 }
-
-fn encode_key(key: &str) -> String {
-    let mut encoded = String::with_capacity(key.len());
-    for byte in key.bytes() {
-        match byte {
-            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
-                encoded.push(char::from(byte));
-            }
-            _ => encoded.push_str(&format!("%{byte:02X}")),
-        }
-    }
-    encoded
-}
