--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -47,6 +47,24 @@
     MonoTime::from_millis(millis)
 }
 
+/// The declaration of version 2, with its times in milliseconds.
+fn version_2(declared_at: u64, required_from: u64, begin_by: u64) -> DeclaredVersion {
+    DeclaredVersion {
+        version: 2,
+        declared_at: at(declared_at),
+        required_from: at(required_from),
+        begin_by: at(begin_by),
+    }
+}
+
+/// A scheduler with one target, whose first byte took 600 ms at the start.
+fn slow_scheduler() -> SlotScheduler {
+    let mut scheduler = scheduler(&[target("slow", "here", 1)]);
+    let first = try_slot(&mut scheduler, at(0)).expect("a slot");
+    scheduler.prefill_done(at(600), &first);
+    scheduler
+}
+
 /// Requests a slot; cancels the request if it is queued.
 fn try_slot(scheduler: &mut SlotScheduler, now: MonoTime) -> Option<SlotGrant> {
     match scheduler.request(now, request(false)) {
@@ -115,12 +133,7 @@
     let granted: Vec<SlotGrant> =
         (0..SLOTS).filter_map(|_| try_slot(&mut scheduler, at(0))).collect();
     assert_eq!(granted.len() as u32, SLOTS);
-    let declared = DeclaredVersion {
-        version: 2,
-        declared_at: at(0),
-        required_from: at(100),
-        begin_by: at(150),
-    };
+    let declared = version_2(0, 100, 150);
     assert!(scheduler.declare(&"m".into(), declared));
     assert!(matches!(scheduler.request(at(50), request(true)), Admission::Queued(_)));
     scheduler.release(at(120), "old", SlotOutcome::Answered);
@@ -236,12 +249,7 @@
     let mut scheduler = scheduler(&[target("old", "here", 1), target("new", "there", 2)]);
     let early = try_slot(&mut scheduler, at(0)).expect("a slot");
     assert_eq!((&*early.target.id, early.begin_by), ("old", None));
-    let declared = DeclaredVersion {
-        version: 2,
-        declared_at: at(10),
-        required_from: at(100),
-        begin_by: at(150),
-    };
+    let declared = version_2(10, 100, 150);
     assert!(scheduler.declare(&"m".into(), declared));
     let before = try_slot(&mut scheduler, at(20)).expect("a slot");
     assert_eq!((&*before.target.id, before.begin_by), ("old", Some(at(150))));
@@ -252,12 +260,7 @@
 #[test]
 fn a_request_without_a_usable_version_is_refused_at_once() {
     let mut scheduler = scheduler(&[target("old", "here", 1), target("older", "there", 1)]);
-    let declared = DeclaredVersion {
-        version: 2,
-        declared_at: at(0),
-        required_from: at(100),
-        begin_by: at(150),
-    };
+    let declared = version_2(0, 100, 150);
     assert!(scheduler.declare(&"m".into(), declared));
     assert!(try_slot(&mut scheduler, at(50)).is_some());
     assert!(matches!(scheduler.request(at(110), request(false)), Admission::Refused(_)));
@@ -287,15 +290,8 @@
 /// The retirement of a version cannot wait for requests in transit on a slow link.
 #[test]
 fn an_outdated_target_gets_no_request_that_would_begin_too_late() {
-    let mut scheduler = scheduler(&[target("slow", "here", 1)]);
-    let first = try_slot(&mut scheduler, at(0)).expect("a slot");
-    scheduler.prefill_done(at(600), &first);
-    let declared = DeclaredVersion {
-        version: 2,
-        declared_at: at(700),
-        required_from: at(3000),
-        begin_by: at(3200),
-    };
+    let mut scheduler = slow_scheduler();
+    let declared = version_2(700, 3000, 3200);
     assert!(scheduler.declare(&"m".into(), declared));
     assert!(try_slot(&mut scheduler, at(1300)).is_some(), "3 x 0.6 s fit into 1.9 s");
     assert!(try_slot(&mut scheduler, at(2400)).is_none(), "3 x 0.6 s exceed 0.8 s");
@@ -304,15 +300,8 @@
 /// The slow target gets no requests for some seconds, so nothing newer is known of it.
 #[test]
 fn an_outdated_target_that_was_slow_when_it_was_last_used_gets_no_request_near_the_end() {
-    let mut scheduler = scheduler(&[target("slow", "here", 1)]);
-    let first = try_slot(&mut scheduler, at(0)).expect("a slot");
-    scheduler.prefill_done(at(600), &first);
-    let declared = DeclaredVersion {
-        version: 2,
-        declared_at: at(700),
-        required_from: at(7700),
-        begin_by: at(8000),
-    };
+    let mut scheduler = slow_scheduler();
+    let declared = version_2(700, 7700, 8000);
     assert!(scheduler.declare(&"m".into(), declared));
     assert!(try_slot(&mut scheduler, at(7200)).is_none(), "3 x 0.6 s exceed 0.8 s");
     let unused = try_slot(&mut scheduler, at(6100)).expect("3 x 0.6 s fit into 1.9 s");
