--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -32,8 +32,8 @@
 pub use news::{NewsCoverage, news_sources};
 pub use routes::RouteTable;
 pub use serving::{
-    CallerLimits, EngineSpec, OrganisationKeys, OriginSpec, ServingConfig, ServingRoute,
-    ServingService,
+    CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
+    ServingConfig, ServingRoute, ServingService,
 };
 pub use slots::{Admission, SlotGrant, SlotRequest, SlotScheduler, WaitTicket};
 pub use store_position::{StoreEra, StorePosition};
--- a/core/src/direct/catalog.rs
+++ b/core/src/direct/catalog.rs
@@ -53,6 +53,8 @@
     pub models: Vec<LoadedModel>,
     /// Start time in milliseconds since the Unix epoch; distinguishes restarts under the same id.
     pub started_unix_ms: u64,
+    /// How long it still was cold when it wrote its registration, if it says so.
+    pub cold_remaining: Option<Duration>,
 }
 
 /// The targets by id. After the registry recovers from an outage, targets whose registration lapsed
--- a/core/src/direct/serving.rs
+++ b/core/src/direct/serving.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// A complete configuration.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServingConfig {
     /// Generation number; a configuration with a higher one replaces this one.
     pub generation: u64,
@@ -42,10 +42,41 @@
     pub max_attempts: u32,
     /// Whether requests without a key are accepted.
     pub anonymous: bool,
+    /// Regions in which the requests may be served.
+    pub allowed_regions: RegionSet,
+}
+
+/// The regions in which requests may be served; all of them if the set is empty.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RegionSet {
+    /// Sorted, without duplicates.
+    regions: Arc<[RegionName]>,
+}
+
+impl RegionSet {
+    /// Returns whether requests may be served in `region`. An unknown region is allowed only if all
+    /// regions are.
+    pub fn allows(&self, region: Option<&RegionName>) -> bool {
+        self.allows_all() || region.is_some_and(|region| self.regions.binary_search(region).is_ok())
+    }
+
+    /// Returns whether requests may be served in any region.
+    pub fn allows_all(&self) -> bool {
+        self.regions.is_empty()
+    }
+}
+
+impl FromIterator<RegionName> for RegionSet {
+    fn from_iter<I: IntoIterator<Item = RegionName>>(regions: I) -> Self {
+        let mut regions: Vec<RegionName> = regions.into_iter().collect();
+        regions.sort_unstable();
+        regions.dedup();
+        Self { regions: regions.into() }
+    }
 }
 
 /// A service: a set of interchangeable targets.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServingService {
     /// Name of the service.
     pub name: ServiceName,
@@ -53,6 +84,17 @@
     pub engine: Option<EngineSpec>,
     /// The origin, if the service is an origin of weights.
     pub origin: Option<OriginSpec>,
+    /// What its targets bear for some time after they start; `None` if there is no limit.
+    pub cold_limit: Option<ColdLimit>,
+}
+
+/// Limit on the requests to a target that has just started and is still cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdLimit {
+    /// Time for which a target is cold after it starts.
+    pub start_time: Duration,
+    /// Requests per second of all entries together that a cold target bears.
+    pub per_second: f64,
 }
 
 /// Properties of the engines of a service, that is, of targets that run models.
@@ -68,6 +110,29 @@
     pub chunk_bytes: u64,
     /// Prompt tokens that an engine reads per second (prefill rate), if known.
     pub prompt_tokens_per_second: Option<u32>,
+    /// Published processing times, if known.
+    pub timing: Option<EngineTiming>,
+    /// Tokens of prompts and answers that fit into an engine's memory, if known.
+    pub memory_tokens: Option<u64>,
+    /// Mean tokens of a prompt and of an answer, if known.
+    pub usual_tokens: Option<(u32, u32)>,
+}
+
+/// Published processing times of an engine, which works on all its requests in steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineTiming {
+    /// Time of a step that produces one token of each answer.
+    pub step: Duration,
+    /// Additional time of a step for each request that produces tokens.
+    pub per_request: Duration,
+    /// Additional time of a step for each 1,000 tokens of the context of such a request.
+    pub per_context: Duration,
+    /// Additional time of prefill for each million pairs of a token and an earlier one.
+    pub per_pairs: Duration,
+    /// Maximum prompt tokens that are read in a step.
+    pub prefill_tokens: u32,
+    /// Steps after which new requests are admitted.
+    pub stride: u32,
 }
 
 /// The origin: the service from which hosts fetch weights.
@@ -90,6 +155,8 @@
     pub keys: Vec<Arc<str>>,
     /// Priority of its requests, if it overrides that of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be served.
+    pub allowed_regions: RegionSet,
 }
 
 impl std::fmt::Debug for OrganisationKeys {
--- a/core/src/direct/slots/grant.rs
+++ b/core/src/direct/slots/grant.rs
@@ -11,6 +11,10 @@
 pub struct SlotRequest {
     /// Service that the target must belong to.
     pub service: ServiceName,
+    /// Route of the request.
+    pub route: RouteName,
+    /// Organisation that sent it; `None` without a key.
+    pub organisation: Option<OrganisationName>,
     /// Priority; 0 is served first.
     pub priority: u8,
     /// How long the request may wait, and whether it is late.
@@ -21,6 +25,8 @@
     pub tried: Vec<Arc<str>>,
     /// Number of prompt tokens; 0 if there is no prompt.
     pub prompt_tokens: u32,
+    /// Maximum number of tokens of the answer; 0 if unknown.
+    pub answer_tokens: u32,
     /// Model that the target must have loaded, in a version that may still be used.
     pub model: Option<ModelName>,
 }
--- a/core/tests/direct_catalog.rs
+++ b/core/tests/direct_catalog.rs
@@ -14,6 +14,7 @@
         phase,
         models: Vec::new(),
         started_unix_ms: 0,
+        cold_remaining: None,
     }
 }
 
--- a/core/tests/direct_limits.rs
+++ b/core/tests/direct_limits.rs
@@ -23,17 +23,21 @@
         phase: TargetPhase::Ready,
         models: Vec::new(),
         started_unix_ms,
+        cold_remaining: None,
     })
 }
 
 fn request() -> SlotRequest {
     SlotRequest {
         service: "llm".into(),
+        route: "r".into(),
+        organisation: None,
         priority: 1,
         wait: WaitAllowance { max_wait: Duration::from_millis(150), late: false },
         objective: Duration::from_millis(400),
         tried: Vec::new(),
         prompt_tokens: 0,
+        answer_tokens: 0,
         model: None,
     }
 }
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -19,6 +19,7 @@
         phase: TargetPhase::Ready,
         models: vec![LoadedModel { model: "m".into(), version }],
         started_unix_ms: 0,
+        cold_remaining: None,
     })
 }
 
@@ -34,11 +35,14 @@
 fn request(late: bool) -> SlotRequest {
     SlotRequest {
         service: "llm".into(),
+        route: "r".into(),
+        organisation: None,
         priority: 1,
         wait: WaitAllowance { max_wait: Duration::from_millis(600), late },
         objective: Duration::from_millis(400),
         tried: Vec::new(),
         prompt_tokens: 0,
+        answer_tokens: 0,
         model: Some("m".into()),
     }
 }
--- a/core/tests/direct_requests.rs
+++ b/core/tests/direct_requests.rs
@@ -2,8 +2,8 @@
 
 use buckthornwharf_core::direct::{
     AttemptFailure, CallerLimits, CallerTimeoutEstimate, FinalAnswer, NextStep, OrganisationKeys,
-    RetryAllowance, RetryBudget, RouteTable, ServingConfig, ServingRoute, WorkKind, next_step,
-    wait_allowance,
+    RegionSet, RetryAllowance, RetryBudget, RouteTable, ServingConfig, ServingRoute, WorkKind,
+    next_step, wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
@@ -138,6 +138,7 @@
             .collect(),
         max_attempts: 2,
         anonymous: false,
+        allowed_regions: RegionSet::default(),
     }
 }
 
@@ -150,6 +151,7 @@
             name: "mill".into(),
             keys: vec!["secret".into()],
             priority: Some(0),
+            allowed_regions: RegionSet::default(),
         }]),
         limits: CallerLimits::default(),
     }))
--- a/core/tests/support/crash_fleet.rs
+++ b/core/tests/support/crash_fleet.rs
@@ -81,6 +81,7 @@
         phase: TargetPhase::Ready,
         models: Vec::new(),
         started_unix_ms: start,
+        cold_remaining: None,
     })
 }
 
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -22,6 +22,7 @@
     pub inbound: InboundRequest,
     pub tags: RequestTags,
     pub service: ServiceName,
+    pub route: RouteName,
     pub kind: WorkKind,
     /// What the request contains that may crash targets.
     pub causes: Arc<[CauseId]>,
@@ -42,11 +43,14 @@
         let elapsed = self.elapsed_before + now.since(self.received);
         SlotRequest {
             service: self.service.clone(),
+            route: self.route.clone(),
+            organisation: self.organisation.clone(),
             priority: self.priority,
             wait: wait_allowance(self.objective, elapsed, self.deadline.since(now)),
             objective: self.objective,
             tried: tried.to_vec(),
             prompt_tokens: self.tags.tokens.0,
+            answer_tokens: self.tags.tokens.1,
             model: self.tags.model.clone(),
         }
     }
@@ -91,6 +95,7 @@
     let causes = request_causes(&service, &tags.shared_parts, caller, path, &inbound.body);
     Ok(AdmittedRequest {
         service,
+        route: route.name.clone(),
         causes: causes.into(),
         kind: route.kind,
         priority,
--- a/src/direct/facts.rs
+++ b/src/direct/facts.rs
@@ -100,6 +100,9 @@
             chunks: engine.chunks,
             chunk_bytes: engine.chunk_bytes,
             prompt_tokens_per_second: None,
+            timing: None,
+            memory_tokens: None,
+            usual_tokens: None,
         })
     }
 
--- a/src/direct/settings.rs
+++ b/src/direct/settings.rs
@@ -34,6 +34,15 @@
     pub metrics_port: Option<u16>,
     /// Limits that the operators set.
     pub bounds: BoundSettings,
+    /// Whether waiting requests are ordered fairly, and entries share targets by their demand.
+    #[serde(default)]
+    pub fair_queue: bool,
+    /// Whether the limit of each target is learned from its response times.
+    #[serde(default)]
+    pub learned_limits: bool,
+    /// What the host offers to the process.
+    #[serde(default)]
+    pub host_limits: HostLimits,
     /// Settings of an entry; `None` for an agent.
     #[serde(default)]
     pub entry: Option<DirectEntrySettings>,
@@ -52,6 +61,18 @@
     pub ports: [u16; 2],
 }
 
+/// What a host offers to one process. Without a limit the process does not bound itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HostLimits {
+    /// Memory of the process, in megabytes.
+    #[serde(default)]
+    pub memory_megabytes: Option<u32>,
+    /// File descriptors of the process.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
+}
+
 /// Limits that the operators set. One that is absent takes its default.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(try_from = "BoundFields")]
