Entry: requests are served only in the regions that their route and organisation allow

The scheduler keeps the restricted routes and organisations of the configuration and applies both lists to each candidate, so the rule holds for first attempts, retries, resumed streams and moves from silent targets. It is applied again just before a request is sent, since the configuration may have changed while the connection was opened; a request that is not sent asks for another slot. The usable slots, the requests that limits allow in time, the rest of a pause and the rate of released slots count allowed targets only, and a request waits only behind those that it shares a target with. A request without an allowed target gets 503 at once, also if a new configuration takes the last one from a request that waits. Nothing changes where no region is named.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -11,6 +11,7 @@
 pub mod crashes;
 pub mod event_stream;
 pub mod news;
+pub mod placement;
 pub mod rollout;
 pub mod routes;
 pub mod serving;
@@ -30,6 +31,7 @@
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
+pub use placement::AllowedRegions;
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -13,7 +13,7 @@
 mod rate_limit;
 mod restrictions;
 
-use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
+use super::{AllowedRegions, DeclaredVersion, DeclaredVersions, RegisteredTarget, ServingConfig};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 pub use entry_regions::EntryRegions;
@@ -43,6 +43,9 @@
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
+    allowed_regions: AllowedRegions,
+    /// Whether waiting requests may have lost their last allowed target.
+    recheck_waiting: bool,
     next_ticket: WaitTicket,
 }
 
@@ -56,6 +59,8 @@
             queues: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
+            allowed_regions: AllowedRegions::default(),
+            recheck_waiting: false,
             next_ticket: 0,
         }
     }
@@ -83,6 +88,12 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
+    /// Applies the restrictions of a configuration. They hold for requests that wait already, too.
+    pub fn set_config(&mut self, config: &ServingConfig) {
+        self.allowed_regions.set_config(config);
+        self.recheck_waiting = true;
+    }
+
     /// Replaces the targets. A target that is no longer registered gets no further requests and is
     /// kept until this entry's requests at it have ended.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<RegisteredTarget>>) {
@@ -103,6 +114,7 @@
         for load in self.targets.values_mut() {
             load.registered = registered_ids.binary_search(&load.record.id).is_ok();
         }
+        self.recheck_waiting = true;
         self.update_limit_shares();
     }
 
@@ -117,7 +129,9 @@
     /// Grants a slot to a request, queues it, or refuses it if the expected wait is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let ahead = queue.ahead_of(&request);
+        let ahead = queue.ahead_of(&request, |waiting| {
+            competes(&self.allowed_regions, &self.regions, &self.targets, waiting, &request)
+        });
         if ahead == 0
             && let Some(grant) = self.try_grant(now, &request)
         {
@@ -125,7 +139,9 @@
         }
         let usable_slots = self.usable_slots(now, &request);
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let expected_wait = queue.expected_wait(now, ahead, usable_slots);
+        let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
+            self.allowed_regions.allows(&request, self.regions.region_of(site))
+        });
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         if expected_wait > request.wait.max_wait && ahead >= self.allowed_in_time(now, &request) {
@@ -158,14 +174,19 @@
         };
         load.release(now, outcome);
         if outcome == SlotOutcome::Answered {
-            let service = load.record.service.clone();
-            self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now);
+            let (service, site) = (load.record.service.clone(), load.record.site.clone());
+            self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now, site);
         }
     }
 
     /// Releases the slot of a request that was never sent.
     pub fn release_unused(&mut self, now: MonoTime, grant: &SlotGrant) {
         self.prefill_ended(now, grant);
+        self.release_unsent(now, grant);
+    }
+
+    /// Releases the slot of a request that was never sent, and whose prompt is no longer pending.
+    pub fn release_unsent(&mut self, now: MonoTime, grant: &SlotGrant) {
         self.notices.uncount(&grant.target);
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
@@ -205,6 +226,40 @@
         expired.map(|ticket| (ticket, retry_after(ticket))).collect()
     }
 
+    /// Removes the waiting requests for which no target in an allowed region is left, and returns them with
+    /// the time after which each caller may retry.
+    pub fn refuse_unplaceable(&mut self) -> Vec<(WaitTicket, Duration)> {
+        if !std::mem::take(&mut self.recheck_waiting) || self.allowed_regions.is_empty() {
+            return Vec::new();
+        }
+        let waiting = self.queues.values().flat_map(ServiceQueue::requests);
+        let unplaceable: Vec<WaitTicket> = waiting
+            .filter(|(_, request)| self.allowed_regions.restricts(request))
+            .filter(|(_, request)| !self.has_allowed_target(request))
+            .map(|(ticket, _)| ticket)
+            .collect();
+        unplaceable.iter().for_each(|ticket| self.cancel(*ticket));
+        unplaceable.into_iter().map(|ticket| (ticket, retry_after(ticket))).collect()
+    }
+
+    /// Returns whether a request that was granted a slot may still be sent to its target: the restrictions may
+    /// have changed since.
+    pub fn may_send(&self, request: &SlotRequest, target: &RegisteredTarget) -> bool {
+        self.allowed_regions.allows(request, self.regions.region_of(&target.site))
+    }
+
+    fn is_allowed(&self, load: &TargetLoad, request: &SlotRequest) -> bool {
+        self.may_send(request, &load.record)
+    }
+
+    fn has_allowed_target(&self, request: &SlotRequest) -> bool {
+        self.targets.values().any(|load| {
+            load.registered
+                && load.record.service == request.service
+                && self.is_allowed(load, request)
+        })
+    }
+
     /// Returns when [`SlotScheduler::expire`] or [`SlotScheduler::grant_free_slots`] is due next if
     /// no event occurs before; `None` if no request waits. Both were called last at `served_at`; the
     /// returned time is later, but may have passed.
@@ -250,6 +305,7 @@
         };
         let has_room = |load: &&TargetLoad| {
             load.is_eligible(now, request, required)
+                && self.is_allowed(load, request)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
                 && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
@@ -278,6 +334,7 @@
         let accepts_until = now + request.wait.max_wait;
         let usable = |load: &&TargetLoad| {
             load.serves(request, required)
+                && self.is_allowed(load, request)
                 && (request.wait.late || load.is_accepting(now))
                 && self.accepts_from(load).is_some_and(|at| at <= accepts_until)
         };
@@ -297,6 +354,23 @@
     }
 }
 
+/// Returns whether a target may serve both requests, so that they wait for the same slots.
+fn competes(
+    allowed_regions: &AllowedRegions,
+    regions: &EntryRegions,
+    targets: &SortedTable<Arc<str>, TargetLoad>,
+    waiting: &SlotRequest,
+    request: &SlotRequest,
+) -> bool {
+    let allows = |load: &TargetLoad| {
+        let region = regions.region_of(&load.record.site);
+        load.record.service == request.service
+            && allowed_regions.allows(waiting, region)
+            && allowed_regions.allows(request, region)
+    };
+    allowed_regions.is_empty() || targets.values().any(allows)
+}
+
 /// Returns the time after which the caller of this request may retry. It is jittered evenly over
 /// [`RETRY_AFTER_RANGE`], so that callers refused together do not retry together.
 fn retry_after(ticket: WaitTicket) -> Duration {
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -21,7 +21,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct ServiceQueue {
     waiters: Vec<Waiter>,
-    recent_releases: VecDeque<MonoTime>,
+    /// Time of each release, and the site of its target.
+    recent_releases: VecDeque<(MonoTime, SiteName)>,
 }
 
 impl ServiceQueue {
@@ -33,14 +34,29 @@
         self.waiters.len()
     }
 
-    /// Returns how many waiting requests would be served before `request`, if it arrived now.
-    pub fn ahead_of(&self, request: &SlotRequest) -> usize {
+    /// Returns how many waiting requests that compete with `request` would be served before it, if it arrived
+    /// now.
+    pub fn ahead_of(
+        &self,
+        request: &SlotRequest,
+        competes: impl Fn(&SlotRequest) -> bool,
+    ) -> usize {
+        let ahead = &self.waiters[..self.index_of(request)];
+        ahead.iter().filter(|waiter| competes(&waiter.request)).count()
+    }
+
+    fn index_of(&self, request: &SlotRequest) -> usize {
         let order = queue_order(request);
         self.waiters.partition_point(|waiter| queue_order(&waiter.request) <= order)
     }
 
+    /// Iterates over the waiting requests in queue order.
+    pub fn requests(&self) -> impl Iterator<Item = (WaitTicket, &SlotRequest)> {
+        self.waiters.iter().map(|waiter| (waiter.ticket, &waiter.request))
+    }
+
     pub fn push(&mut self, waiter: Waiter) {
-        let index = self.ahead_of(&waiter.request);
+        let index = self.index_of(&waiter.request);
         self.waiters.insert(index, waiter);
     }
 
@@ -48,20 +64,27 @@
         self.waiters.retain(|waiter| waiter.ticket != ticket);
     }
 
-    /// Records that a slot was released.
-    pub fn count_release(&mut self, now: MonoTime) {
+    /// Records that a slot was released at a target of `site`.
+    pub fn count_release(&mut self, now: MonoTime, site: SiteName) {
         if self.recent_releases.len() == MAX_RELEASES {
             self.recent_releases.pop_front();
         }
-        self.recent_releases.push_back(now);
+        self.recent_releases.push_back((now, site));
     }
 
-    /// Estimates how long a request with `ahead` others before it waits for one of `slots` slots.
-    pub fn expected_wait(&mut self, now: MonoTime, ahead: usize, slots: u32) -> Duration {
+    /// Estimates how long a request with `ahead` others before it waits for one of `slots` slots, which
+    /// are at targets of sites for which `is_usable` returns true.
+    pub fn expected_wait(
+        &mut self,
+        now: MonoTime,
+        ahead: usize,
+        slots: u32,
+        is_usable: impl Fn(&SiteName) -> bool,
+    ) -> Duration {
         while self
             .recent_releases
             .front()
-            .is_some_and(|released| now.since(*released) > RATE_WINDOW)
+            .is_some_and(|(released, _)| now.since(*released) > RATE_WINDOW)
         {
             self.recent_releases.pop_front();
         }
@@ -70,7 +93,8 @@
         }
         let releases_needed = ahead as u32 + 1;
         // With few or no recent releases, half of the slots are assumed to be released per window.
-        let releases_per_window = (self.recent_releases.len() as u32).max(slots.div_ceil(2));
+        let releases = self.recent_releases.iter().filter(|(_, site)| is_usable(site)).count();
+        let releases_per_window = (releases as u32).max(slots.div_ceil(2));
         RATE_WINDOW * releases_needed / releases_per_window.max(1)
     }
 
--- a/core/src/direct/slots/restrictions.rs
+++ b/core/src/direct/slots/restrictions.rs
@@ -39,7 +39,10 @@
     /// again.
     pub(super) fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
         let required = self.required_version(now, request);
-        let loads = self.targets.values().filter(|load| load.serves(request, required));
+        let loads = self
+            .targets
+            .values()
+            .filter(|load| load.serves(request, required) && self.is_allowed(load, request));
         let pause_end = loads.filter_map(|load| self.accepts_from(load)).min()?;
         Some(pause_end.since(now))
     }
@@ -53,6 +56,7 @@
             let allowed =
                 self.notices.allowed_until(accepts_until, &load.record, load.limit_share)?;
             let is_free = load.is_eligible(now, request, required)
+                && self.is_allowed(load, request)
                 && load.available_slots(now, &self.regions) > 0
                 && self.accepts_from(load).is_some_and(|at| at <= accepts_until);
             is_free.then_some(allowed as usize)
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -156,7 +156,12 @@
                 tried: &self.tried,
                 stage: Cell::new(AttemptStage::Connecting),
             };
-            let result = attempt.run(caller, &mut self.reply).await;
+            let Ok(result) = attempt.run(caller, &mut self.reply).await else {
+                self.attempts -= 1;
+                self.state.release_unsent_slot(&grant);
+                info!("event=not_sent request={} target={}", self.request.tags.id, target.id);
+                continue;
+            };
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
             let failure = match result {
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -122,6 +122,9 @@
     Moved(ReservedSlot),
 }
 
+/// The request was not sent, since it may no longer be sent to the target.
+pub(super) struct NotSent;
+
 /// Why a step of an attempt was interrupted.
 enum Interruption {
     CallerDisconnected,
@@ -130,6 +133,8 @@
     Outdated,
     /// The target has fallen silent, and another one has this slot for the request.
     Moved(ReservedSlot),
+    /// The request may no longer be sent to the target.
+    NotSent,
 }
 
 impl Interruption {
@@ -150,8 +155,8 @@
         self,
         caller: &mut InboundConnection,
         reply: &mut CallerReply,
-    ) -> AttemptResult {
-        match self.exchange(caller, reply).await {
+    ) -> Result<AttemptResult, NotSent> {
+        let result = match self.exchange(caller, reply).await {
             Ok(result) => result,
             Err(Interruption::CallerDisconnected) => {
                 AttemptResult::CallerDisconnected(self.stage.get())
@@ -159,7 +164,9 @@
             Err(Interruption::TimedOut) => AttemptResult::TimedOut,
             Err(Interruption::Outdated) => AttemptResult::Failed(AttemptFailure::Outdated),
             Err(Interruption::Moved(slot)) => AttemptResult::Moved(slot),
-        }
+            Err(Interruption::NotSent) => return Err(NotSent),
+        };
+        Ok(result)
     }
 
     async fn exchange(
@@ -183,6 +190,12 @@
         if caller.has_closed() {
             return Err(Interruption::CallerDisconnected);
         }
+        // The restrictions may have changed since the slot was granted.
+        let slot_request = self.request.slot_request(clock::now(), self.tried);
+        if !self.state.may_send(&slot_request, target) {
+            self.state.pool().keep(clock::now(), &target.id, connection, None);
+            return Err(Interruption::NotSent);
+        }
         let Some(request) = self.outbound_request(target, reply.events.last_id()) else {
             return Err(Interruption::TimedOut);
         };
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -3,7 +3,9 @@
 use super::EntryState;
 use crate::clock;
 use buckthornwharf_core::direct::slots::SlotOutcome;
-use buckthornwharf_core::direct::{Admission, SlotGrant, SlotRequest, WaitTicket};
+use buckthornwharf_core::direct::{
+    Admission, RegisteredTarget, SlotGrant, SlotRequest, WaitTicket,
+};
 use buckthornwharf_core::prelude::*;
 use log::info;
 use std::rc::Rc;
@@ -104,6 +106,11 @@
         self.scheduler.borrow().is_silent(now, id)
     }
 
+    /// Returns whether `request` may still be sent to the target at which it has a slot.
+    pub fn may_send(&self, request: &SlotRequest, target: &RegisteredTarget) -> bool {
+        self.scheduler.borrow().may_send(request, target)
+    }
+
     /// Waits for a slot at a target that reports its load; `None` if the request is refused. Cancel-safe.
     pub async fn reserve_reporting(
         self: &Rc<Self>,
@@ -141,6 +148,12 @@
         self.serve_queue();
     }
 
+    /// Releases the slot of a request that was not sent, and whose prompt is no longer pending.
+    pub fn release_unsent_slot(&self, grant: &SlotGrant) {
+        self.scheduler.borrow_mut().release_unsent(clock::now(), grant);
+        self.serve_queue();
+    }
+
     /// Releases the slot of a request that was sent to target `id`.
     pub fn release_slot(&self, id: &str, outcome: SlotOutcome) {
         self.scheduler.borrow_mut().release(clock::now(), id, outcome);
@@ -155,7 +168,8 @@
             return;
         }
         let granted = scheduler.grant_free_slots(now);
-        let expired = scheduler.expire(now);
+        let mut refused = scheduler.refuse_unplaceable();
+        refused.extend(scheduler.expire(now));
         drop(scheduler);
         let mut waiters = self.waiters.borrow_mut();
         let mut undelivered = Vec::new();
@@ -167,7 +181,7 @@
                 undelivered.push(grant);
             }
         }
-        for (ticket, retry_after) in expired {
+        for (ticket, retry_after) in refused {
             if let Some(sender) = waiters.remove(&ticket) {
                 // Fails if the caller has disconnected.
                 let _ = sender.send(QueueDecision::Refused(retry_after));
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -99,6 +99,7 @@
             config.routes.len()
         );
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_config(&config);
         for service in &config.services {
             let rate = service.engine.as_ref().and_then(|spec| spec.prompt_tokens_per_second);
             if let Some(rate) = rate {
@@ -109,6 +110,8 @@
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         self.publish_agent_config(AgentConfig::of(&config));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
+        drop(routes);
+        self.serve_queue();
     }
 
     /// Writes the configuration for agents again, which the store may have lost.
