Capacity: a learned limit and speed for each target

Cause: targets of a service differ in speed and some slow down long before all their slots are in use, but all slots count the same; a sixth of the answers is late without faults.

A fixed number of fields for each target, constant work for each event.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,6 +7,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
+pub mod capacity;
 pub mod catalog;
 pub mod crashes;
 pub mod event_stream;
--- /dev/null
+++ b/core/src/direct/capacity/limit.rs
@@ -0,0 +1,107 @@
+//! The concurrency at which the times of a target begin to rise.
+
+use super::speed::SpeedWindow;
+use crate::prelude::*;
+
+/// Elevation of the times above their floor from which the load is too high: a factor of 1.4.
+const TOO_HIGH: f64 = 0.336;
+/// Elevation below which the limit may rise: a factor of 1.15. Between the two it stays, so that it settles.
+const CALM: f64 = 0.140;
+/// Part of the limit that must be in use for it to rise by a whole step.
+const USED_PART: f64 = 0.6;
+/// Rise of a limit that is in use, for each calm window.
+const USED_RISE: f64 = 0.15;
+/// The same for a limit that is not in use. It makes a target that was slow for a while normal again.
+const UNUSED_RISE: f64 = 0.04;
+/// Rise near the load that was too high, as a part of the usual rise.
+const NEAR_CEILING: f64 = 0.2;
+/// Time after which the load that was too high is forgotten.
+const CEILING_RETENTION: Duration = Duration::from_secs(8);
+/// Minimum time between two rises.
+const RISE_INTERVAL: Duration = Duration::from_millis(150);
+/// Part of the slots below which a limit does not fall.
+const MIN_PART: f64 = 1.0 / 6.0;
+
+/// The limit of one target, between a sixth of its slots (at least 1) and all of them.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ConcurrencyLimit {
+    slots: f64,
+    limit: f64,
+    /// The lowest recent load that was too high.
+    ceiling: Option<f64>,
+    cut_at: MonoTime,
+    risen_at: MonoTime,
+}
+
+impl ConcurrencyLimit {
+    /// Creates the limit of a target with `slots`, of which `ratio` are used.
+    pub fn new(slots: u32, ratio: f64) -> Self {
+        let slots = f64::from(slots.max(1));
+        let mut limit = Self {
+            slots,
+            limit: slots,
+            ceiling: None,
+            cut_at: MonoTime::ZERO,
+            risen_at: MonoTime::ZERO,
+        };
+        limit.limit = (slots * ratio).clamp(limit.min(), slots);
+        limit
+    }
+
+    /// Returns the number of requests.
+    pub fn value(&self) -> u32 {
+        self.limit.round().max(1.0) as u32
+    }
+
+    /// Returns the ratio to the slots.
+    pub fn ratio(&self) -> f64 {
+        self.limit / self.slots
+    }
+
+    pub fn slots(&self) -> f64 {
+        self.slots
+    }
+
+    fn min(&self) -> f64 {
+        (self.slots * MIN_PART).max(1.0)
+    }
+
+    /// Applies the times of a window.
+    pub fn on_window(&mut self, now: MonoTime, window: SpeedWindow) {
+        // Requests that were sent before the last cut ran at the load from before it.
+        if window.begun_at < self.cut_at {
+            return;
+        }
+        if window.elevation > TOO_HIGH {
+            // Times that are high at the load of the floor, too, have another reason than the load.
+            if window.load > window.floor_load + 1.0 {
+                self.cut(now, window);
+            }
+        } else if window.elevation < CALM && now.since(self.risen_at) >= RISE_INTERVAL {
+            self.rise(now, window.load);
+        }
+    }
+
+    /// The times of a saturated target are proportional to its load, which gives the load of the floor.
+    fn cut(&mut self, now: MonoTime, window: SpeedWindow) {
+        let sustainable = window.load * (-window.elevation).exp();
+        let limit = sustainable.max(window.floor_load.min(window.load * 0.9)).max(self.min());
+        if limit < self.limit {
+            self.limit = limit;
+            self.ceiling = Some(window.load);
+            self.cut_at = now;
+        }
+    }
+
+    fn rise(&mut self, now: MonoTime, load: f64) {
+        if now.since(self.cut_at) > CEILING_RETENTION {
+            self.ceiling = None;
+        }
+        let rate = if load >= self.limit * USED_PART { USED_RISE } else { UNUSED_RISE };
+        let raised = self.limit * (1.0 + rate);
+        let is_near = self.ceiling.is_some_and(|ceiling| raised > ceiling * 0.8);
+        let rate = if is_near { rate * NEAR_CEILING } else { rate };
+        self.limit = (self.limit * (1.0 + rate)).min(self.slots);
+        self.risen_at = now;
+    }
+}
