Learned limits are followed: placement, reports of agents, measured times, metrics

Cause: placement counts all slots the same, and all entries with the same report choose the same target.

Change: with learned_limits, the slots of a target are its learned limit, and the cost of a target is the time in which it is expected to begin the answer, with the requests that other entries are expected to have sent, and with noise between entries. No request is sent to a target without memory for it, and a slow target gets fewer unread prompt tokens. Agents report pace, waiting requests and memory, and a clear change of the pace at once. The entry records first events, pauses and answer times; failures are not taken as speed. Metrics for each target, a log line when it becomes slow or normal. Without the setting nothing changes.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -7,12 +7,14 @@
 
 mod entry_regions;
 mod grant;
+mod learned;
 mod load;
 mod notices;
 mod queue;
 mod rate_limit;
 mod restrictions;
 
+use super::capacity::{CapacityTable, SpeedSample};
 use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
@@ -44,6 +46,8 @@
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
     next_ticket: WaitTicket,
+    /// The learned limits; `None` while they are not enabled.
+    capacity: Option<CapacityTable>,
 }
 
 impl SlotScheduler {
@@ -57,6 +61,7 @@
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
             next_ticket: 0,
+            capacity: None,
         }
     }
 
@@ -103,6 +108,7 @@
         for load in self.targets.values_mut() {
             load.registered = registered_ids.binary_search(&load.record.id).is_ok();
         }
+        self.update_learned_targets();
         self.update_limit_shares();
     }
 
@@ -157,6 +163,11 @@
             return;
         };
         load.release(now, outcome);
+        if let Some(table) = &mut self.capacity
+            && outcome == SlotOutcome::Failed
+        {
+            table.record(now, id, SpeedSample::Failed, 0);
+        }
         if outcome == SlotOutcome::Answered {
             let service = load.record.service.clone();
             self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now);
@@ -240,6 +251,7 @@
 
     /// Takes a slot at the eligible target with the lowest cost, if there is one.
     fn try_grant(&mut self, now: MonoTime, request: &SlotRequest) -> Option<SlotGrant> {
+        self.begin_choice();
         // Looked up at this point because a version may have been retired while the request waited.
         let required = self.required_version(now, request);
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
@@ -252,13 +264,14 @@
             load.is_eligible(now, request, required)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
-                && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
+                && self.takes_prompt(now, load, request, max_tokens)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
         let candidates = self.targets.values().filter(has_room);
-        let best = candidates.min_by_key(|load| load.cost(now, &self.regions))?;
+        let best = candidates.min_by_key(|load| self.placement_cost(now, load, request))?;
         let id = best.record.id.clone();
         let begin_by = begin_by(best);
+        let sent = self.record_sent(now, &id, request);
         let load = self.targets.get_mut(&id)?;
         load.take_slot(now, request);
         self.notices.count_sent(now, &load.record, load.limit_share);
@@ -267,6 +280,7 @@
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
             begin_by,
+            sent,
         })
     }
 
--- a/core/src/direct/slots/grant.rs
+++ b/core/src/direct/slots/grant.rs
@@ -1,5 +1,6 @@
 //! Requests for slots at targets, and the decisions on them.
 
+use crate::direct::capacity::SentState;
 use crate::direct::{RegisteredTarget, WaitAllowance};
 use crate::prelude::*;
 
@@ -45,6 +46,8 @@
     /// Time by which the target must have begun to run the request, because its loaded version is
     /// retired then; `None` if no newer version is declared.
     pub begin_by: Option<MonoTime>,
+    /// State of the target when the slot was granted, if limits are learned.
+    pub sent: SentState,
 }
 
 /// Decision on a [`SlotRequest`].
--- /dev/null
+++ b/core/src/direct/slots/learned.rs
@@ -0,0 +1,156 @@
+//! Placement by learned limits and expected times, while they are enabled.
+
+use super::load::TargetLoad;
+use super::{SlotGrant, SlotRequest, SlotScheduler};
+use crate::direct::EngineSpec;
+use crate::direct::capacity::{
+    CapacityTable, EngineState, SentState, SpeedChange, SpeedSample, TargetLimit, TargetWork,
+};
+use crate::prelude::*;
+
+/// Part of the requests that this entry sent to a target since its last report that each other entry in
+/// the region is expected to have sent to it as well: all have the same report, and different noise.
+const MIRRORED_PART: f64 = 0.5;
+
+impl SlotScheduler {
+    /// Enables learned limits. Entries must have different seeds.
+    pub fn enable_learned_limits(&mut self, seed: u64) {
+        let mut table = CapacityTable::new(seed);
+        for load in self.targets.values() {
+            table.set_target(&load.record);
+        }
+        self.capacity = Some(table);
+    }
+
+    /// Sets the published figures of a service.
+    pub fn set_engine(&mut self, service: &ServiceName, engine: Option<&EngineSpec>) {
+        if let Some(table) = &mut self.capacity {
+            table.set_engine(service, engine);
+        }
+    }
+
+    /// Stores what the agent of target `id` reports besides its load.
+    pub fn set_engine_state(
+        &mut self,
+        now: MonoTime,
+        id: &str,
+        state: EngineState,
+    ) -> Option<SpeedChange> {
+        self.capacity.as_mut()?.set_engine_state(now, id, state)
+    }
+
+    /// Records how quickly the target of `grant` answers.
+    pub fn record_speed(
+        &mut self,
+        now: MonoTime,
+        grant: &SlotGrant,
+        sample: SpeedSample,
+    ) -> Option<SpeedChange> {
+        let table = self.capacity.as_mut()?;
+        let load = self.targets.get_mut(&grant.target.id)?;
+        let work = load.work(now, &self.regions, 0.0);
+        let change = table.record(now, &grant.target.id, sample, work.requests.round() as u32);
+        load.learned_limit = table.limit(&grant.target.id);
+        change
+    }
+
+    /// Returns the learned limits of the registered targets; empty if they are not enabled.
+    pub fn target_limits(&self, now: MonoTime) -> Vec<TargetLimit> {
+        let Some(table) = &self.capacity else {
+            return Vec::new();
+        };
+        let registered = self.targets.values().filter(|load| load.registered);
+        let limit_of = |load: &TargetLoad| {
+            let requests = load.work(now, &self.regions, 0.0).requests.round() as u32;
+            table.target_limit(now, &load.record.id, requests)
+        };
+        registered.filter_map(limit_of).collect()
+    }
+
+    /// Returns the expected time until target `id` begins to answer `request` if it were sent now; `None` if
+    /// learned limits are not enabled or the target is unknown.
+    pub fn expected_start(
+        &self,
+        now: MonoTime,
+        id: &str,
+        request: &SlotRequest,
+    ) -> Option<Duration> {
+        let load = self.targets.get(id)?;
+        self.capacity.as_ref()?.expected_start(now, id, request.prompt_tokens, self.work(now, load))
+    }
+
+    /// Follows a change of the targets.
+    pub(super) fn update_learned_targets(&mut self) {
+        let Some(table) = &mut self.capacity else {
+            return;
+        };
+        for load in self.targets.values_mut() {
+            table.set_target(&load.record);
+            load.learned_limit = table.limit(&load.record.id);
+        }
+        let targets = &self.targets;
+        table.retain(|id| targets.contains_key(id));
+    }
+
+    /// What the target has to do, with what the other entries are expected to have sent.
+    fn work(&self, now: MonoTime, load: &TargetLoad) -> TargetWork {
+        load.work(now, &self.regions, MIRRORED_PART)
+    }
+
+    /// Returns the cost of sending the request to this target. Lower is better.
+    pub(super) fn placement_cost(
+        &self,
+        now: MonoTime,
+        load: &TargetLoad,
+        request: &SlotRequest,
+    ) -> u64 {
+        match &self.capacity {
+            None => load.cost(now, &self.regions),
+            Some(table) => {
+                let work = self.work(now, load);
+                let cost = table.cost(now, &load.record.id, request.prompt_tokens, work);
+                cost + load.place_cost(now)
+            }
+        }
+    }
+
+    /// Returns whether the target has memory for the request, and reads its prompt within `max_tokens`
+    /// unread ones, which are fewer at a slow target.
+    pub(super) fn takes_prompt(
+        &self,
+        now: MonoTime,
+        load: &TargetLoad,
+        request: &SlotRequest,
+        max_tokens: u32,
+    ) -> bool {
+        let Some(table) = &self.capacity else {
+            return load.has_prefill_capacity(request.prompt_tokens, max_tokens);
+        };
+        let id = &load.record.id;
+        let max_tokens = f64::from(max_tokens) / table.slowness(now, id).max(1.0);
+        let tokens = (request.prompt_tokens, request.answer_tokens);
+        load.has_prefill_capacity(request.prompt_tokens, max_tokens as u32)
+            && table.fits_memory(now, id, tokens, self.regions.in_region())
+    }
+
+    /// Begins a choice of a target.
+    pub(super) fn begin_choice(&mut self) {
+        if let Some(table) = &mut self.capacity {
+            table.begin_decision();
+        }
+    }
+
+    /// Records that `request` is sent to target `id`.
+    pub(super) fn record_sent(
+        &mut self,
+        now: MonoTime,
+        id: &str,
+        request: &SlotRequest,
+    ) -> SentState {
+        let Some((table, load)) = self.capacity.as_mut().zip(self.targets.get(id)) else {
+            return SentState::default();
+        };
+        let work = load.work(now, &self.regions, MIRRORED_PART);
+        table.record_sent(now, id, (request.prompt_tokens, request.answer_tokens), work)
+    }
+}
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -1,6 +1,7 @@
 //! Load of one target, as seen by this entry.
 
 use super::{EntryRegions, SlotOutcome, SlotRequest};
+use crate::direct::capacity::TargetWork;
 use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
 use crate::prelude::*;
 
@@ -64,6 +65,8 @@
     released_since_report: u32,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
+    /// Learned limit, used instead of the registered slots; `None` if limits are not learned.
+    pub learned_limit: Option<u32>,
 }
 
 /// A request that waits for the first byte of its response.
@@ -93,6 +96,7 @@
             released_since_report: 0,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
+            learned_limit: None,
         }
     }
 
@@ -113,7 +117,7 @@
         self.other_requests = requests.saturating_sub(self.in_flight);
         self.accepting = accepting;
         self.reported_at = Some(now);
-        self.free_slots = self.record.slots.saturating_sub(requests);
+        self.free_slots = self.slots().saturating_sub(requests);
         self.taken_since_report = 0;
         self.released_since_report = 0;
     }
@@ -254,9 +258,9 @@
     /// Returns how many requests this entry may have at the target while it has no fresh report.
     pub fn limit_without_report(&self, entries: &EntryRegions) -> u32 {
         if self.local {
-            return self.record.slots.div_ceil(entries.in_region().max(1));
+            return self.slots().div_ceil(entries.in_region().max(1));
         }
-        let remote_slots = u64::from(self.record.slots) * UNREPORTED_REMOTE_PERCENT / 100;
+        let remote_slots = u64::from(self.slots()) * UNREPORTED_REMOTE_PERCENT / 100;
         (remote_slots as u32 / entries.entries().max(1)).max(1)
     }
 
@@ -280,7 +284,7 @@
         let unused = (share as u32)
             .saturating_add(self.released_since_report)
             .saturating_sub(self.taken_since_report);
-        unused.min(self.record.slots.saturating_sub(self.in_flight))
+        unused.min(self.slots().saturating_sub(self.in_flight))
     }
 
     /// Returns the cost of sending a further request to the target: its utilisation in thousandths,
@@ -296,9 +300,40 @@
                     / u64::from(self.limit_without_report(entries).max(1))
             }
         };
+        utilisation + self.place_cost(now)
+    }
+
+    /// Returns the part of the cost that does not depend on the load.
+    pub fn place_cost(&self, now: MonoTime) -> u64 {
         let distance_cost = if self.local { 0 } else { REMOTE_COST };
         let silence_cost = if self.is_silent(now) { SILENT_COST } else { 0 };
-        utilisation + distance_cost + silence_cost
+        distance_cost + silence_cost
+    }
+
+    /// Returns how many requests of all entries the target takes.
+    fn slots(&self) -> u32 {
+        self.learned_limit.map_or(self.record.slots, |limit| limit.min(self.record.slots))
+    }
+
+    /// Returns what the target has to do. Each other entry of its region is expected to have sent `mirrored`
+    /// times as many requests as this one since the last report.
+    pub fn work(&self, now: MonoTime, entries: &EntryRegions, mirrored: f64) -> TargetWork {
+        let others = f64::from(entries.in_region().saturating_sub(1));
+        let other_requests = match self.has_fresh_report(now) {
+            true => {
+                f64::from(self.other_requests)
+                    + f64::from(self.taken_since_report) * others * mirrored
+            }
+            // Nothing tells the load of the others, so it is assumed to be like this entry's.
+            false => f64::from(self.in_flight) * others,
+        };
+        let oldest_wait = self.pending.iter().map(|request| now.since(request.granted_at)).max();
+        TargetWork {
+            requests: f64::from(self.in_flight) + other_requests,
+            other_requests,
+            unread_tokens: f64::from(self.pending_prefill_tokens),
+            oldest_wait: oldest_wait.unwrap_or_default(),
+        }
     }
 
     /// Returns whether the target's load reports have stopped; false if there has been none.
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -7,7 +7,7 @@
 use crate::clock;
 use crate::direct::facts::AgentConfig;
 use crate::direct::follow::StoreEvent;
-use crate::direct::loads::{AgentReports, EngineLoad};
+use crate::direct::loads::{AgentReports, EngineDetails, EngineLoad};
 use crate::direct::metrics::DirectAgentMetrics;
 use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
@@ -24,6 +24,12 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
+/// Step to which the reported memory is rounded, in percent.
+const MEMORY_STEP: u64 = 5;
+/// Step to which the reported pace is rounded, in percent.
+const PACE_STEP: f64 = 10.0;
+/// Highest pace that is reported, in percent.
+const MAX_PACE: f64 = 10_000.0;
 /// Version that engines load as long as none has been declared.
 const FIRST_VERSION: u64 = 1;
 
@@ -277,6 +283,7 @@
             engine: self.agent_settings.engine,
             requests: report.requests(),
             accepting: !self.load_ordered.get() && !report.loading,
+            details: self.settings.learned_limits.then(|| engine_details(report)),
         };
         self.loads.send_if_modified(|known| {
             let changed = *known != Some(load);
@@ -296,3 +303,17 @@
         self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
     }
 }
+
+/// Returns what entries that learn limits use, rounded.
+fn engine_details(report: &EngineReport) -> EngineDetails {
+    let pace = report.pace.filter(|pace| pace.is_finite() && *pace > 0.0);
+    let rounded = |pace: f64| {
+        let steps = (pace * 100.0 / PACE_STEP).round().max(1.0);
+        (steps * PACE_STEP).min(MAX_PACE) as u32
+    };
+    let memory = (report.memory_total > 0).then(|| {
+        let percent = u128::from(report.memory_used) * 100 / u128::from(report.memory_total);
+        (percent.min(100) as u64).next_multiple_of(MEMORY_STEP) as u32
+    });
+    EngineDetails { pace: pace.map(rounded), waiting: report.waiting, memory }
+}
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -5,8 +5,10 @@
 use super::{
     AttemptResult, Interruption, RelayedAnswer, TargetAttempt, TargetConnection, failure_of,
 };
+use crate::clock;
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
+use buckthornwharf_core::direct::capacity::PauseMeter;
 use buckthornwharf_core::direct::{AttemptFailure, EventStream, StreamEnd, StreamFault};
 use buckthornwharf_exchange::{
     AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
@@ -112,6 +114,11 @@
         if self.may_retry && is_target_failure(answer.status) {
             return Ok(AttemptResult::Failed(AttemptFailure::ServerError));
         }
+        if is_target_failure(answer.status) {
+            self.state.record_target_failure(self.grant);
+        } else if answer.status.is_success() {
+            self.state.record_started(self.grant);
+        }
         let Some(head) = reply.take_unsent() else {
             return Ok(answered(&answer, ConnectionAction::Abort));
         };
@@ -188,6 +195,7 @@
         reply.events.begin_attempt();
         let mut is_first_part = true;
         let mut has_begun = false;
+        let mut pauses = PauseMeter::default();
         loop {
             let part = match std::mem::take(&mut is_first_part) {
                 true => self.within_begin_by(caller, connection.read_body()).await,
@@ -197,6 +205,10 @@
             let step = take_received(&mut reply.events, &mut connection, part);
             if !step.events.is_empty() && !std::mem::replace(&mut has_begun, true) {
                 self.state.on_answer_begun(&self.request.service, &self.request.causes);
+                self.state.record_started(self.grant);
+            }
+            if let Some(sample) = pauses.on_events(clock::now(), count_events(&step.events)) {
+                self.state.record_pauses(self.grant, sample);
             }
             if self.send_step(caller, &answer, reply, &step).await.is_err() {
                 return Err(Interruption::CallerDisconnected);
@@ -293,6 +305,12 @@
     AttemptResult::Answered(RelayedAnswer { status, framing, connection_action })
 }
 
+/// Returns the number of events, which end in an empty line; at least 1 if there is a part of one.
+fn count_events(events: &[u8]) -> u32 {
+    let ends = events.windows(2).filter(|pair| matches!(*pair, b"\n\n" | b"\r\r" | b"\n\r"));
+    u32::try_from(ends.count()).unwrap_or(u32::MAX).max(u32::from(!events.is_empty()))
+}
+
 /// Returns whether the status says that the target failed. A time-out is not counted: the request would
 /// time out at another target, too.
 fn is_target_failure(status: StatusCode) -> bool {
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -3,10 +3,12 @@
 mod crashes;
 mod notices;
 mod queue;
+mod speed;
 mod updates;
 
 pub use crashes::cause_list;
 pub use queue::{QueueDecision, ReservedSlot, run_queue};
+pub use speed::run_limit_metrics;
 
 use super::pool::ConnectionPool;
 use crate::direct::facts::AgentConfig;
@@ -68,6 +70,10 @@
     ) -> Rc<Self> {
         let sites = settings.regions.clone().into_iter().collect();
         let regions = EntryRegions::new(settings.region(), sites);
+        let mut scheduler = SlotScheduler::new(regions);
+        if settings.learned_limits {
+            scheduler.enable_learned_limits(rand::random());
+        }
         Rc::new(Self {
             metrics,
             shutdown,
@@ -81,7 +87,7 @@
             targets_listed: Cell::new(false),
             versions_listed: Cell::new(false),
             entries: RefCell::default(),
-            scheduler: RefCell::new(SlotScheduler::new(regions)),
+            scheduler: RefCell::new(scheduler),
             waiters: RefCell::default(),
             retry_budgets: RefCell::default(),
             caller_timeouts: RefCell::default(),
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -1,6 +1,7 @@
 //! Applies updates from the store and from agents to the state of an entry.
 
 use super::EntryState;
+use super::speed::log_speed_change;
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
 use crate::direct::follow::StoreEvent;
@@ -100,6 +101,7 @@
         );
         let mut scheduler = self.scheduler.borrow_mut();
         for service in &config.services {
+            scheduler.set_engine(&service.name, service.engine.as_ref());
             let rate = service.engine.as_ref().and_then(|spec| spec.prompt_tokens_per_second);
             if let Some(rate) = rate {
                 scheduler.set_prefill_rate(&service.name, rate);
@@ -203,6 +205,9 @@
         let mut scheduler = self.scheduler.borrow_mut();
         for target in catalog.iter().filter(|target| target.address == load.engine) {
             scheduler.set_load(now, &target.id, load.requests, load.accepting);
+            let state = load.engine_state();
+            let change = state.and_then(|state| scheduler.set_engine_state(now, &target.id, state));
+            log_speed_change(target, change);
         }
         drop((catalog, scheduler));
         self.serve_queue();
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -4,6 +4,7 @@
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
 use anyhow::{Result, bail};
+use buckthornwharf_core::direct::capacity::EngineState;
 use buckthornwharf_core::prelude::*;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
@@ -28,6 +29,8 @@
 const NEWS_PATH: &str = "/loads-and-news";
 /// Timeout to open a link, and to send a message.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Difference of the paces, in percent of the lower one, from which a report is sent at once.
+const CLEAR_PACE_PERCENT: u32 = 25;
 /// Delay before a link is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum size of a message, in bytes.
@@ -46,6 +49,44 @@
     pub requests: u32,
     /// Whether the engine accepts more requests.
     pub accepting: bool,
+    /// What entries that learn limits use besides; `None` if limits are not learned.
+    pub details: Option<EngineDetails>,
+}
+
+/// How fast an engine is and how full. The values are rounded, so that small changes cause no message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDetails {
+    /// Factor by which it is slower than usual, in percent, if it says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<u32>,
+    /// Number of requests that wait in it.
+    #[serde(default)]
+    pub waiting: u32,
+    /// Occupied memory in percent, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<u32>,
+}
+
+impl EngineLoad {
+    /// Returns the state of the engine, if it is reported.
+    pub fn engine_state(&self) -> Option<EngineState> {
+        let details = self.details?;
+        Some(EngineState {
+            pace: details.pace.map(|percent| f64::from(percent) / 100.0),
+            waiting: details.waiting,
+            running: self.requests.saturating_sub(details.waiting),
+            memory_part: details.memory.map(|percent| f64::from(percent) / 100.0),
+        })
+    }
+
+    /// Returns whether the engine is much faster or slower than in `sent`.
+    fn has_other_pace(&self, sent: &Self) -> bool {
+        let pace = |load: &Self| load.details.and_then(|details| details.pace).unwrap_or(100);
+        let (paces, sent) = (pace(self), pace(sent));
+        let (lower, higher) = (paces.min(sent), paces.max(sent));
+        u64::from(higher) * 100 >= u64::from(lower) * u64::from(100 + CLEAR_PACE_PERCENT)
+            && higher != lower
+    }
 }
 
 /// A message of an agent to an entry.
@@ -54,6 +95,9 @@
     engine: SocketAddr,
     requests: u32,
     accepting: bool,
+    /// How fast the engine is and how full; absent in messages of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    details: Option<EngineDetails>,
     /// The declared versions that the agent knows; empty if the entry has heard of them on this link.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<DeclaredFields>,
@@ -62,13 +106,14 @@
 impl AgentMessage {
     /// Creates the message that reports `load` and tells of `versions`.
     pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
-        let EngineLoad { engine, requests, accepting } = load;
-        Self { engine, requests, accepting, versions }
+        let EngineLoad { engine, requests, accepting, details } = load;
+        Self { engine, requests, accepting, details, versions }
     }
 
     /// Returns the load of the agent's engine.
     pub fn load(&self) -> EngineLoad {
-        EngineLoad { engine: self.engine, requests: self.requests, accepting: self.accepting }
+        let Self { engine, requests, accepting, details, .. } = *self;
+        EngineLoad { engine, requests, accepting, details }
     }
 }
 
@@ -254,14 +299,26 @@
             let versions = repeat.due_versions(clock::now(), &reports.news.borrow_and_update());
             send(&mut sink, &AgentMessage::new(load, versions)).await?;
         }
-        actix_rt::time::sleep(MIN_INTERVAL).await;
-        if !reports.changed().await {
+        if !reports.pace_changed(load, MIN_INTERVAL).await && !reports.changed().await {
             return Ok(());
         }
     }
 }
 
 impl AgentReports {
+    /// Waits for `time`, or until the pace clearly differs from that in `sent`; returns whether it does.
+    async fn pace_changed(&self, sent: Option<EngineLoad>, time: Duration) -> bool {
+        // A receiver of its own, so that other changes during the wait still count as new.
+        let mut loads = self.loads.clone();
+        let is_other = |load: &Option<EngineLoad>| {
+            sent.zip(*load).is_some_and(|(sent, load)| load.has_other_pace(&sent))
+        };
+        match tokio::time::timeout(time, loads.wait_for(is_other)).await {
+            Ok(changed) => changed.is_ok(),
+            Err(_) => false,
+        }
+    }
+
     /// Waits for a change, at most for [`REPEAT_INTERVAL`]. Returns false if the sender of the loads is
     /// dropped.
     async fn changed(&mut self) -> bool {
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -7,7 +7,8 @@
 use anyhow::Result;
 use log::warn;
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::net::SocketAddr;
 
@@ -51,6 +52,12 @@
     pub targets: IntGauge,
     /// Live entries, this one included.
     pub entries: IntGauge,
+    /// Learned limit of each target.
+    pub target_limit: GaugeVec,
+    /// Times of each target without load, relative to the expected ones of its service.
+    pub target_floor: GaugeVec,
+    /// Requests of all entries at each target, as far as they are known.
+    pub target_load: GaugeVec,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -129,6 +136,21 @@
             )?,
             targets: new_gauge(&registry, "direct_targets", "Targets that are registered")?,
             entries: new_gauge(&registry, "direct_entries", "Live entries")?,
+            target_limit: new_target_gauges(
+                &registry,
+                "direct_target_limit",
+                "Learned number of requests that a target takes at a time",
+            )?,
+            target_floor: new_target_gauges(
+                &registry,
+                "direct_target_floor_ratio",
+                "Times of a target without load, relative to the expected ones",
+            )?,
+            target_load: new_target_gauges(
+                &registry,
+                "direct_target_load",
+                "Requests of all entries at a target",
+            )?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -251,6 +273,12 @@
     Ok(counters)
 }
 
+fn new_target_gauges(registry: &Registry, name: &str, help: &str) -> Result<GaugeVec> {
+    let gauges = GaugeVec::new(Opts::new(name, help), &["target"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn new_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
     let counter = IntCounter::new(name, help)?;
     registry.register(Box::new(counter.clone()))?;
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -152,7 +152,12 @@
     odd["service"] = json!("elsewhere");
     fleet.store.put("servers/a-odd", &odd);
     eventually("the watch is current", || fleet.store.is_watch_current("servers/")).await;
-    let load = EngineLoad { engine: fleet.engines[0].address, requests: 0, accepting: false };
+    let load = EngineLoad {
+        engine: fleet.engines[0].address,
+        requests: 0,
+        accepting: false,
+        details: None,
+    };
     let (_sender, receiver) = watch::channel(Some(load));
     let news = watch::channel(VersionNews::default()).1;
     let reports = AgentReports { loads: receiver, news };
@@ -218,7 +223,12 @@
         let bytes = [&[first], &[0xff; 8][..], &[0; 8]].concat();
         link.send(Message::Binary(bytes.into())).await.expect("an open link");
     }
-    let load = EngineLoad { engine: fleet.engines[0].address, requests: 0, accepting: false };
+    let load = EngineLoad {
+        engine: fleet.engines[0].address,
+        requests: 0,
+        accepting: false,
+        details: None,
+    };
     let mut bytes = Vec::new();
     ciborium::into_writer(&AgentMessage::new(load, Vec::new()), &mut bytes).expect("CBOR");
     link.send(Message::Binary(bytes.into())).await.expect("an open link");
--- a/tests/direct_silent.rs
+++ b/tests/direct_silent.rs
@@ -50,7 +50,8 @@
     }
 
     fn report(&self, number: usize, requests: u32) {
-        let load = EngineLoad { engine: self.engines[number], requests, accepting: true };
+        let load =
+            EngineLoad { engine: self.engines[number], requests, accepting: true, details: None };
         let sender = self.senders[number].as_ref().expect("a target that reports");
         sender.send_replace(Some(load));
     }
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -18,7 +18,7 @@
 
 fn load() -> EngineLoad {
     let engine = "127.0.0.1:1".parse().expect("an address");
-    EngineLoad { engine, requests: 3, accepting: true }
+    EngineLoad { engine, requests: 3, accepting: true, details: None }
 }
 
 /// The message of an agent that knows no news.
@@ -66,7 +66,7 @@
 
 #[test]
 fn messages_with_and_without_news_are_understood_by_both_sides() {
-    let EngineLoad { engine, requests, accepting } = load();
+    let EngineLoad { engine, requests, accepting, .. } = load();
     let earlier = encode(&EarlierMessage { engine, requests, accepting });
     assert_eq!(encode(&AgentMessage::new(load(), Vec::new())), earlier);
     let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
