--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -7,12 +7,14 @@
 
 mod entry_regions;
 mod grant;
+mod learned;
 mod load;
 mod notices;
 mod queue;
 mod rate_limit;
 mod restrictions;
 
+use super::capacity::{CapacityTable, SpeedSample};
 use super::{AllowedRegions, DeclaredVersion, DeclaredVersions, RegisteredTarget, ServingConfig};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
@@ -47,6 +49,8 @@
     /// Whether waiting requests may have lost their last allowed target.
     recheck_waiting: bool,
     next_ticket: WaitTicket,
+    /// The learned limits; `None` while they are not enabled.
+    capacity: Option<CapacityTable>,
 }
 
 impl SlotScheduler {
@@ -62,6 +66,7 @@
             allowed_regions: AllowedRegions::default(),
             recheck_waiting: false,
             next_ticket: 0,
+            capacity: None,
         }
     }
 
@@ -115,6 +120,7 @@
             load.registered = registered_ids.binary_search(&load.record.id).is_ok();
         }
         self.recheck_waiting = true;
+        self.update_learned_targets();
         self.update_limit_shares();
     }
 
@@ -173,6 +179,11 @@
             return;
         };
         load.release(now, outcome);
+        if let Some(table) = &mut self.capacity
+            && outcome == SlotOutcome::Failed
+        {
+            table.record(now, id, SpeedSample::Failed, 0);
+        }
         if outcome == SlotOutcome::Answered {
             let (service, site) = (load.record.service.clone(), load.record.site.clone());
             self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now, site);
@@ -295,6 +306,7 @@
 
     /// Takes a slot at the eligible target with the lowest cost, if there is one.
     fn try_grant(&mut self, now: MonoTime, request: &SlotRequest) -> Option<SlotGrant> {
+        self.begin_choice();
         // Looked up at this point because a version may have been retired while the request waited.
         let required = self.required_version(now, request);
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
@@ -308,13 +320,14 @@
                 && self.is_allowed(load, request)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
-                && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
+                && self.takes_prompt(now, load, request, max_tokens)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
         let candidates = self.targets.values().filter(has_room);
-        let best = candidates.min_by_key(|load| load.cost(now, &self.regions))?;
+        let best = candidates.min_by_key(|load| self.placement_cost(now, load, request))?;
         let id = best.record.id.clone();
         let begin_by = begin_by(best);
+        let sent = self.record_sent(now, &id, request);
         let load = self.targets.get_mut(&id)?;
         load.take_slot(now, request);
         self.notices.count_sent(now, &load.record, load.limit_share);
@@ -323,6 +336,7 @@
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
             begin_by,
+            sent,
         })
     }
 
