--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -113,6 +113,15 @@
         slowness().unwrap_or(1.0)
     }
 
+    /// Returns whether target `id` fails far more requests than the others of its service.
+    pub fn is_failing(&self, now: MonoTime, id: &str) -> bool {
+        let is_failing = || {
+            let target = self.targets.get(id)?;
+            Some(target.is_failing(now, self.services.get(target.service())?))
+        };
+        is_failing().unwrap_or(false)
+    }
+
     /// Returns whether a request with these tokens fits into the memory of target `id`; true if its memory
     /// is not known. `entries` send to the target, and have the same report.
     pub fn fits_memory(&self, now: MonoTime, id: &str, tokens: (u32, u32), entries: u32) -> bool {
@@ -135,8 +144,11 @@
         let Some(target) = self.targets.get_mut(id) else {
             return SentState::default();
         };
-        match self.services.get(target.service()) {
-            Some(service) => target.record_sent(now, service.model(), tokens, work),
+        match self.services.get_mut(target.service()) {
+            Some(service) => {
+                service.count_sent(now);
+                target.record_sent(now, service.model(), tokens, work)
+            }
             None => SentState::default(),
         }
     }
@@ -170,6 +182,13 @@
         Some(Duration::from_secs_f64(millis.clamp(0.0, 1e6) / 1000.0))
     }
 
+    /// Returns the requests per second that this entry sends to each target of the service, on average.
+    pub fn sent_rate(&self, now: MonoTime, service: &ServiceName) -> f64 {
+        let targets = self.targets.values().filter(|target| target.service() == service).count();
+        let rate = self.services.get(service).map_or(0.0, |speed| speed.sent_rate(now));
+        rate / targets.max(1) as f64
+    }
+
     /// Begins a choice between targets: the costs of one choice have the same random parts.
     pub fn begin_decision(&mut self) {
         self.decisions = self.decisions.wrapping_add(1);
@@ -177,18 +196,35 @@
 
     /// Returns the cost of sending a request to target `id`, which has `work`, in thousandths of the time that
     /// a busy target of usual speed takes. Lower is better.
-    pub fn cost(&self, now: MonoTime, id: &str, prompt_tokens: u32, work: TargetWork) -> u64 {
+    /// `arrivals` is the number of requests that other entries are expected to send to a target until its next
+    /// report.
+    pub fn cost(
+        &self,
+        now: MonoTime,
+        id: &str,
+        prompt_tokens: u32,
+        mut work: TargetWork,
+        arrivals: f64,
+    ) -> u64 {
         let Some(target) = self.targets.get(id) else {
             return 0;
         };
         let Some(service) = self.services.get(target.service()) else {
             return 0;
         };
+        let noise = combine_hashes(combine_hashes(self.seed, self.decisions), hash_text(id));
+        let random_part = unit_interval(noise);
+        work.requests += random_part * 2.0 * arrivals;
+        work.other_requests += random_part * 2.0 * arrivals;
         let expected = target.expected_start_ms(now, service, prompt_tokens, work);
         let reference = service.reference_ms(prompt_tokens, target.slots());
         let time_cost = (expected / reference * 1000.0).min(MAX_TIME_COST);
         let utilisation = (work.requests / f64::from(target.limit())).min(2.0);
-        let noise = combine_hashes(combine_hashes(self.seed, self.decisions), hash_text(id));
         (time_cost + utilisation * UTILISATION_COST) as u64 + noise % NOISE_COST
     }
 }
+
+/// Maps a hash to a number from 0 up to 1.
+fn unit_interval(hash: u64) -> f64 {
+    (hash >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/core/src/direct/capacity/speed.rs
+++ b/core/src/direct/capacity/speed.rs
@@ -18,6 +18,10 @@
 const WINDOW_SAMPLES: u32 = 8;
 /// Samples and length of a window that ends before it is full.
 const SHORT_WINDOW: (u32, Duration) = (3, Duration::from_millis(200));
+/// Time after which the samples of a window are dropped: the load has changed since.
+const MAX_WINDOW: Duration = Duration::from_secs(3);
+/// Standard deviations of a window's mean that chance explains.
+const CHANCE_DEVIATIONS: f64 = 2.0;
 /// Weight of a window that is faster than the floor.
 const FLOOR_FALL: f64 = 0.5;
 /// Weight of a window that is slower than the floor, if its load is not higher than that of the floor.
@@ -32,6 +36,10 @@
 const FLOOR_RETENTION: f64 = 15.0;
 /// Weight of a sample in the values of a service.
 const SERVICE_WEIGHT: f64 = 0.02;
+/// Time in seconds over which the rate of sent requests is measured.
+const RATE_TIME: f64 = 1.0;
+/// Weight of an answer in the share of failures of a service.
+const SERVICE_FAILURE_WEIGHT: f64 = 0.1;
 /// Limit of the logarithm of a ratio: a factor of 1000.
 const MAX_LOG: f64 = 6.9;
 
@@ -123,7 +131,7 @@
         self.deviation += (offset.abs().min(2.0) - self.deviation) * DEVIATION_WEIGHT;
         self.measured_at = now;
         let window = &mut self.window;
-        if window.count == 0 {
+        if window.count == 0 || now.since(window.opened_at) > MAX_WINDOW {
             *window = OpenWindow { begun_at: sent_at, opened_at: now, ..OpenWindow::default() };
         }
         window.begun_at = window.begun_at.min(sent_at);
@@ -145,7 +153,7 @@
             _ if load <= self.floor_load + 0.5 => (FLOOR_RISE, true),
             _ => (LOADED_FLOOR_RISE, false),
         };
-        let chance = self.deviation / count.sqrt();
+        let chance = CHANCE_DEVIATIONS * self.deviation / count.sqrt();
         let elevation = (above - chance).max(0.0);
         let floor_load = self.floor_load;
         self.floor += above * weight;
@@ -185,6 +193,11 @@
     pause: Option<f64>,
     /// Usual ratio of a limit to the registered slots.
     limit_ratio: Option<f64>,
+    /// Share of failures among the answers.
+    failures: f64,
+    /// Requests per second that this entry sends, and when it was updated.
+    sent_rate: f64,
+    sent_at: MonoTime,
 }
 
 impl ServiceSpeed {
@@ -227,6 +240,26 @@
         self.start_value(kind).unwrap_or(0.0)
     }
 
+    /// Records an answer (0) or a failure (1).
+    pub fn record_failures(&mut self, share: f64) {
+        self.failures += (share - self.failures) * SERVICE_FAILURE_WEIGHT;
+    }
+
+    /// Counts a request that this entry sends.
+    pub fn count_sent(&mut self, now: MonoTime) {
+        self.sent_rate = self.sent_rate(now) + 1.0 / RATE_TIME;
+        self.sent_at = now;
+    }
+
+    /// Returns the requests per second that this entry sends.
+    pub fn sent_rate(&self, now: MonoTime) -> f64 {
+        self.sent_rate * decay(now, self.sent_at, RATE_TIME)
+    }
+
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
     pub fn limit_ratio(&self) -> f64 {
         self.limit_ratio.unwrap_or(1.0)
     }
--- a/core/src/direct/capacity/target.rs
+++ b/core/src/direct/capacity/target.rs
@@ -16,6 +16,9 @@
 const FAILURE_RETENTION: f64 = 3.0;
 /// Factor by which a target whose requests all fail counts as slower.
 const FAILURE_SLOWNESS: f64 = 8.0;
+/// Share of failures, above that of the service, from which a target gets a request only now and then. It is
+/// always free, as it answers at once, so it would get all requests that find the others full.
+const FAILING_SHARE: f64 = 0.4;
 /// Slowness relative to the service from which a target counts as slow, and up to which it is normal again.
 const SLOW_RANGE: (f64, f64) = (1.8, 1.3);
 /// Part of the memory that requests may fill. The rest is for answers that are longer than usual.
@@ -186,8 +189,12 @@
         load: u32,
     ) {
         let (kind, sent_at, log, load) = match sample {
-            SpeedSample::Failed => return self.record_failures(now, 1.0),
+            SpeedSample::Failed => {
+                service.record_failures(1.0);
+                return self.record_failures(now, 1.0);
+            }
             SpeedSample::Started { sent_at, sent } => {
+                service.record_failures(0.0);
                 self.record_failures(now, 0.0);
                 // The pace may have changed while the request ran.
                 let pace = self.pace(now).max(f64::from(sent.pace_percent) / 100.0);
@@ -224,6 +231,12 @@
         self.failures * (-now.since(self.failures_at).as_secs_f64() / FAILURE_RETENTION).exp()
     }
 
+    /// Returns whether the target fails far more requests than others. Requests that fail everywhere do not
+    /// count against it.
+    pub fn is_failing(&self, now: MonoTime, service: &ServiceSpeed) -> bool {
+        self.failure_share(now) - service.failures() > FAILING_SHARE
+    }
+
     /// The recent times relative to the expected ones, as a factor.
     fn slowness(&self, now: MonoTime, service: &ServiceSpeed) -> f64 {
         let usual = service.usual(TimeKind::Start);
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -264,11 +264,13 @@
             load.is_eligible(now, request, required)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
-                && self.takes_prompt(now, load, request, max_tokens)
+                && self.takes_request(now, load, request, max_tokens)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
+        let arrivals = self.expected_arrivals(now, &request.service);
         let candidates = self.targets.values().filter(has_room);
-        let best = candidates.min_by_key(|load| self.placement_cost(now, load, request))?;
+        let best =
+            candidates.min_by_key(|load| self.placement_cost(now, load, request, arrivals))?;
         let id = best.record.id.clone();
         let begin_by = begin_by(best);
         let sent = self.record_sent(now, &id, request);
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -10,7 +10,10 @@
 
 /// Part of the requests that this entry sent to a target since its last report that each other entry in
 /// the region is expected to have sent to it as well: all have the same report, and different noise.
-const MIRRORED_PART: f64 = 0.5;
+const MIRRORED_PART: f64 = 0.25;
+
+/// Time between reports of a target, in seconds.
+const REPORT_INTERVAL: f64 = 0.1;
 
 impl SlotScheduler {
     /// Enables learned limits. Entries must have different seeds.
@@ -97,26 +100,35 @@
         load.work(now, &self.regions, MIRRORED_PART)
     }
 
+    /// Returns how many requests the other entries are expected to send to a target of the service until its
+    /// next report: as many as this one.
+    pub(super) fn expected_arrivals(&self, now: MonoTime, service: &ServiceName) -> f64 {
+        let others = f64::from(self.regions.entries().saturating_sub(1));
+        let table = self.capacity.as_ref();
+        table.map_or(0.0, |table| table.sent_rate(now, service) * others * REPORT_INTERVAL)
+    }
+
     /// Returns the cost of sending the request to this target. Lower is better.
     pub(super) fn placement_cost(
         &self,
         now: MonoTime,
         load: &TargetLoad,
         request: &SlotRequest,
+        arrivals: f64,
     ) -> u64 {
         match &self.capacity {
             None => load.cost(now, &self.regions),
             Some(table) => {
                 let work = self.work(now, load);
-                let cost = table.cost(now, &load.record.id, request.prompt_tokens, work);
+                let cost = table.cost(now, &load.record.id, request.prompt_tokens, work, arrivals);
                 cost + load.place_cost(now)
             }
         }
     }
 
-    /// Returns whether the target has memory for the request, and reads its prompt within `max_tokens`
+    /// Returns whether the target does not fail, has memory for the request, and reads its prompt within `max_tokens`
     /// unread ones, which are fewer at a slow target.
-    pub(super) fn takes_prompt(
+    pub(super) fn takes_request(
         &self,
         now: MonoTime,
         load: &TargetLoad,
@@ -130,6 +142,7 @@
         let max_tokens = f64::from(max_tokens) / table.slowness(now, id).max(1.0);
         let tokens = (request.prompt_tokens, request.answer_tokens);
         load.has_prefill_capacity(request.prompt_tokens, max_tokens as u32)
+            && !table.is_failing(now, id)
             && table.fits_memory(now, id, tokens, self.regions.in_region())
     }
 
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -198,7 +198,12 @@
         self.released_since_report += 1;
         match outcome {
             SlotOutcome::Answered => self.consecutive_failures = 0,
-            SlotOutcome::Full => self.extend_cooldown(now, FULL_COOLDOWN),
+            SlotOutcome::Full => {
+                self.extend_cooldown(now, FULL_COOLDOWN);
+                if self.learned_limit.is_some() {
+                    self.set_full();
+                }
+            }
             SlotOutcome::Failed => {
                 let cooldown = FIRST_COOLDOWN * 2_u32.pow(self.consecutive_failures.min(8));
                 self.consecutive_failures += 1;
@@ -207,6 +212,13 @@
         }
     }
 
+    /// Records that no slot is free, as in a report. Requests that this entry sent since the last one are
+    /// among those that fill the target.
+    fn set_full(&mut self) {
+        self.other_requests = self.slots().saturating_sub(self.in_flight);
+        (self.free_slots, self.taken_since_report, self.released_since_report) = (0, 0, 0);
+    }
+
     fn extend_cooldown(&mut self, now: MonoTime, cooldown: Duration) {
         self.cooldown_until = self.cooldown_until.max(now + cooldown);
     }
