--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -31,7 +31,7 @@
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
-pub use placement::AllowedRegions;
+pub use placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -1,5 +1,262 @@
-//! Where a request may be sent.
+//! The decision where a request may be sent: for each target whether it may get the request now, and if not,
+//! why, and until when.
+//!
+//! Each rule is a file of its own. All attempts ask for the same verdict: first ones, retries, resumed streams
+//! and moves from silent targets.
 
 mod allowed_regions;
+mod cold;
+mod cold_share;
+mod evacuation;
+mod model_version;
+mod target_state;
 
-pub use allowed_regions::AllowedRegions;
+pub(in crate::direct) use allowed_regions::AllowedRegions;
+pub use cold::ColdReason;
+pub(in crate::direct) use cold::ColdTargets;
+pub(in crate::direct) use evacuation::EvacuatedSites;
+
+use super::slots::{EntryRegions, NoticeTable, TargetLoad};
+use super::{DeclaredVersions, RegisteredTarget, SlotRequest};
+use crate::prelude::*;
+use strum::VariantArray;
+
+/// Why a request may not be sent to a target now; the strongest reason comes first.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    strum::Display,
+    strum::IntoStaticStr,
+    strum::VariantArray,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum PlacementObstacle {
+    /// The target is no longer registered.
+    Unregistered,
+    /// It is shutting down.
+    Draining,
+    /// Its region is not allowed for the route or the organisation.
+    Region,
+    /// Its site is evacuated.
+    Evacuated,
+    /// It has said that it leaves.
+    Leaving,
+    /// It has not loaded a version of the model that may be used.
+    Version,
+    /// It reports that it accepts no requests, as while it loads a version.
+    NotAccepting,
+    /// It has asked for a pause.
+    Paused,
+    /// It has named a limit of its request rate, of which this entry's share is used up.
+    Limited,
+    /// It has just started, and this entry's share of what it bears is used up.
+    Cold,
+    /// It failed, or was full, a short time ago.
+    CoolingDown,
+    /// A request has waited for its first byte for too long.
+    Stuck,
+    /// It has been tried.
+    Tried,
+    /// This entry has no free slot there.
+    NoSlot,
+    /// It has too much unread prompt of this entry.
+    Prefill,
+    /// The request would not begin before the loaded version is retired.
+    Retiring,
+}
+
+impl PlacementObstacle {
+    /// Returns whether the obstacle is a time or rate that the target requires between requests.
+    fn is_timed(self) -> bool {
+        use PlacementObstacle::{Cold, Limited, Paused};
+        matches!(self, Paused | Limited | Cold)
+    }
+}
+
+/// Whether a request may be sent to a target now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementVerdict {
+    /// It may.
+    Allowed {
+        /// Cost of the target; the request is sent to the one with the lowest.
+        cost: u64,
+    },
+    /// It may not.
+    Blocked {
+        /// The strongest reason.
+        obstacle: PlacementObstacle,
+        /// When the obstacle ends, if known.
+        until: Option<MonoTime>,
+    },
+}
+
+/// The verdict on one target of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetVerdict {
+    /// The target.
+    pub target: Arc<RegisteredTarget>,
+    /// The verdict.
+    pub verdict: PlacementVerdict,
+}
+
+/// What the rules know besides the load of the targets and what these have said.
+#[derive(Debug, Default)]
+pub(in crate::direct) struct PlacementRules {
+    pub allowed_regions: AllowedRegions,
+    pub evacuated: EvacuatedSites,
+    pub cold: ColdTargets,
+}
+
+impl PlacementRules {
+    /// Returns whether targets of `site` may serve `request`, now or later.
+    pub fn allows_site(
+        &self,
+        entries: &EntryRegions,
+        request: &SlotRequest,
+        site: &SiteName,
+    ) -> bool {
+        !self.evacuated.contains(site)
+            && self.allowed_regions.allows(request, entries.region_of(site))
+    }
+
+    /// Returns whether every request may be served at every site.
+    pub fn allow_all_sites(&self) -> bool {
+        self.evacuated.is_empty() && self.allowed_regions.is_empty()
+    }
+}
+
+/// One request, with what its verdicts depend on.
+pub(in crate::direct) struct PlacementCheck<'a> {
+    pub now: MonoTime,
+    pub request: &'a SlotRequest,
+    /// Declared versions of the request's model.
+    pub versions: Option<&'a DeclaredVersions>,
+    /// Oldest version that may be used; `None` if any may.
+    pub required: Option<u64>,
+    /// Maximum unread prompt tokens of this entry at a target.
+    pub max_prefill_tokens: u32,
+    pub entries: &'a EntryRegions,
+    pub notices: &'a NoticeTable,
+    pub rules: &'a PlacementRules,
+}
+
+impl PlacementCheck<'_> {
+    /// Returns the verdict on a target of the request's service.
+    pub fn verdict(&self, load: &TargetLoad) -> PlacementVerdict {
+        match self.find_obstacle(load, PlacementObstacle::Retiring, |_, _| true) {
+            Some((obstacle, until)) => PlacementVerdict::Blocked { obstacle, until },
+            None => PlacementVerdict::Allowed { cost: load.cost(self.now, self.entries) },
+        }
+    }
+
+    /// Returns the strongest obstacle, of those that are at least as strong as `weakest`, for which `is_relevant`
+    /// returns true, with its end if known.
+    pub fn find_obstacle(
+        &self,
+        load: &TargetLoad,
+        weakest: PlacementObstacle,
+        is_relevant: impl Fn(PlacementObstacle, Option<MonoTime>) -> bool,
+    ) -> Option<(PlacementObstacle, Option<MonoTime>)> {
+        let obstacles = PlacementObstacle::VARIANTS.iter();
+        obstacles.take_while(|obstacle| **obstacle <= weakest).find_map(|obstacle| {
+            let until = self.check(*obstacle, load)?;
+            is_relevant(*obstacle, until).then_some((*obstacle, until))
+        })
+    }
+
+    /// Returns whether the request belongs to the target's service and nothing lasting keeps it from being sent
+    /// there.
+    pub fn is_candidate(&self, load: &TargetLoad) -> bool {
+        load.record.service == self.request.service
+            && self.find_obstacle(load, PlacementObstacle::Version, |_, _| true).is_none()
+    }
+
+    /// Returns whether the request can expect to get a slot at the target until `until`. A request that can
+    /// still meet its latency objective expects one only where requests are accepted now.
+    pub fn is_usable_until(&self, load: &TargetLoad, until: MonoTime) -> bool {
+        let remains = |obstacle: PlacementObstacle, end: Option<MonoTime>| match obstacle {
+            PlacementObstacle::NotAccepting => !self.request.wait.late,
+            obstacle if obstacle.is_timed() => !ends_until(end, until),
+            _ => true,
+        };
+        load.record.service == self.request.service
+            && self.find_obstacle(load, PlacementObstacle::Cold, remains).is_none()
+    }
+
+    /// Returns whether only a pause or a limit that ends until `until` keeps the request from getting a free
+    /// slot of the target.
+    pub fn has_free_slot_until(&self, load: &TargetLoad, until: MonoTime) -> bool {
+        let remains = |obstacle: PlacementObstacle, end: Option<MonoTime>| {
+            !(obstacle.is_timed() && ends_until(end, until))
+        };
+        load.record.service == self.request.service
+            && self.find_obstacle(load, PlacementObstacle::NoSlot, remains).is_none()
+    }
+
+    /// Returns how many requests the limits of the target allow until `until`; `None` if it has none.
+    pub fn allowed_until(&self, load: &TargetLoad, until: MonoTime) -> Option<u32> {
+        let limited = self.notices.allowed_until(until, &load.record, load.limit_share);
+        let cold = self.rules.cold.allowed_until(self.now, until, &load.record);
+        limited.into_iter().chain(cold).min()
+    }
+
+    /// Returns when the target's pauses and limits allow a request; this time may have passed.
+    pub fn allowed_from(&self, load: &TargetLoad) -> MonoTime {
+        let timed = PlacementObstacle::VARIANTS.iter().filter(|obstacle| obstacle.is_timed());
+        timed.filter_map(|obstacle| self.check(*obstacle, load)?).max().unwrap_or(self.now)
+    }
+
+    /// Returns by when the target must have begun to run the request.
+    pub fn begin_by(&self, load: &TargetLoad) -> Option<MonoTime> {
+        model_version::begin_by(self.request, self.versions, load)
+    }
+
+    /// Returns whether `obstacle` exists; if so, the inner value is when it ends, if known.
+    fn check(&self, obstacle: PlacementObstacle, load: &TargetLoad) -> Option<Option<MonoTime>> {
+        let unless = |fits: bool| (!fits).then_some(None);
+        let from = |at: MonoTime| (at > self.now).then_some(Some(at));
+        let Self { now, request, notices, rules, .. } = self;
+        let record = &load.record;
+        match obstacle {
+            PlacementObstacle::Unregistered => unless(load.registered),
+            PlacementObstacle::Draining => unless(target_state::is_ready(record)),
+            PlacementObstacle::Region => {
+                let regions = &rules.allowed_regions;
+                unless(
+                    regions.is_empty()
+                        || regions.allows(request, self.entries.region_of(&record.site)),
+                )
+            }
+            PlacementObstacle::Evacuated => unless(!rules.evacuated.contains(&record.site)),
+            PlacementObstacle::Leaving => unless(!notices.is_leaving(record)),
+            PlacementObstacle::Version => {
+                unless(model_version::is_usable(request, self.required, record))
+            }
+            PlacementObstacle::NotAccepting => unless(load.is_accepting(*now)),
+            PlacementObstacle::Paused => from(notices.paused_until(record)),
+            PlacementObstacle::Limited => from(notices.limited_until(record, load.limit_share)),
+            PlacementObstacle::Cold => rules.cold.blocked_until(*now, record).map(Some),
+            PlacementObstacle::CoolingDown => from(load.cooldown_until().unwrap_or_default()),
+            PlacementObstacle::Stuck => unless(!load.is_stuck(*now)),
+            PlacementObstacle::Tried => unless(!request.tried.contains(&record.id)),
+            PlacementObstacle::NoSlot => unless(load.available_slots(*now, self.entries) > 0),
+            PlacementObstacle::Prefill => {
+                let max_tokens = self.max_prefill_tokens;
+                unless(load.has_prefill_capacity(request.prompt_tokens, max_tokens))
+            }
+            PlacementObstacle::Retiring => {
+                let begin_by = self.begin_by(load);
+                unless(begin_by.is_none_or(|begin_by| load.will_begin_by(*now, begin_by)))
+            }
+        }
+    }
+}
+
+fn ends_until(end: Option<MonoTime>, until: MonoTime) -> bool {
+    end.is_some_and(|end| end <= until)
+}
--- a/core/src/direct/placement/allowed_regions.rs
+++ b/core/src/direct/placement/allowed_regions.rs
@@ -29,16 +29,17 @@
         self.routes.is_empty() && self.organisations.is_empty()
     }
 
-    /// Returns whether `request` may be served in some regions only.
-    pub fn restricts(&self, request: &SlotRequest) -> bool {
-        self.regions_of(request).next().is_some()
-    }
-
     /// Returns whether `request` may be served in `region`, which is `None` if it is not known.
     pub fn allows(&self, request: &SlotRequest, region: Option<&RegionName>) -> bool {
         self.regions_of(request).all(|regions| regions.allows(region))
     }
 
+    /// Returns the regions in which `request` may be served; `None` if it may be served in all.
+    pub fn named_for(&self, request: &SlotRequest) -> Option<RegionSet> {
+        let first = self.regions_of(request).next()?;
+        Some(first.iter().filter(|region| self.allows(request, Some(region))).cloned().collect())
+    }
+
     fn regions_of(&self, request: &SlotRequest) -> impl Iterator<Item = &RegionSet> {
         let organisation = request.organisation.as_ref();
         let by_organisation = organisation.and_then(|name| self.organisations.get(name));
--- a/core/src/direct/serving.rs
+++ b/core/src/direct/serving.rs
@@ -60,6 +60,11 @@
         self.allows_all() || region.is_some_and(|region| self.regions.binary_search(region).is_ok())
     }
 
+    /// Iterates over the regions, in order; there are none if all are allowed.
+    pub fn iter(&self) -> impl Iterator<Item = &RegionName> {
+        self.regions.iter()
+    }
+
     /// Returns whether requests may be served in any region.
     pub fn allows_all(&self) -> bool {
         self.regions.is_empty()
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -9,19 +9,23 @@
 mod grant;
 mod load;
 mod notices;
+mod placing;
 mod queue;
 mod rate_limit;
 mod restrictions;
+mod token_bucket;
 
-use super::{AllowedRegions, DeclaredVersion, DeclaredVersions, RegisteredTarget, ServingConfig};
+use super::placement::{PlacementCheck, PlacementRules, PlacementVerdict};
+use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
 use crate::prelude::*;
 use crate::routing::hash::combine_hashes;
 pub use entry_regions::EntryRegions;
 pub use grant::{Admission, SlotGrant, SlotOutcome, SlotRequest, WaitTicket};
-use load::TargetLoad;
+pub(in crate::direct) use load::TargetLoad;
 pub use notices::MAX_PAUSE;
-use notices::NoticeTable;
+pub(in crate::direct) use notices::NoticeTable;
 use queue::{ServiceQueue, Waiter};
+pub(in crate::direct) use token_bucket::TokenBucket;
 
 /// Shortest and longest time after which a refused caller may retry. The response will miss its
 /// latency objective anyway, so the overload gets time to pass. The time is also long enough to
@@ -43,7 +47,7 @@
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
-    allowed_regions: AllowedRegions,
+    rules: PlacementRules,
     /// Whether waiting requests may have lost their last allowed target.
     recheck_waiting: bool,
     next_ticket: WaitTicket,
@@ -59,7 +63,7 @@
             queues: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
-            allowed_regions: AllowedRegions::default(),
+            rules: PlacementRules::default(),
             recheck_waiting: false,
             next_ticket: 0,
         }
@@ -88,12 +92,6 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
-    /// Applies the restrictions of a configuration. They hold for requests that wait already, too.
-    pub fn set_config(&mut self, config: &ServingConfig) {
-        self.allowed_regions.set_config(config);
-        self.recheck_waiting = true;
-    }
-
     /// Replaces the targets. A target that is no longer registered gets no further requests and is
     /// kept until this entry's requests at it have ended.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<RegisteredTarget>>) {
@@ -130,7 +128,7 @@
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
         let ahead = queue.ahead_of(&request, |waiting| {
-            competes(&self.allowed_regions, &self.regions, &self.targets, waiting, &request)
+            placing::competes(&self.rules, &self.regions, &self.targets, waiting, &request)
         });
         if ahead == 0
             && let Some(grant) = self.try_grant(now, &request)
@@ -140,7 +138,7 @@
         let usable_slots = self.usable_slots(now, &request);
         let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
         let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
-            self.allowed_regions.allows(&request, self.regions.region_of(site))
+            self.rules.allows_site(&self.regions, &request, site)
         });
         self.next_ticket += 1;
         let ticket = self.next_ticket;
@@ -188,6 +186,7 @@
     /// Releases the slot of a request that was never sent, and whose prompt is no longer pending.
     pub fn release_unsent(&mut self, now: MonoTime, grant: &SlotGrant) {
         self.notices.uncount(&grant.target);
+        self.rules.cold.uncount(&grant.target, grant.granted_at);
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
         }
@@ -226,40 +225,6 @@
         expired.map(|ticket| (ticket, retry_after(ticket))).collect()
     }
 
-    /// Removes the waiting requests for which no target in an allowed region is left, and returns them with
-    /// the time after which each caller may retry.
-    pub fn refuse_unplaceable(&mut self) -> Vec<(WaitTicket, Duration)> {
-        if !std::mem::take(&mut self.recheck_waiting) || self.allowed_regions.is_empty() {
-            return Vec::new();
-        }
-        let waiting = self.queues.values().flat_map(ServiceQueue::requests);
-        let unplaceable: Vec<WaitTicket> = waiting
-            .filter(|(_, request)| self.allowed_regions.restricts(request))
-            .filter(|(_, request)| !self.has_allowed_target(request))
-            .map(|(ticket, _)| ticket)
-            .collect();
-        unplaceable.iter().for_each(|ticket| self.cancel(*ticket));
-        unplaceable.into_iter().map(|ticket| (ticket, retry_after(ticket))).collect()
-    }
-
-    /// Returns whether a request that was granted a slot may still be sent to its target: the restrictions may
-    /// have changed since.
-    pub fn may_send(&self, request: &SlotRequest, target: &RegisteredTarget) -> bool {
-        self.allowed_regions.allows(request, self.regions.region_of(&target.site))
-    }
-
-    fn is_allowed(&self, load: &TargetLoad, request: &SlotRequest) -> bool {
-        self.may_send(request, &load.record)
-    }
-
-    fn has_allowed_target(&self, request: &SlotRequest) -> bool {
-        self.targets.values().any(|load| {
-            load.registered
-                && load.record.service == request.service
-                && self.is_allowed(load, request)
-        })
-    }
-
     /// Returns when [`SlotScheduler::expire`] or [`SlotScheduler::grant_free_slots`] is due next if
     /// no event occurs before; `None` if no request waits. Both were called last at `served_at`; the
     /// returned time is later, but may have passed.
@@ -267,7 +232,7 @@
         let expiries = self.queues.values().filter_map(ServiceQueue::next_expiry);
         let expiry = expiries.min()?;
         let cooldown_ends = self.targets.values().filter_map(|load| load.cooldown_until());
-        let pause_ends = self.targets.values().filter_map(|load| self.accepts_from(load));
+        let pause_ends = self.targets.values().flat_map(|load| self.timed_ends(served_at, load));
         let slot_times = cooldown_ends.chain(pause_ends).filter(|at| *at > served_at);
         Some(slot_times.min().map_or(expiry, |slot_time| slot_time.min(expiry)))
     }
@@ -295,29 +260,19 @@
 
     /// Takes a slot at the eligible target with the lowest cost, if there is one.
     fn try_grant(&mut self, now: MonoTime, request: &SlotRequest) -> Option<SlotGrant> {
-        // Looked up at this point because a version may have been retired while the request waited.
-        let required = self.required_version(now, request);
-        let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
-        let max_tokens = self.prefill_limits.get(&request.service).copied().unwrap_or(u32::MAX);
-        let begin_by = |load: &TargetLoad| {
-            let loaded = load.loaded_version(request.model.as_ref()?);
-            Some(versions?.first_unmet(loaded)?.begin_by)
-        };
-        let has_room = |load: &&TargetLoad| {
-            load.is_eligible(now, request, required)
-                && self.is_allowed(load, request)
-                && self.accepts_from(load).is_some_and(|at| at <= now)
-                && load.available_slots(now, &self.regions) > 0
-                && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
-                && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
-        };
-        let candidates = self.targets.values().filter(has_room);
-        let best = candidates.min_by_key(|load| load.cost(now, &self.regions))?;
+        let check = self.placement_check(now, request);
+        let verdicts = self.targets.values().filter(|load| load.record.service == request.service);
+        let costs = verdicts.filter_map(|load| match check.verdict(load) {
+            PlacementVerdict::Allowed { cost } => Some((cost, load)),
+            PlacementVerdict::Blocked { .. } => None,
+        });
+        let (_, best) = costs.min_by_key(|(cost, _)| *cost)?;
         let id = best.record.id.clone();
-        let begin_by = begin_by(best);
+        let begin_by = check.begin_by(best);
         let load = self.targets.get_mut(&id)?;
         load.take_slot(now, request);
         self.notices.count_sent(now, &load.record, load.limit_share);
+        self.rules.cold.count_sent(now, &load.record);
         Some(SlotGrant {
             target: load.record.clone(),
             prompt_tokens: request.prompt_tokens,
@@ -330,47 +285,41 @@
     /// can still meet its latency objective counts only targets that accept requests now; a late
     /// one also counts those that are loading a version.
     fn usable_slots(&self, now: MonoTime, request: &SlotRequest) -> u32 {
-        let required = self.required_version(now, request);
+        let check = self.placement_check(now, request);
         let accepts_until = now + request.wait.max_wait;
-        let usable = |load: &&TargetLoad| {
-            load.serves(request, required)
-                && self.is_allowed(load, request)
-                && (request.wait.late || load.is_accepting(now))
-                && self.accepts_from(load).is_some_and(|at| at <= accepts_until)
-        };
+        let usable = |load: &&TargetLoad| check.is_usable_until(load, accepts_until);
         let slots_of = |load: &TargetLoad| {
             let slots = load.limit_without_report(&self.regions);
-            let allowed = self.notices.allowed_until(accepts_until, &load.record, load.limit_share);
-            allowed.map_or(slots, |allowed| slots.min(allowed))
+            check.allowed_until(load, accepts_until).map_or(slots, |allowed| slots.min(allowed))
         };
         self.targets.values().filter(usable).map(slots_of).fold(0, u32::saturating_add)
     }
 
-    /// Returns the oldest version of the request's model that may be used; `None` if any version
-    /// may.
-    fn required_version(&self, now: MonoTime, request: &SlotRequest) -> Option<u64> {
+    /// Returns what the verdicts on the targets of `request` depend on. The versions are looked up each time,
+    /// because one may have been retired while the request waited.
+    fn placement_check<'a>(
+        &'a self,
+        now: MonoTime,
+        request: &'a SlotRequest,
+    ) -> PlacementCheck<'a> {
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
-        versions.and_then(|versions| versions.required(now))
+        PlacementCheck {
+            now,
+            request,
+            versions,
+            required: versions.and_then(|versions| versions.required(now)),
+            max_prefill_tokens: self
+                .prefill_limits
+                .get(&request.service)
+                .copied()
+                .unwrap_or(u32::MAX),
+            entries: &self.regions,
+            notices: &self.notices,
+            rules: &self.rules,
+        }
     }
 }
 
-/// Returns whether a target may serve both requests, so that they wait for the same slots.
-fn competes(
-    allowed_regions: &AllowedRegions,
-    regions: &EntryRegions,
-    targets: &SortedTable<Arc<str>, TargetLoad>,
-    waiting: &SlotRequest,
-    request: &SlotRequest,
-) -> bool {
-    let allows = |load: &TargetLoad| {
-        let region = regions.region_of(&load.record.site);
-        load.record.service == request.service
-            && allowed_regions.allows(waiting, region)
-            && allowed_regions.allows(request, region)
-    };
-    allowed_regions.is_empty() || targets.values().any(allows)
-}
-
 /// Returns the time after which the caller of this request may retry. It is jittered evenly over
 /// [`RETRY_AFTER_RANGE`], so that callers refused together do not retry together.
 fn retry_after(ticket: WaitTicket) -> Duration {
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -1,7 +1,7 @@
 //! Load of one target, as seen by this entry.
 
 use super::{EntryRegions, SlotOutcome, SlotRequest};
-use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
+use crate::direct::{LoadedModel, RegisteredTarget};
 use crate::prelude::*;
 
 /// Cool-down of a target after a first failure (unreachable, or the exchange failed).
@@ -34,7 +34,7 @@
 
 /// One target, with this entry's requests at it and its last load report.
 #[derive(Debug, Clone)]
-pub(super) struct TargetLoad {
+pub(in crate::direct) struct TargetLoad {
     pub record: Arc<RegisteredTarget>,
     /// Requests of this entry at the target.
     pub in_flight: u32,
@@ -183,7 +183,7 @@
     }
 
     /// Returns whether a request has waited too long for its first byte.
-    fn is_stuck(&self, now: MonoTime) -> bool {
+    pub fn is_stuck(&self, now: MonoTime) -> bool {
         self.pending.iter().any(|request| request.stuck_at < now)
     }
 
@@ -212,25 +212,6 @@
         (self.cooldown_until > MonoTime::ZERO).then_some(self.cooldown_until)
     }
 
-    /// Returns whether the target may get `request` if it has a free slot. `required` is the oldest
-    /// version of the request's model that may be used.
-    pub fn is_eligible(&self, now: MonoTime, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.serves(request, required)
-            && self.cooldown_until <= now
-            && self.is_accepting(now)
-            && !self.is_stuck(now)
-            && !request.tried.contains(&self.record.id)
-    }
-
-    /// Returns whether the target serves the request's service and model, in version `required` or
-    /// a newer one.
-    pub fn serves(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.registered
-            && self.record.service == request.service
-            && self.record.phase == TargetPhase::Ready
-            && self.has_version(request, required)
-    }
-
     /// Returns whether the target accepts requests; true if there is no fresh report.
     pub fn is_accepting(&self, now: MonoTime) -> bool {
         self.accepting || !self.has_fresh_report(now)
@@ -241,16 +222,6 @@
         LoadedModel::newest_version(model, &self.record.models)
     }
 
-    fn has_version(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        let Some(model) = &request.model else {
-            return true;
-        };
-        let satisfies = |loaded: &LoadedModel| {
-            loaded.model == *model && required.is_none_or(|required| loaded.version >= required)
-        };
-        self.record.models.iter().any(satisfies)
-    }
-
     /// Returns how many requests this entry may have at the target while it has no fresh report.
     pub fn limit_without_report(&self, entries: &EntryRegions) -> u32 {
         if self.local {
--- a/core/src/direct/slots/notices.rs
+++ b/core/src/direct/slots/notices.rs
@@ -21,7 +21,7 @@
 
 /// The notices of all targets, by id.
 #[derive(Debug, Default)]
-pub(super) struct NoticeTable {
+pub(in crate::direct) struct NoticeTable {
     notices: SortedTable<Arc<str>, TargetNotice>,
 }
 
@@ -74,13 +74,19 @@
         }
     }
 
-    /// Returns when the target accepts a request again; `None` if it never does before its next start.
-    pub fn accepts_from(&self, target: &RegisteredTarget, share: f64) -> Option<MonoTime> {
-        let Some(notice) = self.notice(target) else {
-            return Some(MonoTime::ZERO);
-        };
-        let limited_until = notice.limit.map_or(MonoTime::ZERO, |limit| limit.next_at(share));
-        (!notice.is_leaving).then_some(notice.paused_until.max(limited_until))
+    /// Returns whether the target has said that it leaves.
+    pub fn is_leaving(&self, target: &RegisteredTarget) -> bool {
+        self.notice(target).is_some_and(|notice| notice.is_leaving)
+    }
+
+    /// Returns the end of the target's last pause, which may have passed.
+    pub fn paused_until(&self, target: &RegisteredTarget) -> MonoTime {
+        self.notice(target).map_or(MonoTime::ZERO, |notice| notice.paused_until)
+    }
+
+    /// Returns when the target's limit allows a request; this time may have passed.
+    pub fn limited_until(&self, target: &RegisteredTarget, share: f64) -> MonoTime {
+        self.limit(target).and_then(|limit| limit.next_at(share)).unwrap_or_default()
     }
 
     /// Returns how many requests the limit of the target allows until `at`; `None` if it names none.
--- a/core/src/direct/slots/restrictions.rs
+++ b/core/src/direct/slots/restrictions.rs
@@ -29,37 +29,23 @@
         self.notices.record_limit(now, target, per_second, share)
     }
 
-    /// Returns when the target accepts a request again, as far as it said; `None` if it never does
-    /// before its next start.
-    pub(super) fn accepts_from(&self, load: &TargetLoad) -> Option<MonoTime> {
-        self.notices.accepts_from(&load.record, load.limit_share)
-    }
-
-    /// Returns the time until the first target of `request` that is paused or limited accepts a request
+    /// Returns the time until the first target of `request` that is paused, limited or cold may get a request
     /// again.
     pub(super) fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
-        let required = self.required_version(now, request);
-        let loads = self
-            .targets
-            .values()
-            .filter(|load| load.serves(request, required) && self.is_allowed(load, request));
-        let pause_end = loads.filter_map(|load| self.accepts_from(load)).min()?;
+        let check = self.placement_check(now, request);
+        let candidates = self.targets.values().filter(|load| check.is_candidate(load));
+        let pause_end = candidates.map(|load| check.allowed_from(load)).min()?;
         Some(pause_end.since(now))
     }
 
-    /// Returns how many requests the limited targets that have a free slot allow within the time that
+    /// Returns how many requests the limited and cold targets that have a free slot allow within the time that
     /// `request` may wait.
     pub(super) fn allowed_in_time(&self, now: MonoTime, request: &SlotRequest) -> usize {
-        let required = self.required_version(now, request);
+        let check = self.placement_check(now, request);
         let accepts_until = now + request.wait.max_wait;
         let allowed = |load: &TargetLoad| {
-            let allowed =
-                self.notices.allowed_until(accepts_until, &load.record, load.limit_share)?;
-            let is_free = load.is_eligible(now, request, required)
-                && self.is_allowed(load, request)
-                && load.available_slots(now, &self.regions) > 0
-                && self.accepts_from(load).is_some_and(|at| at <= accepts_until);
-            is_free.then_some(allowed as usize)
+            let allowed = check.allowed_until(load, accepts_until)?;
+            check.has_free_slot_until(load, accepts_until).then_some(allowed as usize)
         };
         self.targets.values().filter_map(allowed).sum()
     }
--- a/core/tests/direct_placement.rs
+++ b/core/tests/direct_placement.rs
@@ -1,8 +1,9 @@
-//! Where requests may be sent: allowed regions.
+//! Where requests may be sent: each rule alone, and pairs of rules.
 
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
-    Admission, OrganisationKeys, RegionSet, RegisteredTarget, ServingConfig, ServingRoute,
+    Admission, ColdLimit, DeclaredVersion, LoadedModel, OrganisationKeys, PlacementObstacle,
+    PlacementVerdict, RegionSet, RegisteredTarget, ServingConfig, ServingRoute, ServingService,
     SlotGrant, SlotRequest, SlotScheduler, TargetPhase, WaitAllowance, WaitTicket, WorkKind,
 };
 use buckthornwharf_core::prelude::*;
@@ -186,10 +187,11 @@
     fill(&mut scheduler, &request_of("r", None));
     let waiting = queued(scheduler.request(at(0), request_of("r", None)));
     let last = queued(scheduler.request(at(0), request_of("r", None)));
-    assert!(scheduler.may_send(&request_of("r", None), &grant.target));
+    assert_eq!(scheduler.recheck_grant(at(5), &request_of("r", None), &grant), None);
 
     scheduler.set_config(&config(&["z"], &[]));
-    assert!(!scheduler.may_send(&request_of("r", None), &grant.target));
+    let obstacle = scheduler.recheck_grant(at(5), &request_of("r", None), &grant);
+    assert_eq!(obstacle, Some(PlacementObstacle::Region));
     assert_eq!(scheduler.refuse_unplaceable(), Vec::new());
     let grants = scheduler.grant_free_slots(at(10));
     assert_eq!(grants.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [waiting, last]);
@@ -251,3 +253,221 @@
     assert!(matches!(scheduler.request(at(100), request(400)), Admission::Refused(_)));
     queued(scheduler.request(at(100), request(600)));
 }
+
+/// The verdict on the target with this id.
+fn verdict_of(
+    scheduler: &SlotScheduler,
+    millis: u64,
+    request: &SlotRequest,
+    id: &str,
+) -> PlacementVerdict {
+    let verdicts = scheduler.verdicts(at(millis), request);
+    verdicts.into_iter().find(|found| &*found.target.id == id).expect("a verdict").verdict
+}
+
+fn blocked(obstacle: PlacementObstacle, until_millis: Option<u64>) -> PlacementVerdict {
+    PlacementVerdict::Blocked { obstacle, until: until_millis.map(at) }
+}
+
+#[test]
+fn each_obstacle_is_named_with_its_end() {
+    // Guards against verdicts that do not tell what the scheduler does.
+    use PlacementObstacle::{
+        CoolingDown, Draining, Leaving, Limited, NoSlot, NotAccepting, Paused, Prefill, Stuck,
+        Tried, Unregistered, Version,
+    };
+    let request = request_of("r", None);
+    let of_x = |scheduler: &SlotScheduler, millis| verdict_of(scheduler, millis, &request, "x");
+    let x = target("x", "x");
+
+    let mut scheduler = scheduler();
+    assert_eq!(of_x(&scheduler, 0), PlacementVerdict::Allowed { cost: 0 });
+    let remote = verdict_of(&scheduler, 0, &request, "y");
+    assert!(matches!(remote, PlacementVerdict::Allowed { cost } if cost > 0));
+
+    let tried = SlotRequest { tried: vec!["x".into()], ..request.clone() };
+    assert_eq!(verdict_of(&scheduler, 0, &tried, "x"), blocked(Tried, None));
+    scheduler.set_prefill_rate(&"llm".into(), 1000);
+    let long = SlotRequest { prompt_tokens: 60, ..request.clone() };
+    let first = granted(scheduler.request(at(0), long.clone()));
+    assert_eq!(verdict_of(&scheduler, 0, &long, "x"), blocked(Prefill, None));
+    assert_eq!(of_x(&scheduler, 701), blocked(Stuck, None));
+    scheduler.release_unused(at(701), &first);
+
+    scheduler.set_load(at(1000), "x", SLOTS, true);
+    assert_eq!(of_x(&scheduler, 1000), blocked(NoSlot, None));
+    scheduler.set_load(at(1000), "x", 0, false);
+    assert_eq!(of_x(&scheduler, 1000), blocked(NotAccepting, None));
+
+    scheduler.set_load(at(3000), "x", 0, true);
+    let grant = granted(scheduler.request(at(3000), request.clone()));
+    scheduler.prefill_done(at(3000), &grant);
+    scheduler.release(at(3000), "x", SlotOutcome::Failed);
+    assert_eq!(of_x(&scheduler, 3000), blocked(CoolingDown, Some(3250)));
+    scheduler.record_limit(at(3000), &x, Some(0.5));
+    assert_eq!(of_x(&scheduler, 3000), blocked(Limited, Some(5000)));
+    scheduler.record_pause(at(3000), &x, Duration::from_secs(9));
+    assert_eq!(of_x(&scheduler, 3000), blocked(Paused, Some(12_000)));
+    let of_model = SlotRequest { model: Some("m".into()), ..request.clone() };
+    assert_eq!(verdict_of(&scheduler, 3000, &of_model, "x"), blocked(Version, None));
+    scheduler.record_leaving(at(3000), &x);
+    assert_eq!(of_x(&scheduler, 3000), blocked(Leaving, None));
+    let draining = RegisteredTarget { phase: TargetPhase::Draining, ..(*x).clone() };
+    scheduler.set_targets([Arc::new(draining)].iter());
+    assert_eq!(of_x(&scheduler, 3000), blocked(Draining, None));
+
+    let mut scheduler = self::scheduler();
+    granted(scheduler.request(at(0), request.clone()));
+    scheduler.set_targets([target("y", "y")].iter());
+    assert_eq!(of_x(&scheduler, 0), blocked(Unregistered, None));
+}
+
+#[test]
+fn a_version_that_is_retired_is_an_obstacle_also_for_a_request_that_has_a_slot() {
+    // Guards against a request that is sent to a retired version because its connection was opened slowly.
+    let mut scheduler = scheduler();
+    let models = vec![LoadedModel { model: "m".into(), version: 1 }];
+    scheduler
+        .set_targets([Arc::new(RegisteredTarget { models, ..(*target("x", "x")).clone() })].iter());
+    let declared = DeclaredVersion {
+        version: 2,
+        declared_at: at(0),
+        required_from: at(1000),
+        begin_by: at(1300),
+    };
+    scheduler.declare(&"m".into(), declared);
+    let request = SlotRequest { model: Some("m".into()), ..request_of("r", None) };
+    let grant = granted(scheduler.request(at(990), request.clone()));
+    assert_eq!(scheduler.recheck_grant(at(999), &request, &grant), None);
+    let obstacle = scheduler.recheck_grant(at(1000), &request, &grant);
+    assert_eq!(obstacle, Some(PlacementObstacle::Version));
+    scheduler.release_unused(at(1000), &grant);
+    scheduler.set_load(at(1290), "x", 0, true);
+    assert_eq!(
+        verdict_of(&scheduler, 1290, &request, "x"),
+        blocked(PlacementObstacle::Version, None)
+    );
+}
+
+#[test]
+fn an_evacuated_site_gets_no_requests_and_gets_them_again_when_it_is_withdrawn() {
+    // Guards against requests that are sent to a site after its evacuation, and against those that wait there.
+    let mut scheduler = scheduler();
+    let request = request_of("r", None);
+    let grant = granted(scheduler.request(at(0), request.clone()));
+    assert_eq!(&*grant.target.id, "x");
+    scheduler.set_evacuated(at(1), sites(&["x", "z", "without-targets"]));
+    let obstacle = scheduler.recheck_grant(at(2), &request, &grant);
+    assert_eq!(obstacle, Some(PlacementObstacle::Evacuated));
+    assert_eq!(fill(&mut scheduler, &request), sites(&["unknown", "y"]));
+    scheduler.set_evacuated(at(3), sites(&["x"]));
+    assert_eq!(fill(&mut scheduler, &request), sites(&["z"]));
+    scheduler.set_evacuated(at(4), []);
+    scheduler.set_evacuated(at(5), sites(&["x"]));
+    assert!(!matches!(scheduler.request(at(6), request.clone()), Admission::Granted(_)));
+    scheduler.set_evacuated(at(7), []);
+    assert_eq!(scheduler.grant_free_slots(at(8)).len(), 1);
+}
+
+#[test]
+fn waiting_requests_are_refused_when_all_sites_are_evacuated() {
+    // Guards against a wait in vain.
+    let mut scheduler = scheduler();
+    let request = request_of("r", None);
+    fill(&mut scheduler, &request);
+    let waiting = queued(scheduler.request(at(0), request.clone()));
+    assert_eq!(scheduler.refuse_unplaceable(), []);
+    scheduler.set_evacuated(at(1), sites(&["x", "y", "z", "unknown"]));
+    let refused = scheduler.refuse_unplaceable();
+    assert_eq!(refused.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [waiting]);
+    assert!(matches!(scheduler.request(at(2), request), Admission::Refused(_)));
+}
+
+#[test]
+fn an_evacuation_that_leaves_no_allowed_region_refuses_at_once() {
+    // Guards against a request that leaves its allowed regions, or waits, because these are evacuated.
+    let mut scheduler = scheduler();
+    scheduler.set_config(&config(&["x", "y"], &["y", "z"]));
+    let request = request_of("r", Some("o"));
+    let others = request_of("r", None);
+    fill(&mut scheduler, &request);
+    let waiting = queued(scheduler.request(at(0), request.clone()));
+    scheduler.set_evacuated(at(1), sites(&["y"]));
+    let refused = scheduler.refuse_unplaceable();
+    assert_eq!(refused.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [waiting]);
+    assert!(matches!(scheduler.request(at(2), request.clone()), Admission::Refused(_)));
+    assert_eq!(scheduler.main_obstacle(at(2), &request), Some(PlacementObstacle::Evacuated));
+    // The route alone leaves region x.
+    assert_eq!(fill(&mut scheduler, &others), sites(&["x"]));
+}
+
+/// Limits cold targets of the service to `per_second`, and makes this entry the only one.
+fn limit_cold(scheduler: &mut SlotScheduler, per_second: f64) {
+    let cold_limit = Some(ColdLimit { start_time: Duration::from_secs(3), per_second });
+    let service = ServingService { name: "llm".into(), engine: None, origin: None, cold_limit };
+    let config = ServingConfig { services: vec![service], ..config(&[], &[]) };
+    scheduler.set_config(&config);
+    scheduler.set_entry_hosts(at(0), &"e".into(), std::iter::empty());
+    scheduler.set_registered_until(at(0), at(1_000_000));
+    scheduler.observe_starts(at(0));
+}
+
+#[test]
+fn a_cold_site_is_used_up_to_its_limit_while_another_is_evacuated() {
+    // Guards against a cold site that takes over the load of an evacuated one, and against one that is avoided.
+    let mut scheduler = scheduler();
+    limit_cold(&mut scheduler, 10.0);
+    scheduler.set_evacuated(at(10_000), sites(&["y", "z", "unknown"]));
+    let restarted = RegisteredTarget { started_unix_ms: 1, ..(*target("x", "x")).clone() };
+    let targets =
+        [Arc::new(restarted), target("y", "y"), target("z", "z"), target("unknown", "unknown")];
+    scheduler.set_targets(targets.iter());
+    scheduler.observe_starts(at(10_000));
+    let request = request_of("r", None);
+    let mut sent = Vec::new();
+    for millis in (10_000..11_000).step_by(10) {
+        match scheduler.request(at(millis), request.clone()) {
+            Admission::Granted(grant) => {
+                scheduler.prefill_done(at(millis), &grant);
+                scheduler.release(at(millis), &grant.target.id, SlotOutcome::Answered);
+                sent.push(grant.target.site.clone());
+            }
+            Admission::Queued(ticket) => scheduler.cancel(ticket),
+            Admission::Refused(_) => {}
+        }
+    }
+    assert!(sent.iter().all(|site| *site == SiteName::from("x")));
+    assert!((8..=11).contains(&sent.len()), "{}", sent.len());
+    // The other sites come back while x is cold: they are cold, too, and nothing is saved up for them.
+    scheduler.set_evacuated(at(11_000), []);
+    for site in ["y", "z"] {
+        let verdict = verdict_of(&scheduler, 11_001, &request, site);
+        assert!(matches!(
+            verdict,
+            PlacementVerdict::Blocked { obstacle: PlacementObstacle::Cold, .. }
+        ));
+    }
+}
+
+#[test]
+fn a_request_that_waits_for_a_cold_target_does_not_block_one_for_a_warm_target() {
+    // Guards against a free target that is not used because the first in the queue may not use it.
+    let mut scheduler = scheduler();
+    limit_cold(&mut scheduler, 0.5);
+    let mut only_y = config(&["y"], &["x"]);
+    only_y.services = vec![ServingService {
+        name: "llm".into(),
+        engine: None,
+        origin: None,
+        cold_limit: Some(ColdLimit { start_time: Duration::from_secs(3), per_second: 0.5 }),
+    }];
+    scheduler.set_config(&only_y);
+    scheduler.record_unreached(at(10_000), &"y".into());
+    let waits = SlotRequest {
+        wait: WaitAllowance { max_wait: Duration::from_secs(5), late: false },
+        ..request_of("r", None)
+    };
+    queued(scheduler.request(at(10_000), waits));
+    let grant = granted(scheduler.request(at(10_001), request_of("other", Some("o"))));
+    assert_eq!(&*grant.target.id, "x");
+}
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -60,7 +60,8 @@
     let on_registered = move |position| fence_state.set_fence(position);
     let engine_up = state.subscribe_engine_up();
     let prefix = presence::region_prefix(&record.region);
-    let registration = presence::keep_registered(store, prefix, record, engine_up, on_registered);
+    let registration =
+        presence::keep_registered(store, prefix, record, engine_up, on_registered, |_| {});
     actix_rt::spawn(registration);
     // No setting of an agent can change at run time; a reload only checks and logs the file.
     reload::watch_settings(settings_path, rejected, |_| {})?;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -75,12 +75,14 @@
     crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
     let running = state.running();
+    let live_state = state.clone();
     actix_rt::spawn(presence::keep_registered(
         store,
         presence::ENTRY_PREFIX.to_owned(),
         record,
         running,
         |_| {},
+        move |until| live_state.set_registered_until(until),
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
     let reloaded = state.clone();
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -8,9 +8,11 @@
 use crate::clock;
 use actix_http::StatusCode;
 use admission::{AdmittedRequest, admit};
-use attempt::{AttemptResult, AttemptStage, PendingPrefill, RelayedAnswer, TargetAttempt};
+use attempt::{AttemptResult, AttemptStage, NotSent, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
-use buckthornwharf_core::direct::{AttemptFailure, FinalAnswer, NextStep, SlotGrant, next_step};
+use buckthornwharf_core::direct::{
+    AttemptFailure, FinalAnswer, NextStep, PlacementObstacle, SlotGrant, SlotRequest, next_step,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{InboundConnection, InboundRequest};
 use log::info;
@@ -62,9 +64,16 @@
     };
     state.count_request(now, &request.service);
     let reply = CallerReply::new(head);
-    RequestRun { state, request, tried: Vec::new(), attempts: 0, may_have_run: false, reply }
-        .run(caller)
-        .await
+    let run = RequestRun {
+        state,
+        request,
+        tried: Vec::new(),
+        attempts: 0,
+        may_have_run: false,
+        obstacle: None,
+        reply,
+    };
+    run.run(caller).await
 }
 
 /// An admitted request with the state of its attempts.
@@ -74,6 +83,8 @@
     tried: Vec<Arc<str>>,
     attempts: u32,
     may_have_run: bool,
+    /// Why the last request for a slot was refused.
+    obstacle: Option<PlacementObstacle>,
     /// What the caller has received.
     reply: CallerReply,
 }
@@ -89,20 +100,15 @@
 /// Result of a request for a slot.
 enum SlotResult {
     Granted(SlotGrant),
-    Refused(Duration),
+    Refused {
+        retry_after: Duration,
+        /// What keeps the target that comes closest from getting the request.
+        obstacle: Option<PlacementObstacle>,
+    },
     CallerDisconnected,
     TimedOut,
 }
 
-impl From<QueueDecision> for SlotResult {
-    fn from(decision: QueueDecision) -> Self {
-        match decision {
-            QueueDecision::Granted(grant) => SlotResult::Granted(grant),
-            QueueDecision::Refused(retry_after) => SlotResult::Refused(retry_after),
-        }
-    }
-}
-
 impl RequestRun<'_> {
     async fn run(mut self, caller: &mut InboundConnection) -> ConnectionAction {
         let mut reserved: Option<ReservedSlot> = None;
@@ -129,7 +135,8 @@
                     self.log_caller_left(CallerLeft::Queued);
                     return ConnectionAction::Abort;
                 }
-                SlotResult::Refused(retry_after) => {
+                SlotResult::Refused { retry_after, obstacle } => {
+                    self.obstacle = obstacle;
                     return self.refuse(caller, retry_after, "no_place").await;
                 }
                 SlotResult::TimedOut => {
@@ -156,11 +163,18 @@
                 tried: &self.tried,
                 stage: Cell::new(AttemptStage::Connecting),
             };
-            let Ok(result) = attempt.run(caller, &mut self.reply).await else {
-                self.attempts -= 1;
-                self.state.release_unsent_slot(&grant);
-                info!("event=not_sent request={} target={}", self.request.tags.id, target.id);
-                continue;
+            let result = match attempt.run(caller, &mut self.reply).await {
+                Ok(result) => result,
+                Err(NotSent(obstacle)) => {
+                    self.attempts -= 1;
+                    self.state.release_unsent_slot(&grant);
+                    self.state.metrics.not_sent.with_label_values(&[<&str>::from(obstacle)]).inc();
+                    info!(
+                        "event=not_sent request={} target={} reason={obstacle}",
+                        self.request.tags.id, target.id
+                    );
+                    continue;
+                }
             };
             let outcome = result.outcome();
             self.state.release_slot(&target.id, outcome);
@@ -193,6 +207,9 @@
                 clock::now().since(self.request.received).as_millis(),
                 cause_list(&self.request.causes)
             );
+            if matches!(failure, AttemptFailure::Unreached | AttemptFailure::Broken) {
+                self.state.on_target_unreached(&target);
+            }
             if failure == AttemptFailure::Broken {
                 self.state.on_request_broken(&target, sent_causes);
             }
@@ -276,14 +293,32 @@
     async fn acquire_slot(&mut self, caller: &mut InboundConnection) -> SlotResult {
         let now = clock::now();
         let slot_request = self.request.slot_request(now, &self.tried);
-        let mut pending = match self.state.request_slot(now, slot_request) {
-            Ok(decision) => return decision.into(),
+        let mut pending = match self.state.request_slot(now, slot_request.clone()) {
+            Ok(decision) => return self.slot_result(&slot_request, decision),
             Err(pending) => pending,
         };
-        tokio::select! {
+        let obstacle = self.state.main_obstacle(now, &slot_request);
+        let result = tokio::select! {
             biased;
-            decision = pending.decided() => decision.map_or(SlotResult::TimedOut, SlotResult::from),
+            decision = pending.decided() => match decision {
+                Some(decision) => self.slot_result(&slot_request, decision),
+                None => SlotResult::TimedOut,
+            },
             () = caller.closed() => SlotResult::CallerDisconnected,
+        };
+        self.state.count_queue_time(&slot_request, obstacle, clock::now().since(now));
+        result
+    }
+
+    /// Counts a refusal with its reason, and returns the result.
+    fn slot_result(&self, slot_request: &SlotRequest, decision: QueueDecision) -> SlotResult {
+        match decision {
+            QueueDecision::Granted(grant) => SlotResult::Granted(grant),
+            QueueDecision::Refused(retry_after) => {
+                let obstacle = self.state.main_obstacle(clock::now(), slot_request);
+                self.state.count_refusal(slot_request, obstacle);
+                SlotResult::Refused { retry_after, obstacle }
+            }
         }
     }
 
@@ -335,13 +370,14 @@
         count_ended_request(self.state, status, reason);
         info!(
             "event=ended request={} status={} reason={reason} service={} attempts={} age_ms={} \
-             retry_after_ms={}",
+             retry_after_ms={} obstacle={}",
             request.tags.id,
             status.as_u16(),
             request.service,
             self.attempts,
             clock::now().since(request.received).as_millis(),
-            retry_after.unwrap_or_default().as_millis()
+            retry_after.unwrap_or_default().as_millis(),
+            self.obstacle.map_or("-", <&str>::from)
         );
         let reply = LocalReply { status, id: Some(request.tags.id.clone()), retry_after };
         reply.send(head, caller, self.state.is_shutting_down()).await
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -11,7 +11,7 @@
 use actix_http::StatusCode;
 use buckthornwharf_core::direct::attempt::time_left;
 use buckthornwharf_core::direct::{
-    AttemptFailure, RegisteredTarget, SlotGrant, SlotRequest, WaitAllowance,
+    AttemptFailure, PlacementObstacle, RegisteredTarget, SlotGrant, SlotRequest, WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
@@ -122,8 +122,8 @@
     Moved(ReservedSlot),
 }
 
-/// The request was not sent, since it may no longer be sent to the target.
-pub(super) struct NotSent;
+/// The request was not sent, because of an obstacle that came up after its slot was granted.
+pub(super) struct NotSent(pub PlacementObstacle);
 
 /// Why a step of an attempt was interrupted.
 enum Interruption {
@@ -134,7 +134,7 @@
     /// The target has fallen silent, and another one has this slot for the request.
     Moved(ReservedSlot),
     /// The request may no longer be sent to the target.
-    NotSent,
+    NotSent(PlacementObstacle),
 }
 
 impl Interruption {
@@ -164,7 +164,7 @@
             Err(Interruption::TimedOut) => AttemptResult::TimedOut,
             Err(Interruption::Outdated) => AttemptResult::Failed(AttemptFailure::Outdated),
             Err(Interruption::Moved(slot)) => AttemptResult::Moved(slot),
-            Err(Interruption::NotSent) => return Err(NotSent),
+            Err(Interruption::NotSent(obstacle)) => return Err(NotSent(obstacle)),
         };
         Ok(result)
     }
@@ -190,11 +190,11 @@
         if caller.has_closed() {
             return Err(Interruption::CallerDisconnected);
         }
-        // The restrictions may have changed since the slot was granted.
+        // Much may have changed since the slot was granted.
         let slot_request = self.request.slot_request(clock::now(), self.tried);
-        if !self.state.may_send(&slot_request, target) {
+        if let Some(obstacle) = self.state.recheck_grant(&slot_request, self.grant) {
             self.state.pool().keep(clock::now(), &target.id, connection, None);
-            return Err(Interruption::NotSent);
+            return Err(Interruption::NotSent(obstacle));
         }
         let Some(request) = self.outbound_request(target, reply.events.last_id()) else {
             return Err(Interruption::TimedOut);
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod notices;
+mod placement;
 mod queue;
 mod updates;
 
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -3,9 +3,7 @@
 use super::EntryState;
 use crate::clock;
 use buckthornwharf_core::direct::slots::SlotOutcome;
-use buckthornwharf_core::direct::{
-    Admission, RegisteredTarget, SlotGrant, SlotRequest, WaitTicket,
-};
+use buckthornwharf_core::direct::{Admission, SlotGrant, SlotRequest, WaitTicket};
 use buckthornwharf_core::prelude::*;
 use log::info;
 use std::rc::Rc;
@@ -106,11 +104,6 @@
         self.scheduler.borrow().is_silent(now, id)
     }
 
-    /// Returns whether `request` may still be sent to the target at which it has a slot.
-    pub fn may_send(&self, request: &SlotRequest, target: &RegisteredTarget) -> bool {
-        self.scheduler.borrow().may_send(request, target)
-    }
-
     /// Waits for a slot at a target that reports its load; `None` if the request is refused. Cancel-safe.
     pub async fn reserve_reporting(
         self: &Rc<Self>,
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -170,6 +170,7 @@
     /// Applies a change of the registered targets.
     pub fn on_target_event(&self, now: MonoTime, event: StoreEvent) {
         let mut catalog = self.catalog.borrow_mut();
+        let mut cold = Vec::new();
         match event {
             StoreEvent::Lost => {}
             StoreEvent::Recovered => catalog.registry_recovered(now),
@@ -180,20 +181,29 @@
             }
             StoreEvent::Changes(changes) => {
                 for change in changes {
-                    on_target_change(&mut catalog, now, change);
+                    cold.extend(on_target_change(&mut catalog, now, change));
                 }
             }
         }
         drop(catalog);
         self.refresh_targets();
+        // A target may write that it is cold in the same words as before.
+        for (id, remaining) in cold {
+            self.scheduler.borrow_mut().set_cold_remaining(now, &id, remaining);
+        }
+        self.report_cold();
     }
 
     pub(super) fn refresh_targets(&self) {
         let catalog = self.catalog.borrow();
         self.metrics.targets.set(catalog.iter().count() as i64);
-        self.scheduler.borrow_mut().set_targets(catalog.iter());
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_targets(catalog.iter());
+        scheduler.observe_starts(clock::now());
+        drop(scheduler);
         self.pool.borrow_mut().retain(|id| catalog.get(id).is_some());
         drop(catalog);
+        self.report_cold();
         // Wakes the queue task: a target that is missing after an outage of the registry has an expiry time.
         self.queue_changed.notify_one();
         self.serve_queue();
@@ -215,7 +225,7 @@
     pub fn on_entry_event(&self, event: StoreEvent) {
         let mut entries = self.entries.borrow_mut();
         match event {
-            StoreEvent::Recovered | StoreEvent::Lost => {}
+            StoreEvent::Recovered | StoreEvent::Lost => return,
             StoreEvent::Snapshot(items) => {
                 *entries = SortedTable::new();
                 for item in items {
@@ -239,7 +249,10 @@
         }
         let others = entries.values().filter(|record| record.host != self.settings.host);
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.set_other_entries(others.map(|record| &record.region));
+        let others: Vec<&PresenceRecord> = others.collect();
+        scheduler.set_other_entries(others.iter().map(|record| &record.region));
+        let hosts = others.iter().map(|record| &record.host);
+        scheduler.set_entry_hosts(clock::now(), &self.settings.host, hosts);
         let (live, in_region) = (scheduler.regions().entries(), scheduler.regions().in_region());
         info!("event=entries live={live} in_region={in_region}");
         self.metrics.entries.set(i64::from(live));
@@ -256,7 +269,12 @@
     }
 }
 
-fn on_target_change(catalog: &mut TargetCatalog, now: MonoTime, change: StoreChange) {
+/// Applies a change of a target, and returns how long the target remains cold if its registration says so.
+fn on_target_change(
+    catalog: &mut TargetCatalog,
+    now: MonoTime,
+    change: StoreChange,
+) -> Option<(Arc<str>, Duration)> {
     match change {
         StoreChange::Put(item) => match read_target(&item) {
             Some(record) => {
@@ -267,16 +285,22 @@
                     record.models.iter().map(|model| model.version).collect::<Vec<u64>>(),
                     item.revision
                 );
+                let cold = record.cold_remaining.map(|remaining| (record.id.clone(), remaining));
                 catalog.put(record);
+                cold
             }
             // A target whose record cannot be read must not be used.
-            None => drop(registry::target_id(&item.key).map(|id| catalog.remove(now, id))),
+            None => {
+                registry::target_id(&item.key).map(|id| catalog.remove(now, id));
+                None
+            }
         },
         StoreChange::Removed { key, revision } => {
             if let Some(id) = registry::target_id(&key) {
                 let removed = catalog.remove(now, id);
                 info!("event=target_removed id={id} at_once={removed} revision={revision}");
             }
+            None
         }
     }
 }
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -7,7 +7,8 @@
 use anyhow::Result;
 use log::warn;
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    CounterVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
 };
 use std::net::SocketAddr;
 
@@ -17,6 +18,8 @@
 const FIRST_BYTE_BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
 /// Histogram buckets of the time in the queue, in seconds.
 const QUEUE_BUCKETS: &[f64] = &[0.001, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+/// Labels of refusals and of the time in the queue.
+const PLACEMENT_LABELS: &[&str] = &["reason", "region", "organisation", "priority"];
 
 /// Metrics of an entry of the direct path.
 #[derive(Debug, Clone)]
@@ -40,6 +43,17 @@
     pub time_to_first_byte: Histogram,
     /// Time that a request waited for a slot, in seconds.
     pub queue_time: Histogram,
+    /// Requests that were refused for want of a target, by the obstacle of the target that came closest, the
+    /// allowed regions, the organisation and the priority.
+    pub placement_refusals: IntCounterVec,
+    /// Time that requests waited in the queue, in seconds, by the same labels.
+    pub placement_queue_time: CounterVec,
+    /// Requests that had a slot and were not sent, by the obstacle that had come up.
+    pub not_sent: IntCounterVec,
+    /// Times that targets became cold, by reason.
+    pub cold_targets: IntCounterVec,
+    /// Evacuated sites.
+    pub evacuated_sites: IntGauge,
     /// Requests in progress, from reading the request to the end of its answer, and new connections that
     /// wait for their first one.
     pub open_requests: IntGauge,
@@ -116,6 +130,35 @@
                 "Time that a request waited for a place at a target",
                 QUEUE_BUCKETS,
             )?,
+            placement_refusals: new_counters(
+                &registry,
+                "direct_placement_refusals_total",
+                "Requests refused for want of a target, by what kept the closest target from getting it",
+                PLACEMENT_LABELS,
+            )?,
+            placement_queue_time: new_seconds(
+                &registry,
+                "direct_placement_queue_seconds_total",
+                "Time that requests waited for a target, by what kept the closest target from getting it",
+                PLACEMENT_LABELS,
+            )?,
+            not_sent: new_counters(
+                &registry,
+                "direct_not_sent_total",
+                "Requests that had a place and were not sent, by what had come up",
+                &["reason"],
+            )?,
+            cold_targets: new_counters(
+                &registry,
+                "direct_cold_targets_total",
+                "Times that targets became cold, by reason",
+                &["reason"],
+            )?,
+            evacuated_sites: new_gauge(
+                &registry,
+                "direct_evacuated_sites",
+                "Sites that are evacuated",
+            )?,
             open_requests: new_gauge(&registry, "direct_open_requests", "Requests in progress")?,
             waiting_requests: new_gauge(
                 &registry,
@@ -251,6 +294,12 @@
     Ok(counters)
 }
 
+fn new_seconds(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<CounterVec> {
+    let seconds = CounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(seconds.clone()))?;
+    Ok(seconds)
+}
+
 fn new_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
     let counter = IntCounter::new(name, help)?;
     registry.register(Box::new(counter.clone()))?;
--- a/src/direct/presence.rs
+++ b/src/direct/presence.rs
@@ -1,6 +1,7 @@
 //! Service discovery: each process registers itself in the store under a lease.
 
 use super::settings::DirectSettings;
+use crate::clock;
 use buckthornwharf_core::direct::{PROBE_TIMEOUT, StorePosition};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreClient, StoreError, StoreWrite};
@@ -63,13 +64,15 @@
 }
 
 /// Keeps the process registered below `prefix` while `wanted` is true, for the rest of the process.
-/// Calls `on_registered` with the store's position of each registration.
+/// Calls `on_registered` with the store's position of each registration, and `on_live` with the time until
+/// which other processes count this one as live, after the registration and each renewal.
 pub async fn keep_registered(
     store: StoreClient,
     prefix: String,
     record: PresenceRecord,
     mut wanted: watch::Receiver<bool>,
     on_registered: impl Fn(StorePosition),
+    on_live: impl Fn(MonoTime),
 ) {
     let key = format!("{prefix}{}", record.host);
     let value = match serde_json::to_vec(&record) {
@@ -80,11 +83,14 @@
         }
     };
     while wait_until(&mut wanted, true).await {
+        // The store counts the time from when it opens the lease, which is later.
+        let opened_at = clock::now();
         let error = match register(&store, &key, &value).await {
             Ok((lease, position)) => {
                 on_registered(position);
+                on_live(opened_at + LEASE_TTL);
                 tokio::select! {
-                    error = renew(&store, lease) => error,
+                    error = renew(&store, lease, &on_live) => error,
                     _ = wait_until(&mut wanted, false) => {
                         end_lease(&store, lease).await;
                         continue;
@@ -118,11 +124,12 @@
 }
 
 /// Renews `lease` until it has expired, and returns the error of the last renewal.
-async fn renew(store: &StoreClient, lease: u64) -> StoreError {
+async fn renew(store: &StoreClient, lease: u64, on_live: impl Fn(MonoTime)) -> StoreError {
     loop {
         actix_rt::time::sleep(RENEW_INTERVAL).await;
+        let renewed_at = clock::now();
         match store.renew_lease(lease).await {
-            Ok(()) => {}
+            Ok(()) => on_live(renewed_at + LEASE_TTL),
             Err(StoreError::Absent) => return StoreError::Absent,
             // The lease may still be valid; the next renewal shows it.
             Err(error) => log::debug!("event=renewal_failed reason=\"{error}\""),
