--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -6,12 +6,9 @@
 use crate::direct::capacity::{
     CapacityTable, EngineState, SentState, SpeedChange, SpeedSample, TargetLimit, TargetWork,
 };
+use crate::direct::placement::{LearnedPlacement, MIRRORED_PART};
 use crate::prelude::*;
 
-/// Part of the requests that this entry sent to a target since its last report that each other entry in
-/// the region is expected to have sent to it as well: all have the same report, and different noise.
-const MIRRORED_PART: f64 = 0.25;
-
 /// Time between reports of a target, in seconds.
 const REPORT_INTERVAL: f64 = 0.1;
 
@@ -100,50 +97,22 @@
         load.work(now, &self.regions, MIRRORED_PART)
     }
 
-    /// Returns how many requests the other entries are expected to send to a target of the service until its
-    /// next report: as many as this one.
-    pub(super) fn expected_arrivals(&self, now: MonoTime, service: &ServiceName) -> f64 {
-        let others = f64::from(self.regions.entries().saturating_sub(1));
-        let table = self.capacity.as_ref();
-        table.map_or(0.0, |table| table.sent_rate(now, service) * others * REPORT_INTERVAL)
-    }
-
-    /// Returns the cost of sending the request to this target. Lower is better.
-    pub(super) fn placement_cost(
+    /// Returns what the placement of `request` takes into account; `None` if limits are not learned.
+    pub(super) fn learned_placement(
         &self,
         now: MonoTime,
-        load: &TargetLoad,
         request: &SlotRequest,
-        arrivals: f64,
-    ) -> u64 {
-        match &self.capacity {
-            None => load.cost(now, &self.regions),
-            Some(table) => {
-                let work = self.work(now, load);
-                let cost = table.cost(now, &load.record.id, request.prompt_tokens, work, arrivals);
-                cost + load.place_cost(now)
-            }
-        }
+    ) -> Option<LearnedPlacement<'_>> {
+        let table = self.capacity.as_ref()?;
+        Some(LearnedPlacement { table, arrivals: self.expected_arrivals(now, &request.service) })
     }
 
-    /// Returns whether the target does not fail, has memory for the request, and reads its prompt within `max_tokens`
-    /// unread ones, which are fewer at a slow target.
-    pub(super) fn takes_request(
-        &self,
-        now: MonoTime,
-        load: &TargetLoad,
-        request: &SlotRequest,
-        max_tokens: u32,
-    ) -> bool {
-        let Some(table) = &self.capacity else {
-            return load.has_prefill_capacity(request.prompt_tokens, max_tokens);
-        };
-        let id = &load.record.id;
-        let max_tokens = f64::from(max_tokens) / table.slowness(now, id).max(1.0);
-        let tokens = (request.prompt_tokens, request.answer_tokens);
-        load.has_prefill_capacity(request.prompt_tokens, max_tokens as u32)
-            && !table.is_failing(now, id)
-            && table.fits_memory(now, id, tokens, self.regions.in_region())
+    /// Returns how many requests the other entries are expected to send to a target of the service until its
+    /// next report: as many as this one.
+    fn expected_arrivals(&self, now: MonoTime, service: &ServiceName) -> f64 {
+        let others = f64::from(self.regions.entries().saturating_sub(1));
+        let table = self.capacity.as_ref();
+        table.map_or(0.0, |table| table.sent_rate(now, service) * others * REPORT_INTERVAL)
     }
 
     /// Begins a choice of a target.
