--- a/core/tests/direct_cold.rs
+++ b/core/tests/direct_cold.rs
@@ -15,6 +15,7 @@
 const LEASE_MS: u64 = 6000;
 const RENEW_MS: u64 = 2000;
 const STEP_MS: u64 = 10;
+const MAX_ENTRIES: usize = 16;
 
 fn target(started_unix_ms: u64, cold_remaining_ms: Option<u64>) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
@@ -306,26 +307,27 @@
 enum FleetEvent {
     /// The target starts again, and says that it is cold or says nothing.
     Start(bool),
-    /// The target becomes cold again.
-    ColdAgain,
-    /// An entry starts.
-    Join,
+    /// The target becomes cold again, for this time in milliseconds.
+    ColdAgain(u64),
+    /// This number of entries starts.
+    Join(usize),
     /// The entry with this number, modulo the entries, restarts on its host.
     Restart(usize),
-    /// The entry with this number is cut off from the store for some time.
-    CutOff(usize, u64),
+    /// Each entry from this number on, up to this number of them, is cut off from the store for some time.
+    CutOff(usize, usize, u64),
     /// The entry with this number ends.
     End(usize),
 }
 
 fn fleet_event() -> impl Strategy<Value = FleetEvent> {
     prop_oneof![
-        any::<bool>().prop_map(FleetEvent::Start),
-        Just(FleetEvent::ColdAgain),
-        Just(FleetEvent::Join),
-        (0_usize..20).prop_map(FleetEvent::Restart),
-        (0_usize..20, 500_u64..12_000).prop_map(|(entry, time)| FleetEvent::CutOff(entry, time)),
-        (0_usize..20).prop_map(FleetEvent::End),
+        1 => any::<bool>().prop_map(FleetEvent::Start),
+        3 => (3000_u64..15_000).prop_map(FleetEvent::ColdAgain),
+        1 => (1_usize..16).prop_map(FleetEvent::Join),
+        1 => (0_usize..20).prop_map(FleetEvent::Restart),
+        2 => (0_usize..20, 1_usize..16, 500_u64..15_000)
+            .prop_map(|(entry, count, time)| FleetEvent::CutOff(entry, count, time)),
+        1 => (0_usize..20).prop_map(FleetEvent::End),
     ]
 }
 
@@ -386,29 +388,36 @@
             FleetEvent::Start(says) => {
                 let started = self.record.started_unix_ms + 1;
                 let remaining = says.then_some(START_TIME.as_millis() as u64);
-                self.change_target(now, &target(started, remaining));
+                let end = now + START_TIME.as_millis() as u64;
+                self.change_target(now, end, &target(started, remaining));
             }
-            FleetEvent::ColdAgain => {
-                let remaining = START_TIME.as_millis() as u64;
-                self.change_target(now, &target(self.record.started_unix_ms, Some(remaining)));
+            FleetEvent::ColdAgain(time) => {
+                let record = target(self.record.started_unix_ms, Some(*time));
+                self.change_target(now, now + time, &record);
+            }
+            // There are at most 16 entries, as in the largest deployment.
+            FleetEvent::Join(more) => {
+                (0..(*more).min(MAX_ENTRIES.saturating_sub(count))).for_each(|_| self.join(now));
             }
-            FleetEvent::Join => self.join(now),
             FleetEvent::Restart(number) => {
                 let host = self.entries[number % count].host.clone();
                 self.entries[number % count] = self.start_entry(now, host);
             }
-            FleetEvent::CutOff(number, time) => {
-                self.entries[number % count].cut_off_until = now + time;
+            FleetEvent::CutOff(number, many, time) => {
+                for offset in 0..*many {
+                    self.entries[(number + offset) % count].cut_off_until = now + time;
+                }
             }
             FleetEvent::End(number) if count > 1 => drop(self.entries.remove(number % count)),
             FleetEvent::End(_) => {}
         }
     }
 
-    /// Changes the target. Entries that are cut off do not see its registration, but its connections break.
-    fn change_target(&mut self, now: u64, record: &Arc<RegisteredTarget>) {
+    /// Changes the target, which is cold until `cold_until`. Entries that are cut off do not see its registration,
+    /// but its connections break; then they assume that it is cold for the usual time.
+    fn change_target(&mut self, now: u64, cold_until: u64, record: &Arc<RegisteredTarget>) {
         self.record = record.clone();
-        self.cold_until = now + START_TIME.as_millis() as u64;
+        self.cold_until = cold_until;
         for entry in &mut self.entries {
             if entry.cut_off_until > now {
                 entry.scheduler.record_unreached(at(now), &record.id);
@@ -423,6 +432,13 @@
 
     /// Renews the registrations that are due, and passes the list of entries on.
     fn update_entries(&mut self, now: u64) {
+        let remaining = Duration::from_millis(self.cold_until.saturating_sub(now));
+        let is_back = |entry: &&mut Entry| entry.cut_off_until > 0 && entry.cut_off_until <= now;
+        for entry in self.entries.iter_mut().filter(is_back) {
+            entry.cut_off_until = 0;
+            set_target(&mut entry.scheduler, at(now), &self.record);
+            entry.scheduler.set_cold_remaining(at(now), &self.record.id, remaining);
+        }
         for entry in self.entries.iter_mut().filter(|entry| entry.cut_off_until <= now) {
             if (now - entry.started_at).is_multiple_of(RENEW_MS) {
                 entry.scheduler.set_registered_until(at(now), at(now + LEASE_MS));
@@ -445,6 +461,10 @@
             return;
         }
         for entry in &mut self.entries {
+            // An entry that is cut off learns of a cold time beyond the usual one only from failures.
+            if entry.cut_off_until > now && now.is_multiple_of(1000) {
+                entry.scheduler.record_unreached(at(now), &self.record.id);
+            }
             // Many more than an entry may send at once.
             let sent = (0..60).take_while(|_| try_send(&mut entry.scheduler, at(now)).is_some());
             self.sent.extend(sent.map(|_| now));
