--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -24,7 +24,7 @@
 const NOISE_COST: u64 = 60;
 /// Part of the cost for the utilisation of a fully used target, in thousandths. It spreads requests over
 /// targets that are expected to answer at the same time.
-const UTILISATION_COST: f64 = 150.0;
+const UTILISATION_COST: f64 = 300.0;
 /// Largest cost of the expected time, in thousandths of the time of a busy target.
 const MAX_TIME_COST: f64 = 50_000.0;
 
--- a/core/src/direct/capacity/limit.rs
+++ b/core/src/direct/capacity/limit.rs
@@ -94,10 +94,12 @@
     }
 
     fn rise(&mut self, now: MonoTime, load: f64) {
-        if now.since(self.cut_at) > CEILING_RETENTION {
+        let is_forgotten = now.since(self.cut_at) > CEILING_RETENTION;
+        if is_forgotten {
             self.ceiling = None;
         }
-        let rate = if load >= self.limit * USED_PART { USED_RISE } else { UNUSED_RISE };
+        let is_used = load >= self.limit * USED_PART;
+        let rate = if is_used || is_forgotten { USED_RISE } else { UNUSED_RISE };
         let raised = self.limit * (1.0 + rate);
         let is_near = self.ceiling.is_some_and(|ceiling| raised > ceiling * 0.8);
         let rate = if is_near { rate * NEAR_CEILING } else { rate };
--- a/core/src/direct/capacity/model.rs
+++ b/core/src/direct/capacity/model.rs
@@ -80,11 +80,6 @@
         }
     }
 
-    /// Returns whether the times are published, so that they are comparable with measured ones.
-    pub fn is_published(&self) -> bool {
-        self.engine.is_some()
-    }
-
     /// Returns the time until the first event of a request with this prompt.
     pub fn start_ms(&self, prompt_tokens: u32, work: TargetWork) -> f64 {
         let Some(engine) = &self.engine else {
--- a/core/src/direct/capacity/speed.rs
+++ b/core/src/direct/capacity/speed.rs
@@ -22,6 +22,8 @@
 const MAX_WINDOW: Duration = Duration::from_secs(3);
 /// Standard deviations of a window's mean that chance explains.
 const CHANCE_DEVIATIONS: f64 = 2.0;
+/// First windows of a target, which only measure its floor.
+const LEARNING_WINDOWS: u32 = 4;
 /// Weight of a window that is faster than the floor.
 const FLOOR_FALL: f64 = 0.5;
 /// Weight of a window that is slower than the floor, if its load is not higher than that of the floor.
@@ -40,6 +42,8 @@
 const RATE_TIME: f64 = 1.0;
 /// Weight of an answer in the share of failures of a service.
 const SERVICE_FAILURE_WEIGHT: f64 = 0.1;
+/// Shortest time to which the times of targets are compared: differences far below it matter to no caller.
+const MIN_REFERENCE_MS: f64 = 20.0;
 /// Limit of the logarithm of a ratio: a factor of 1000.
 const MAX_LOG: f64 = 6.9;
 
@@ -73,6 +77,8 @@
     recent: f64,
     deviation: f64,
     has_floor: bool,
+    /// Windows so far, up to [`LEARNING_WINDOWS`].
+    windows: u32,
     measured_at: MonoTime,
     window: OpenWindow,
 }
@@ -106,6 +112,7 @@
             recent: start,
             deviation: START_DEVIATION,
             has_floor: service.is_some(),
+            windows: 0,
             measured_at: MonoTime::ZERO,
             window: OpenWindow::default(),
         }
@@ -148,13 +155,16 @@
         let count = f64::from(window.count);
         let (mean, load) = (window.sum / count, window.load_sum / count);
         let above = mean - self.floor;
+        let is_learning = self.windows < LEARNING_WINDOWS;
+        self.windows += u32::from(is_learning);
         let (weight, is_floor_load) = match above {
-            _ if above <= 0.0 => (FLOOR_FALL, true),
+            _ if above <= 0.0 || is_learning => (FLOOR_FALL, true),
             _ if load <= self.floor_load + 0.5 => (FLOOR_RISE, true),
             _ => (LOADED_FLOOR_RISE, false),
         };
         let chance = CHANCE_DEVIATIONS * self.deviation / count.sqrt();
-        let elevation = (above - chance).max(0.0);
+        // Until the floor is that of this target, it may be the published one, which its times never reach.
+        let elevation = if is_learning { 0.0 } else { (above - chance).max(0.0) };
         let floor_load = self.floor_load;
         self.floor += above * weight;
         // At the usual times, the load at which they are usual is known as well.
@@ -228,11 +238,10 @@
 
     /// Returns the value from which a new target starts; `None` if nothing is known.
     pub fn start_value(&self, kind: TimeKind) -> Option<f64> {
-        let measured = match kind {
+        match kind {
             TimeKind::Start => self.start,
             TimeKind::Pause => self.pause,
-        };
-        measured.or_else(|| self.model.is_published().then_some(0.0))
+        }
     }
 
     /// Returns the usual value; the expected one if nothing is known.
@@ -268,7 +277,7 @@
     pub fn reference_ms(&self, prompt_tokens: u32, slots: f64) -> f64 {
         let work = TargetWork { requests: slots, other_requests: slots, ..TargetWork::default() };
         let expected = self.model.start_ms(prompt_tokens, work) * self.usual(TimeKind::Start).exp();
-        expected.max(0.01)
+        expected.max(MIN_REFERENCE_MS)
     }
 }
 
--- a/core/tests/direct_capacity.rs
+++ b/core/tests/direct_capacity.rs
@@ -172,6 +172,25 @@
     assert!(limits[200..].iter().all(|limit| *limit >= 10), "{:?}", limits.iter().min());
 }
 
+/// Guards against limits that are cut since a fleet never reaches the published times.
+#[test]
+fn engines_that_are_slower_than_published_keep_their_limits() {
+    let mut table = CapacityTable::new(1);
+    table.set_engine(&"plain".into(), Some(&engine_spec()));
+    table.set_target(&engine_target("a"));
+    let mut lowest = u32::MAX;
+    for step in 0..1000_u64 {
+        let sent_at = at(1_000 + step * 20);
+        let load = 1 + (step % 12) as u32;
+        let work = TargetWork { requests: f64::from(load), ..TargetWork::default() };
+        let sent = table.record_sent(sent_at, "a", (800, 21), work);
+        let now = sent_at + sent.expected * 2;
+        table.record(now, "a", SpeedSample::Started { sent_at, sent }, load);
+        lowest = lowest.min(table.limit("a").expect("a known target"));
+    }
+    assert!(lowest >= 11, "{lowest}");
+}
+
 fn engine_spec() -> EngineSpec {
     EngineSpec {
         slots: 12,
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -10,6 +10,7 @@
 use actix_http::body::BodySize;
 use buckthornwharf_core::direct::capacity::PauseMeter;
 use buckthornwharf_core::direct::{AttemptFailure, EventStream, StreamEnd, StreamFault};
+use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
     AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
 };
@@ -21,6 +22,9 @@
 /// Size in bytes up to which a response is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
+/// Time to send events to a caller from which pauses are not those of the target: nothing is read meanwhile.
+const SLOW_CALLER_TIME: Duration = Duration::from_millis(5);
+
 /// Why a response ended before it was complete.
 #[derive(Debug, displaydoc::Display)]
 enum BrokenAnswer {
@@ -210,9 +214,13 @@
             if let Some(sample) = pauses.on_events(clock::now(), count_events(&step.events)) {
                 self.state.record_pauses(self.grant, sample);
             }
+            let received_at = clock::now();
             if self.send_step(caller, &answer, reply, &step).await.is_err() {
                 return Err(Interruption::CallerDisconnected);
             }
+            if clock::now().since(received_at) > SLOW_CALLER_TIME {
+                pauses = PauseMeter::default();
+            }
             match step.end {
                 None => {}
                 Some(Ok(())) => {
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -1,6 +1,6 @@
 //! News of declared versions: when they are sent, and their form on a link.
 
-use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
+use buckthornwharf::direct::loads::{AgentMessage, EngineDetails, EngineLoad};
 use buckthornwharf::direct::news::{DeclaredFields, NEWS_INTERVAL, NewsRepeat, VersionNews};
 use buckthornwharf_core::direct::DeclaredVersion;
 use buckthornwharf_core::prelude::*;
@@ -72,3 +72,26 @@
     let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
     assert_eq!((message.load(), message.versions), (load(), Vec::new()));
 }
+
+/// Guards against entries of an earlier build that lose the load of agents that report more than it, and
+/// against pace and memory that do not reach an entry.
+#[test]
+fn a_report_of_pace_and_memory_is_understood_by_entries_that_know_of_none() {
+    #[derive(serde::Deserialize)]
+    struct EarlierFields {
+        requests: u32,
+        accepting: bool,
+    }
+    let details = EngineDetails { pace: Some(250), waiting: 1, memory: Some(60) };
+    let load = EngineLoad { details: Some(details), ..load() };
+    let bytes = encode(&AgentMessage::new(load, Vec::new()));
+    let message: AgentMessage = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!(message.load(), load);
+    let state = message.load().engine_state().expect("a state");
+    assert_eq!((state.pace, state.waiting, state.running), (Some(2.5), 1, 2));
+    assert_eq!(state.memory_part, Some(0.6));
+    let earlier: EarlierFields = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!((earlier.requests, earlier.accepting), (3, true));
+    let plain = encode(&AgentMessage::new(self::load(), Vec::new()));
+    assert!(bytes.len() <= plain.len() + 40, "{} and {} bytes", bytes.len(), plain.len());
+}
