Learned limits: a request that finds no candidate costs no more than without them

Cause: the expected arrivals were computed by a scan of all targets for each request that waits, also if no target had room for it.

Change: they are computed for the first candidate, from a count that is kept; the slowness of a target is not looked up if it has no unread prompt.

--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -75,6 +75,10 @@
     /// Removes the targets for which `keep` is false.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
         self.targets.retain(|id, _| keep(id));
+        for (name, service) in self.services.iter_mut() {
+            let of_service = self.targets.values().filter(|target| target.service() == name);
+            service.set_targets(of_service.count());
+        }
     }
 
     /// Stores what an agent reports of its target.
@@ -184,9 +188,7 @@
 
     /// Returns the requests per second that this entry sends to each target of the service, on average.
     pub fn sent_rate(&self, now: MonoTime, service: &ServiceName) -> f64 {
-        let targets = self.targets.values().filter(|target| target.service() == service).count();
-        let rate = self.services.get(service).map_or(0.0, |speed| speed.sent_rate(now));
-        rate / targets.max(1) as f64
+        self.services.get(service).map_or(0.0, |speed| speed.sent_rate(now) / speed.targets())
     }
 
     /// Begins a choice between targets: the costs of one choice have the same random parts.
--- a/core/src/direct/capacity/speed.rs
+++ b/core/src/direct/capacity/speed.rs
@@ -208,13 +208,14 @@
     /// Requests per second that this entry sends, and when it was updated.
     sent_rate: f64,
     sent_at: MonoTime,
+    targets: usize,
 }
 
 impl ServiceSpeed {
     /// Replaces the published figures. Values that were measured against others are dropped.
     pub fn set_model(&mut self, model: WorkModel) {
         if model != self.model {
-            *self = Self { model, ..Self::default() };
+            *self = Self { model, targets: self.targets, ..Self::default() };
         }
     }
 
@@ -254,6 +255,16 @@
         self.failures += (share - self.failures) * SERVICE_FAILURE_WEIGHT;
     }
 
+    /// Sets the number of targets.
+    pub fn set_targets(&mut self, targets: usize) {
+        self.targets = targets;
+    }
+
+    /// Returns the number of targets, at least 1.
+    pub fn targets(&self) -> f64 {
+        self.targets.max(1) as f64
+    }
+
     /// Counts a request that this entry sends.
     pub fn count_sent(&mut self, now: MonoTime) {
         self.sent_rate = self.sent_rate(now) + 1.0 / RATE_TIME;
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -24,6 +24,7 @@
 pub use notices::MAX_PAUSE;
 use notices::NoticeTable;
 use queue::{ServiceQueue, Waiter};
+use std::cell::LazyCell;
 
 /// Shortest and longest time after which a refused caller may retry. The response will miss its
 /// latency objective anyway, so the overload gets time to pass. The time is also long enough to
@@ -267,10 +268,11 @@
                 && self.takes_request(now, load, request, max_tokens)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
-        let arrivals = self.expected_arrivals(now, &request.service);
+        // Most requests that wait find no candidate.
+        let arrivals = LazyCell::new(|| self.expected_arrivals(now, &request.service));
         let candidates = self.targets.values().filter(has_room);
         let best =
-            candidates.min_by_key(|load| self.placement_cost(now, load, request, arrivals))?;
+            candidates.min_by_key(|load| self.placement_cost(now, load, request, *arrivals))?;
         let id = best.record.id.clone();
         let begin_by = begin_by(best);
         let sent = self.record_sent(now, &id, request);
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -139,9 +139,13 @@
             return load.has_prefill_capacity(request.prompt_tokens, max_tokens);
         };
         let id = &load.record.id;
-        let max_tokens = f64::from(max_tokens) / table.slowness(now, id).max(1.0);
         let tokens = (request.prompt_tokens, request.answer_tokens);
-        load.has_prefill_capacity(request.prompt_tokens, max_tokens as u32)
+        let reads_in_time = || {
+            let max_tokens = f64::from(max_tokens) / table.slowness(now, id).max(1.0);
+            load.has_prefill_capacity(request.prompt_tokens, max_tokens as u32)
+        };
+        let reads_no_other = load.has_prefill_capacity(request.prompt_tokens, 0);
+        (reads_no_other || reads_in_time())
             && !table.is_failing(now, id)
             && table.fits_memory(now, id, tokens, self.regions.in_region())
     }
