--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -259,18 +259,22 @@
             PlacementObstacle::CoolingDown => from(load.cooldown_until().unwrap_or_default()),
             PlacementObstacle::Stuck => unless(!load.is_stuck(*now)),
             PlacementObstacle::Failing => {
-                let is_failing = self.learned.is_some_and(|learned| learned.is_failing(self, load));
+                let learned = self.learned.as_ref();
+                let is_failing = learned.is_some_and(|learned| learned.is_failing(self, load));
                 unless(!is_failing)
             }
             PlacementObstacle::Tried => unless(!request.tried.contains(&record.id)),
             PlacementObstacle::NoSlot => unless(load.available_slots(*now, self.entries) > 0),
             PlacementObstacle::Prefill => {
-                let learned = self.learned.map(|learned| learned.max_prefill_tokens(self, load));
-                let max_tokens = learned.unwrap_or(self.max_prefill_tokens);
-                unless(load.has_prefill_capacity(request.prompt_tokens, max_tokens))
+                let (tokens, max_tokens) = (request.prompt_tokens, self.max_prefill_tokens);
+                unless(match &self.learned {
+                    Some(learned) => learned.reads_in_time(self, load),
+                    None => load.has_prefill_capacity(tokens, max_tokens),
+                })
             }
             PlacementObstacle::Memory => {
-                unless(self.learned.is_none_or(|learned| learned.fits_memory(self, load)))
+                let learned = self.learned.as_ref();
+                unless(learned.is_none_or(|learned| learned.fits_memory(self, load)))
             }
             PlacementObstacle::Retiring => {
                 let begin_by = self.begin_by(load);
--- a/core/src/direct/placement/learned_capacity.rs
+++ b/core/src/direct/placement/learned_capacity.rs
@@ -3,32 +3,47 @@
 use super::PlacementCheck;
 use crate::direct::capacity::{CapacityTable, TargetWork};
 use crate::direct::slots::TargetLoad;
+use std::cell::OnceCell;
 
 /// Part of the requests that this entry sent to a target since its last report that each other entry in
 /// the region is expected to have sent to it as well: all have the same report, and different noise.
 pub const MIRRORED_PART: f64 = 0.25;
 
+/// Time between reports of a target, in seconds.
+const REPORT_INTERVAL: f64 = 0.1;
+
 /// The learned capacities, and what other entries are expected to send meanwhile.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct LearnedPlacement<'a> {
-    pub table: &'a CapacityTable,
-    /// Requests that other entries are expected to send to a target until its next report.
-    pub arrivals: f64,
+    table: &'a CapacityTable,
+    /// Requests that the other entries are expected to send to a target until its next report; not needed for
+    /// most requests that wait, since they find no target.
+    arrivals: OnceCell<f64>,
 }
 
-impl LearnedPlacement<'_> {
+impl<'a> LearnedPlacement<'a> {
+    pub fn new(table: &'a CapacityTable) -> Self {
+        Self { table, arrivals: OnceCell::new() }
+    }
+
     /// Returns the cost of sending the request of `check` to the target. Lower is better.
     pub fn cost(&self, check: &PlacementCheck<'_>, load: &TargetLoad) -> u64 {
         let work = self.work(check, load);
         let prompt_tokens = check.request.prompt_tokens;
-        let cost = self.table.cost(check.now, &load.record.id, prompt_tokens, work, self.arrivals);
+        let arrivals = *self.arrivals.get_or_init(|| self.expected_arrivals(check));
+        let cost = self.table.cost(check.now, &load.record.id, prompt_tokens, work, arrivals);
         cost + load.place_cost(check.now)
     }
 
-    /// Returns the maximum unread prompt tokens at the target: fewer at a slow one.
-    pub fn max_prefill_tokens(&self, check: &PlacementCheck<'_>, load: &TargetLoad) -> u32 {
+    /// Returns whether the target reads the prompt in time; a slow one takes fewer unread tokens.
+    pub fn reads_in_time(&self, check: &PlacementCheck<'_>, load: &TargetLoad) -> bool {
+        let prompt_tokens = check.request.prompt_tokens;
+        if load.has_prefill_capacity(prompt_tokens, 0) {
+            return true;
+        }
         let slowness = self.table.slowness(check.now, &load.record.id).max(1.0);
-        (f64::from(check.max_prefill_tokens) / slowness) as u32
+        let max_tokens = f64::from(check.max_prefill_tokens) / slowness;
+        load.has_prefill_capacity(prompt_tokens, max_tokens as u32)
     }
 
     /// Returns whether the target fails far more requests than others.
@@ -42,6 +57,12 @@
         self.table.fits_memory(check.now, &load.record.id, tokens, check.entries.in_region())
     }
 
+    /// The other entries send as many requests as this one.
+    fn expected_arrivals(&self, check: &PlacementCheck<'_>) -> f64 {
+        let others = f64::from(check.entries.entries().saturating_sub(1));
+        self.table.sent_rate(check.now, &check.request.service) * others * REPORT_INTERVAL
+    }
+
     fn work(&self, check: &PlacementCheck<'_>, load: &TargetLoad) -> TargetWork {
         load.work(check.now, check.entries, MIRRORED_PART)
     }
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -330,7 +330,7 @@
             entries: &self.regions,
             notices: &self.notices,
             rules: &self.rules,
-            learned: self.learned_placement(now, request),
+            learned: self.learned_placement(),
         }
     }
 }
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -9,9 +9,6 @@
 use crate::direct::placement::{LearnedPlacement, MIRRORED_PART};
 use crate::prelude::*;
 
-/// Time between reports of a target, in seconds.
-const REPORT_INTERVAL: f64 = 0.1;
-
 impl SlotScheduler {
     /// Enables learned limits. Entries must have different seeds.
     pub fn enable_learned_limits(&mut self, seed: u64) {
@@ -97,22 +94,9 @@
         load.work(now, &self.regions, MIRRORED_PART)
     }
 
-    /// Returns what the placement of `request` takes into account; `None` if limits are not learned.
-    pub(super) fn learned_placement(
-        &self,
-        now: MonoTime,
-        request: &SlotRequest,
-    ) -> Option<LearnedPlacement<'_>> {
-        let table = self.capacity.as_ref()?;
-        Some(LearnedPlacement { table, arrivals: self.expected_arrivals(now, &request.service) })
-    }
-
-    /// Returns how many requests the other entries are expected to send to a target of the service until its
-    /// next report: as many as this one.
-    fn expected_arrivals(&self, now: MonoTime, service: &ServiceName) -> f64 {
-        let others = f64::from(self.regions.entries().saturating_sub(1));
-        let table = self.capacity.as_ref();
-        table.map_or(0.0, |table| table.sent_rate(now, service) * others * REPORT_INTERVAL)
+    /// Returns what the placement of requests takes into account; `None` if limits are not learned.
+    pub(super) fn learned_placement(&self) -> Option<LearnedPlacement<'_>> {
+        self.capacity.as_ref().map(LearnedPlacement::new)
     }
 
     /// Begins a choice of a target.
