Agents: the stage is not read between a declaration and the first chunk

Cause: with each version an agent first read back all chunks of the old one from the engine's stage and hashed them. Each chunk was then put into the stage before the next fetch was started, and the check before the order began only at the host's turn, so that corrupt chunks made a host late.

Change: an agent reads the stage once, when nothing is to be loaded, and records what it stages itself; the record is dropped when the engine restarts. Chunks are put by a task. The stage is verified when the version is complete, if the turn is more than 0.8 s away, and again just before the order, which goes out on time. A chunk is checked before it is uploaded; a corrupt one is not sent, so others turn to another holder. Log lines name the phases of a version with its age (docs/design/version-changes.md).

--- a/core/src/weights/chunk_set.rs
+++ b/core/src/weights/chunk_set.rs
@@ -49,6 +49,14 @@
         true
     }
 
+    /// Removes `index`, if it is in the set.
+    pub fn remove(&mut self, index: usize) {
+        if self.contains(index) {
+            self.words[index / 64] &= !(1 << (index % 64));
+            self.count -= 1;
+        }
+    }
+
     /// Adds all chunks of `other`, which must be a set for the same manifest.
     pub fn insert_all(&mut self, other: &ChunkSet) {
         for (word, added) in self.words.iter_mut().zip(&other.words) {
--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -11,7 +11,7 @@
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::{
-    ChunkSet, CrossRegionMode, DistributionPlan, FetchLimits, PlanHost, VersionManifest,
+    ChunkSet, CrossRegionMode, DistributionPlan, FetchLimits, HashKind, PlanHost, VersionManifest,
 };
 use log::{info, warn};
 use run::{ChunkDestination, FetchRun};
@@ -51,15 +51,20 @@
         let held = self.state.stage.staged(version).map(|parked| parked.held);
         let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
         self.state.wait_all_agents().await;
-        info!("event=parking_started version={} held={}", version.version, held.count());
+        info!(
+            "event=parking_started version={} held={} age_ms={}",
+            version.version,
+            held.count(),
+            wanted.age_ms()
+        );
         let destination = ChunkDestination::Memory;
-        let mut run =
-            FetchRun::new(self, version, found.manifest, held, found.region_has_copy, destination);
+        let mut run = FetchRun::new(self, wanted, found, held, destination);
         run.finish().await;
         info!(
-            "event=parking_ended version={} took_ms={}",
+            "event=parking_ended version={} took_ms={} age_ms={}",
             version.version,
-            clock::now().since(run.started).as_millis()
+            clock::now().since(run.started).as_millis(),
+            wanted.age_ms()
         );
     }
 
@@ -88,13 +93,20 @@
         let version = &wanted.version;
         self.stage_parked(version).await;
         let found = self.manifest(wanted).await;
-        let manifest = found.manifest;
-        let held = self.verified_chunks(version, &manifest).await;
+        let manifest = found.manifest.clone();
+        let manifest_age_ms = wanted.age_ms();
+        // All is verified again before the load, so the stage is read here only if its content is unknown.
+        let held = match self.state.stage.recorded_chunks(version, &manifest) {
+            Some(held) => held,
+            None => self.verified_chunks(version, &manifest).await,
+        };
         info!(
-            "event=fetch_started version={} held={} settled={}",
+            "event=fetch_started version={} held={} settled={} manifest_age_ms={manifest_age_ms} \
+             age_ms={}",
             version.version,
             held.count(),
-            found.region_has_copy
+            found.region_has_copy,
+            wanted.age_ms()
         );
         self.state.stage.set_staged(StagedVersion {
             version: version.clone(),
@@ -105,23 +117,41 @@
             self.state.wait_all_agents().await;
         }
         let destination = ChunkDestination::Stage;
-        let mut run = FetchRun::new(
-            self,
-            version,
-            manifest.clone(),
-            held,
-            found.region_has_copy,
-            destination,
-        );
+        let mut run = FetchRun::new(self, wanted, found, held, destination);
         run.finish().await;
         info!(
-            "event=fetch_ended version={} took_ms={}",
+            "event=fetch_ended version={} took_ms={} age_ms={}",
             version.version,
-            clock::now().since(run.started).as_millis()
+            clock::now().since(run.started).as_millis(),
+            wanted.age_ms()
         );
         StagedManifest { manifest }
     }
 
+    /// Reads what is in the engine's stage, unless that is known, so that it does not have to be read when
+    /// a version is declared.
+    pub async fn read_stage(&self) {
+        let Some(spec) = self.state.engine_spec() else {
+            return;
+        };
+        for model in &spec.models {
+            if self.state.stage.is_known(model) {
+                continue;
+            }
+            let Ok(staged) = self.state.engine.staged_chunks(model).await else {
+                continue;
+            };
+            let count = spec.chunks as usize;
+            let mut hashes = vec![None; count];
+            for chunk in staged.into_iter().filter(|chunk| *chunk < count) {
+                let max_bytes = spec.chunk_bytes as usize;
+                let read = self.state.engine.staged_chunk(model, chunk, max_bytes).await;
+                hashes[chunk] = read.ok().flatten().map(|bytes| HashKind::Sha256.hash(&bytes));
+            }
+            self.state.stage.set_found(model, hashes);
+        }
+    }
+
     /// Reads back the staged chunks and returns those whose hash matches `manifest`.
     pub async fn verified_chunks(
         &self,
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -1,7 +1,9 @@
 //! One fetch of a version: drives the [`FetchMachine`] and runs a task for each fetch and poll.
 
 use super::ChunkFetcher;
+use super::manifest::FoundManifest;
 use crate::clock;
+use crate::direct::agent::state::WantedModel;
 use actix_rt::task::JoinHandle;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::prelude::*;
@@ -36,6 +38,7 @@
 /// A fetch machine with the tasks that carry out its actions. Dropping it aborts the tasks.
 pub(super) struct FetchRun<'a> {
     fetcher: &'a ChunkFetcher,
+    wanted: WantedModel,
     version: LoadedModel,
     manifest: Arc<VersionManifest>,
     region_has_copy: bool,
@@ -45,6 +48,10 @@
     events: UnboundedReceiver<FetchEvent>,
     tasks: SortedTable<FetchId, JoinHandle<()>>,
     poll: Option<JoinHandle<()>>,
+    /// Tasks that store chunks in the engine's stage.
+    stores: Vec<JoinHandle<()>>,
+    /// Whether all chunks are known to be in the region.
+    region_whole: bool,
     /// Number of chunks held at `progress_at`, when one arrived last or the wait was logged.
     last_held: usize,
     progress_at: MonoTime,
@@ -57,12 +64,12 @@
     /// Creates a run; the chunks in `held` are not fetched.
     pub fn new(
         fetcher: &'a ChunkFetcher,
-        version: &LoadedModel,
-        manifest: Arc<VersionManifest>,
+        wanted: &WantedModel,
+        found: FoundManifest,
         held: ChunkSet,
-        region_has_copy: bool,
         destination: ChunkDestination,
     ) -> Self {
+        let FoundManifest { manifest, region_has_copy } = found;
         let (sender, events) = unbounded_channel();
         let started = clock::now();
         let machine = FetchMachine::new(
@@ -76,7 +83,8 @@
         );
         Self {
             fetcher,
-            version: version.clone(),
+            wanted: wanted.clone(),
+            version: wanted.version.clone(),
             manifest,
             region_has_copy,
             destination,
@@ -85,6 +93,8 @@
             events,
             tasks: SortedTable::new(),
             poll: None,
+            stores: Vec::new(),
+            region_whole: false,
             last_held: 0,
             progress_at: started,
             share: FetchShare::ALL,
@@ -103,6 +113,9 @@
             actions.extend(self.machine.on_event(now, event));
             let missing = self.machine.missing_in_region();
             self.fetcher.state.stage.set_missing_in_region(&self.version, missing);
+            if missing == 0 && !std::mem::replace(&mut self.region_whole, true) {
+                self.log_phase("region_whole");
+            }
             for action in actions {
                 if self.carry_out(action).await {
                     return;
@@ -129,10 +142,19 @@
         self.machine.on_event(now, FetchEvent::Share(share))
     }
 
+    /// Logs that a phase of the distribution begins on this host.
+    fn log_phase(&self, phase: &str) {
+        let (version, held) = (self.version.version, self.machine.held().count());
+        info!("event={phase} version={version} held={held} age_ms={}", self.wanted.age_ms());
+    }
+
     /// Logs what the fetch waits for if no chunk has arrived for [`STALL_LOG_INTERVAL`].
     fn log_stall(&mut self, now: MonoTime) {
         let held = self.machine.held().count();
         if held != self.last_held {
+            if self.last_held == 0 {
+                self.log_phase("first_piece");
+            }
             (self.last_held, self.progress_at) = (held, now);
         } else if now.since(self.progress_at) >= STALL_LOG_INTERVAL {
             self.progress_at = now;
@@ -164,12 +186,18 @@
                 }
             }
             FetchAction::Poll(peer) => self.poll(peer),
-            FetchAction::Store(chunk, bytes) => self.store(chunk, bytes).await,
+            FetchAction::Store(chunk, bytes) => self.store(chunk, bytes),
             FetchAction::ReportCorrupt(source, chunk) => {
                 warn!("event=corrupt_piece source={source:?} piece={chunk}");
                 self.count(&source, "corrupt");
             }
-            FetchAction::Complete => return true,
+            FetchAction::Complete => {
+                for store in self.stores.drain(..) {
+                    // An aborted task leaves a chunk missing, which is found before the load.
+                    let _ = store.await;
+                }
+                return true;
+            }
         }
         false
     }
@@ -182,18 +210,22 @@
         self.fetcher.state.metrics.chunk_fetches.with_label_values(&[source, verdict]).inc();
     }
 
-    async fn store(&self, chunk: usize, bytes: Bytes) {
-        let state = &self.fetcher.state;
+    /// Stores a chunk. It is put into the engine's stage by a task, so that further fetches start meanwhile.
+    fn store(&mut self, chunk: usize, bytes: Bytes) {
+        let state = self.fetcher.state.clone();
+        let version = self.version.clone();
         if self.destination == ChunkDestination::Memory {
-            state.stage.add_parked(&self.version, chunk, bytes);
+            state.stage.add_parked(&version, chunk, bytes);
             return;
         }
-        let staged = state.engine.stage_chunk(&self.version.model, chunk, bytes).await;
-        match staged {
-            Ok(()) => state.stage.add_staged(&self.version, chunk),
-            // The missing chunk is found when the stage is verified before the load.
-            Err(error) => warn!("event=not_staged piece={chunk} reason=\"{error}\""),
-        }
+        self.stores.retain(|store| !store.is_finished());
+        self.stores.push(actix_rt::spawn(async move {
+            match state.engine.stage_chunk(&version.model, chunk, bytes).await {
+                Ok(()) => state.stage.add_staged(&version, chunk),
+                // The missing chunk is found when the stage is verified before the load.
+                Err(error) => warn!("event=not_staged piece={chunk} reason=\"{error}\""),
+            }
+        }));
     }
 
     fn fetch(&mut self, fetch: ChunkFetch) {
@@ -279,7 +311,7 @@
 
 impl Drop for FetchRun<'_> {
     fn drop(&mut self) {
-        self.tasks.values().for_each(JoinHandle::abort);
+        self.tasks.values().chain(&self.stores).for_each(JoinHandle::abort);
         if let Some(poll) = &self.poll {
             poll.abort();
         }
--- a/src/direct/agent/manager.rs
+++ b/src/direct/agent/manager.rs
@@ -24,6 +24,9 @@
 /// token yet.
 const ORDER_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// If a host's turn is later than this, the stage is verified when it is complete as well as at the turn.
+const EARLY_VERIFY_TIME: Duration = Duration::from_millis(800);
+
 /// Polls the engine and loads the wanted versions into it for the rest of the process.
 pub async fn run(state: Rc<AgentState>) -> Infallible {
     let fetcher = ChunkFetcher::new(state.clone());
@@ -44,7 +47,11 @@
                 answered_at = clock::now();
                 state.set_engine_up(true);
                 state.set_report(report);
-                if let Some(wanted) = next_missing_version(&state) {
+                let wanted = next_missing_version(&state);
+                if wanted.is_none() {
+                    fetcher.read_stage().await;
+                }
+                if let Some(wanted) = wanted {
                     tokio::select! {
                         () = monitor_engine(&state) => {}
                         () = install(&state, &fetcher, &wanted) => {}
@@ -144,7 +151,23 @@
 /// Stages `wanted`, waits for the host's turn in the rollout and orders the engine to load it.
 async fn install(state: &AgentState, fetcher: &ChunkFetcher, wanted: &WantedModel) {
     let staged = fetcher.stage(wanted).await;
-    wait_rollout_turn(state, wanted).await;
+    let held_at = clock::now();
+    let turn_at = rollout_turn(state, wanted, held_at);
+    info!(
+        "event=swap_planned version={} age_ms={} in_ms={}",
+        wanted.version.version,
+        wanted.age_ms(),
+        turn_at.since(held_at).as_millis()
+    );
+    let mut verify_time = Duration::ZERO;
+    if turn_at.since(held_at) > EARLY_VERIFY_TIME {
+        // Chunks that turned corrupt while they were exchanged can still be fetched before the turn.
+        if !verify_staged(state, fetcher, &wanted.version, &staged).await {
+            return;
+        }
+        verify_time = clock::now().since(held_at);
+    }
+    actix_rt::time::sleep((turn_at - verify_time).since(clock::now())).await;
     let Some(fence) = state.fence() else {
         info!("event=order_waits reason=not_registered");
         actix_rt::time::sleep(ORDER_RETRY_DELAY).await;
@@ -169,7 +192,7 @@
     info!(
         "event=ordered version={} fence={fence} after_orders={expected_orders} age_ms={} answer={}",
         wanted.version.version,
-        wanted.declared_at.map_or(0, |declared| clock::now().since(declared).as_millis()),
+        wanted.age_ms(),
         match &answer {
             Ok(answer) => format!("{answer:?}"),
             Err(error) => format!("\"{error}\""),
@@ -178,32 +201,31 @@
     let label = answer.as_ref().map_or("none", |answer| answer.into());
     state.metrics.orders.with_label_values(&[label]).inc();
     match answer {
-        Ok(OrderAnswer::Begun | OrderAnswer::Done) => wait_loaded(state, &wanted.version).await,
+        Ok(OrderAnswer::Begun | OrderAnswer::Done) => wait_loaded(state, wanted).await,
         Ok(OrderAnswer::Unfit | OrderAnswer::Fenced) | Err(_) => {
             actix_rt::time::sleep(ORDER_RETRY_DELAY).await;
         }
     }
 }
 
-/// Waits for this host's turn among the hosts of its region. Returns at once if the engine has no
-/// version of the model loaded, or if that version is not due for retirement.
-async fn wait_rollout_turn(state: &AgentState, wanted: &WantedModel) {
+/// Returns the time of this host's turn among the hosts of its region, which held the version at
+/// `held_at`. The turn is at once if the engine has no version of the model loaded, or if that version
+/// is not due for retirement.
+fn rollout_turn(state: &AgentState, wanted: &WantedModel, held_at: MonoTime) -> MonoTime {
     let is_serving = state.report().is_some_and(|report| {
         report.models.iter().any(|loaded| loaded.model == wanted.version.model)
     });
     let Some(retire_at) = wanted.retire_at.filter(|_| is_serving) else {
-        return;
+        return held_at;
     };
     let region = state.settings.region();
     let agents = state.agents();
     let region_agents: Vec<_> = agents.iter().filter(|agent| agent.region == region).collect();
     let turn =
         region_agents.iter().position(|agent| agent.host == state.settings.host).unwrap_or(0);
-    let held_at = clock::now();
     let previous_retire_at = wanted.previous_retire_at;
-    let rollout_turn =
-        RolloutTurn { held_at, previous_retire_at, retire_at, turn, hosts: region_agents.len() };
-    actix_rt::time::sleep(rollout_turn.start_at().since(held_at)).await;
+    let hosts = region_agents.len();
+    RolloutTurn { held_at, previous_retire_at, retire_at, turn, hosts }.start_at()
 }
 
 /// Verifies the stage once more and returns whether all chunks are intact. If not, only the intact
@@ -227,7 +249,8 @@
     false
 }
 
-async fn wait_loaded(state: &AgentState, version: &LoadedModel) {
+async fn wait_loaded(state: &AgentState, wanted: &WantedModel) {
+    let version = &wanted.version;
     let ordered = clock::now();
     while clock::now().since(ordered) < LOAD_TIMEOUT {
         actix_rt::time::sleep(LOAD_POLL_INTERVAL).await;
@@ -237,9 +260,10 @@
                 state.set_report(report);
                 if state.is_loaded(version) {
                     info!(
-                        "event=loaded version={} took_ms={}",
+                        "event=loaded version={} took_ms={} age_ms={}",
                         version.version,
-                        clock::now().since(ordered).as_millis()
+                        clock::now().since(ordered).as_millis(),
+                        wanted.age_ms()
                     );
                     return;
                 }
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -272,6 +272,12 @@
         let model = &staged.version.model;
         let read = self.state.engine.staged_chunk(model, chunk, max_bytes).await;
         match read {
+            Ok(Some(bytes)) if is_corrupt(staged, chunk, &bytes) => {
+                // The chunk is fetched again once the stage is verified before the load.
+                warn!("event=stage_spoilt version={} piece={chunk}", staged.version.version);
+                self.state.stage.remove_staged(&staged.version, chunk);
+                not_found()
+            }
             Ok(Some(bytes)) => self.chunk_response(staged, bytes, slot),
             Ok(None) => not_found(),
             Err(error) => {
@@ -305,6 +311,12 @@
     }
 }
 
+/// Whether `bytes`, read from the stage, are known not to be those of `chunk`.
+fn is_corrupt(staged: &StagedVersion, chunk: usize, bytes: &Bytes) -> bool {
+    let manifest = staged.manifest.as_ref();
+    manifest.is_some_and(|manifest| !manifest.chunk_matches(chunk, bytes))
+}
+
 fn upload_class(request: &InboundRequest) -> UploadClass {
     match request.uri.query() {
         Some(_) => UploadClass::CrossRegion,
--- a/src/direct/agent/stage.rs
+++ b/src/direct/agent/stage.rs
@@ -3,7 +3,7 @@
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::direct::version_choice::CopyTimes;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_core::weights::{ChunkSet, VersionManifest};
+use buckthornwharf_core::weights::{ChunkSet, HashKind, VersionManifest};
 use bytes::Bytes;
 use std::cell::RefCell;
 
@@ -48,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct VersionStage {
     staged: RefCell<SortedTable<ModelName, StagedVersion>>,
+    /// SHA-256 of the chunks that were in the engine's stage when the agent first read it.
+    found: RefCell<SortedTable<ModelName, Vec<Option<ChunkHash>>>>,
     parked: RefCell<Option<ParkedVersion>>,
     /// By version: number of chunks that no host of the region is known to hold.
     missing_in_region: RefCell<SortedTable<LoadedModel, usize>>,
@@ -132,6 +134,61 @@
         self.parked.borrow_mut().take().filter(|parked| parked.version == *version)
     }
 
+    /// Forgets which chunks are in the engine's stage.
+    pub fn forget_staged(&self) {
+        *self.staged.borrow_mut() = SortedTable::new();
+        *self.found.borrow_mut() = SortedTable::new();
+    }
+
+    /// Returns whether the agent has staged chunks of `model`, or read those that it found in the stage.
+    pub fn is_known(&self, model: &ModelName) -> bool {
+        self.staged.borrow().contains_key(model) || self.found.borrow().contains_key(model)
+    }
+
+    /// Records the hashes of the chunks that were found in the engine's stage.
+    pub fn set_found(&self, model: &ModelName, hashes: Vec<Option<ChunkHash>>) {
+        self.found.borrow_mut().insert(model.clone(), hashes);
+    }
+
+    /// Returns the chunks of a version with `manifest` that are in the engine's stage, by what was staged
+    /// or found there; `None` if that is not known.
+    pub fn recorded_chunks(
+        &self,
+        version: &LoadedModel,
+        manifest: &VersionManifest,
+    ) -> Option<ChunkSet> {
+        let staged = self.staged.borrow();
+        let found = self.found.borrow();
+        let record = staged.get(&version.model);
+        let record = record.and_then(|staged| Some((staged, staged.manifest.as_ref()?)));
+        let found = found.get(&version.model).filter(|_| manifest.hash_kind == HashKind::Sha256);
+        let hash = |chunk: usize| match (record, found) {
+            (Some((staged, known)), _) => {
+                known.chunks.get(chunk).filter(|_| staged.held.contains(chunk))
+            }
+            (None, found) => found?.get(chunk)?.as_ref(),
+        };
+        if record.is_none() && found.is_none() {
+            return None;
+        }
+        let mut held = ChunkSet::new(manifest.chunks.len());
+        for (chunk, expected) in manifest.chunks.iter().enumerate() {
+            if hash(chunk) == Some(expected) {
+                held.insert(chunk);
+            }
+        }
+        Some(held)
+    }
+
+    /// Records that a staged chunk has turned out to be corrupt.
+    pub fn remove_staged(&self, version: &LoadedModel, chunk: usize) {
+        if let Some(staged) = self.staged.borrow_mut().get_mut(&version.model)
+            && staged.version == *version
+        {
+            staged.held.remove(chunk);
+        }
+    }
+
     /// Replaces the record of the staged chunks of a model.
     pub fn set_staged(&self, staged: StagedVersion) {
         self.staged.borrow_mut().insert(staged.version.model.clone(), staged);
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -46,6 +46,13 @@
     pub previous_retire_at: Option<MonoTime>,
 }
 
+impl WantedModel {
+    /// Returns the milliseconds since its declaration, 0 if there was none.
+    pub fn age_ms(&self) -> u128 {
+        self.declared_at.map_or(0, |declared| clock::now().since(declared).as_millis())
+    }
+}
+
 /// State that the tasks of an agent share.
 pub struct AgentState {
     /// Metrics of the agent.
@@ -295,6 +302,11 @@
 
     /// Records a report of the engine and publishes its load.
     pub fn set_report(&self, report: EngineReport) {
+        let before = self.report.borrow().as_ref().map(|before| before.started_unix_ms);
+        if before.is_some_and(|before| before != report.started_unix_ms) {
+            // The stage is lost with the engine.
+            self.stage.forget_staged();
+        }
         let loaded = report.models.iter().map(|loaded| loaded.version).max().unwrap_or(0);
         self.metrics.loaded_version.set(i64::try_from(loaded).unwrap_or(i64::MAX));
         self.metrics.engine_requests.set(i64::from(report.requests()));
