Weights: an origin that is back is read in order, not by all hosts at once

Cause: while the origin was down every host that owned a chunk tried it.

A chunk that is new to the region ends the back-off of the others, and the paced schedule goes on after the last chunk seen.

--- a/core/src/weights/fetch.rs
+++ b/core/src/weights/fetch.rs
@@ -189,11 +189,13 @@
         self.share = share;
     }
 
-    /// Lets the paced schedule of requests to the origin go on from the first chunk that this region
-    /// lacks. Otherwise all that became due in a pause would be requested at once, and the first chunk
+    /// Lets the paced schedule of requests to the origin go on after the last chunk that was seen in this
+    /// region. Otherwise all that became due in a pause would be requested at once, and the first chunk
     /// would arrive together with the last one.
     fn restart_origin_schedule(&mut self, now: MonoTime) {
-        let bytes = (self.first_missing_in_region() as u64 * self.manifest.chunk_bytes) as f64;
+        let last_seen = self.first_seen.iter().rposition(Option::is_some);
+        let next = last_seen.map_or(0, |chunk| chunk as u64 + 1);
+        let bytes = (next * self.manifest.chunk_bytes) as f64;
         let read_time = bytes / self.limits.origin_bytes_per_second as f64;
         self.origin_schedule_start = now - Duration::from_secs_f64(read_time);
         self.imports_since = now;
@@ -339,7 +341,7 @@
                 self.first_seen[chunk].get_or_insert(now);
             }
             // A chunk that is new to the region was probably read from the origin.
-            if self.sources.origin.is_suspect(now) && self.missing_in_region() < missing {
+            if self.sources.origin.is_failing() && self.missing_in_region() < missing {
                 self.sources.origin.end_backoff(now);
                 self.restart_origin_schedule(now);
             }
--- a/core/src/weights/fetch/choose.rs
+++ b/core/src/weights/fetch/choose.rs
@@ -79,7 +79,13 @@
     /// Number of chunks, in manifest order, that may have been requested from the origin by now. All
     /// hosts that read the origin follow this schedule, so that the first chunks arrive early and the
     /// origin's allowance is kept without coordination.
+    ///
+    /// While the origin does not answer, only the hosts whose chunks are due next try it. If all tried,
+    /// it would send all chunks at once when it is back, and the first would arrive with the last.
     fn origin_chunk_limit(&self, now: MonoTime) -> usize {
+        if self.limits.is_urgent && self.sources.origin.is_failing() {
+            return self.first_missing_in_region() + ORIGIN_CHUNKS_AHEAD;
+        }
         let rate = self.limits.origin_bytes_per_second as f64 * ORIGIN_RATE_FACTOR;
         let bytes = now.since(self.origin_schedule_start).as_secs_f64() * rate;
         let due = (bytes / self.manifest.chunk_bytes.max(1) as f64) as usize;
--- a/core/src/weights/fetch/peers.rs
+++ b/core/src/weights/fetch/peers.rs
@@ -120,6 +120,7 @@
 
     /// Lets the source be asked at once, because others have reached it.
     pub fn end_backoff(&mut self, now: MonoTime) {
+        self.failures = 0;
         self.suspect_until = self.suspect_until.min(now);
     }
 
