--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod crashes;
 pub mod event_stream;
+pub mod memory;
 pub mod news;
 pub mod rollout;
 pub mod routes;
