Callers that misbehave end no process: one budget for all inbound connections

Cause: heads and bodies were limited each, but many callers at once could make a process hold any amount of memory and descriptors; answers that stayed unread had no time limit, and a link's handshake and frames neither. Change: with host_limits in the settings, the listeners of a process share the budget of core/src/direct/memory.rs, which is asked before bytes are read. When it is spent, large requests wait up to a second, and the oldest incomplete ones are refused with 503 or closed. Always: 413 before a body is read whose declared length is too large, 431 for more than 96 header fields (400 before), a write timeout that follows from progress, timeouts and a frame limit for links, one log line per reason in 10 s, at most 50 lines per second on rejected requests, and pipelined requests let others go first. A head is not parsed again with each byte. Bodies over 16 KiB are no longer copied for the target.

--- a/core/src/direct/memory.rs
+++ b/core/src/direct/memory.rs
@@ -199,6 +199,11 @@
         self.holders.len() - self.free.len()
     }
 
+    /// Returns whether there are as many connections as callers may have.
+    pub fn is_crowded(&self) -> bool {
+        self.connections() >= self.limits.callers
+    }
+
     /// Admits a connection from `source`. If there are too many, the one that has been idle or incomplete for
     /// longest has to be closed for it, of the source that has most connections. Returns `None` if none can be
     /// closed.
--- a/core/tests/direct_memory.rs
+++ b/core/tests/direct_memory.rs
@@ -147,10 +147,10 @@
                 Step::Close(number) if number < holders.len() => {
                     budget.close(holders.remove(number).0);
                 }
-                Step::Hold(number, bytes) if number < holders.len() => {
-                    if budget.try_hold(holders[number].0, bytes) {
-                        holders[number].1 = bytes;
-                    }
+                Step::Hold(number, bytes)
+                    if number < holders.len() && budget.try_hold(holders[number].0, bytes) =>
+                {
+                    holders[number].1 = bytes;
                 }
                 Step::Phase(number, runs) if number < holders.len() => {
                     let phase = if runs { HolderPhase::Running } else { HolderPhase::Reading };
--- a/exchange/src/inbound.rs
+++ b/exchange/src/inbound.rs
@@ -1,12 +1,15 @@
 //! The server side of an exchange.
 
+use crate::memory::{ConnectionMemory, Evicted};
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::header::HeaderMap;
+use actix_http::header::{CONTENT_LENGTH, HeaderMap};
 use actix_http::{ConnectionType, Method, Response, StatusCode, Uri, Version};
+use buckthornwharf_core::direct::memory::{FIELD_BYTES, HolderPhase};
 use bytes::{Bytes, BytesMut};
 use socket2::SockRef;
+use std::cell::Cell;
 use std::io::Read;
 use std::time::Duration;
 use std::{fmt, io};
@@ -18,6 +21,17 @@
 const READ_RESERVE_BYTES: usize = 4096;
 /// Maximum bytes of pipelined requests that are buffered while one is being answered.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Header fields that a request may have; the limit of the codec.
+const MAX_FIELDS: usize = 96;
+/// Capacity that an empty buffer may keep for the next request or answer, in bytes.
+const MAX_SPARE_BYTES: usize = 16 * 1024;
+/// Capacity that is allocated for a body of known length before any of it has arrived, in bytes.
+const MAX_FIRST_BODY_BYTES: usize = 64 * 1024;
+/// Time in which a caller has to read [`MIN_WRITE_BYTES`], or the rest of what is sent to it. Engines cut off
+/// answers that stay unread for some seconds, so a caller is given up before.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Least progress within the time above, in bytes: a rate of 32 KiB/s.
+const MIN_WRITE_BYTES: usize = 48 * 1024;
 
 /// Size and time limits on a caller's requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,6 +72,8 @@
     HeadTooLarge,
     /// request body exceeds the size limit
     BodyTooLarge,
+    /// memory or connections of the process are spent
+    NoMemory,
     /// malformed request
     Malformed,
     /// connection failed: {0}
@@ -72,6 +88,12 @@
     }
 }
 
+impl From<Evicted> for InboundError {
+    fn from(_: Evicted) -> Self {
+        InboundError::NoMemory
+    }
+}
+
 /// A connection from a caller.
 pub struct InboundConnection {
     stream: TcpStream,
@@ -79,6 +101,10 @@
     buffer: BytesMut,
     output: BytesMut,
     eof: bool,
+    memory: ConnectionMemory,
+    /// Bytes that the request holds which is read or handled, apart from `buffer`.
+    request_bytes: usize,
+    write_timeout: Duration,
 }
 
 impl fmt::Debug for InboundConnection {
@@ -88,9 +114,17 @@
 }
 
 impl InboundConnection {
-    /// Wraps an accepted connection.
+    /// Wraps an accepted connection that is not bounded by a budget.
     pub fn new(stream: TcpStream) -> Self {
+        Self::with_memory(stream, ConnectionMemory::default())
+    }
+
+    /// Wraps an accepted connection with its part of the budget.
+    pub fn with_memory(stream: TcpStream, memory: ConnectionMemory) -> Self {
         Self {
+            memory,
+            request_bytes: 0,
+            write_timeout: WRITE_TIMEOUT,
             stream,
             codec: Codec::default(),
             buffer: BytesMut::new(),
@@ -99,22 +133,39 @@
         }
     }
 
+    /// Sets the time in which the peer has to read a part of what is sent to it.
+    pub fn set_write_timeout(&mut self, write_timeout: Duration) {
+        self.write_timeout = write_timeout;
+    }
+
     /// Waits for the first byte of the next request.
     ///
     /// # Errors
     ///
-    /// [`InboundError::Closed`], [`InboundError::IdleTimeout`] or [`InboundError::Broken`].
+    /// [`InboundError::Closed`], [`InboundError::IdleTimeout`], [`InboundError::NoMemory`] or
+    /// [`InboundError::Broken`].
     pub async fn wait_request(&mut self, idle_timeout: Duration) -> Result<(), InboundError> {
+        self.request_bytes = 0;
         if !self.buffer.is_empty() {
+            self.memory.count(self.buffer.capacity());
+            self.memory.set_phase(HolderPhase::Reading);
             return Ok(());
         }
         if self.eof {
             return Err(InboundError::Closed);
         }
         self.buffer = BytesMut::new();
-        let readable = tokio::time::timeout(idle_timeout, self.stream.readable()).await;
+        self.memory.try_hold(0);
+        self.memory.set_phase(HolderPhase::Idle);
+        let readable = tokio::time::timeout(idle_timeout, self.stream.readable());
+        let readable = tokio::select! {
+            biased;
+            readable = readable => readable,
+            () = self.memory.evicted() => return Err(InboundError::NoMemory),
+        };
         readable.map_err(|_| InboundError::IdleTimeout)??;
-        match self.read_some().await? {
+        self.memory.set_phase(HolderPhase::Reading);
+        match self.read_within_budget().await? {
             0 => Err(InboundError::Closed),
             _ => Ok(()),
         }
@@ -131,70 +182,146 @@
     ) -> Result<InboundRequest, InboundError> {
         let deadline = Instant::now() + limits.read_timeout;
         let read = self.read_complete(limits);
-        timeout_at(deadline, read).await.map_err(|_| InboundError::ReadTimeout)?
+        let read = timeout_at(deadline, read).await;
+        let request = read.map_err(|_| InboundError::ReadTimeout).flatten();
+        match request {
+            Ok(_) => self.memory.set_phase(HolderPhase::Running),
+            Err(_) => self.discard_request(),
+        }
+        request
     }
 
     async fn read_complete(
         &mut self,
         limits: &InboundLimits,
     ) -> Result<InboundRequest, InboundError> {
-        let mut request = self.read_head(limits.head_bytes).await?;
+        let (mut request, expects_continue) = self.read_head(limits.head_bytes).await?;
         if matches!(self.codec.message_type(), MessageType::None) {
             return Ok(request);
         }
-        let mut body = BytesMut::new();
+        let length = declared_length(&request.headers);
+        if length.is_some_and(|length| length > limits.body_bytes as u64) {
+            return Err(InboundError::BodyTooLarge);
+        }
+        self.memory.set_key(&request.headers);
+        let head_bytes = self.request_bytes;
+        let max_bytes = length.map_or(limits.body_bytes, |length| length as usize);
+        let mut body = Vec::new();
+        if let Some(length) = length {
+            let capacity = (length as usize).min(MAX_FIRST_BODY_BYTES);
+            self.grow_body(&mut body, head_bytes, capacity).await?;
+        }
+        if expects_continue {
+            self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
         loop {
             match self.codec.decode(&mut self.buffer).map_err(|_| InboundError::Malformed)? {
                 Some(Message::Chunk(Some(bytes))) => {
-                    if body.len() + bytes.len() > limits.body_bytes {
+                    let len = body.len() + bytes.len();
+                    if len > limits.body_bytes {
                         return Err(InboundError::BodyTooLarge);
                     }
+                    if len > body.capacity() {
+                        let capacity = (2 * body.capacity()).max(READ_RESERVE_BYTES);
+                        let capacity = capacity.min(max_bytes).max(len);
+                        self.grow_body(&mut body, head_bytes, capacity).await?;
+                    }
                     body.extend_from_slice(&bytes);
                 }
                 Some(Message::Chunk(None)) => break,
                 Some(Message::Item(_)) => return Err(InboundError::Malformed),
                 None => {
-                    if self.read_some().await? == 0 {
+                    if self.read_within_budget().await? == 0 {
                         return Err(InboundError::Closed);
                     }
                 }
             }
         }
-        request.body = body.freeze();
+        request.body = Bytes::from(body);
         Ok(request)
     }
 
-    async fn read_head(&mut self, head_bytes: usize) -> Result<InboundRequest, InboundError> {
+    /// Grows the capacity of a body once the budget has room for it.
+    async fn grow_body(
+        &mut self,
+        body: &mut Vec<u8>,
+        head_bytes: usize,
+        capacity: usize,
+    ) -> Result<(), InboundError> {
+        let request_bytes = head_bytes + capacity;
+        self.memory.hold(self.buffer.capacity() + request_bytes).await?;
+        self.request_bytes = request_bytes;
+        body.reserve_exact(capacity - body.len());
+        Ok(())
+    }
+
+    /// Reads a head. Returns the request without its body, and whether the caller waits for a `100 Continue`.
+    async fn read_head(
+        &mut self,
+        head_bytes: usize,
+    ) -> Result<(InboundRequest, bool), InboundError> {
+        // Bytes that contain no end of a head. A head is not parsed again before its end has arrived: with callers
+        // that send a byte at a time, this would take time in proportion to the square of its length.
+        let mut searched_bytes = 0;
         loop {
             let len_before = self.buffer.len();
-            let decoded = self.codec.decode(&mut self.buffer);
-            if let Some(Message::Item(request)) = decoded.map_err(|_| InboundError::Malformed)? {
-                if len_before - self.buffer.len() > head_bytes {
-                    return Err(InboundError::HeadTooLarge);
-                }
-                let expects_continue = request.head().headers().contains_key("expect");
-                let (mut message, _) = request.into_parts();
-                let head = &mut *message;
-                let request = InboundRequest {
-                    method: head.method.clone(),
-                    uri: head.uri.clone(),
-                    headers: std::mem::take(&mut head.headers),
-                    body: Bytes::new(),
-                };
-                if expects_continue && head.version == Version::HTTP_11 {
-                    self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            let may_be_complete = searched_bytes == 0 || has_head_end(&self.buffer, searched_bytes);
+            searched_bytes = len_before;
+            if may_be_complete {
+                let decoded = self.codec.decode(&mut self.buffer);
+                if let Some(Message::Item(request)) = decoded.map_err(|_| self.head_error())? {
+                    let read_bytes = len_before - self.buffer.len();
+                    if read_bytes > head_bytes {
+                        return Err(InboundError::HeadTooLarge);
+                    }
+                    let expects_continue = request.head().headers().contains_key("expect");
+                    let (mut message, _) = request.into_parts();
+                    let head = &mut *message;
+                    let request = InboundRequest {
+                        method: head.method.clone(),
+                        uri: head.uri.clone(),
+                        headers: std::mem::take(&mut head.headers),
+                        body: Bytes::new(),
+                    };
+                    self.request_bytes =
+                        read_bytes.max(READ_RESERVE_BYTES) + request.headers.len() * FIELD_BYTES;
+                    self.memory.count(self.buffer.capacity() + self.request_bytes);
+                    return Ok((request, expects_continue && head.version == Version::HTTP_11));
                 }
-                return Ok(request);
             }
             if self.buffer.len() > head_bytes {
                 return Err(InboundError::HeadTooLarge);
             }
-            if self.read_some().await? == 0 {
+            if self.read_within_budget().await? == 0 {
                 return Err(InboundError::Closed);
             }
         }
     }
 
+    /// Why the head in the buffer could not be parsed: the codec does not tell too many fields from other errors.
+    fn head_error(&self) -> InboundError {
+        // The request line and the empty line are no fields.
+        let lines = self.buffer.iter().filter(|byte| **byte == b'\n').count();
+        match lines > MAX_FIELDS {
+            true => InboundError::HeadTooLarge,
+            false => InboundError::Malformed,
+        }
+    }
+
+    /// Reads once the budget has room for it.
+    async fn read_within_budget(&mut self) -> Result<usize, InboundError> {
+        let capacity = self.buffer.capacity().max(self.buffer.len() + READ_RESERVE_BYTES);
+        self.memory.hold(capacity + self.request_bytes).await?;
+        self.buffer.reserve(READ_RESERVE_BYTES);
+        let count = tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.buffer) => read?,
+            () = self.memory.evicted() => return Err(InboundError::NoMemory),
+        };
+        self.eof |= count == 0;
+        Ok(count)
+    }
+
     async fn read_some(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_RESERVE_BYTES);
         let count = self.stream.read_buf(&mut self.buffer).await?;
@@ -203,10 +330,10 @@
     }
 
     /// Waits until the caller has closed the connection. Pipelined requests that arrive meanwhile
-    /// are buffered; once `MAX_PIPELINED_BYTES` are buffered, the future never completes.
+    /// are buffered; once `MAX_PIPELINED_BYTES` are buffered or the budget is spent, the future never completes.
     /// Cancel-safe.
     pub async fn closed(&mut self) {
-        while !self.eof && self.buffer.len() < MAX_PIPELINED_BYTES {
+        while !self.eof && self.may_read_ahead() {
             if self.read_some().await.is_err() {
                 self.eof = true;
             }
@@ -220,7 +347,7 @@
     /// Pipelined requests are buffered as by [`InboundConnection::closed`].
     pub fn has_closed(&mut self) -> bool {
         let mut part = [0; READ_RESERVE_BYTES];
-        while !self.eof && self.buffer.len() < MAX_PIPELINED_BYTES {
+        while !self.eof && self.may_read_ahead() {
             match (&*SockRef::from(&self.stream)).read(&mut part) {
                 Ok(count) => {
                     self.buffer.extend_from_slice(&part[..count]);
@@ -234,6 +361,17 @@
         self.eof
     }
 
+    /// Returns whether bytes of the next request have been read.
+    pub fn has_read_ahead(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    fn may_read_ahead(&self) -> bool {
+        let capacity = self.buffer.capacity().max(self.buffer.len() + READ_RESERVE_BYTES);
+        self.buffer.len() < MAX_PIPELINED_BYTES
+            && self.memory.try_hold(capacity + self.request_bytes)
+    }
+
     /// Appends the head of an answer to the output buffer. `close` announces to the caller that the
     /// connection ends with this answer.
     ///
@@ -299,18 +437,63 @@
         self.codec.encode(Message::Chunk(None), &mut self.output)
     }
 
-    /// Sends the output buffer.
+    /// Sends the output buffer. A caller that does not read in time, or whose memory is needed for others
+    /// meanwhile, is given up.
     ///
     /// # Errors
     ///
-    /// The error of the operating system; the connection can then no longer be used.
+    /// The error of the operating system, [`io::ErrorKind::TimedOut`] or [`io::ErrorKind::OutOfMemory`]; the
+    /// connection can then no longer be used.
     pub async fn flush(&mut self) -> io::Result<()> {
-        if !self.output.is_empty() {
-            self.stream.write_all_buf(&mut self.output).await?;
+        if self.output.is_empty() {
+            return Ok(());
+        }
+        let unsent_bytes = self.buffer.capacity() + self.request_bytes + self.output.capacity();
+        let (stream, output, memory) = (&mut self.stream, &mut self.output, &self.memory);
+        let is_blocked = Cell::new(false);
+        while !output.is_empty() {
+            let goal = output.len().saturating_sub(MIN_WRITE_BYTES);
+            let write = async {
+                while output.len() > goal {
+                    if stream.write_buf(output).await? == 0 {
+                        return Err(io::ErrorKind::WriteZero.into());
+                    }
+                }
+                io::Result::Ok(())
+            };
+            let evicted = async {
+                is_blocked.set(true);
+                memory.count(unsent_bytes);
+                memory.set_phase(HolderPhase::Sending);
+                memory.evicted().await;
+            };
+            let step = async {
+                tokio::select! {
+                    biased;
+                    written = write => written,
+                    () = evicted => Err(io::ErrorKind::OutOfMemory.into()),
+                }
+            };
+            let step = tokio::time::timeout(self.write_timeout, step).await;
+            step.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))?;
+        }
+        if self.output.capacity() > MAX_SPARE_BYTES {
+            self.output = BytesMut::new();
+        }
+        if is_blocked.get() {
+            self.memory.count(self.buffer.capacity() + self.request_bytes);
+            self.memory.set_phase(HolderPhase::Running);
         }
         Ok(())
     }
 
+    /// Releases what was read of a request that was not read completely.
+    fn discard_request(&mut self) {
+        self.buffer = BytesMut::new();
+        self.request_bytes = 0;
+        self.memory.try_hold(0);
+    }
+
     /// Whether the connection stays open for further requests of the caller.
     pub fn keeps_alive(&self) -> bool {
         self.codec.keep_alive() && !self.eof
@@ -322,6 +505,8 @@
         if self.stream.shutdown().await.is_err() {
             return;
         }
+        self.discard_request();
+        self.memory.set_phase(HolderPhase::Idle);
         let drain = async {
             while !self.eof {
                 self.buffer.clear();
@@ -334,3 +519,16 @@
         let _ = tokio::time::timeout(drain_timeout, drain).await;
     }
 }
+
+/// Returns the length of the body that the head declares.
+fn declared_length(headers: &HeaderMap) -> Option<u64> {
+    headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Returns whether an empty line, which ends a head, ends in `buffer` after the first `searched_bytes`.
+fn has_head_end(buffer: &[u8], searched_bytes: usize) -> bool {
+    // An empty line has up to two more bytes before its last one, which may have been searched before.
+    let rest = &buffer[searched_bytes.saturating_sub(2)..];
+    let ends = rest.iter().enumerate().filter(|(_, byte)| **byte == b'\n');
+    ends.into_iter().any(|(end, _)| matches!(&rest[end + 1..], [b'\n', ..] | [b'\r', b'\n', ..]))
+}
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -6,6 +6,7 @@
 mod call;
 mod framing;
 mod inbound;
+mod memory;
 mod outbound;
 mod socket;
 mod uri;
@@ -13,6 +14,7 @@
 pub use call::{CallAnswer, CallClient, CallError, OutboundCall};
 pub use framing::AnswerFraming;
 pub use inbound::{InboundConnection, InboundError, InboundLimits, InboundRequest};
+pub use memory::{ConnectionMemory, Evicted, ProcessMemory};
 pub use outbound::{AnswerHead, BodyPart, ExchangeError, OutboundConnection, OutboundRequest};
-pub use socket::{connect, set_socket_options};
+pub use socket::{connect, limit_buffers, set_socket_options};
 pub use uri::percent_encode;
--- a/exchange/src/outbound.rs
+++ b/exchange/src/outbound.rs
@@ -7,7 +7,7 @@
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::HeaderMap;
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode, Uri, Version};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -18,6 +18,9 @@
 
 /// Free space reserved in the read buffer before each read, in bytes.
 const READ_RESERVE_BYTES: usize = 4096;
+/// Size up to which a body is copied behind the head, so that both are sent in one packet. A larger one is not
+/// copied, as a target that does not read would make it use twice its memory.
+const MAX_COPIED_BYTES: usize = 16 * 1024;
 /// Maximum bytes received without completing a head or adding to a body: the size of a head with the
 /// informational ones before it, or of the framing between two parts of a body.
 const MAX_OVERHEAD_BYTES: usize = 64 * 1024;
@@ -98,6 +101,8 @@
     decoder: BodyDecoder,
     buffer: BytesMut,
     unsent: BytesMut,
+    /// The unsent part of a large body, which follows `unsent`.
+    unsent_body: Bytes,
     /// Bytes received since the last head or part of a body.
     overhead_bytes: usize,
     /// Method of the last request.
@@ -136,6 +141,7 @@
             decoder: BodyDecoder::NoBody(ClientCodec::default()),
             buffer: BytesMut::new(),
             unsent: BytesMut::new(),
+            unsent_body: Bytes::new(),
             overhead_bytes: 0,
             method: Method::GET,
             reusable: true,
@@ -154,7 +160,7 @@
     /// Whether the connection may be used for another exchange: the last one ended cleanly, no
     /// bytes are left over, and the peer has not closed the connection.
     pub fn is_reusable(&mut self) -> bool {
-        if !self.reusable || !self.buffer.is_empty() || !self.unsent.is_empty() {
+        if !self.reusable || !self.buffer.is_empty() || self.has_unsent() {
             return false;
         }
         if !matches!(self.decoder, BodyDecoder::NoBody(_)) {
@@ -204,7 +210,7 @@
     /// Sends what is left of the request. Returns the head of an answer that starts before that is done.
     async fn send_rest(&mut self) -> Result<Option<AnswerHead>, ExchangeError> {
         let mut has_ended = false;
-        while !self.unsent.is_empty() {
+        while self.has_unsent() {
             if let Some(head) = self.decode_head()? {
                 self.reusable = false;
                 return Ok(Some(head));
@@ -216,7 +222,7 @@
             if ready.is_writable() {
                 self.write_some()?;
             }
-            if ready.is_readable() && !self.unsent.is_empty() {
+            if ready.is_readable() && self.has_unsent() {
                 has_ended = self.read_some()?;
             }
         }
@@ -333,7 +339,9 @@
         head.headers = request.headers;
         head.version = Version::HTTP_11;
         codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut self.unsent)?;
-        if !request.body.is_empty() {
+        if request.body.len() > MAX_COPIED_BYTES {
+            self.unsent_body = request.body;
+        } else if !request.body.is_empty() {
             codec.encode(Message::Chunk(Some(request.body)), &mut self.unsent)?;
         }
         self.write_some()?;
@@ -348,9 +356,20 @@
                 Err(error) => return Err(error),
             }
         }
+        while !self.unsent_body.is_empty() {
+            match self.stream.try_write(&self.unsent_body) {
+                Ok(sent) => self.unsent_body.advance(sent),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
         Ok(())
     }
 
+    fn has_unsent(&self) -> bool {
+        !self.unsent.is_empty() || !self.unsent_body.is_empty()
+    }
+
     /// Reads the available bytes without waiting; returns whether the peer has closed.
     fn read_some(&mut self) -> Result<bool, ExchangeError> {
         self.check_overhead()?;
--- a/exchange/src/socket.rs
+++ b/exchange/src/socket.rs
@@ -3,6 +3,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -27,6 +28,17 @@
     Ok(stream)
 }
 
+/// Limits the kernel's buffers of the connections that `listener` will accept.
+///
+/// # Errors
+///
+/// The error of the operating system.
+pub fn limit_buffers(listener: &impl AsFd, bytes: usize) -> io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(bytes)?;
+    socket.set_send_buffer_size(bytes)
+}
+
 /// Sets the options of a connection: `TCP_NODELAY`, and keep-alive probes and an acknowledgement
 /// timeout, which tell a dead peer from a slow one.
 ///
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 mod facts;
 mod follow;
+pub mod inbound_guard;
 pub mod loads;
 pub mod metrics;
 pub mod news;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -8,6 +8,7 @@
 mod state;
 
 use super::follow::{self, PolledList};
+use super::inbound_guard::InboundGuard;
 use super::metrics::{self, DirectAgentMetrics};
 use super::outage::{OutageRole, StoreOutage};
 use super::presence::{self, PresenceRecord};
@@ -47,11 +48,12 @@
     info!("event=started host={} engine={}", settings.host, agent_settings.engine);
     let store = StoreClient::new(settings.store);
     let metrics = DirectAgentMetrics::new()?;
-    metrics::serve(&settings, metrics.registry().clone());
+    let guard = InboundGuard::new(&settings.host_limits, metrics.registry())?;
+    metrics::serve(&settings, &guard, metrics.registry().clone());
     let rejected = metrics.settings_rejected.clone();
     let engine = EngineClient::new(agent_settings.engine);
     let state = AgentState::new(settings.clone(), agent_settings, engine, metrics);
-    peers::start_peer_service(listener, state.clone())?;
+    peers::start_peer_service(listener, guard, state.clone())?;
     let outage = StoreOutage::default();
     actix_rt::spawn(watch_versions(store.clone(), outage.clone(), state.clone()));
     start_polls(&store, &outage, &state);
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -4,6 +4,7 @@
 use super::stage::StagedVersion;
 use super::state::AgentState;
 use crate::clock;
+use crate::direct::inbound_guard::InboundGuard;
 use crate::direct::service::{ServiceAnswer, UploadPacer, start_service};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
@@ -172,11 +173,15 @@
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
-pub fn start_peer_service(listener: std::net::TcpListener, state: Rc<AgentState>) -> Result<()> {
+pub fn start_peer_service(
+    listener: std::net::TcpListener,
+    guard: Rc<InboundGuard>,
+    state: Rc<AgentState>,
+) -> Result<()> {
     let rate = state.agent_settings.link_bytes_per_second() * UPLOAD_LINK_SHARE;
     let pacer = Rc::new(UploadPacer::new(rate));
     let service = Rc::new(PeerService { state, pacer, slots: Rc::default() });
-    start_service(listener, move |request| {
+    start_service(listener, guard, move |request| {
         let service = service.clone();
         async move { service.answer(&request).await }
     })
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -7,6 +7,7 @@
 mod state;
 
 use super::follow;
+use super::inbound_guard::InboundGuard;
 use super::loads;
 use super::metrics::{self, DirectEntryMetrics};
 use super::outage::{OutageRole, StoreOutage};
@@ -22,7 +23,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::request::READINESS_PATH;
 use buckthornwharf_platform::{StoreClient, keys};
-use log::{info, warn};
+use log::{debug, info, warn};
 use state::EntryState;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -64,13 +65,15 @@
     info!("event=started host={} callers={caller_address}", settings.host);
     let store = StoreClient::new(settings.store);
     let metrics = DirectEntryMetrics::new()?;
-    metrics::serve(&settings, metrics.registry().clone());
+    let guard = InboundGuard::new(&settings.host_limits, metrics.registry())?;
+    guard.prepare_listener(&caller_listener);
+    metrics::serve(&settings, &guard, metrics.registry().clone());
     let rejected = metrics.settings_rejected.clone();
-    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics);
+    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics, guard);
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
-    loads::start_receiver(load_listener, state.subscribe_news(), on_message)?;
+    loads::start_receiver(load_listener, state.guard.clone(), state.subscribe_news(), on_message)?;
     let outage = start_followers(&store, &state);
     crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
@@ -92,7 +95,7 @@
 }
 
 fn start_readiness(listener: std::net::TcpListener, state: Rc<EntryState>) -> Result<()> {
-    start_service(listener, move |request| {
+    start_service(listener, state.guard.clone(), move |request| {
         let ready = request.uri.path() == READINESS_PATH && state.is_ready();
         async move {
             match ready {
@@ -148,9 +151,16 @@
         let accept_until = shutdown_at.map(|at: tokio::time::Instant| at + SHUTDOWN_ACCEPT_TIME);
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => caller::spawn(stream, state.clone()),
+                Ok((stream, source)) => {
+                    caller::spawn(stream, source, state.clone());
+                    if state.guard.is_crowded() {
+                        // Lets the new caller send its request before it is the oldest one.
+                        tokio::task::yield_now().await;
+                    }
+                }
                 Err(error) => {
-                    warn!("event=accept_failed reason=\"{error}\"");
+                    debug!("event=accept_failed reason=\"{error}\"");
+                    state.guard.count("accept_failed");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
@@ -176,10 +186,10 @@
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    while let Ok((stream, _)) = listener.accept() {
+    while let Ok((stream, source)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
-            Ok(stream) => caller::spawn(stream, state.clone()),
+            Ok(stream) => caller::spawn(stream, source, state.clone()),
             Err(error) => warn!("event=accept_failed reason=\"{error}\""),
         }
     }
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -52,11 +52,13 @@
         Err((rejection, id)) => {
             let reply = rejection.reply(id.as_deref());
             count_ended_request(state, reply.status, &rejection.to_string());
-            info!(
-                "event=rejected request={} reason={rejection} status={}",
-                id.as_deref().unwrap_or("-"),
-                reply.status.as_u16()
-            );
+            if state.guard.allows_rejected_line(now) {
+                info!(
+                    "event=rejected request={} reason={rejection} status={}",
+                    id.as_deref().unwrap_or("-"),
+                    reply.status.as_u16()
+                );
+            }
             return reply.send(head, caller, state.is_shutting_down()).await;
         }
     };
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -10,6 +10,7 @@
 
 use super::pool::ConnectionPool;
 use crate::direct::facts::AgentConfig;
+use crate::direct::inbound_guard::InboundGuard;
 use crate::direct::metrics::DirectEntryMetrics;
 use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
@@ -30,6 +31,8 @@
 pub struct EntryState {
     /// The entry's metrics.
     pub metrics: DirectEntryMetrics,
+    /// Bounds the connections that others open to this process.
+    pub guard: Rc<InboundGuard>,
     shutdown: watch::Receiver<bool>,
     settings: DirectSettings,
     store: StoreClient,
@@ -65,11 +68,13 @@
         settings: DirectSettings,
         shutdown: watch::Receiver<bool>,
         metrics: DirectEntryMetrics,
+        guard: Rc<InboundGuard>,
     ) -> Rc<Self> {
         let sites = settings.regions.clone().into_iter().collect();
         let regions = EntryRegions::new(settings.region(), sites);
         Rc::new(Self {
             metrics,
+            guard,
             shutdown,
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,15 +1,20 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
 //! engines and to exchange news of declared versions.
 
+use super::inbound_guard::InboundGuard;
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
-use anyhow::{Result, bail};
+use anyhow::{Result, anyhow, bail};
+use buckthornwharf_core::direct::memory::{ConnectionKind, HolderPhase};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::ConnectionMemory;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
@@ -28,6 +33,12 @@
 const NEWS_PATH: &str = "/loads-and-news";
 /// Timeout to open a link, and to send a message.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of the handshake of a link that is accepted; longer, since an entry that has just started accepts those
+/// of all agents at once.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a message after which a link is closed that has carried one; agents repeat theirs each
+/// [`REPEAT_INTERVAL`].
+const MAX_SILENCE: Duration = Duration::from_secs(10);
 /// Delay before a link is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum size of a message, in bytes.
@@ -87,9 +98,11 @@
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
+        // The default of a frame is larger than that of a message, and a frame is read before it is checked.
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Accepts links of agents on `listener` for the rest of the process, sends `news` on those that ask for it,
+/// Accepts links of agents on `listener` for the rest of the process, within the bounds of `guard`, sends `news` on those that ask for it,
 /// and calls `on_message` with each message and the time of its receipt.
 ///
 /// # Errors
@@ -97,18 +110,24 @@
 /// Fails if the listener cannot be used on this thread.
 pub fn start_receiver(
     listener: std::net::TcpListener,
+    guard: Rc<InboundGuard>,
     news: watch::Receiver<VersionNews>,
     on_message: impl Fn(MonoTime, AgentMessage) + Clone + 'static,
 ) -> Result<()> {
+    guard.prepare_listener(&listener);
     let listener = TcpListener::from_std(listener)?;
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    drop(actix_rt::spawn(serve_agent(stream, news.clone(), on_message.clone())));
+                Ok((stream, source)) => {
+                    if let Some(memory) = guard.admit(ConnectionKind::Link, source) {
+                        let on_message = on_message.clone();
+                        actix_rt::spawn(serve_agent(stream, memory, news.clone(), on_message));
+                    }
                 }
                 Err(error) => {
-                    log::warn!("event=accept_failed reason=\"{error}\"");
+                    debug!("event=accept_failed reason=\"{error}\"");
+                    guard.count("accept_failed");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -119,6 +138,7 @@
 
 async fn serve_agent(
     stream: TcpStream,
+    memory: ConnectionMemory,
     news: watch::Receiver<VersionNews>,
     on_message: impl Fn(MonoTime, AgentMessage),
 ) {
@@ -132,16 +152,34 @@
         wants_news = request.uri().path() == NEWS_PATH;
         Ok(response)
     };
-    let link = accept_hdr_async_with_config(stream, on_request, Some(link_config())).await;
+    let handshake = accept_hdr_async_with_config(stream, on_request, Some(link_config()));
+    let link = tokio::select! {
+        link = tokio::time::timeout(ACCEPT_TIMEOUT, handshake) => link,
+        () = memory.evicted() => return,
+    };
     let (sink, messages) = match link {
-        Ok(link) => link.split(),
-        Err(error) => {
+        Ok(Ok(link)) => link.split(),
+        Err(_) => {
+            debug!("event=link_refused reason=\"the handshake has timed out\"");
+            return;
+        }
+        Ok(Err(error)) => {
             debug!("event=link_refused reason=\"{error}\"");
             return;
         }
     };
+    let last_message = Cell::new(None);
+    let received = |message| {
+        let now = clock::now();
+        if last_message.replace(Some(now)).is_none() {
+            memory.set_phase(HolderPhase::Running);
+        }
+        on_message(now, message);
+    };
     let ended = tokio::select! {
-        ended = receive(messages, |message| on_message(clock::now(), message)) => ended,
+        ended = receive(messages, received) => ended,
+        () = memory.evicted() => Err(anyhow!("too many links")),
+        () = silent(&last_message) => Err(anyhow!("the agent is silent")),
         ended = send_news(sink, news), if wants_news => ended,
     };
     if let Err(error) = ended {
@@ -149,6 +187,17 @@
     }
 }
 
+/// Waits until an agent that has reported its load has been silent for [`MAX_SILENCE`]. An agent that does not
+/// know the load of its engine yet may stay silent.
+async fn silent(last_message: &Cell<Option<MonoTime>>) {
+    loop {
+        actix_rt::time::sleep(MAX_SILENCE).await;
+        if last_message.get().is_some_and(|at| clock::now().since(at) >= MAX_SILENCE) {
+            return;
+        }
+    }
+}
+
 /// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`].
 async fn send_news(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of entries and agents of the direct path, in the Prometheus text format.
 
+use super::inbound_guard::InboundGuard;
 use super::service::{ServiceAnswer, start_service};
 use super::settings::DirectSettings;
 use crate::process;
@@ -10,6 +11,7 @@
     Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// HTTP path of the metrics.
 pub const PATH: &str = "/metrics";
@@ -207,15 +209,19 @@
 
 /// Serves the metrics of `registry` on the port in the settings for the rest of the process. If the
 /// address cannot be bound, logs a warning and the process runs without.
-pub fn serve(settings: &DirectSettings, registry: Registry) {
+pub fn serve(settings: &DirectSettings, guard: &Rc<InboundGuard>, registry: Registry) {
     let Some(port) = settings.metrics_port else {
         return;
     };
     let address = SocketAddr::new(settings.peers.ip, port);
     let started = process::bind(address).and_then(|listener| {
-        start_service(listener, move |request| {
+        let gauges = guard.clone();
+        start_service(listener, guard.clone(), move |request| {
             let answer = match request.uri.path() {
-                PATH => render(&registry),
+                PATH => {
+                    gauges.update_gauges();
+                    render(&registry)
+                }
                 _ => ServiceAnswer::new(StatusCode::NOT_FOUND, "not here"),
             };
             async move { answer }
--- a/src/direct/service.rs
+++ b/src/direct/service.rs
@@ -1,13 +1,17 @@
 //! A small HTTP server for the platform and for other processes of the system.
 
+use super::inbound_guard::InboundGuard;
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
 use actix_http::header::HeaderMap;
 use anyhow::Result;
+use buckthornwharf_core::direct::memory::ConnectionKind;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_exchange::{InboundConnection, InboundError, InboundLimits, InboundRequest};
+use buckthornwharf_exchange::{
+    ConnectionMemory, InboundConnection, InboundError, InboundLimits, InboundRequest,
+};
 use bytes::Bytes;
-use log::{debug, warn};
+use log::debug;
 use std::any::Any;
 use std::cell::Cell;
 use std::future::Future;
@@ -23,6 +27,9 @@
 };
 /// Delay after a failed accept, so that the loop does not spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time in which a part of an answer has to be read. Longer than for callers, as links between processes may be
+/// interrupted for some seconds.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Bytes that are sent at a time if the answer has a pacer.
 const PACED_PART_BYTES: usize = 4096;
 
@@ -82,23 +89,34 @@
     }
 }
 
-/// Answers requests on `listener` with `handler` for the rest of the process.
+/// Answers requests on `listener` with `handler` for the rest of the process, within the bounds of `guard`.
 ///
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
-pub fn start_service<H, F>(listener: std::net::TcpListener, handler: H) -> Result<()>
+pub fn start_service<H, F>(
+    listener: std::net::TcpListener,
+    guard: Rc<InboundGuard>,
+    handler: H,
+) -> Result<()>
 where
     H: Fn(InboundRequest) -> F + Clone + 'static,
     F: Future<Output = ServiceAnswer> + 'static,
 {
+    guard.prepare_listener(&listener);
     let listener = TcpListener::from_std(listener)?;
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => drop(actix_rt::spawn(serve(stream, handler.clone()))),
+                Ok((stream, source)) => {
+                    if let Some(memory) = guard.admit(ConnectionKind::Service, source) {
+                        let (guard, handler) = (guard.clone(), handler.clone());
+                        actix_rt::spawn(serve(stream, memory, guard, handler));
+                    }
+                }
                 Err(error) => {
-                    warn!("event=accept_failed reason=\"{error}\"");
+                    debug!("event=accept_failed reason=\"{error}\"");
+                    guard.count("accept_failed");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -107,8 +125,12 @@
     Ok(())
 }
 
-async fn serve<H, F>(stream: TcpStream, handler: H)
-where
+async fn serve<H, F>(
+    stream: TcpStream,
+    memory: ConnectionMemory,
+    guard: Rc<InboundGuard>,
+    handler: H,
+) where
     H: Fn(InboundRequest) -> F,
     F: Future<Output = ServiceAnswer>,
 {
@@ -116,8 +138,13 @@
         debug!("event=caller_not_prepared reason=\"{error}\"");
         return;
     }
-    let mut connection = InboundConnection::new(stream);
-    while let Ok(request) = next_request(&mut connection).await {
+    let mut connection = InboundConnection::with_memory(stream, memory);
+    connection.set_write_timeout(WRITE_TIMEOUT);
+    loop {
+        let request = match next_request(&mut connection).await {
+            Ok(request) => request,
+            Err(failure) => return guard.count_unread(&failure),
+        };
         let answer = handler(request).await;
         if send(&mut connection, answer).await.is_err() || !connection.keeps_alive() {
             return;
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -37,6 +37,8 @@
     pub engines: Vec<Rc<EngineStandin>>,
     entries: Vec<EntryProcess>,
     folder: TempDir,
+    /// What the settings of the entries say of their host.
+    host_limits: Value,
 }
 
 /// An entry process and the addresses that it listens on.
@@ -77,6 +79,16 @@
 
     /// Starts several entries with `targets` targets and waits until all are ready.
     pub async fn start_entries(targets: usize, entries: usize, version_time_ms: u64) -> Self {
+        Self::start_on(targets, entries, version_time_ms, json!({})).await
+    }
+
+    /// Like `start_entries`, on hosts with limits.
+    pub async fn start_on(
+        targets: usize,
+        entries: usize,
+        version_time_ms: u64,
+        host_limits: Value,
+    ) -> Self {
         let store = StoreStandin::start().await;
         let mut engines = Vec::new();
         for number in 0..targets {
@@ -85,7 +97,7 @@
             engines.push(engine);
         }
         let folder = TempDir::new().expect("a temporary directory");
-        let mut fleet = Self { store, engines, entries: Vec::new(), folder };
+        let mut fleet = Self { store, engines, entries: Vec::new(), folder, host_limits };
         for number in 0..entries {
             let entry = fleet.start_entry(number, version_time_ms).await;
             fleet.entries.push(entry);
@@ -116,6 +128,7 @@
                 "version_time": version_time_ms,
             },
             "entry": { "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0" },
+            "host_limits": self.host_limits,
         });
         let name = format!("entry-{}", number + 1);
         let path = self.folder.path().join(format!("{name}.yml"));
@@ -219,6 +232,26 @@
             .await;
     }
 
+    /// The id of the process of the first entry.
+    pub fn entry_process_id(&self) -> u32 {
+        self.entries[0].process.borrow().id()
+    }
+
+    /// Whether the process of the first entry runs.
+    pub fn is_entry_running(&self) -> bool {
+        self.entries[0].process.borrow_mut().is_running()
+    }
+
+    /// The address at which callers reach the first entry.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.entries[0].callers
+    }
+
+    /// The address of the first entry's readiness endpoint.
+    pub fn readiness_address(&self) -> SocketAddr {
+        self.entries[0].readiness
+    }
+
     /// The address at which agents reach the first entry.
     pub fn peer_address(&self) -> SocketAddr {
         let records = self.store.values("buckthornwharf/common/entry/");
