--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -134,6 +134,7 @@
             "host": name, "site": site, "regions": { "a": "a", "b": "b" },
             "store": address_of(&store_relay).to_string(),
             "peers": { "ip": "127.0.0.1", "ports": [0, 0] },
+            "host_limits": { "memory_megabytes": 96, "descriptors": 512 },
             "bounds": {
                 "retry_ratio": 0.2, "retry_extra": 100, "retry_window": 10,
                 "grace": SHUTDOWN_GRACE.as_secs(), "version_time": VERSION_TIME.as_millis() as u64,
