--- a/tests/direct_callers.rs
+++ b/tests/direct_callers.rs
@@ -48,6 +48,8 @@
     LegalFields,
     /// Sends requests that the entry refuses, without reading the answers.
     Pipelined,
+    /// The same, but reads the answers a byte at a time.
+    SlowReader,
     /// Sends requests that a target answers, without reading the answers; on few connections, as the targets' slots
     /// would otherwise be too few for ordinary callers.
     UnreadAnswers,
@@ -61,7 +63,7 @@
     Garbage,
 }
 
-const ATTACKS: [Attack; 13] = [
+const ATTACKS: [Attack; 14] = [
     Attack::UnfinishedBody,
     Attack::UnfinishedPieces,
     Attack::UnfinishedChunks,
@@ -70,6 +72,7 @@
     Attack::ManyFields,
     Attack::LegalFields,
     Attack::Pipelined,
+    Attack::SlowReader,
     Attack::UnreadAnswers,
     Attack::SlowHead,
     Attack::SlowBody,
@@ -125,6 +128,13 @@
             let fields = short_fields(85) + "content-length: 1000\r\n";
             stream.write_all(head("POST", path, &fields).as_bytes()).await?;
         }
+        Attack::SlowReader => {
+            let request = head("GET", path, "").replace("secret", "unknown");
+            stream.write_all(request.repeat(200).as_bytes()).await?;
+            while stream.read(&mut [0]).await? > 0 {
+                tokio::time::sleep(SLOW_INTERVAL).await;
+            }
+        }
         Attack::Pipelined | Attack::UnreadAnswers => {
             let request = match attack {
                 Attack::Pipelined => head("GET", path, "").replace("secret", "unknown"),
