--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -12,6 +12,8 @@
 use standin::origin::{CHUNKS, OriginFault};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Timeout for a condition to hold.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -46,6 +48,49 @@
     eventually("all agents are registered", registered).await;
 }
 
+/// The addresses at which other processes reach the agents.
+fn agent_addresses(fleet: &SoakFleet) -> Vec<SocketAddr> {
+    let records = fleet.store.values("buckthornwharf/agent/");
+    let address = |record: &String| {
+        let record: serde_json::Value = serde_json::from_str(record).expect("JSON");
+        record["address"].as_str().expect("text").parse().expect("an address")
+    };
+    records.iter().map(address).collect()
+}
+
+/// Opens connections to `address` that send an incomplete request or nothing, and keeps them open.
+async fn open_stalled(address: SocketAddr) -> Vec<TcpStream> {
+    const CONNECTIONS: usize = 100;
+    let mut streams = Vec::new();
+    for number in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("the agent listens");
+        let text = match number % 3 {
+            0 => String::new(),
+            1 => "GET /weights/m/2/0 HTTP/1.1\r\nhost".to_owned(),
+            _ => format!("POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 60000\r\n\r\n{:50000}", ""),
+        };
+        // The agent may close the connection to accept others.
+        let _ = stream.write_all(text.as_bytes()).await;
+        streams.push(stream);
+    }
+    streams
+}
+
+/// Guards against callers that keep agents from each other, or end them.
+#[actix_rt::test]
+async fn agents_distribute_a_version_while_others_stall_at_their_addresses() {
+    let fleet = SoakFleet::start(1, 3).await;
+    wait_settled(&fleet).await;
+    let addresses = agent_addresses(&fleet);
+    let mut stalled = Vec::new();
+    for address in &addresses {
+        stalled.push(open_stalled(*address).await);
+    }
+    operator::declare_version(&fleet.store, 2);
+    wait_all_loaded(&fleet, 2).await;
+    assert!(fleet.processes.iter().all(|process| !process.has_exited()), "a process has ended");
+}
+
 #[actix_rt::test]
 async fn processes_register_the_port_that_the_operating_system_assigned() {
     const PREFIXES: [&str; 2] = ["buckthornwharf/agent/", "buckthornwharf/common/entry/"];
