Tests: entries that run out of descriptors

Cause: the descriptor limit was checked by counting only, and the accept loop without descriptors not at all.

--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -39,6 +39,8 @@
     folder: TempDir,
     /// What the settings of the entries say of their host.
     host_limits: Value,
+    /// File descriptors that an entry may open; `None` for as many as this process.
+    descriptors: Option<u32>,
 }
 
 /// An entry process and the addresses that it listens on.
@@ -79,15 +81,16 @@
 
     /// Starts several entries with `targets` targets and waits until all are ready.
     pub async fn start_entries(targets: usize, entries: usize, version_time_ms: u64) -> Self {
-        Self::start_on(targets, entries, version_time_ms, json!({})).await
+        Self::start_on(targets, entries, version_time_ms, json!({}), None).await
     }
 
-    /// Like `start_entries`, on hosts with limits.
+    /// Like `start_entries`, on hosts whose limits the settings name, and with this number of file descriptors.
     pub async fn start_on(
         targets: usize,
         entries: usize,
         version_time_ms: u64,
         host_limits: Value,
+        descriptors: Option<u32>,
     ) -> Self {
         let store = StoreStandin::start().await;
         let mut engines = Vec::new();
@@ -97,7 +100,8 @@
             engines.push(engine);
         }
         let folder = TempDir::new().expect("a temporary directory");
-        let mut fleet = Self { store, engines, entries: Vec::new(), folder, host_limits };
+        let mut fleet =
+            Self { store, engines, entries: Vec::new(), folder, host_limits, descriptors };
         for number in 0..entries {
             let entry = fleet.start_entry(number, version_time_ms).await;
             fleet.entries.push(entry);
@@ -136,7 +140,17 @@
         let program = Path::new(env!("CARGO_BIN_EXE_buckthornwharf"));
         let path = path.to_str().expect("the path is UTF-8");
         let arguments = ["entry", "--settings", path];
-        let process = FleetProcess::spawn(&name, program, &arguments, self.folder.path());
+        let folder = self.folder.path();
+        let process = match self.descriptors {
+            None => FleetProcess::spawn(&name, program, &arguments, folder),
+            Some(descriptors) => {
+                // The shell is replaced by the entry, so the process is the entry's.
+                let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+                let program = program.to_str().expect("the path is UTF-8");
+                let arguments = [["-c", &script, program].as_slice(), &arguments].concat();
+                FleetProcess::spawn(&name, Path::new("/bin/sh"), &arguments, folder)
+            }
+        };
         let mut process = process.expect("the entry starts");
         let ready = process.wait_ready().await.expect("the entry listens");
         let address = |name: &str| *ready.get(name).expect("an address");
--- a/tests/direct_callers.rs
+++ b/tests/direct_callers.rs
@@ -261,7 +261,7 @@
 #[actix_rt::test]
 async fn an_entry_stays_within_its_memory_and_serves_ordinary_callers() {
     let limits = json!({ "memory_megabytes": MEMORY_MEGABYTES });
-    let fleet = DirectFleet::start_on(2, 1, VERSION_TIME_MS, limits).await;
+    let fleet = DirectFleet::start_on(2, 1, VERSION_TIME_MS, limits, None).await;
     put_body_limit(&fleet).await;
     assert_eq!(largest_request(&fleet).await, "HTTP/1.1 200 OK");
     for kind in ATTACKS {
@@ -285,9 +285,9 @@
 /// Guards against callers that take the descriptors of targets, links and the store.
 #[actix_rt::test]
 async fn idle_callers_leave_descriptors_to_others() {
-    const DESCRIPTORS: usize = 128;
+    const DESCRIPTORS: u32 = 128;
     let limits = json!({ "descriptors": DESCRIPTORS });
-    let fleet = DirectFleet::start_on(2, 1, VERSION_TIME_MS, limits).await;
+    let fleet = DirectFleet::start_on(2, 1, VERSION_TIME_MS, limits, Some(DESCRIPTORS)).await;
     let mut idle = Vec::new();
     for address in [fleet.caller_address(), fleet.readiness_address(), fleet.peer_address()] {
         for _ in 0..CONNECTIONS / 3 {
@@ -298,7 +298,24 @@
             assert_eq!(fleet.readiness().await, Some(200));
         }
     }
-    eventually("connections are closed", || open_descriptors(&fleet) <= DESCRIPTORS).await;
+    eventually("connections are closed", || open_descriptors(&fleet) < DESCRIPTORS as usize).await;
+    assert!(!fleet.entry_log(0).contains("accept_failed"), "the descriptors ran out");
+}
+
+/// Guards against an entry that accepts no connections any more, or logs each failure, once its descriptors have
+/// run out, as the settings do not name their number.
+#[actix_rt::test]
+async fn an_entry_accepts_connections_again_after_its_descriptors_ran_out() {
+    let fleet = DirectFleet::start_on(1, 1, VERSION_TIME_MS, json!({}), Some(64)).await;
+    let mut idle = Vec::new();
+    for _ in 0..100 {
+        idle.push(TcpStream::connect(fleet.caller_address()).await.expect("it connects"));
+    }
+    let failures = || fleet.entry_log(0).matches("reason=accept_failed").count();
+    eventually("a connection is not accepted", || failures() > 0).await;
+    drop(idle);
+    assert_eq!(fleet.get("/plain/x", "after").await.status, 200);
+    assert!(failures() <= 2, "each failure is logged: {}", failures());
 }
 
 /// Sends `text` and returns the status line of the answer.
