--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod crashes;
 pub mod event_stream;
+pub mod memory;
 pub mod news;
 pub mod placement;
 pub mod rollout;
