Entries send nothing to evacuated sites, and hear of evacuations from agents if the store refuses them

Change: the set of evacuated sites is one value with the position of the store at which it was read; the value with the later position replaces the other. Entries pass it to agents with the news of versions, agents pass it to entries with their load reports, at once and each second while a site is evacuated. Agents that no entry covers watch op/evacuate/. A part of a message has at most 2 KiB of names, and further parts follow. While no evacuation has been heard of, messages are the same bytes as before, and agents that are covered make no further call to the store. The relay of the tests can refuse connections, and events of a watch carry the position.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -6,6 +6,7 @@
 //! request therefore waits only as long as a response in time can still be expected.
 
 mod entry_regions;
+mod evacuated;
 mod grant;
 mod load;
 mod notices;
@@ -43,6 +44,10 @@
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
+    /// The evacuated sites, in order.
+    evacuated_sites: Vec<SiteName>,
+    /// Whether waiting requests may have lost their last target to an evacuation.
+    evacuation_changed: bool,
     next_ticket: WaitTicket,
 }
 
@@ -56,6 +61,8 @@
             queues: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
+            evacuated_sites: Vec::new(),
+            evacuation_changed: false,
             next_ticket: 0,
         }
     }
@@ -103,6 +110,7 @@
         for load in self.targets.values_mut() {
             load.registered = registered_ids.binary_search(&load.record.id).is_ok();
         }
+        self.mark_evacuated();
         self.update_limit_shares();
     }
 
@@ -198,10 +206,13 @@
         grants
     }
 
-    /// Removes the waiting requests whose longest wait has passed, and returns them with the time
+    /// Removes the waiting requests whose longest wait has passed, or whose last target is in a site
+    /// that was evacuated since, and returns them with the time
     /// after which each caller may retry.
     pub fn expire(&mut self, now: MonoTime) -> Vec<(WaitTicket, Duration)> {
+        let stranded = self.remove_stranded(now);
         let expired = self.queues.values_mut().flat_map(|queue| queue.expire(now));
+        let expired = stranded.into_iter().chain(expired);
         expired.map(|ticket| (ticket, retry_after(ticket))).collect()
     }
 
@@ -227,6 +238,12 @@
         self.targets.values().map(|load| load.in_flight).sum()
     }
 
+    /// Returns the number of this entry's requests at targets in `sites`, which are in order.
+    pub fn in_flight_at(&self, sites: &[SiteName]) -> u32 {
+        let is_there = |load: &&TargetLoad| sites.binary_search(&load.record.site).is_ok();
+        self.targets.values().filter(is_there).map(|load| load.in_flight).sum()
+    }
+
     /// Returns whether the load reports of target `id` have stopped.
     pub fn is_silent(&self, now: MonoTime, id: &str) -> bool {
         self.targets.get(id).is_some_and(|load| load.is_silent(now))
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -46,6 +46,8 @@
     slowest_first_byte: (Duration, MonoTime),
     /// Whether the target is still registered.
     pub registered: bool,
+    /// Whether the site of the target is evacuated.
+    pub evacuated: bool,
     /// Whether the target is in this entry's region.
     local: bool,
     /// Share of a limit that the target names, between 0 and 1, that this entry may use.
@@ -83,6 +85,7 @@
             pending: Vec::new(),
             slowest_first_byte: (Duration::ZERO, MonoTime::ZERO),
             registered: true,
+            evacuated: false,
             local,
             limit_share: 1.0,
             other_requests: 0,
@@ -225,6 +228,11 @@
     /// Returns whether the target serves the request's service and model, in version `required` or
     /// a newer one.
     pub fn serves(&self, request: &SlotRequest, required: Option<u64>) -> bool {
+        self.offers(request, required) && !self.evacuated
+    }
+
+    /// Like [`TargetLoad::serves`], whether the site is evacuated or not.
+    pub fn offers(&self, request: &SlotRequest, required: Option<u64>) -> bool {
         self.registered
             && self.record.service == request.service
             && self.record.phase == TargetPhase::Ready
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -99,6 +99,12 @@
         tickets
     }
 
+    /// Removes the waiters for whose requests `is_removed` returns true and returns their tickets.
+    pub fn remove_if(&mut self, is_removed: impl Fn(&SlotRequest) -> bool) -> Vec<WaitTicket> {
+        let removed = self.waiters.extract_if(.., |waiter| is_removed(&waiter.request));
+        removed.map(|waiter| waiter.ticket).collect()
+    }
+
     pub fn next_expiry(&self) -> Option<MonoTime> {
         self.waiters.iter().map(|waiter| waiter.expires_at).min()
     }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod evacuation;
 mod facts;
 mod follow;
 pub mod loads;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -15,7 +15,7 @@
 use super::settings::DirectSettings;
 use crate::process;
 use anyhow::{Context, Result};
-use buckthornwharf_core::direct::WatchTiming;
+use buckthornwharf_core::direct::{EvacuationReader, WatchTiming};
 use buckthornwharf_platform::{EngineClient, StoreClient, keys};
 use log::info;
 use rand::RngExt;
@@ -27,6 +27,9 @@
 /// Time after the start at which the agents of all regions are read if no fetch needs them before.
 /// Hosts that start together leave the links between regions to the entries' configuration.
 const ALL_AGENTS_DELAY_MS: std::ops::Range<u64> = 5000..10_000;
+/// Time that an agent waits after its start for news of entries before it reads evacuated sites from the
+/// store: a fleet that starts has news well before, and does not make this call.
+const FIRST_COVERAGE_TIME: Duration = Duration::from_millis(1500);
 /// Time for the store to delete the agent's registration before the process exits.
 const SHUTDOWN_DELAY: Duration = Duration::from_millis(300);
 
@@ -54,6 +57,7 @@
     peers::start_peer_service(listener, state.clone())?;
     let outage = StoreOutage::default();
     actix_rt::spawn(watch_versions(store.clone(), outage.clone(), state.clone()));
+    actix_rt::spawn(watch_evacuations(store.clone(), outage.clone(), state.clone()));
     start_polls(&store, &outage, &state);
     let record = PresenceRecord::of(&settings);
     let fence_state = state.clone();
@@ -98,6 +102,29 @@
     }
 }
 
+/// Watches the evacuated sites in the store while no entry is relied on for news of them. The watch of the
+/// versions notices outages of the store for this one.
+async fn watch_evacuations(store: StoreClient, outage: StoreOutage, state: Rc<AgentState>) {
+    // An error means that no entry is relied on yet.
+    let _ = tokio::time::timeout(FIRST_COVERAGE_TIME, state.wait_covered()).await;
+    loop {
+        state.wait_uncovered().await;
+        let watched = state.clone();
+        let mut reader = EvacuationReader::default();
+        let watch = follow::watch_prefix(
+            store.clone(),
+            keys::EVACUATED,
+            WatchTiming::TIMELY,
+            OutageRole::Follower(outage.clone()),
+            move |event| watched.on_evacuation_event(&mut reader, &event),
+        );
+        tokio::select! {
+            () = watch => {}
+            () = state.wait_covered() => {}
+        }
+    }
+}
+
 /// Starts to poll the entries with the configuration for agents, the agents of the own region, and those
 /// of all regions.
 fn start_polls(store: &StoreClient, outage: &StoreOutage, state: &Rc<AgentState>) {
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of an agent share: wanted versions, other agents, and the engine's state.
 
 mod agents;
+mod evacuation;
 mod links;
 
 use super::stage::VersionStage;
@@ -146,11 +147,11 @@
     /// Handles changes of the versions that the operator declares in the store.
     pub fn on_version_event(&self, event: StoreEvent) {
         match event {
-            StoreEvent::Snapshot(items) => {
-                items.iter().for_each(|item| self.apply_version_item(item));
+            StoreEvent::Snapshot(range) => {
+                range.items.iter().for_each(|item| self.apply_version_item(item));
                 self.versions_known.set(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.apply_version_item(item);
--- a/src/direct/agent/state/links.rs
+++ b/src/direct/agent/state/links.rs
@@ -1,4 +1,5 @@
-//! Links of an agent to the entries: it reports the load of its engine on them, and gets news of versions.
+//! Links of an agent to the entries: it reports the load of its engine on them, and gets news of versions
+//! and evacuated sites.
 
 use super::AgentState;
 use crate::clock;
@@ -79,6 +80,9 @@
     fn on_news(&self, entry: &Arc<str>, news: &NewsMessage) {
         let now = clock::now();
         self.coverage.borrow_mut().heard(now, entry, news.current);
+        if let Some(fields) = &news.evacuated {
+            self.on_evacuation_news(fields.clone().into());
+        }
         for declared in &news.versions {
             self.declare(declared.version(), declared.declared_at(now));
         }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -83,6 +83,7 @@
         |_| {},
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
+    actix_rt::spawn(state::run_evacuation_metrics(state.clone()));
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
     reload::watch_settings(settings_path, rejected, on_change)?;
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -42,8 +42,8 @@
         // The store may have lost this entry's item, or hold an older one.
         StoreEvent::Recovered if !state.crash_report().causes.is_empty() => state.report_crashes(),
         StoreEvent::Recovered | StoreEvent::Lost => {}
-        StoreEvent::Snapshot(items) => items.iter().for_each(|item| merge(state, item)),
-        StoreEvent::Changes(changes) => {
+        StoreEvent::Snapshot(range) => range.items.iter().for_each(|item| merge(state, item)),
+        StoreEvent::Changes(changes, _) => {
             for change in &changes {
                 match change {
                     StoreChange::Put(item) if &*item.key != own_key => merge(state, item),
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -1,11 +1,13 @@
 //! State of an entry: configuration, versions, targets, slots and requests that wait for a slot.
 
 mod crashes;
+mod evacuation;
 mod notices;
 mod queue;
 mod updates;
 
 pub use crashes::cause_list;
+pub use evacuation::run_evacuation_metrics;
 pub use queue::{QueueDecision, ReservedSlot, run_queue};
 
 use super::pool::ConnectionPool;
@@ -16,12 +18,13 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
 use buckthornwharf_core::direct::{
-    CallerLimits, CallerTimeoutEstimate, CrashLedger, GuiltyGroup, RetryAllowance, RetryBudget,
-    RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
+    CallerLimits, CallerTimeoutEstimate, CrashLedger, EvacuationReader, GuiltyGroup,
+    RetryAllowance, RetryBudget, RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
 use crashes::BrokenRequests;
+use evacuation::EvacuationAge;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot, watch};
@@ -53,6 +56,9 @@
     guilty_causes: RefCell<Vec<GuiltyGroup>>,
     crash_news: Notify,
     broken_requests: RefCell<SortedTable<Arc<str>, BrokenRequests>>,
+    /// The evacuated sites as read by this entry's watch of the store.
+    evacuation_reader: RefCell<EvacuationReader>,
+    evacuation_age: Cell<EvacuationAge>,
     pool: RefCell<ConnectionPool>,
     queue_changed: Notify,
     open_requests: Cell<usize>,
@@ -89,6 +95,8 @@
             guilty_causes: RefCell::default(),
             crash_news: Notify::new(),
             broken_requests: RefCell::default(),
+            evacuation_reader: RefCell::default(),
+            evacuation_age: Cell::default(),
             pool: RefCell::default(),
             queue_changed: Notify::new(),
             open_requests: Cell::new(0),
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -10,7 +10,7 @@
     DeclaredVersion, LoadedModel, RegisteredTarget, RouteTable, ServingConfig, TargetCatalog,
 };
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
+use buckthornwharf_platform::{StoreChange, StoreItem, StoreRange, keys, registry, serving};
 use log::{info, warn};
 use std::rc::Rc;
 
@@ -40,16 +40,19 @@
 }
 
 impl EntryState {
-    /// Applies a change of the keys that the operator writes: the configuration and declared versions.
+    /// Applies a change of the keys that the operator writes: the configuration, declared versions and
+    /// evacuated sites.
     pub fn on_operator_event(&self, event: StoreEvent) {
         let now = clock::now();
+        // Before the configuration, with which the entry becomes ready.
+        self.on_evacuation_event(now, &event);
         match event {
-            StoreEvent::Snapshot(items) => {
-                items.iter().for_each(|item| self.on_operator_item(now, item, true));
+            StoreEvent::Snapshot(range) => {
+                range.items.iter().for_each(|item| self.on_operator_item(now, item, true));
                 self.versions_listed.set(true);
                 self.set_news_current(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.on_operator_item(now, item, false);
@@ -129,8 +132,12 @@
         actix_rt::spawn(facts::publish(self.store.clone(), config));
     }
 
-    /// Applies a message of an agent: the load of its engine, and the declared versions that it knows.
+    /// Applies a message of an agent: the load of its engine, and the declared versions and evacuated sites
+    /// that it knows.
     pub fn on_agent_message(&self, now: MonoTime, message: &AgentMessage) {
+        if let Some(fields) = &message.evacuated {
+            self.on_evacuation_news(now, fields.clone().into());
+        }
         for declared in &message.versions {
             let source = DeclarationSource::Agent { declared_at: declared.declared_at(now) };
             self.declare_version(now, declared.version(), source);
@@ -170,12 +177,12 @@
         match event {
             StoreEvent::Lost => {}
             StoreEvent::Recovered => catalog.registry_recovered(now),
-            StoreEvent::Snapshot(mut items) => {
+            StoreEvent::Snapshot(StoreRange { mut items, .. }) => {
                 items.sort_by_key(|item| item.revision);
                 catalog.replace(now, items.iter().filter_map(read_target).collect());
                 self.targets_listed.set(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in changes {
                     on_target_change(&mut catalog, now, change);
                 }
@@ -213,15 +220,15 @@
         let mut entries = self.entries.borrow_mut();
         match event {
             StoreEvent::Recovered | StoreEvent::Lost => {}
-            StoreEvent::Snapshot(items) => {
+            StoreEvent::Snapshot(range) => {
                 *entries = SortedTable::new();
-                for item in items {
+                for item in range.items {
                     if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
                         entries.insert(item.key, record);
                     }
                 }
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in changes {
                     match change {
                         StoreChange::Removed { key, .. } => drop(entries.remove(&key)),
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -7,7 +7,7 @@
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{
-    ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem, WatchCall,
+    ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem, StoreRange, WatchCall,
 };
 use log::{info, warn};
 use rand::RngExt;
@@ -24,10 +24,10 @@
 /// An event of a watched prefix.
 #[derive(Debug)]
 pub enum StoreEvent {
-    /// All items below the prefix.
-    Snapshot(Vec<StoreItem>),
-    /// Changes since the last event, in order.
-    Changes(Vec<StoreChange>),
+    /// All items below the prefix, with the position at which they were read.
+    Snapshot(StoreRange),
+    /// Changes since the last event, in order, and the position up to which they are complete.
+    Changes(Vec<StoreChange>, StorePosition),
     /// A call failed; the items may have changed since.
     Lost,
     /// The store answers again after an outage, or was set back to an older copy.
@@ -75,7 +75,7 @@
             on_event(StoreEvent::Recovered);
         }
         backlog.on_items(range.items.iter().map(|item| item.value.len()));
-        on_event(StoreEvent::Snapshot(range.items));
+        on_event(StoreEvent::Snapshot(range));
         loop {
             let call = WatchCall {
                 prefix,
@@ -93,7 +93,7 @@
                     let delay = health.backoff.next_delay(!changes.is_empty());
                     if !changes.is_empty() {
                         backlog.on_changes(changes.iter().map(StoreChange::value_bytes));
-                        on_event(StoreEvent::Changes(changes));
+                        on_event(StoreEvent::Changes(changes, position));
                         actix_rt::time::sleep(delay).await;
                     }
                 }
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,9 +1,11 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
-//! engines and to exchange news of declared versions.
+//! engines and to exchange news of declared versions and evacuated sites.
 
+use super::evacuation::EvacuatedFields;
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
 use anyhow::{Result, bail};
+use buckthornwharf_core::direct::EvacuationRepeat;
 use buckthornwharf_core::prelude::*;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
@@ -57,13 +59,17 @@
     /// The declared versions that the agent knows; empty if the entry has heard of them on this link.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<DeclaredFields>,
+    /// The evacuated sites, or some of them; `None` if the entry has heard of them on this link, or if
+    /// there has been no evacuation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedFields>,
 }
 
 impl AgentMessage {
-    /// Creates the message that reports `load` and tells of `versions`.
+    /// Creates the message that reports `load` and names `versions`, without evacuated sites.
     pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
         let EngineLoad { engine, requests, accepting } = load;
-        Self { engine, requests, accepting, versions }
+        Self { engine, requests, accepting, versions, evacuated: None }
     }
 
     /// Returns the load of the agent's engine.
@@ -77,7 +83,7 @@
 pub struct AgentReports {
     /// The load of its engine; `None` until it is known. The link ends when the sender is dropped.
     pub loads: watch::Receiver<Option<EngineLoad>>,
-    /// The declared versions that it knows.
+    /// The declared versions and evacuated sites that it knows.
     pub news: watch::Receiver<VersionNews>,
 }
 
@@ -149,14 +155,24 @@
     }
 }
 
-/// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`].
+/// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`]. Evacuated sites that do not
+/// fit into one message follow in further ones.
 async fn send_news(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
     mut news: watch::Receiver<VersionNews>,
 ) -> Result<()> {
+    let mut evacuation = EvacuationRepeat::default();
     loop {
-        let message = news.borrow_and_update().message(clock::now());
+        let now = clock::now();
+        let message = {
+            let news = news.borrow_and_update();
+            let part = evacuation.due_part(now, &news.evacuation);
+            NewsMessage { evacuated: part.map(EvacuatedFields::from), ..news.message(now) }
+        };
         send(&mut sink, &message).await?;
+        if evacuation.has_unsent() {
+            continue;
+        }
         if let Ok(Err(_)) = tokio::time::timeout(NEWS_INTERVAL, news.changed()).await {
             bail!("the entry ends");
         }
@@ -193,7 +209,7 @@
 /// What an agent hears on a link.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// News of declared versions.
+    /// News of declared versions and evacuated sites.
     News(NewsMessage),
     /// The link has ended.
     Lost,
@@ -248,14 +264,22 @@
     reports: &mut AgentReports,
 ) -> Result<()> {
     let mut repeat = NewsRepeat::default();
+    let mut evacuation = EvacuationRepeat::default();
     loop {
         let load = *reports.loads.borrow_and_update();
         if let Some(load) = load {
-            let versions = repeat.due_versions(clock::now(), &reports.news.borrow_and_update());
-            send(&mut sink, &AgentMessage::new(load, versions)).await?;
+            let now = clock::now();
+            let message = {
+                let news = reports.news.borrow_and_update();
+                let part = evacuation.due_part(now, &news.evacuation);
+                let evacuated = part.map(EvacuatedFields::from);
+                let versions = repeat.due_versions(now, &news);
+                AgentMessage { evacuated, ..AgentMessage::new(load, versions) }
+            };
+            send(&mut sink, &message).await?;
         }
         actix_rt::time::sleep(MIN_INTERVAL).await;
-        if !reports.changed().await {
+        if !evacuation.has_unsent() && !reports.changed().await {
             return Ok(());
         }
     }
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -51,6 +51,12 @@
     pub targets: IntGauge,
     /// Live entries, this one included.
     pub entries: IntGauge,
+    /// Sites that the operator has evacuated, as far as the entry knows.
+    pub evacuated_sites: IntGauge,
+    /// Age of what the entry knows of evacuated sites, in milliseconds.
+    pub evacuation_age: IntGauge,
+    /// Requests of this entry that still run at targets in evacuated sites.
+    pub evacuated_requests: IntGauge,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -129,6 +135,17 @@
             )?,
             targets: new_gauge(&registry, "direct_targets", "Targets that are registered")?,
             entries: new_gauge(&registry, "direct_entries", "Live entries")?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
+            evacuation_age: new_gauge(
+                &registry,
+                "direct_evacuation_age_milliseconds",
+                "Age of what is known of evacuated sites; 0 while the store is watched",
+            )?,
+            evacuated_requests: new_gauge(
+                &registry,
+                "direct_evacuated_requests",
+                "Requests of this entry that still run at targets in evacuated sites",
+            )?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -154,6 +171,8 @@
     pub declared_version: IntGauge,
     /// Requests that are running or waiting in the engine.
     pub engine_requests: IntGauge,
+    /// Sites that the operator has evacuated, as far as the agent knows.
+    pub evacuated_sites: IntGauge,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -194,6 +213,7 @@
                 "direct_engine_requests",
                 "Requests that the engine runs or keeps",
             )?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -262,6 +282,10 @@
     new_counter(registry, "direct_settings_rejected_total", help)
 }
 
+fn new_evacuated_sites(registry: &Registry) -> Result<IntGauge> {
+    new_gauge(registry, "direct_evacuated_sites", "Sites that the operator has evacuated")
+}
+
 fn new_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/src/direct/news.rs
+++ b/src/direct/news.rs
@@ -1,6 +1,9 @@
-//! News of declared versions, which entries and agents exchange over the links on which agents report loads.
+//! News of declared versions and evacuated sites, which entries and agents exchange over the links on which agents report loads.
 
-use buckthornwharf_core::direct::{DeclaredVersion, DeclaredVersions, LoadedModel};
+use super::evacuation::EvacuatedFields;
+use buckthornwharf_core::direct::{
+    DeclaredVersion, DeclaredVersions, EvacuationState, LoadedModel,
+};
 use buckthornwharf_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -9,13 +12,15 @@
 /// an entry.
 pub const NEWS_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The declared versions that a process knows.
+/// The declared versions and evacuated sites that a process knows.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct VersionNews {
     /// Whether the process hears of new versions at once.
     pub current: bool,
     /// The declared versions of each model.
     pub versions: SortedTable<ModelName, DeclaredVersions>,
+    /// The evacuated sites.
+    pub evacuation: EvacuationState,
 }
 
 /// [`VersionNews`] on a link.
@@ -25,6 +30,10 @@
     pub current: bool,
     /// The versions that still decide which ones may be used.
     pub versions: Vec<DeclaredFields>,
+    /// The evacuated sites, or some of them; `None` if the agent has heard of them on this link, or if
+    /// there has been no evacuation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedFields>,
 }
 
 /// A declared version on a link.
@@ -39,7 +48,7 @@
 }
 
 impl VersionNews {
-    /// Returns the message with the ages as of `now`.
+    /// Returns the message with the ages as of `now`, without the evacuated sites.
     pub fn message(&self, now: MonoTime) -> NewsMessage {
         let fields = |(model, versions): (&ModelName, &DeclaredVersions)| {
             let declared = versions.deciding(now).iter();
@@ -49,6 +58,7 @@
         NewsMessage {
             current: self.current,
             versions: self.versions.iter().flat_map(fields).collect(),
+            evacuated: None,
         }
     }
 
@@ -100,7 +110,8 @@
     pub fn due_versions(&mut self, now: MonoTime, news: &VersionNews) -> Vec<DeclaredFields> {
         let is_over = |sent_at: MonoTime| now.since(sent_at) >= NEWS_INTERVAL;
         let is_repeated = !news.is_settled(now) && self.sent_at.is_none_or(is_over);
-        if self.sent_at.is_some() && self.sent == *news && !is_repeated {
+        let is_known = self.sent.current == news.current && self.sent.versions == news.versions;
+        if self.sent_at.is_some() && is_known && !is_repeated {
             return Vec::new();
         }
         self.sent_at = Some(now);
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -46,6 +46,8 @@
     pub silence: SilenceMode,
     /// Closes the currently open connections.
     pub cut: bool,
+    /// Closes the currently open connections, and others as soon as they are opened, while it is set.
+    pub refuse: bool,
     /// Delay of each read before it is forwarded, in milliseconds.
     pub delay_ms: u64,
 }
@@ -131,6 +133,9 @@
                 sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            if self.switches.borrow().refuse {
+                continue;
+            }
             let silenced = Rc::new(SilencedDirections::default());
             let cut = Rc::new(Notify::new());
             let relayed = self.clone().relay(client, silenced.clone(), cut.clone());
@@ -229,7 +234,7 @@
         if silence != SilenceMode::Off {
             self.silence(silence);
         }
-        if std::mem::take(&mut switches.cut) {
+        if std::mem::take(&mut switches.cut) || switches.refuse {
             self.cut();
         }
         Ok(())
