--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,11 +7,13 @@
 pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
+pub mod capacity;
 pub mod catalog;
 pub mod crashes;
 pub mod evacuation;
 pub mod event_stream;
 pub mod news;
+pub mod placement;
 pub mod rollout;
 pub mod routes;
 pub mod serving;
@@ -34,6 +36,7 @@
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
+pub use placement::AllowedRegions;
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -1,6 +1,7 @@
 //! Applies updates from the store and from agents to the state of an entry.
 
 use super::EntryState;
+use super::speed::log_speed_change;
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
 use crate::direct::follow::StoreEvent;
@@ -102,7 +103,9 @@
             config.routes.len()
         );
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_config(&config);
         for service in &config.services {
+            scheduler.set_engine(&service.name, service.engine.as_ref());
             let rate = service.engine.as_ref().and_then(|spec| spec.prompt_tokens_per_second);
             if let Some(rate) = rate {
                 scheduler.set_prefill_rate(&service.name, rate);
@@ -112,6 +115,8 @@
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         self.publish_agent_config(AgentConfig::of(&config));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
+        drop(routes);
+        self.serve_queue();
     }
 
     /// Writes the configuration for agents again, which the store may have lost.
@@ -210,6 +215,9 @@
         let mut scheduler = self.scheduler.borrow_mut();
         for target in catalog.iter().filter(|target| target.address == load.engine) {
             scheduler.set_load(now, &target.id, load.requests, load.accepting);
+            let state = load.engine_state();
+            let change = state.and_then(|state| scheduler.set_engine_state(now, &target.id, state));
+            log_speed_change(target, change);
         }
         drop((catalog, scheduler));
         self.serve_queue();
--- a/tests/evacuation_news.rs
+++ b/tests/evacuation_news.rs
@@ -40,7 +40,7 @@
 
 fn load() -> EngineLoad {
     let engine = "127.0.0.1:1".parse().expect("an address");
-    EngineLoad { engine, requests: 3, accepting: true }
+    EngineLoad { engine, requests: 3, accepting: true, details: None }
 }
 
 #[test]
@@ -52,7 +52,7 @@
     let read: NewsMessage = ciborium::from_reader(&encode(&earlier)[..]).expect("a message");
     assert_eq!(read, news);
     let mut report = AgentMessage::new(load(), Vec::new());
-    let EngineLoad { engine, requests, accepting } = load();
+    let EngineLoad { engine, requests, accepting, .. } = load();
     let earlier_report = EarlierReport { engine, requests, accepting };
     assert_eq!(encode(&report), encode(&earlier_report));
 
