--- a/core/tests/direct_evacuation.rs
+++ b/core/tests/direct_evacuation.rs
@@ -48,8 +48,8 @@
     Read(usize),
     /// The process gets the changes since it read the store.
     Watch(usize),
-    /// The first process sends what it knows to the second one.
-    Send(usize, usize),
+    /// The first process sends what it knows to the second one, up to this many messages.
+    Send(usize, usize, usize),
     /// The process starts again without what it knew.
     Restart(usize),
 }
@@ -62,7 +62,8 @@
         1 => (0..8_u64).prop_map(Step::SetBack),
         2 => (0..PROCESSES).prop_map(Step::Read),
         4 => (0..PROCESSES).prop_map(Step::Watch),
-        6 => (0..PROCESSES, 0..PROCESSES).prop_map(|(from, to)| Step::Send(from, to)),
+        6 => (0..PROCESSES, 0..PROCESSES, 1..=SITES)
+            .prop_map(|(from, to, messages)| Step::Send(from, to, messages)),
         1 => (0..PROCESSES).prop_map(Step::Restart),
     ]
 }
@@ -131,9 +132,12 @@
     }
 }
 
-fn send(processes: &mut [Process], from: usize, to: usize) {
+fn send(processes: &mut [Process], from: usize, to: usize, messages: usize) {
     let mut link = EvacuationRepeat::default();
-    while let Some(part) = link.due_part(at(0), &processes[from].state) {
+    for _ in 0..messages {
+        let Some(part) = link.due_part(at(0), &processes[from].state) else {
+            return;
+        };
         processes[to].state.merge_part(part);
         if !link.has_unsent() {
             break;
@@ -169,7 +173,7 @@
                 Step::SetBack(by) => store.set_back(by),
                 Step::Read(process) => processes[process].read(&store),
                 Step::Watch(process) => processes[process].watch(&store),
-                Step::Send(from, to) => send(&mut processes, from, to),
+                Step::Send(from, to, messages) => send(&mut processes, from, to, messages),
                 Step::Restart(process) => {
                     processes[process] = Process::default();
                     restarted = Some(process);
@@ -186,7 +190,7 @@
         for (from, to) in [0, 1].iter().flat_map(|_| {
             (0..PROCESSES).flat_map(|from| (0..PROCESSES).map(move |to| (from, to)))
         }) {
-            send(&mut processes, from, to);
+            send(&mut processes, from, to, SITES);
         }
         for process in &processes {
             let sites: SiteSet = process.state.newest().sites().iter().cloned().collect();
--- a/standin/tests/relay.rs
+++ b/standin/tests/relay.rs
@@ -43,6 +43,21 @@
     Ok(read.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset))
 }
 
+#[actix_rt::test]
+async fn open_and_new_connections_are_closed_while_the_relay_refuses_them() -> Result<()> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let (solo, relay) = start_relay(&listener).await?;
+    let (mut open, _server) = connect(&relay, &listener).await?;
+    solo.set_faults(&json!({ "refuse": true })).await?;
+    assert!(timeout(WAIT_TIMEOUT, open.read_u8()).await?.is_err());
+    let mut refused = TcpStream::connect(relay.address).await?;
+    assert!(timeout(WAIT_TIMEOUT, refused.read_u8()).await?.is_err());
+    solo.set_faults(&json!({ "refuse": false })).await?;
+    let (mut client, mut server) = connect(&relay, &listener).await?;
+    assert!(forwards_byte(&mut client, &mut server).await?);
+    Ok(())
+}
+
 #[actix_rt::test]
 async fn a_reset_is_not_relayed_as_an_orderly_close() -> Result<()> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,6 +7,8 @@
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/evacuations.rs"]
+mod evacuations;
 #[path = "soak/faults.rs"]
 mod faults;
 #[allow(dead_code)]
@@ -63,7 +65,14 @@
     if !holds_within(RECOVERY_TIMEOUT, served).await {
         violations.push("no caller was served before the faults".to_owned());
     }
-    let plan = inject_faults(&fleet, &state, &mut rng).await;
+    let evacuations = {
+        let fleet = fleet.clone();
+        actix_rt::spawn(async move { evacuations::evacuate_sites(&fleet, seed).await })
+    };
+    let mut plan = inject_faults(&fleet, &state, &mut rng).await;
+    let evacuations = evacuations.await.expect("the task does not panic");
+    plan += &evacuations.iter().map(|evacuation| format!("{evacuation}, ")).collect::<String>();
+    violations.extend(evacuations::violations(&evacuations, &fleet, &state));
     violations.extend(check_recovery(&fleet, &callers, &state).await);
     callers.stopped.set(true);
     holds_within(RECOVERY_TIMEOUT, || callers.is_idle()).await;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -10,9 +10,10 @@
 use buckthornwharf_standin::relay::{RelayService, RelaySwitches, SilenceMode};
 use rand::RngExt;
 use rand::rngs::StdRng;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// A fault, or a change made by an operator; several may be active at the same time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::EnumIter, strum::Display)]
@@ -50,6 +51,8 @@
     pub version: Cell<u64>,
     /// Number of processes that did not exit with success, or in time, after SIGTERM.
     pub unclean_exits: Cell<u32>,
+    /// Times in which the store answered no process.
+    pub store_outages: RefCell<Vec<(Instant, Instant)>>,
 }
 
 fn pick<'a, T>(rng: &mut StdRng, items: &'a [T]) -> &'a T {
@@ -105,14 +108,19 @@
     rng: &mut StdRng,
 ) {
     let sleep = actix_rt::time::sleep;
+    let started = Instant::now();
     let engine = rng.random_range(0..fleet.engines.len());
     match fault {
         SoakFault::StoreSilent => {
             fleet.store.silent.set(true);
             sleep(duration).await;
             fleet.store.silent.set(false);
+            state.store_outages.borrow_mut().push((started, Instant::now()));
+        }
+        SoakFault::StoreBusy => {
+            store_fault(fleet, StoreFault::Busy, duration).await;
+            state.store_outages.borrow_mut().push((started, Instant::now()));
         }
-        SoakFault::StoreBusy => store_fault(fleet, StoreFault::Busy, duration).await,
         SoakFault::StoreSlow => store_fault(fleet, StoreFault::Slow, duration).await,
         SoakFault::StoreLosesAnswers => store_fault(fleet, StoreFault::LostAnswers, duration).await,
         SoakFault::StoreWritesLate => store_fault(fleet, StoreFault::LateWrites, duration).await,
