Command where: shows where an entry of the direct path would route a request, and why

Cause: an operator could not see why a request goes to a target, waits or is refused.

Change: the entry answers on its metrics address only. It decides by the code that decides on requests, on a copy of the scheduler, so nothing is sent and no state changes. The metrics address is logged.

--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -42,7 +42,7 @@
 }
 
 /// The learned limits and speeds of all targets.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct CapacityTable {
     targets: SortedTable<Arc<str>, TargetCapacity>,
     services: SortedTable<ServiceName, ServiceSpeed>,
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -11,6 +11,7 @@
 mod learned;
 mod load;
 mod notices;
+mod preview;
 mod queue;
 mod rate_limit;
 mod restrictions;
@@ -24,6 +25,7 @@
 use load::TargetLoad;
 pub use notices::MAX_PAUSE;
 use notices::NoticeTable;
+pub use preview::{SlotPreview, TargetPreview};
 use queue::{ServiceQueue, Waiter};
 
 /// Shortest and longest time after which a refused caller may retry. The response will miss its
@@ -37,7 +39,7 @@
 
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct SlotScheduler {
     regions: EntryRegions,
     targets: SortedTable<Arc<str>, TargetLoad>,
--- a/core/src/direct/slots/notices.rs
+++ b/core/src/direct/slots/notices.rs
@@ -20,7 +20,7 @@
 }
 
 /// The notices of all targets, by id.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct NoticeTable {
     notices: SortedTable<Arc<str>, TargetNotice>,
 }
--- /dev/null
+++ b/core/src/direct/slots/preview.rs
@@ -0,0 +1,90 @@
+//! What would happen to a request if it arrived now, without a change of any state.
+
+use super::queue::ServiceQueue;
+use super::{Admission, SlotRequest, SlotScheduler, competes};
+use crate::prelude::*;
+
+/// What would happen to a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SlotPreview {
+    /// The decision.
+    pub admission: Admission,
+    /// Number of requests that wait for targets of the service.
+    pub waiting: usize,
+    /// Number of those that would be served before the request, for the same targets.
+    pub ahead: usize,
+    /// Slots that this entry can expect to use for the request.
+    pub usable_slots: u32,
+    /// Expected wait for a slot if none is free; `None` if there is none to wait for.
+    pub expected_wait: Option<Duration>,
+    /// The targets of the service, in the order of their ids.
+    pub targets: Vec<TargetPreview>,
+}
+
+/// What one target means for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetPreview {
+    /// Id of the target.
+    pub id: Arc<str>,
+    /// Site of the target.
+    pub site: SiteName,
+    /// Region of the site, if it is known.
+    pub region: Option<RegionName>,
+    /// Whether the request could be sent to it now.
+    pub allowed: bool,
+    /// Requests that it takes at a time, as registered.
+    pub slots: u32,
+    /// The learned limit, if limits are learned.
+    pub learned_limit: Option<u32>,
+    /// Requests of this entry at it.
+    pub in_flight: u32,
+}
+
+impl SlotScheduler {
+    /// Returns what would happen to `request` if it arrived now. It is decided by the code that decides on
+    /// requests, on a copy of the state.
+    pub fn preview(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
+        let mut queue = self.queues.get(&request.service).cloned().unwrap_or_default();
+        let ahead = queue.ahead_of(request, |waiting| {
+            competes(&self.allowed_regions, &self.regions, &self.targets, waiting, request)
+        });
+        let usable_slots = self.usable_slots(now, request);
+        let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
+            self.allowed_regions.allows(request, self.regions.region_of(site))
+        });
+        SlotPreview {
+            admission: self.clone().request(now, request.clone()),
+            waiting: queue.len(),
+            ahead,
+            usable_slots,
+            expected_wait: (usable_slots > 0).then_some(expected_wait),
+            targets: self.preview_targets(now, request),
+        }
+    }
+
+    fn preview_targets(&self, now: MonoTime, request: &SlotRequest) -> Vec<TargetPreview> {
+        let limits = self.target_limits(now);
+        let of_service = || {
+            let registered = self.targets.values().filter(|load| load.registered);
+            registered.filter(|load| load.record.service == request.service)
+        };
+        let mut unqueued = self.clone();
+        unqueued.queues.insert(request.service.clone(), ServiceQueue::default());
+        let preview = |id: &Arc<str>| {
+            let load = self.targets.get(id)?;
+            let mut alone = request.clone();
+            let others = of_service().map(|load| &load.record.id).filter(|other| *other != id);
+            alone.tried.extend(others.cloned());
+            Some(TargetPreview {
+                id: id.clone(),
+                site: load.record.site.clone(),
+                region: self.regions.region_of(&load.record.site).cloned(),
+                allowed: matches!(unqueued.clone().request(now, alone), Admission::Granted(_)),
+                slots: load.record.slots,
+                learned_limit: limits.iter().find(|limit| limit.id == *id).map(|limit| limit.limit),
+                in_flight: load.in_flight,
+            })
+        };
+        of_service().filter_map(|load| preview(&load.record.id)).collect()
+    }
+}
--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -9,6 +9,7 @@
 pub mod folder;
 pub mod report;
 pub mod status;
+pub mod r#where;
 
 pub use exit::ExitStatus;
 
@@ -22,6 +23,7 @@
 use report::{ReportCommand, report_command};
 use status::{StatusCommand, status_command};
 use std::process::ExitCode;
+use r#where::{WhereCommand, where_command};
 
 /// Distributes model versions to the hosts that serve them and routes requests to these hosts.
 #[derive(Debug, Clone, Bpaf)]
@@ -48,6 +50,9 @@
     /// Report the error budget burn of each service-level objective
     #[bpaf(command)]
     Report(#[bpaf(external(report_command))] ReportCommand),
+    /// Show where an entry of the direct path would route a request, and why
+    #[bpaf(command)]
+    Where(#[bpaf(external(where_command))] WhereCommand),
 }
 
 impl Command {
@@ -70,6 +75,7 @@
             Command::Status(command) => command.run(),
             Command::Explain(command) => command.run(),
             Command::Report(command) => command.run(),
+            Command::Where(command) => command.run(),
         }
     }
 }
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod news;
 mod outage;
+pub mod placement_report;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -50,7 +50,7 @@
     info!("event=started host={} engine={}", settings.host, agent_settings.engine);
     let store = StoreClient::new(settings.store);
     let metrics = DirectAgentMetrics::new()?;
-    metrics::serve(&settings, metrics.registry().clone());
+    metrics::serve(&settings, metrics.registry().clone(), |_| None);
     let rejected = metrics.settings_rejected.clone();
     let engine = EngineClient::new(agent_settings.engine);
     let state = AgentState::new(settings.clone(), agent_settings, engine, metrics);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod crash_reports;
+mod placement_report;
 mod pool;
 mod request;
 mod state;
@@ -20,6 +21,7 @@
 use anyhow::{Context, Result};
 use buckthornwharf_core::direct::WatchTiming;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::READINESS_PATH;
 use buckthornwharf_platform::{StoreClient, keys};
 use log::{info, warn};
@@ -64,9 +66,11 @@
     info!("event=started host={} callers={caller_address}", settings.host);
     let store = StoreClient::new(settings.store);
     let metrics = DirectEntryMetrics::new()?;
-    metrics::serve(&settings, metrics.registry().clone());
     let rejected = metrics.settings_rejected.clone();
     let state = EntryState::new(settings.clone(), shutdown.clone(), metrics);
+    let asked = state.clone();
+    let other = move |request: &InboundRequest| placement_report::answer(&asked, request);
+    metrics::serve(&settings, state.metrics.registry().clone(), other);
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -7,6 +7,7 @@
 use super::state::{EntryState, QueueDecision, ReservedSlot, cause_list};
 use crate::clock;
 use actix_http::StatusCode;
+pub(super) use admission::timeout_of;
 use admission::{AdmittedRequest, admit};
 use attempt::{AttemptResult, AttemptStage, PendingPrefill, RelayedAnswer, TargetAttempt};
 use buckthornwharf_core::direct::slots::SlotOutcome;
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -3,7 +3,9 @@
 use super::reply::LocalReply;
 use crate::direct::entry::state::EntryState;
 use actix_http::StatusCode;
-use buckthornwharf_core::direct::{CauseId, SlotRequest, WorkKind, request_causes, wait_allowance};
+use buckthornwharf_core::direct::{
+    CauseId, ServingRoute, SlotRequest, WorkKind, request_causes, wait_allowance,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::{RequestTags, read_request};
@@ -66,6 +68,11 @@
     UnknownKey,
 }
 
+/// Returns the time within which requests to `route` are answered.
+pub(in crate::direct::entry) fn timeout_of(route: &ServingRoute) -> Duration {
+    if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout }
+}
+
 /// Finds the route, the organisation and the deadline of a request.
 ///
 /// # Errors
@@ -85,7 +92,7 @@
     if organisation.is_none() && table.requires_key() && !route.anonymous {
         return Err(reject(Rejection::UnknownKey));
     }
-    let timeout = if route.timeout.is_zero() { DEFAULT_TIMEOUT } else { route.timeout };
+    let timeout = timeout_of(route);
     let caller_timeout =
         tags.caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
     let priority = organisation.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -116,6 +116,11 @@
         self.routes.borrow().is_some() && self.targets_listed.get() && !self.is_shutting_down()
     }
 
+    /// Returns the host that the entry runs on.
+    pub fn host(&self) -> &HostName {
+        &self.settings.host
+    }
+
     /// Returns whether the process has received a shutdown signal.
     pub fn is_shutting_down(&self) -> bool {
         *self.shutdown.borrow()
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -2,7 +2,7 @@
 
 use super::EntryState;
 use crate::clock;
-use buckthornwharf_core::direct::slots::SlotOutcome;
+use buckthornwharf_core::direct::slots::{SlotOutcome, SlotPreview};
 use buckthornwharf_core::direct::{
     Admission, RegisteredTarget, SlotGrant, SlotRequest, WaitTicket,
 };
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Returns what would happen to a request if it arrived now.
+    pub fn preview_slot(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
+        self.scheduler.borrow().preview(now, request)
+    }
+
     /// Removes a waiting request from the queue.
     fn cancel_slot_request(&self, ticket: WaitTicket) {
         self.waiters.borrow_mut().remove(&ticket);
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -5,7 +5,8 @@
 use crate::process;
 use actix_http::StatusCode;
 use anyhow::Result;
-use log::warn;
+use buckthornwharf_exchange::InboundRequest;
+use log::{info, warn};
 use prometheus::{
     GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -247,18 +248,24 @@
     }
 }
 
-/// Serves the metrics of `registry` on the port in the settings for the rest of the process. If the
-/// address cannot be bound, logs a warning and the process runs without.
-pub fn serve(settings: &DirectSettings, registry: Registry) {
+/// Serves the metrics of `registry`, and what `other` answers, on the port in the settings for the rest of the
+/// process. If the address cannot be bound, logs a warning and the process runs without.
+pub fn serve(
+    settings: &DirectSettings,
+    registry: Registry,
+    other: impl Fn(&InboundRequest) -> Option<ServiceAnswer> + Clone + 'static,
+) {
     let Some(port) = settings.metrics_port else {
         return;
     };
     let address = SocketAddr::new(settings.peers.ip, port);
     let started = process::bind(address).and_then(|listener| {
+        info!("event=metrics address={}", listener.local_addr()?);
         start_service(listener, move |request| {
             let answer = match request.uri.path() {
                 PATH => render(&registry),
-                _ => ServiceAnswer::new(StatusCode::NOT_FOUND, "not here"),
+                _ => other(&request)
+                    .unwrap_or_else(|| ServiceAnswer::new(StatusCode::NOT_FOUND, "not here")),
             };
             async move { answer }
         })
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -141,6 +141,7 @@
         });
         match role {
             SoakRole::Entry => {
+                settings["metrics_port"] = 0.into();
                 settings["entry"] = json!({ "callers": "127.0.0.1:0", "readiness": "127.0.0.1:0" });
             }
             SoakRole::Agent(engine) => {
