--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -36,7 +36,7 @@
 };
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
-pub use placement::AllowedRegions;
+pub use placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -2,7 +2,7 @@
 
 use super::{EntryRegions, SlotOutcome, SlotRequest};
 use crate::direct::capacity::TargetWork;
-use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
+use crate::direct::{LoadedModel, RegisteredTarget};
 use crate::prelude::*;
 
 /// Cool-down of a target after a first failure (unreachable, or the exchange failed).
@@ -35,7 +35,7 @@
 
 /// One target, with this entry's requests at it and its last load report.
 #[derive(Debug, Clone)]
-pub(super) struct TargetLoad {
+pub(in crate::direct) struct TargetLoad {
     pub record: Arc<RegisteredTarget>,
     /// Requests of this entry at the target.
     pub in_flight: u32,
@@ -47,8 +47,6 @@
     slowest_first_byte: (Duration, MonoTime),
     /// Whether the target is still registered.
     pub registered: bool,
-    /// Whether the site of the target is evacuated.
-    pub evacuated: bool,
     /// Whether the target is in this entry's region.
     local: bool,
     /// Share of a limit that the target names, between 0 and 1, that this entry may use.
@@ -88,7 +86,6 @@
             pending: Vec::new(),
             slowest_first_byte: (Duration::ZERO, MonoTime::ZERO),
             registered: true,
-            evacuated: false,
             local,
             limit_share: 1.0,
             other_requests: 0,
@@ -190,7 +187,7 @@
     }
 
     /// Returns whether a request has waited too long for its first byte.
-    fn is_stuck(&self, now: MonoTime) -> bool {
+    pub fn is_stuck(&self, now: MonoTime) -> bool {
         self.pending.iter().any(|request| request.stuck_at < now)
     }
 
@@ -201,7 +198,12 @@
         self.released_since_report += 1;
         match outcome {
             SlotOutcome::Answered => self.consecutive_failures = 0,
-            SlotOutcome::Full => self.extend_cooldown(now, FULL_COOLDOWN),
+            SlotOutcome::Full => {
+                self.extend_cooldown(now, FULL_COOLDOWN);
+                if self.learned_limit.is_some() {
+                    self.set_full();
+                }
+            }
             SlotOutcome::Failed => {
                 let cooldown = FIRST_COOLDOWN * 2_u32.pow(self.consecutive_failures.min(8));
                 self.consecutive_failures += 1;
@@ -210,6 +212,13 @@
         }
     }
 
+    /// Records that no slot is free, as in a report. Requests that this entry sent since the last one are
+    /// among those that fill the target.
+    fn set_full(&mut self) {
+        self.other_requests = self.slots().saturating_sub(self.in_flight);
+        (self.free_slots, self.taken_since_report, self.released_since_report) = (0, 0, 0);
+    }
+
     fn extend_cooldown(&mut self, now: MonoTime, cooldown: Duration) {
         self.cooldown_until = self.cooldown_until.max(now + cooldown);
     }
@@ -219,30 +228,6 @@
         (self.cooldown_until > MonoTime::ZERO).then_some(self.cooldown_until)
     }
 
-    /// Returns whether the target may get `request` if it has a free slot. `required` is the oldest
-    /// version of the request's model that may be used.
-    pub fn is_eligible(&self, now: MonoTime, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.serves(request, required)
-            && self.cooldown_until <= now
-            && self.is_accepting(now)
-            && !self.is_stuck(now)
-            && !request.tried.contains(&self.record.id)
-    }
-
-    /// Returns whether the target serves the request's service and model, in version `required` or
-    /// a newer one.
-    pub fn serves(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.offers(request, required) && !self.evacuated
-    }
-
-    /// Like [`TargetLoad::serves`], whether the site is evacuated or not.
-    pub fn offers(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.registered
-            && self.record.service == request.service
-            && self.record.phase == TargetPhase::Ready
-            && self.has_version(request, required)
-    }
-
     /// Returns whether the target accepts requests; true if there is no fresh report.
     pub fn is_accepting(&self, now: MonoTime) -> bool {
         self.accepting || !self.has_fresh_report(now)
@@ -253,16 +238,6 @@
         LoadedModel::newest_version(model, &self.record.models)
     }
 
-    fn has_version(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        let Some(model) = &request.model else {
-            return true;
-        };
-        let satisfies = |loaded: &LoadedModel| {
-            loaded.model == *model && required.is_none_or(|required| loaded.version >= required)
-        };
-        self.record.models.iter().any(satisfies)
-    }
-
     /// Returns how many requests this entry may have at the target while it has no fresh report.
     pub fn limit_without_report(&self, entries: &EntryRegions) -> u32 {
         if self.local {
--- a/core/src/direct/slots/preview.rs
+++ b/core/src/direct/slots/preview.rs
@@ -1,7 +1,8 @@
 //! What would happen to a request if it arrived now, without a change of any state.
 
-use super::queue::ServiceQueue;
-use super::{Admission, SlotRequest, SlotScheduler, competes};
+use super::placing::competes;
+use super::{Admission, SlotRequest, SlotScheduler};
+use crate::direct::placement::TargetVerdict;
 use crate::prelude::*;
 
 /// What would happen to a request.
@@ -24,16 +25,10 @@
 /// What one target means for a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetPreview {
-    /// Id of the target.
-    pub id: Arc<str>,
-    /// Site of the target.
-    pub site: SiteName,
-    /// Region of the site, if it is known.
+    /// The verdict.
+    pub verdict: TargetVerdict,
+    /// Region of the target's site, if it is known.
     pub region: Option<RegionName>,
-    /// Whether the request could be sent to it now.
-    pub allowed: bool,
-    /// Requests that it takes at a time, as registered.
-    pub slots: u32,
     /// The learned limit, if limits are learned.
     pub learned_limit: Option<u32>,
     /// Requests of this entry at it.
@@ -46,11 +41,11 @@
     pub fn preview(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
         let mut queue = self.queues.get(&request.service).cloned().unwrap_or_default();
         let ahead = queue.ahead_of(request, |waiting| {
-            competes(&self.allowed_regions, &self.regions, &self.targets, waiting, request)
+            competes(&self.rules, &self.regions, &self.targets, waiting, request)
         });
         let usable_slots = self.usable_slots(now, request);
         let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
-            self.allowed_regions.allows(request, self.regions.region_of(site))
+            self.rules.allows_site(&self.regions, request, site)
         });
         SlotPreview {
             admission: self.clone().request(now, request.clone()),
@@ -64,27 +59,16 @@
 
     fn preview_targets(&self, now: MonoTime, request: &SlotRequest) -> Vec<TargetPreview> {
         let limits = self.target_limits(now);
-        let of_service = || {
-            let registered = self.targets.values().filter(|load| load.registered);
-            registered.filter(|load| load.record.service == request.service)
-        };
-        let mut unqueued = self.clone();
-        unqueued.queues.insert(request.service.clone(), ServiceQueue::default());
-        let preview = |id: &Arc<str>| {
-            let load = self.targets.get(id)?;
-            let mut alone = request.clone();
-            let others = of_service().map(|load| &load.record.id).filter(|other| *other != id);
-            alone.tried.extend(others.cloned());
+        let preview = |verdict: TargetVerdict| {
+            let load = self.targets.get(&verdict.target.id)?;
+            let learned = limits.iter().find(|limit| limit.id == verdict.target.id);
             Some(TargetPreview {
-                id: id.clone(),
-                site: load.record.site.clone(),
-                region: self.regions.region_of(&load.record.site).cloned(),
-                allowed: matches!(unqueued.clone().request(now, alone), Admission::Granted(_)),
-                slots: load.record.slots,
-                learned_limit: limits.iter().find(|limit| limit.id == *id).map(|limit| limit.limit),
+                region: self.regions.region_of(&verdict.target.site).cloned(),
+                learned_limit: learned.map(|limit| limit.limit),
                 in_flight: load.in_flight,
+                verdict,
             })
         };
-        of_service().filter_map(|load| preview(&load.record.id)).collect()
+        self.verdicts(now, request).into_iter().filter_map(preview).collect()
     }
 }
--- a/core/tests/direct_evacuation.rs
+++ b/core/tests/direct_evacuation.rs
@@ -375,7 +375,7 @@
         scheduler.release(at(3), &grant.target.id, SlotOutcome::Answered);
     });
     assert_eq!(scheduler.grant_free_slots(at(3)), []);
-    assert_eq!(scheduler.expire(at(3)), [], "the other site may get free slots");
+    assert_eq!(scheduler.refuse_unplaceable(), [], "the other site may get free slots");
     scheduler.set_load(at(4), "far", 0, true);
     let grants = scheduler.grant_free_slots(at(4));
     let ids: Vec<_> = grants.iter().map(|(ticket, grant)| (*ticket, &*grant.target.id)).collect();
@@ -385,6 +385,6 @@
         panic!("all slots are taken");
     };
     scheduler.set_evacuated(at(6), sites(&["a", "b"]));
-    let refused = scheduler.expire(at(6));
+    let refused = scheduler.refuse_unplaceable();
     assert_eq!(refused.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [second]);
 }
--- a/core/tests/direct_preview.rs
+++ b/core/tests/direct_preview.rs
@@ -2,7 +2,8 @@
 
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
-    Admission, RegisteredTarget, SlotRequest, SlotScheduler, TargetPhase, WaitAllowance,
+    Admission, PlacementVerdict, RegisteredTarget, SlotRequest, SlotScheduler, TargetPhase,
+    TargetVerdict, WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use rand::rngs::StdRng;
@@ -68,6 +69,7 @@
                 scheduler.set_evacuated(now, evacuated[rng.random_range(0..3)].clone());
             }
             grants.extend(scheduler.grant_free_slots(now).into_iter().map(|(_, grant)| grant));
+            scheduler.refuse_unplaceable();
             scheduler.expire(now);
             let request = request(&mut rng);
             let (waiting, in_flight) = (scheduler.waiting(), scheduler.in_flight());
@@ -78,8 +80,12 @@
             assert_eq!(preview.admission, admission);
             match admission {
                 Admission::Granted(grant) => {
-                    let mut allowed = preview.targets.iter().filter(|target| target.allowed);
-                    assert!(allowed.any(|target| target.id == grant.target.id));
+                    let id = &grant.target.id;
+                    let is_chosen = |verdict: &&TargetVerdict| verdict.target.id == *id;
+                    let chosen =
+                        preview.targets.iter().map(|target| &target.verdict).find(is_chosen);
+                    let verdict = chosen.expect("a verdict on each target").verdict;
+                    assert!(matches!(verdict, PlacementVerdict::Allowed { .. }), "{verdict:?}");
                     decided[0] += 1;
                     grants.push(grant);
                 }
--- a/src/direct/entry/placement_report.rs
+++ b/src/direct/entry/placement_report.rs
@@ -10,7 +10,8 @@
 use actix_http::{Method, StatusCode};
 use buckthornwharf_core::direct::slots::{SlotPreview, TargetPreview};
 use buckthornwharf_core::direct::{
-    Admission, OrganisationKeys, ServingRoute, SlotRequest, wait_allowance,
+    Admission, OrganisationKeys, PlacementVerdict, ServingRoute, SlotRequest, TargetVerdict,
+    wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
@@ -87,12 +88,13 @@
     }
 }
 
-fn service_report(_now: MonoTime, request: &SlotRequest, preview: SlotPreview) -> ServiceReport {
+fn service_report(now: MonoTime, request: &SlotRequest, preview: SlotPreview) -> ServiceReport {
     let decision = match preview.admission {
         Admission::Granted(grant) => PlacementDecision::Sent(grant.target.id.clone()),
         Admission::Queued(_) => PlacementDecision::Queued,
         Admission::Refused(retry_after) => PlacementDecision::Refused(millis(retry_after)),
     };
+    let targets = preview.targets.into_iter().map(|target| target_report(now, target));
     ServiceReport {
         service: request.service.clone(),
         decision,
@@ -101,21 +103,25 @@
         waiting: preview.waiting,
         ahead: preview.ahead,
         usable_slots: preview.usable_slots,
-        targets: preview.targets.into_iter().map(target_report).collect(),
+        targets: targets.collect(),
     }
 }
 
-fn target_report(target: TargetPreview) -> TargetReport {
-    let verdict = if target.allowed { "allowed" } else { "blocked" };
+fn target_report(now: MonoTime, preview: TargetPreview) -> TargetReport {
+    let TargetVerdict { target, verdict } = preview.verdict;
+    let (verdict, until) = match verdict {
+        PlacementVerdict::Allowed { .. } => ("allowed".to_owned(), None),
+        PlacementVerdict::Blocked { obstacle, until } => (obstacle.to_string(), until),
+    };
     TargetReport {
-        id: target.id,
-        site: target.site,
-        region: target.region,
-        verdict: verdict.to_owned(),
-        ends_in_ms: None,
-        limit: target.learned_limit.unwrap_or(target.slots),
-        learned: target.learned_limit.is_some(),
-        in_flight: target.in_flight,
+        id: target.id.clone(),
+        site: target.site.clone(),
+        region: preview.region,
+        verdict,
+        ends_in_ms: until.map(|until| millis(until.since(now))),
+        limit: preview.learned_limit.unwrap_or(target.slots),
+        learned: preview.learned_limit.is_some(),
+        in_flight: preview.in_flight,
     }
 }
 
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -3,6 +3,7 @@
 mod crashes;
 mod evacuation;
 mod notices;
+mod placement;
 mod queue;
 mod speed;
 mod updates;
--- a/src/direct/entry/state/evacuation.rs
+++ b/src/direct/entry/state/evacuation.rs
@@ -58,9 +58,8 @@
             return;
         }
         evacuation::log_change(&value, source);
-        self.scheduler.borrow_mut().set_evacuated(now, value.sites().iter().cloned());
+        self.set_evacuated(now, value.sites());
         self.update_evacuation_metrics(now);
-        self.serve_queue();
     }
 
     fn update_evacuation_metrics(&self, now: MonoTime) {
--- a/tests/where_routed.rs
+++ b/tests/where_routed.rs
@@ -75,7 +75,8 @@
     let after = report(entry, &question).await;
     for target in &after.services[0].targets {
         let is_evacuated = target.site == SiteName::from("a");
-        assert_eq!(target.verdict == "allowed", !is_evacuated, "{after:?}");
+        let expected = if is_evacuated { "evacuated" } else { "allowed" };
+        assert_eq!(target.verdict, expected, "{after:?}");
     }
     let text = run_where(entry, &question).await;
     assert_eq!(text.status.code(), DONE);
