--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod capacity;
 pub mod catalog;
 pub mod crashes;
+pub mod evacuation;
 pub mod event_stream;
 pub mod memory;
 pub mod news;
@@ -32,6 +33,9 @@
     CauseHistory, CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause,
     request_causes,
 };
+pub use evacuation::{
+    EvacuatedPart, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
+};
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
 pub use placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -111,7 +111,7 @@
 }
 
 /// What the rules know besides the load of the targets and what these have said.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(in crate::direct) struct PlacementRules {
     pub allowed_regions: AllowedRegions,
     pub evacuated: EvacuatedSites,
--- a/core/src/direct/placement/cold.rs
+++ b/core/src/direct/placement/cold.rs
@@ -31,7 +31,7 @@
 }
 
 /// What is known of the state of one target.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct ColdState {
     service: ServiceName,
     started_unix_ms: u64,
@@ -43,7 +43,7 @@
 }
 
 /// A time during which a target is cold.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct ColdPeriod {
     since: MonoTime,
     end: ColdEnd,
@@ -68,7 +68,7 @@
 }
 
 /// The targets that are cold or were so before, and this entry's share of what they bear.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ColdTargets {
     limits: SortedTable<ServiceName, ColdLimit>,
     targets: SortedTable<Arc<str>, ColdState>,
--- a/core/src/direct/placement/cold_share.rs
+++ b/core/src/direct/placement/cold_share.rs
@@ -23,7 +23,7 @@
 const MAX_LISTS: usize = 32;
 
 /// The live entries, as this entry has known them in the last [`SETTLING_TIME`].
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ColdShares {
     lists: VecDeque<EntryList>,
     /// Until when this entry's registration is valid.
@@ -33,7 +33,7 @@
 }
 
 /// The entries that were live from `since` on.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct EntryList {
     since: MonoTime,
     own: u64,
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -11,6 +11,7 @@
 mod load;
 mod notices;
 mod placing;
+mod preview;
 mod queue;
 mod rate_limit;
 mod restrictions;
@@ -26,6 +27,7 @@
 pub(in crate::direct) use load::TargetLoad;
 pub use notices::MAX_PAUSE;
 pub(in crate::direct) use notices::NoticeTable;
+pub use preview::{SlotPreview, TargetPreview};
 use queue::{ServiceQueue, Waiter};
 pub(in crate::direct) use token_bucket::TokenBucket;
 
@@ -40,7 +42,7 @@
 
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct SlotScheduler {
     regions: EntryRegions,
     targets: SortedTable<Arc<str>, TargetLoad>,
@@ -258,6 +260,12 @@
         self.targets.values().map(|load| load.in_flight).sum()
     }
 
+    /// Returns the number of this entry's requests at targets in `sites`, which are in order.
+    pub fn in_flight_at(&self, sites: &[SiteName]) -> u32 {
+        let is_there = |load: &&TargetLoad| sites.binary_search(&load.record.site).is_ok();
+        self.targets.values().filter(is_there).map(|load| load.in_flight).sum()
+    }
+
     /// Returns whether the load reports of target `id` have stopped.
     pub fn is_silent(&self, now: MonoTime, id: &str) -> bool {
         self.targets.get(id).is_some_and(|load| load.is_silent(now))
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod evacuation;
 mod facts;
 mod follow;
 pub mod inbound_guard;
@@ -10,6 +11,7 @@
 pub mod metrics;
 pub mod news;
 mod outage;
+pub mod placement_report;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -2,6 +2,7 @@
 
 mod caller;
 mod crash_reports;
+mod placement_report;
 mod pool;
 mod request;
 mod state;
@@ -21,6 +22,7 @@
 use anyhow::{Context, Result};
 use buckthornwharf_core::direct::WatchTiming;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::READINESS_PATH;
 use buckthornwharf_platform::{StoreClient, keys};
 use log::{debug, info, warn};
@@ -67,9 +69,11 @@
     let metrics = DirectEntryMetrics::new()?;
     let guard = InboundGuard::new(&settings.host_limits, metrics.registry())?;
     guard.prepare_listener(&caller_listener);
-    metrics::serve(&settings, &guard, metrics.registry().clone());
     let rejected = metrics.settings_rejected.clone();
-    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics, guard);
+    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics, guard.clone());
+    let asked = state.clone();
+    let other = move |request: &InboundRequest| placement_report::answer(&asked, request);
+    metrics::serve(&settings, &guard, state.metrics.registry().clone(), other);
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
@@ -88,6 +92,7 @@
         move |until| live_state.set_registered_until(until),
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
+    actix_rt::spawn(state::run_evacuation_metrics(state.clone()));
     actix_rt::spawn(state::run_limit_metrics(state.clone()));
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
--- a/src/direct/entry/state/placement.rs
+++ b/src/direct/entry/state/placement.rs
@@ -2,9 +2,7 @@
 
 use super::EntryState;
 use crate::clock;
-use buckthornwharf_core::direct::{
-    PlacementObstacle, RegisteredTarget, SlotGrant, SlotRequest, TargetVerdict,
-};
+use buckthornwharf_core::direct::{PlacementObstacle, RegisteredTarget, SlotGrant, SlotRequest};
 use buckthornwharf_core::prelude::*;
 use log::info;
 
@@ -26,19 +24,10 @@
 
 impl EntryState {
     /// Replaces the evacuated sites.
-    #[allow(
-        dead_code,
-        reason = "called with the news of evacuations, which are not yet distributed"
-    )]
-    pub fn set_evacuated(&self, now: MonoTime, sites: Vec<SiteName>) {
-        let count = sites.len();
-        let names: Vec<&str> = sites.iter().map(SiteName::as_str).collect();
-        let names = names.join(",");
-        if !self.scheduler.borrow_mut().set_evacuated(now, sites) {
+    pub(super) fn set_evacuated(&self, now: MonoTime, sites: &[SiteName]) {
+        if !self.scheduler.borrow_mut().set_evacuated(now, sites.iter().cloned()) {
             return;
         }
-        info!("event=evacuated sites={}", if names.is_empty() { "-" } else { &names });
-        self.metrics.evacuated_sites.set(count as i64);
         self.report_cold();
         self.queue_changed.notify_one();
         self.serve_queue();
@@ -72,12 +61,6 @@
         self.scheduler.borrow_mut().recheck_grant(clock::now(), request, grant)
     }
 
-    /// Returns the verdict on each target of the request's service.
-    #[allow(dead_code, reason = "for the command that explains where a request would be routed")]
-    pub fn verdicts(&self, now: MonoTime, request: &SlotRequest) -> Vec<TargetVerdict> {
-        self.scheduler.borrow().verdicts(now, request)
-    }
-
     /// Returns why no target may get `request` now; `None` if one may, or if there is none.
     pub fn main_obstacle(&self, now: MonoTime, request: &SlotRequest) -> Option<PlacementObstacle> {
         self.scheduler.borrow().main_obstacle(now, request)
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -6,7 +6,8 @@
 use crate::process;
 use actix_http::StatusCode;
 use anyhow::Result;
-use log::warn;
+use buckthornwharf_exchange::InboundRequest;
+use log::{info, warn};
 use prometheus::{
     CounterVec, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
     Registry, TextEncoder,
@@ -54,8 +55,6 @@
     pub not_sent: IntCounterVec,
     /// Times that targets became cold, by reason.
     pub cold_targets: IntCounterVec,
-    /// Evacuated sites.
-    pub evacuated_sites: IntGauge,
     /// Requests in progress, from reading the request to the end of its answer, and new connections that
     /// wait for their first one.
     pub open_requests: IntGauge,
@@ -67,6 +66,12 @@
     pub targets: IntGauge,
     /// Live entries, this one included.
     pub entries: IntGauge,
+    /// Sites that the operator has evacuated, as far as the entry knows.
+    pub evacuated_sites: IntGauge,
+    /// Age of what the entry knows of evacuated sites, in milliseconds.
+    pub evacuation_age: IntGauge,
+    /// Requests of this entry that still run at targets in evacuated sites.
+    pub evacuated_requests: IntGauge,
     /// Learned limit of each target.
     pub target_limit: GaugeVec,
     /// Times of each target without load, relative to the expected ones of its service.
@@ -162,11 +167,6 @@
                 "Times that targets became cold, by reason",
                 &["reason"],
             )?,
-            evacuated_sites: new_gauge(
-                &registry,
-                "direct_evacuated_sites",
-                "Sites that are evacuated",
-            )?,
             open_requests: new_gauge(&registry, "direct_open_requests", "Requests in progress")?,
             waiting_requests: new_gauge(
                 &registry,
@@ -180,6 +180,17 @@
             )?,
             targets: new_gauge(&registry, "direct_targets", "Targets that are registered")?,
             entries: new_gauge(&registry, "direct_entries", "Live entries")?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
+            evacuation_age: new_gauge(
+                &registry,
+                "direct_evacuation_age_milliseconds",
+                "Age of what is known of evacuated sites; 0 while the store is watched",
+            )?,
+            evacuated_requests: new_gauge(
+                &registry,
+                "direct_evacuated_requests",
+                "Requests of this entry that still run at targets in evacuated sites",
+            )?,
             target_limit: new_target_gauges(
                 &registry,
                 "direct_target_limit",
@@ -220,6 +231,8 @@
     pub declared_version: IntGauge,
     /// Requests that are running or waiting in the engine.
     pub engine_requests: IntGauge,
+    /// Sites that the operator has evacuated, as far as the agent knows.
+    pub evacuated_sites: IntGauge,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -260,6 +273,7 @@
                 "direct_engine_requests",
                 "Requests that the engine runs or keeps",
             )?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -271,14 +285,20 @@
     }
 }
 
-/// Serves the metrics of `registry` on the port in the settings for the rest of the process. If the
-/// address cannot be bound, logs a warning and the process runs without.
-pub fn serve(settings: &DirectSettings, guard: &Rc<InboundGuard>, registry: Registry) {
+/// Serves the metrics of `registry`, and what `other` answers, on the port in the settings for the rest of the
+/// process. If the address cannot be bound, logs a warning and the process runs without.
+pub fn serve(
+    settings: &DirectSettings,
+    guard: &Rc<InboundGuard>,
+    registry: Registry,
+    other: impl Fn(&InboundRequest) -> Option<ServiceAnswer> + Clone + 'static,
+) {
     let Some(port) = settings.metrics_port else {
         return;
     };
     let address = SocketAddr::new(settings.peers.ip, port);
     let started = process::bind(address).and_then(|listener| {
+        info!("event=metrics address={}", listener.local_addr()?);
         let gauges = guard.clone();
         start_service(listener, guard.clone(), move |request| {
             let answer = match request.uri.path() {
@@ -286,7 +306,8 @@
                     gauges.update_gauges();
                     render(&registry)
                 }
-                _ => ServiceAnswer::new(StatusCode::NOT_FOUND, "not here"),
+                _ => other(&request)
+                    .unwrap_or_else(|| ServiceAnswer::new(StatusCode::NOT_FOUND, "not here")),
             };
             async move { answer }
         })
@@ -344,6 +365,10 @@
     new_counter(registry, "direct_settings_rejected_total", help)
 }
 
+fn new_evacuated_sites(registry: &Registry) -> Result<IntGauge> {
+    new_gauge(registry, "direct_evacuated_sites", "Sites that the operator has evacuated")
+}
+
 fn new_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/tests/outside_input.rs
+++ b/tests/outside_input.rs
@@ -263,7 +263,10 @@
 
 fn agent_message() -> Vec<u8> {
     let engine = "127.0.0.1:80".parse().expect("an address");
-    cbor(&AgentMessage::new(EngineLoad { engine, requests: 3, accepting: true }, Vec::new()))
+    cbor(&AgentMessage::new(
+        EngineLoad { engine, requests: 3, accepting: true, details: None },
+        Vec::new(),
+    ))
 }
 
 fn news_message() -> Vec<u8> {
