--- a/src/direct/agent/manager.rs
+++ b/src/direct/agent/manager.rs
@@ -184,13 +184,15 @@
         }
     };
     let expected_orders = report.accepted_orders;
+    let (running, waiting) = (report.running, report.waiting);
     state.set_report(report);
     // Tell entries to stop sending before the engine starts to reject requests.
     state.set_load_ordered(true);
     let order = LoadOrder { version: wanted.version.clone(), fence, expected_orders };
     let answer = state.engine.load(&order).await;
     info!(
-        "event=ordered version={} fence={fence} after_orders={expected_orders} age_ms={} answer={}",
+        "event=ordered version={} fence={fence} after_orders={expected_orders} age_ms={} running={running} \
+         waiting={waiting} answer={}",
         wanted.version.version,
         wanted.age_ms(),
         match &answer {
@@ -252,17 +254,22 @@
 async fn wait_loaded(state: &AgentState, wanted: &WantedModel) {
     let version = &wanted.version;
     let ordered = clock::now();
+    let mut drained_after = None;
     while clock::now().since(ordered) < LOAD_TIMEOUT {
         actix_rt::time::sleep(LOAD_POLL_INTERVAL).await;
         match state.engine.report().await {
             Ok(report) => {
                 let loading = report.loading;
+                if report.requests() == 0 {
+                    drained_after.get_or_insert(clock::now().since(ordered));
+                }
                 state.set_report(report);
                 if state.is_loaded(version) {
                     info!(
-                        "event=loaded version={} took_ms={} age_ms={}",
+                        "event=loaded version={} took_ms={} drained_ms={} age_ms={}",
                         version.version,
                         clock::now().since(ordered).as_millis(),
+                        drained_after.unwrap_or_default().as_millis(),
                         wanted.age_ms()
                     );
                     return;
