Memory budget: room for the links and agents of large fleets

An entry took links of at most 256 agents and an agent at most 64 connections of others, fewer than a large fleet has. The limits by descriptors stay.

--- a/core/src/direct/memory.rs
+++ b/core/src/direct/memory.rs
@@ -24,10 +24,11 @@
 /// Part of the remaining memory that is not handed out: fragmentation of the allocator, and buffers of sockets
 /// in the kernel.
 const SPARE_DIVISOR: usize = 2;
-/// Connections for links of agents; more than the agents of a fleet.
-const MAX_LINKS: usize = 256;
-/// Connections for probes, metrics and other agents.
-const MAX_SERVICE_CONNECTIONS: usize = 64;
+/// Connections for links of agents; more than the largest fleet has agents.
+const MAX_LINKS: usize = 4096;
+/// Connections for probes, metrics and other agents. All agents of a fleet may ask one of them for chunks at
+/// the same time.
+const MAX_SERVICE_CONNECTIONS: usize = 1024;
 /// File descriptors that a process needs for itself: listeners, log, runtime, store, files of settings.
 const OWN_DESCRIPTORS: usize = 32;
 /// Least number of connections of a kind, whatever the limits are.
