Entry queue: fair order between organisations, late answers, reservations for large prompts

Cause: the queue was ordered by (late, priority), first in first out. Small prompts of lower classes took the prefill capacity that larger ones of a higher class waited for, an organisation that floods took the place of the others, and callers that were refused once were refused again.

Change, with the setting fair_queue: organisations of a class take turns by the slot time that they use (the start tags of the fair queue in routing/, now a type that both queues use); within an organisation, callers that return go first, then those with the least time left. A request in time that finds no prefill capacity keeps smaller ones behind it; a prompt of which two do not fit gets a reservation of at most 100 ms at one target. Late requests use a quarter of the prefill capacity. Costs follow from the published figures and the observed use of slots, and the expected wait from the cost ahead. A request that cannot be in time waits as a late one if an answer is expected, else it is refused with a time to retry of at most a third of its time.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -22,7 +22,7 @@
 pub use attempt::{AttemptFailure, FinalAnswer, NextStep, WorkKind, next_step};
 pub use backlog::BacklogLimit;
 pub use budget::{RetryAllowance, RetryBudget};
-pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
+pub use caller_timeout::{CallerTime, CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
 pub use crashes::{
     CauseHistory, CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause,
--- a/core/src/direct/caller_timeout.rs
+++ b/core/src/direct/caller_timeout.rs
@@ -15,6 +15,8 @@
 /// their first try differ by less than that; a refused caller falls below it, because the
 /// retry-after time that it was given is longer than that difference.
 const RETRY_PERCENT: u32 = 84;
+/// Percentage of its timeout after which a refused caller may retry, so that it is recognised.
+pub(super) const RETURN_PERCENT: u32 = 101 - RETRY_PERCENT;
 
 /// Estimates the timeout that callers of a route have at their first try. A caller that retries
 /// after a refusal sends the remaining part of its timeout.
@@ -50,6 +52,15 @@
     pub late: bool,
 }
 
+/// What is known of the caller of a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallerTime {
+    /// Whether the request was admitted or refused before.
+    pub returned: bool,
+    /// Time until the caller gives up; zero if unknown.
+    pub time_left: Duration,
+}
+
 /// Returns how long a request may wait for a slot. `objective` is its latency objective, `elapsed`
 /// the time since the caller's first try, and `time_left` the time until its deadline.
 pub fn wait_allowance(
@@ -61,6 +72,11 @@
     if elapsed < wait_budget {
         return WaitAllowance { max_wait: (wait_budget - elapsed).min(time_left), late: false };
     }
+    late_allowance(time_left)
+}
+
+/// Returns how long a late request may wait for a slot.
+pub(super) fn late_allowance(time_left: Duration) -> WaitAllowance {
     let max_wait = (time_left * LATE_WAIT_PERCENT / 100).min(MAX_LATE_WAIT);
     WaitAllowance { max_wait, late: true }
 }
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -13,24 +13,24 @@
 mod rate_limit;
 mod restrictions;
 
-use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
+use super::{
+    CallerTime, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget, WaitAllowance,
+};
 use crate::prelude::*;
-use crate::routing::hash::combine_hashes;
 pub use entry_regions::EntryRegions;
 pub use grant::{Admission, SlotGrant, SlotOutcome, SlotRequest, WaitTicket};
 use load::TargetLoad;
 pub use notices::MAX_PAUSE;
 use notices::NoticeTable;
-use queue::{ServiceQueue, Waiter};
+use queue::{Reservation, ServiceQueue, Waiter, late_wait, plain_retry_after, retry_after};
 
-/// Shortest and longest time after which a refused caller may retry. The response will miss its
-/// latency objective anyway, so the overload gets time to pass. The time is also long enough to
-/// tell retries from callers with a shorter timeout.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(1000), Duration::from_millis(1900));
 /// Longest time that a target may need to read the pending prompts of one entry, so that the
 /// response to the last one is not late.
 const MAX_PREFILL_TIME: Duration = Duration::from_millis(100);
+/// A prompt above this part of the prefill limit is large: two of them do not fit.
+const LARGE_DIVISOR: u32 = 2;
+/// Part of the prefill limit that late requests may use, in the fair order.
+const LATE_PREFILL_DIVISOR: u32 = 4;
 
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
@@ -40,6 +40,10 @@
     targets: SortedTable<Arc<str>, TargetLoad>,
     notices: NoticeTable,
     queues: SortedTable<ServiceName, ServiceQueue>,
+    /// Whether waiting requests are ordered fairly.
+    fair: bool,
+    /// Targets reserved for large prompts, by service.
+    reservations: SortedTable<ServiceName, Reservation>,
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
@@ -54,12 +58,20 @@
             targets: SortedTable::new(),
             notices: NoticeTable::default(),
             queues: SortedTable::new(),
+            fair: false,
+            reservations: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
             next_ticket: 0,
         }
     }
 
+    /// Orders waiting requests fairly; to be called before the first request.
+    pub fn with_fair_queue(mut self, fair: bool) -> Self {
+        self.fair = fair;
+        self
+    }
+
     /// Replaces the other entries that share the targets by those in these regions.
     pub fn set_other_entries<'a>(&mut self, regions: impl Iterator<Item = &'a RegionName>) {
         self.regions.set_others(regions);
@@ -83,6 +95,11 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
+    /// Sets the published figures of a service's engines, from which costs are estimated.
+    pub fn set_engine(&mut self, service: &ServiceName, engine: &EngineSpec) {
+        self.queue_mut(service).set_engine(engine);
+    }
+
     /// Replaces the targets. A target that is no longer registered gets no further requests and is
     /// kept until this entry's requests at it have ended.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<RegisteredTarget>>) {
@@ -114,27 +131,91 @@
         }
     }
 
-    /// Grants a slot to a request, queues it, or refuses it if the expected wait is too long.
+    /// Grants a slot to a request of an unknown caller, queues it, or refuses it if the expected wait
+    /// is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let ahead = queue.ahead_of(&request);
-        if ahead == 0
-            && let Some(grant) = self.try_grant(now, &request)
+        let caller = CallerTime { returned: !request.tried.is_empty(), time_left: Duration::ZERO };
+        self.request_from(now, request, caller)
+    }
+
+    /// Grants a slot to a request of `caller`, queues it, or refuses it if the expected wait is too
+    /// long.
+    pub fn request_from(
+        &mut self,
+        now: MonoTime,
+        request: SlotRequest,
+        caller: CallerTime,
+    ) -> Admission {
+        let fair = self.fair;
+        let service = request.service.clone();
+        let mut waiter = Waiter::new(now, 0, request, caller);
+        if self.queue_mut(&service).ahead_of(&waiter).requests == 0
+            && let Some(grant) = self.try_grant(now, &waiter.request, 0)
         {
+            self.queue_mut(&service).count_direct_grant(now, &waiter.request);
             return Admission::Granted(grant);
         }
-        let usable_slots = self.usable_slots(now, &request);
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let expected_wait = queue.expected_wait(now, ahead, usable_slots);
         self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        if expected_wait > request.wait.max_wait && ahead >= self.allowed_in_time(now, &request) {
-            let pause = if usable_slots == 0 { self.pause_left(now, &request) } else { None };
-            return Admission::Refused(retry_after(ticket).max(pause.unwrap_or_default()));
+        waiter.ticket = self.next_ticket;
+        if fair && waiter.request.wait.late && !caller.time_left.is_zero() {
+            waiter.request.wait = self.late_wait(&waiter.request, caller);
+        }
+        match self.queue_or_refuse(now, waiter) {
+            Ok(ticket) => Admission::Queued(ticket),
+            Err(retry_after) => Admission::Refused(retry_after),
+        }
+    }
+
+    /// Queues a request that gets no slot now, as a late one if it cannot be in time. If that is too
+    /// long as well, returns the time after which its caller may retry.
+    fn queue_or_refuse(
+        &mut self,
+        now: MonoTime,
+        mut waiter: Waiter,
+    ) -> Result<WaitTicket, Duration> {
+        let ticket = waiter.ticket;
+        let service = waiter.request.service.clone();
+        loop {
+            let usable_slots = self.usable_slots(now, &waiter.request);
+            let queue = self.queue_mut(&service);
+            let ahead = queue.ahead_of(&waiter);
+            let expected_wait = queue.expected_wait(now, &waiter, ahead, usable_slots);
+            if expected_wait <= waiter.request.wait.max_wait
+                || ahead.requests < self.allowed_in_time(now, &waiter.request)
+            {
+                self.queue_mut(&service).push(now, waiter);
+                return Ok(ticket);
+            }
+            if self.set_late(now, &mut waiter) {
+                continue;
+            }
+            let delay = self.retry_after(now, &waiter, expected_wait);
+            let pause =
+                if usable_slots == 0 { self.pause_left(now, &waiter.request) } else { None };
+            return Err(delay.max(pause.unwrap_or_default()));
+        }
+    }
+
+    /// Turns a waiter that cannot be in time into a late one, if it is not and its caller still waits.
+    fn set_late(&mut self, now: MonoTime, waiter: &mut Waiter) -> bool {
+        let caller = waiter.caller_at(now);
+        let can_be_late = self.fair && !waiter.request.wait.late && !caller.time_left.is_zero();
+        if can_be_late {
+            waiter.request.wait = self.late_wait(&waiter.request, caller);
+        }
+        can_be_late
+    }
+
+    fn late_wait(&mut self, request: &SlotRequest, caller: CallerTime) -> WaitAllowance {
+        let service_time = self.queue_mut(&request.service).service_time(request);
+        late_wait(caller, service_time)
+    }
+
+    fn retry_after(&self, now: MonoTime, waiter: &Waiter, drain_time: Duration) -> Duration {
+        match self.fair {
+            true => retry_after(waiter.ticket, waiter.caller_at(now), drain_time),
+            false => plain_retry_after(waiter.ticket),
         }
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        queue.push(Waiter { ticket, expires_at: now + request.wait.max_wait, request });
-        Admission::Queued(ticket)
     }
 
     /// Records that a request's prompt is no longer pending at the target: its response has begun.
@@ -157,10 +238,8 @@
             return;
         };
         load.release(now, outcome);
-        if outcome == SlotOutcome::Answered {
-            let service = load.record.service.clone();
-            self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now);
-        }
+        let service = load.record.service.clone();
+        self.queue_mut(&service).count_release(now, outcome == SlotOutcome::Answered);
     }
 
     /// Releases the slot of a request that was never sent.
@@ -170,6 +249,7 @@
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
         }
+        self.queue_mut(&grant.target.service).count_release(now, false);
     }
 
     /// Removes a waiting request from the queue.
@@ -192,17 +272,78 @@
             let Some(mut queue) = self.queues.remove(&service) else {
                 continue;
             };
-            queue.drain_granted(|request| self.try_grant(now, request), &mut grants);
+            let reserved = self.reservations.get(&service).map(|reservation| reservation.ticket);
+            let large_tokens = self.large_tokens(&service);
+            let try_grant = |waiter: &Waiter| self.try_grant(now, &waiter.request, waiter.ticket);
+            queue.drain_granted(now, reserved, large_tokens, try_grant, &mut grants);
+            self.update_reservation(now, &service, &mut queue, &grants);
             self.queues.insert(service, queue);
         }
         grants
     }
 
+    /// Returns the largest prompt of which two fit under the prefill limit.
+    fn large_tokens(&self, service: &ServiceName) -> u32 {
+        self.prefill_limits.get(service).map_or(u32::MAX, |limit| limit / LARGE_DIVISOR)
+    }
+
+    /// Ends a reservation that was used or has expired. Reserves a target for the first large prompt that
+    /// waits only for prefill capacity.
+    fn update_reservation(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        queue: &mut ServiceQueue,
+        grants: &[(WaitTicket, SlotGrant)],
+    ) {
+        if let Some(reservation) = self.reservations.get(service) {
+            let is_used = grants.iter().any(|(ticket, _)| *ticket == reservation.ticket);
+            if !is_used && now < reservation.until {
+                return;
+            }
+            self.reservations.remove(service);
+        }
+        if !self.fair {
+            return;
+        }
+        let large_tokens = self.large_tokens(service);
+        let is_large = |request: &SlotRequest| request.prompt_tokens > large_tokens;
+        let Some(waiter) = queue.first_without_reservation(is_large) else {
+            return;
+        };
+        let required = self.required_version(now, &waiter.request);
+        let lacks_only_prefill = |load: &&TargetLoad| {
+            load.is_eligible(now, &waiter.request, required)
+                && self.accepts_from(load).is_some_and(|at| at <= now)
+                && load.available_slots(now, &self.regions) > 0
+        };
+        let targets = self.targets.values().filter(lacks_only_prefill);
+        let Some(best) = targets.min_by_key(|load| load.pending_prefill_tokens()) else {
+            return;
+        };
+        waiter.had_reservation = true;
+        let until = waiter.expires_at.min(now + MAX_PREFILL_TIME);
+        let reservation =
+            Reservation { ticket: waiter.ticket, target: best.record.id.clone(), until };
+        self.reservations.insert(service.clone(), reservation);
+    }
+
     /// Removes the waiting requests whose longest wait has passed, and returns them with the time
-    /// after which each caller may retry.
+    /// after which each caller may retry. In the fair order, a request that can still be answered late
+    /// waits on.
     pub fn expire(&mut self, now: MonoTime) -> Vec<(WaitTicket, Duration)> {
-        let expired = self.queues.values_mut().flat_map(|queue| queue.expire(now));
-        expired.map(|ticket| (ticket, retry_after(ticket))).collect()
+        let expired: Vec<Waiter> =
+            self.queues.values_mut().flat_map(|queue| queue.take_expired(now)).collect();
+        let mut refused = Vec::new();
+        for mut waiter in expired {
+            let ticket = waiter.ticket;
+            let queued = match self.set_late(now, &mut waiter) {
+                true => self.queue_or_refuse(now, waiter),
+                false => Err(self.retry_after(now, &waiter, Duration::ZERO)),
+            };
+            refused.extend(queued.err().map(|retry_after| (ticket, retry_after)));
+        }
+        refused
     }
 
     /// Returns when [`SlotScheduler::expire`] or [`SlotScheduler::grant_free_slots`] is due next if
@@ -211,9 +352,11 @@
     pub fn next_wake(&self, served_at: MonoTime) -> Option<MonoTime> {
         let expiries = self.queues.values().filter_map(ServiceQueue::next_expiry);
         let expiry = expiries.min()?;
+        let reservation_ends = self.reservations.values().map(|reservation| reservation.until);
         let cooldown_ends = self.targets.values().filter_map(|load| load.cooldown_until());
         let pause_ends = self.targets.values().filter_map(|load| self.accepts_from(load));
-        let slot_times = cooldown_ends.chain(pause_ends).filter(|at| *at > served_at);
+        let slot_times =
+            cooldown_ends.chain(pause_ends).chain(reservation_ends).filter(|at| *at > served_at);
         Some(slot_times.min().map_or(expiry, |slot_time| slot_time.min(expiry)))
     }
 
@@ -238,21 +381,42 @@
         silent.map(|load| load.record.id.clone()).collect()
     }
 
-    /// Takes a slot at the eligible target with the lowest cost, if there is one.
-    fn try_grant(&mut self, now: MonoTime, request: &SlotRequest) -> Option<SlotGrant> {
+    fn queue_mut(&mut self, service: &ServiceName) -> &mut ServiceQueue {
+        let fair = self.fair;
+        self.queues.get_or_insert_with(service.clone(), || ServiceQueue::new(fair))
+    }
+
+    /// Takes a slot at the eligible target with the lowest cost, if there is one. `ticket` is 0 for a
+    /// request that does not wait.
+    fn try_grant(
+        &mut self,
+        now: MonoTime,
+        request: &SlotRequest,
+        ticket: WaitTicket,
+    ) -> Option<SlotGrant> {
         // Looked up at this point because a version may have been retired while the request waited.
         let required = self.required_version(now, request);
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
         let max_tokens = self.prefill_limits.get(&request.service).copied().unwrap_or(u32::MAX);
+        // Late requests leave most of the prefill capacity to those that can still be in time.
+        let max_tokens = match self.fair && request.wait.late {
+            true => max_tokens / LATE_PREFILL_DIVISOR,
+            false => max_tokens,
+        };
         let begin_by = |load: &TargetLoad| {
             let loaded = load.loaded_version(request.model.as_ref()?);
             Some(versions?.first_unmet(loaded)?.begin_by)
         };
+        let reservation = self.reservations.get(&request.service);
+        let is_reserved = |load: &TargetLoad| {
+            reservation.is_some_and(|held| held.excludes(now, &load.record.id, ticket))
+        };
         let has_room = |load: &&TargetLoad| {
             load.is_eligible(now, request, required)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
                 && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
+                && !is_reserved(load)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
         let candidates = self.targets.values().filter(has_room);
@@ -296,11 +460,3 @@
         versions.and_then(|versions| versions.required(now))
     }
 }
-
-/// Returns the time after which the caller of this request may retry. It is jittered evenly over
-/// [`RETRY_AFTER_RANGE`], so that callers refused together do not retry together.
-fn retry_after(ticket: WaitTicket) -> Duration {
-    let (shortest, longest) = RETRY_AFTER_RANGE;
-    let range_ms = (longest - shortest).as_millis() as u64;
-    shortest + Duration::from_millis(combine_hashes(ticket, 0) % range_ms)
-}
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -125,6 +125,11 @@
             || self.pending_prefill_tokens.saturating_add(tokens) <= max_tokens
     }
 
+    /// Returns the prompt tokens of this entry's requests that the target has not read yet.
+    pub fn pending_prefill_tokens(&self) -> u32 {
+        self.pending_prefill_tokens
+    }
+
     /// Takes a slot for `request`.
     pub fn take_slot(&mut self, now: MonoTime, request: &SlotRequest) {
         // Without an objective there is no limit after which the target counts as stuck.
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -1,13 +1,33 @@
 //! Queue of requests that wait for a slot at the targets of one service.
+//!
+//! In the plain order, requests that can still be in time go before late ones, by priority, first
+//! in first out. In the fair order, organisations of a class share the targets by the slot time
+//! that they use, callers that return after a refusal go before new ones, and a lower class keeps a
+//! small share.
+
+mod class;
+mod cost;
+mod decision;
+mod recent;
+mod reservation;
 
 use super::{SlotGrant, SlotRequest, WaitTicket};
+use crate::direct::{CallerTime, EngineSpec};
 use crate::prelude::*;
-use std::collections::VecDeque;
+use class::{ClassKey, OrderClass};
+use cost::CostEstimate;
+pub(super) use decision::{late_wait, plain_retry_after, retry_after};
+use recent::RecentSum;
+pub(super) use reservation::Reservation;
 
 /// Window over which the rate of released slots is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
-/// Maximum number of releases remembered for that.
-const MAX_RELEASES: usize = 512;
+/// Cost of a slot that is in use for [`RATE_WINDOW`], in the fair order.
+const WINDOW_COST: u64 = 1_000;
+/// Lowest part of the rate that late requests are expected to get.
+const MIN_RATE_DIVISOR: u64 = 20;
+/// Maximum number of distinct kinds of requests whose failure to get a slot is remembered.
+const MAX_SHAPES: usize = 1_024;
 
 /// A waiting request.
 #[derive(Debug, Clone)]
@@ -15,96 +35,316 @@
     pub ticket: WaitTicket,
     pub expires_at: MonoTime,
     pub request: SlotRequest,
+    pub caller: CallerTime,
+    /// Time until which the caller waits for the answer.
+    pub deadline: MonoTime,
+    /// Whether a target was reserved for it.
+    pub had_reservation: bool,
+    /// Expected cost: 1 in the plain order, milliseconds of a slot in the fair order.
+    cost: u32,
+    /// Index of the requests that the same targets can take, if it is remembered.
+    shape: Option<usize>,
+}
+
+impl Waiter {
+    pub fn new(
+        now: MonoTime,
+        ticket: WaitTicket,
+        request: SlotRequest,
+        caller: CallerTime,
+    ) -> Self {
+        Self {
+            ticket,
+            expires_at: now + request.wait.max_wait,
+            deadline: now + caller.time_left,
+            request,
+            caller,
+            had_reservation: false,
+            cost: 1,
+            shape: None,
+        }
+    }
+
+    /// Returns the caller with the time that it has left at `now`.
+    pub fn caller_at(&self, now: MonoTime) -> CallerTime {
+        CallerTime { time_left: self.deadline.since(now), ..self.caller }
+    }
+}
+
+/// What is served before a request, if it is queued.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(super) struct Backlog {
+    pub requests: usize,
+    pub cost: u64,
+}
+
+/// What distinguishes requests that different targets can take.
+type Shape = (RouteName, Option<OrganisationName>, Option<ModelName>);
+
+/// The smallest prompt of each shape that got no slot: larger ones get none either.
+struct FailedShapes(Vec<u32>);
+
+impl FailedShapes {
+    fn new(shapes: usize) -> Self {
+        Self(vec![u32::MAX; shapes])
+    }
+
+    fn covers(&self, waiter: &Waiter) -> bool {
+        let smallest = waiter.shape.and_then(|shape| self.0.get(shape));
+        smallest.is_some_and(|smallest| waiter.request.prompt_tokens >= *smallest)
+    }
+
+    fn record(&mut self, waiter: &Waiter) {
+        let smallest = waiter.shape.and_then(|shape| self.0.get_mut(shape));
+        if let Some(smallest) = smallest
+            && waiter.request.tried.is_empty()
+        {
+            *smallest = waiter.request.prompt_tokens;
+        }
+    }
+
+    /// Excludes the requests that compete with `waiter`, whatever their size.
+    fn block_competing(&mut self, waiter: &Waiter, shapes: &[Shape]) {
+        if !waiter.request.tried.is_empty() {
+            return;
+        }
+        for (smallest, (_, _, model)) in self.0.iter_mut().zip(shapes) {
+            if *model == waiter.request.model {
+                *smallest = 0;
+            }
+        }
+    }
 }
 
 /// Waiting requests in the order in which they are served, and the recent releases of slots.
 #[derive(Debug, Clone, Default)]
 pub(super) struct ServiceQueue {
-    waiters: Vec<Waiter>,
-    recent_releases: VecDeque<MonoTime>,
+    fair: bool,
+    /// Sorted by key.
+    classes: Vec<OrderClass>,
+    /// Cost of the slots released recently.
+    freed: RecentSum,
+    estimate: CostEstimate,
+    shapes: Vec<Shape>,
 }
 
 impl ServiceQueue {
+    pub fn new(fair: bool) -> Self {
+        Self { fair, ..Self::default() }
+    }
+
+    /// Sets the published figures from which costs are estimated.
+    pub fn set_engine(&mut self, engine: &EngineSpec) {
+        self.estimate.set_engine(engine);
+    }
+
     pub fn is_empty(&self) -> bool {
-        self.waiters.is_empty()
+        self.classes.iter().all(OrderClass::is_empty)
     }
 
     pub fn len(&self) -> usize {
-        self.waiters.len()
+        self.classes.iter().map(OrderClass::len).sum()
     }
 
-    /// Returns how many waiting requests would be served before `request`, if it arrived now.
-    pub fn ahead_of(&self, request: &SlotRequest) -> usize {
-        let order = queue_order(request);
-        self.waiters.partition_point(|waiter| queue_order(&waiter.request) <= order)
+    /// Returns the time for which `request` is expected to use a slot.
+    pub fn service_time(&self, request: &SlotRequest) -> Duration {
+        Duration::from_millis(self.estimate.cost(request).into())
     }
 
-    pub fn push(&mut self, waiter: Waiter) {
-        let index = self.ahead_of(&waiter.request);
-        self.waiters.insert(index, waiter);
+    /// Returns what is served before `waiter`, as far as it competes for the same targets.
+    pub fn ahead_of(&self, waiter: &Waiter) -> Backlog {
+        let key = ClassKey::of(&waiter.request);
+        let before = self.classes.iter().take_while(|class| class.key() <= key);
+        let mut ahead = Backlog::default();
+        for class in before {
+            let backlog = match self.fair && class.key() == key {
+                true => class.ahead_of(waiter, self.cost_of(&waiter.request)),
+                false => class.backlog_competing(self.fair, &waiter.request),
+            };
+            ahead.requests += backlog.requests;
+            ahead.cost += backlog.cost;
+        }
+        ahead
+    }
+
+    pub fn push(&mut self, now: MonoTime, mut waiter: Waiter) {
+        waiter.cost = self.cost_of(&waiter.request);
+        waiter.expires_at = now + waiter.request.wait.max_wait;
+        waiter.shape = self.shape_of(&waiter.request);
+        let fair = self.fair;
+        self.class_mut(ClassKey::of(&waiter.request)).push(waiter, fair);
     }
 
     pub fn remove(&mut self, ticket: WaitTicket) {
-        self.waiters.retain(|waiter| waiter.ticket != ticket);
+        self.classes.iter_mut().for_each(|class| class.remove(ticket));
     }
 
-    /// Records that a slot was released.
-    pub fn count_release(&mut self, now: MonoTime) {
-        if self.recent_releases.len() == MAX_RELEASES {
-            self.recent_releases.pop_front();
+    /// Records that `request` got a slot without waiting.
+    pub fn count_direct_grant(&mut self, now: MonoTime, request: &SlotRequest) {
+        if !self.fair {
+            return;
         }
-        self.recent_releases.push_back(now);
+        let cost = self.cost_of(request);
+        let key = ClassKey::of(request);
+        self.class_mut(key).charge(&request.organisation, cost);
+        self.count_grant(now, key, request, cost);
     }
 
-    /// Estimates how long a request with `ahead` others before it waits for one of `slots` slots.
-    pub fn expected_wait(&mut self, now: MonoTime, ahead: usize, slots: u32) -> Duration {
-        while self
-            .recent_releases
-            .front()
-            .is_some_and(|released| now.since(*released) > RATE_WINDOW)
-        {
-            self.recent_releases.pop_front();
+    /// Records that a slot was released. `answered`: whether a request has used it.
+    pub fn count_release(&mut self, now: MonoTime, answered: bool) {
+        self.estimate.record_release(now);
+        if answered {
+            let cost = if self.fair { self.estimate.mean_cost() } else { 1 };
+            self.freed.add(now, RATE_WINDOW, cost);
         }
+    }
+
+    /// Estimates how long `waiter`, with `ahead` before it, waits for one of `slots` slots.
+    pub fn expected_wait(
+        &mut self,
+        now: MonoTime,
+        waiter: &Waiter,
+        ahead: Backlog,
+        slots: u32,
+    ) -> Duration {
+        let freed = self.freed.sum(now, RATE_WINDOW);
         if slots == 0 {
             return Duration::MAX;
         }
-        let releases_needed = ahead as u32 + 1;
         // With few or no recent releases, half of the slots are assumed to be released per window.
-        let releases_per_window = (self.recent_releases.len() as u32).max(slots.div_ceil(2));
-        RATE_WINDOW * releases_needed / releases_per_window.max(1)
+        if !self.fair {
+            let per_window = (freed as u32).max(slots.div_ceil(2)).max(1);
+            return RATE_WINDOW * (ahead.requests as u32 + 1) / per_window;
+        }
+        let mut per_window = freed.max(u64::from(slots) * WINDOW_COST / 2);
+        if waiter.request.wait.late {
+            // Requests in time that have not arrived yet will go first as well.
+            let key = ClassKey::of(&waiter.request);
+            let higher = self.classes.iter_mut().take_while(|class| class.key() < key);
+            let taken: u64 = higher.map(|class| class.granted.sum(now, RATE_WINDOW)).sum();
+            per_window = per_window.saturating_sub(taken).max(per_window / MIN_RATE_DIVISOR);
+        }
+        let needed = ahead.cost + u64::from(self.cost_of(&waiter.request));
+        RATE_WINDOW.mul_f64(needed as f64 / per_window.max(1) as f64)
     }
 
     /// Removes each waiter for which `try_grant` returns a slot, in queue order, and adds it to
-    /// `grants`.
+    /// `grants`. `reserved` is the waiter that may get a slot where others of its kind cannot.
     pub fn drain_granted(
         &mut self,
-        mut try_grant: impl FnMut(&SlotRequest) -> Option<SlotGrant>,
+        now: MonoTime,
+        reserved: Option<WaitTicket>,
+        large_tokens: u32,
+        mut try_grant: impl FnMut(&Waiter) -> Option<SlotGrant>,
         grants: &mut Vec<(WaitTicket, SlotGrant)>,
     ) {
-        self.waiters.retain(|waiter| match try_grant(&waiter.request) {
-            Some(grant) => {
-                grants.push((waiter.ticket, grant));
-                false
+        let mut failed = FailedShapes::new(self.shapes.len());
+        let (shapes, fair) = (std::mem::take(&mut self.shapes), self.fair);
+        let mut try_waiter = |waiter: &Waiter| {
+            if failed.covers(waiter) && reserved != Some(waiter.ticket) {
+                return None;
             }
-            None => true,
-        });
+            let grant = try_grant(waiter);
+            if grant.is_none() {
+                failed.record(waiter);
+                // Smaller prompts would take the prefill capacity that it waits for.
+                let is_large = waiter.request.prompt_tokens > large_tokens;
+                if fair && !waiter.request.wait.late && !is_large {
+                    failed.block_competing(waiter, &shapes);
+                }
+            }
+            grant
+        };
+        let classes = self.classes.len();
+        let mut take = |queue: &mut Self, index: usize| {
+            let class = &mut queue.classes[index];
+            let (waiter, grant) = class.take_granted(&mut try_waiter)?;
+            let key = class.key();
+            queue.count_grant(now, key, &waiter.request, waiter.cost);
+            grants.push((waiter.ticket, grant));
+            Some(waiter.cost)
+        };
+        let credited = if self.fair { 1..classes } else { 0..0 };
+        for index in credited {
+            while self.classes[index].has_credit()
+                && let Some(cost) = take(self, index)
+            {
+                self.classes[index].spend_credit(cost);
+            }
+        }
+        for index in 0..classes {
+            while take(self, index).is_some() {}
+        }
+        self.shapes = shapes;
     }
 
-    /// Removes the waiters whose longest wait has passed and returns their tickets.
-    pub fn expire(&mut self, now: MonoTime) -> Vec<WaitTicket> {
-        let is_expired = |waiter: &&Waiter| waiter.expires_at <= now;
-        let tickets: Vec<WaitTicket> =
-            self.waiters.iter().filter(is_expired).map(|waiter| waiter.ticket).collect();
-        self.waiters.retain(|waiter| waiter.expires_at > now);
-        tickets
+    /// Removes the waiters whose longest wait has passed and returns them.
+    pub fn take_expired(&mut self, now: MonoTime) -> Vec<Waiter> {
+        let mut expired = Vec::new();
+        self.classes.iter_mut().for_each(|class| class.take_expired(now, &mut expired));
+        expired
     }
 
     pub fn next_expiry(&self) -> Option<MonoTime> {
-        self.waiters.iter().map(|waiter| waiter.expires_at).min()
+        self.classes.iter().filter_map(OrderClass::next_expiry).min()
     }
-}
 
-/// Sort key: requests that can still meet their latency objective first, then by priority.
-fn queue_order(request: &SlotRequest) -> (bool, u8) {
-    (request.wait.late, request.priority)
+    /// Returns the first waiter, of those in time, for which `needs_reservation` holds and no target
+    /// was reserved before.
+    pub fn first_without_reservation(
+        &mut self,
+        needs_reservation: impl Fn(&SlotRequest) -> bool,
+    ) -> Option<&mut Waiter> {
+        let in_time = self.classes.iter_mut().filter(|class| !class.key().late);
+        let mut waiters = in_time.flat_map(OrderClass::waiters_mut);
+        waiters.find(|waiter| !waiter.had_reservation && needs_reservation(&waiter.request))
+    }
+
+    fn cost_of(&self, request: &SlotRequest) -> u32 {
+        if self.fair { self.estimate.cost(request) } else { 1 }
+    }
+
+    fn count_grant(&mut self, now: MonoTime, key: ClassKey, request: &SlotRequest, cost: u32) {
+        if !self.fair {
+            return;
+        }
+        self.estimate.record_grant(now, request);
+        for class in &mut self.classes {
+            if class.key() == key {
+                class.granted.add(now, RATE_WINDOW, cost);
+            } else if class.key() > key {
+                class.earn_credit(cost);
+            }
+        }
+    }
+
+    fn class_mut(&mut self, key: ClassKey) -> &mut OrderClass {
+        let index = match self.classes.binary_search_by_key(&key, OrderClass::key) {
+            Ok(index) => index,
+            Err(index) => {
+                self.classes.insert(index, OrderClass::new(key));
+                index
+            }
+        };
+        &mut self.classes[index]
+    }
+
+    fn shape_of(&mut self, request: &SlotRequest) -> Option<usize> {
+        let is_shape = |(route, organisation, model): &Shape| {
+            *route == request.route
+                && *organisation == request.organisation
+                && *model == request.model
+        };
+        if self.is_empty() {
+            self.shapes.clear();
+        }
+        let found = self.shapes.iter().position(is_shape);
+        if found.is_none() && self.shapes.len() < MAX_SHAPES {
+            let shape =
+                (request.route.clone(), request.organisation.clone(), request.model.clone());
+            self.shapes.push(shape);
+            return Some(self.shapes.len() - 1);
+        }
+        found
+    }
 }
--- a/core/src/routing/queue.rs
+++ b/core/src/routing/queue.rs
@@ -7,11 +7,13 @@
 mod class;
 mod flow;
 mod rate;
+mod start_tag;
 
 use crate::config::PriorityClass;
 use crate::prelude::*;
 use class::QueueClass;
 use rate::TargetThroughput;
+pub(crate) use start_tag::StartTag;
 use std::collections::BTreeSet;
 
 /// Number of [`PriorityClass`]es.
--- a/core/src/routing/queue/class.rs
+++ b/core/src/routing/queue/class.rs
@@ -2,6 +2,7 @@
 
 use super::QueueItem;
 use super::flow::QueueFlow;
+use super::start_tag::StartTag;
 use crate::prelude::*;
 use std::collections::VecDeque;
 
@@ -14,9 +15,9 @@
     flows: SortedTable<OrganisationName, QueueFlow>,
     /// Organisations with queued requests, sorted by start tag. A served organisation is usually
     /// reinserted near the end, so few rows are moved.
-    ready: VecDeque<(u64, OrganisationName)>,
+    ready: VecDeque<(StartTag, OrganisationName)>,
     /// Start tag of the request served last.
-    virtual_time: u64,
+    virtual_time: StartTag,
     /// Estimated tokens of the queued requests.
     tokens: u64,
     /// Sum of the weights of organisations with queued requests.
@@ -33,7 +34,7 @@
         Self {
             flows: SortedTable::new(),
             ready: VecDeque::new(),
-            virtual_time: 0,
+            virtual_time: StartTag::default(),
             tokens: 0,
             total_weight: 0,
             credit: 0.0,
@@ -190,7 +191,7 @@
     fn after_removal(
         &mut self,
         organisation: &OrganisationName,
-        tag: u64,
+        tag: StartTag,
         weight: u64,
         item: &QueueItem,
     ) {
@@ -210,13 +211,13 @@
         self.flows.retain(|_, flow| !flow.is_empty() || flow.start_tag() > virtual_time);
     }
 
-    fn insert_ready(&mut self, tag: u64, organisation: OrganisationName) {
+    fn insert_ready(&mut self, tag: StartTag, organisation: OrganisationName) {
         let row = (tag, organisation);
         let index = self.ready.partition_point(|other| *other < row);
         self.ready.insert(index, row);
     }
 
-    fn remove_ready(&mut self, tag: u64, organisation: &OrganisationName) {
+    fn remove_ready(&mut self, tag: StartTag, organisation: &OrganisationName) {
         let found = self
             .ready
             .binary_search_by(|(other_tag, name)| (other_tag, name).cmp(&(&tag, organisation)));
--- a/core/src/routing/queue/flow.rs
+++ b/core/src/routing/queue/flow.rs
@@ -1,12 +1,10 @@
 //! The FIFO queue of one organisation in one priority class.
 
 use super::QueueItem;
+use super::start_tag::StartTag;
 use crate::prelude::*;
 use std::collections::VecDeque;
 
-/// Units of virtual time per token at weight 1.
-const VIRTUAL_UNITS_PER_TOKEN: u64 = 1 << 16;
-
 /// Predicted waits below this are not sampled.
 const MIN_WAIT_SAMPLE: Duration = Duration::from_millis(50);
 /// Weight of the newest sample in the moving average of the wait ratio.
@@ -21,13 +19,19 @@
     tokens: u64,
     weight: u32,
     /// Virtual start time of the next request.
-    start_tag: u64,
+    start_tag: StartTag,
     wait_ratio: f64,
 }
 
 impl Default for QueueFlow {
     fn default() -> Self {
-        Self { items: VecDeque::new(), tokens: 0, weight: 1, start_tag: 0, wait_ratio: 1.0 }
+        Self {
+            items: VecDeque::new(),
+            tokens: 0,
+            weight: 1,
+            start_tag: StartTag::default(),
+            wait_ratio: 1.0,
+        }
     }
 }
 
@@ -48,7 +52,7 @@
     }
 
     /// Virtual start time of the next request.
-    pub fn start_tag(&self) -> u64 {
+    pub fn start_tag(&self) -> StartTag {
         self.start_tag
     }
 
@@ -58,8 +62,8 @@
     }
 
     /// Advances the start tag to the class's virtual time, so that idle time earns no credit.
-    pub fn catch_up(&mut self, virtual_time: u64) {
-        self.start_tag = self.start_tag.max(virtual_time);
+    pub fn catch_up(&mut self, virtual_time: StartTag) {
+        self.start_tag.catch_up(virtual_time);
     }
 
     /// Queues a request. Its weight takes effect only if the flow was empty.
@@ -75,7 +79,7 @@
     pub fn pop(&mut self) -> Option<QueueItem> {
         let item = self.items.pop_front()?;
         self.tokens -= u64::from(item.cost_tokens);
-        self.start_tag += self.virtual_cost(item.cost_tokens.max(1));
+        self.start_tag.charge(item.cost_tokens.max(1), self.weight());
         Some(item)
     }
 
@@ -96,9 +100,7 @@
 
     /// Charges `actual_tokens` instead of `item`'s estimate.
     pub fn adjust_cost(&mut self, item: &QueueItem, actual_tokens: u32) {
-        let charged = self.virtual_cost(item.cost_tokens.max(1));
-        self.start_tag =
-            (self.start_tag + self.virtual_cost(actual_tokens)).saturating_sub(charged);
+        self.start_tag.adjust(item.cost_tokens.max(1), actual_tokens, self.weight());
     }
 
     /// Recent ratio of actual to predicted waits.
@@ -113,8 +115,4 @@
             self.wait_ratio += WAIT_RATIO_EWMA_WEIGHT * (sample - self.wait_ratio);
         }
     }
-
-    fn virtual_cost(&self, tokens: u32) -> u64 {
-        u64::from(tokens) * VIRTUAL_UNITS_PER_TOKEN / self.weight()
-    }
 }
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -271,7 +271,8 @@
     async fn acquire_slot(&mut self, caller: &mut InboundConnection) -> SlotResult {
         let now = clock::now();
         let slot_request = self.request.slot_request(now, &self.tried);
-        let mut pending = match self.state.request_slot(now, slot_request) {
+        let caller_time = self.request.caller_time(now, &self.tried);
+        let mut pending = match self.state.request_slot(now, slot_request, caller_time) {
             Ok(decision) => return decision.into(),
             Err(pending) => pending,
         };
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -3,7 +3,9 @@
 use super::reply::LocalReply;
 use crate::direct::entry::state::EntryState;
 use actix_http::StatusCode;
-use buckthornwharf_core::direct::{CauseId, SlotRequest, WorkKind, request_causes, wait_allowance};
+use buckthornwharf_core::direct::{
+    CallerTime, CauseId, SlotRequest, WorkKind, request_causes, wait_allowance,
+};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::{RequestTags, read_request};
@@ -54,6 +56,12 @@
             model: self.tags.model.clone(),
         }
     }
+
+    /// What is known of the caller, whose request was sent to the targets `tried`.
+    pub fn caller_time(&self, now: MonoTime, tried: &[Arc<str>]) -> CallerTime {
+        let returned = !self.elapsed_before.is_zero() || !tried.is_empty();
+        CallerTime { returned, time_left: self.deadline.since(now) }
+    }
 }
 
 /// Why a request was not admitted.
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -73,6 +73,9 @@
             shutdown,
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
+            scheduler: RefCell::new(
+                SlotScheduler::new(regions).with_fair_queue(settings.fair_queue),
+            ),
             settings,
             news: watch::channel(VersionNews::default()).0,
             routes: RefCell::default(),
@@ -81,7 +84,6 @@
             targets_listed: Cell::new(false),
             versions_listed: Cell::new(false),
             entries: RefCell::default(),
-            scheduler: RefCell::new(SlotScheduler::new(regions)),
             waiters: RefCell::default(),
             retry_budgets: RefCell::default(),
             caller_timeouts: RefCell::default(),
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -3,7 +3,7 @@
 use super::EntryState;
 use crate::clock;
 use buckthornwharf_core::direct::slots::SlotOutcome;
-use buckthornwharf_core::direct::{Admission, SlotGrant, SlotRequest, WaitTicket};
+use buckthornwharf_core::direct::{Admission, CallerTime, SlotGrant, SlotRequest, WaitTicket};
 use buckthornwharf_core::prelude::*;
 use log::info;
 use std::rc::Rc;
@@ -73,13 +73,14 @@
 }
 
 impl EntryState {
-    /// Requests a slot. If the request is queued, returns the pending slot as the error.
+    /// Requests a slot for a request of `caller`. If the request is queued, returns the pending slot as the error.
     pub fn request_slot(
         &self,
         now: MonoTime,
         request: SlotRequest,
+        caller: CallerTime,
     ) -> Result<QueueDecision, PendingSlot<'_>> {
-        match self.scheduler.borrow_mut().request(now, request) {
+        match self.scheduler.borrow_mut().request_from(now, request, caller) {
             Admission::Granted(grant) => Ok(QueueDecision::Granted(grant)),
             Admission::Refused(retry_after) => Ok(QueueDecision::Refused(retry_after)),
             Admission::Queued(ticket) => {
@@ -111,7 +112,8 @@
     ) -> Option<ReservedSlot> {
         let now = clock::now();
         request.tried.extend(self.scheduler.borrow().silent_targets(now));
-        let decision = match self.request_slot(now, request) {
+        let caller = CallerTime { returned: true, ..CallerTime::default() };
+        let decision = match self.request_slot(now, request, caller) {
             Ok(decision) => decision,
             Err(mut pending) => pending.decided().await?,
         };
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -104,6 +104,9 @@
             if let Some(rate) = rate {
                 scheduler.set_prefill_rate(&service.name, rate);
             }
+            if let Some(engine) = &service.engine {
+                scheduler.set_engine(&service.name, engine);
+            }
         }
         drop(scheduler);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
