Entries share targets by demand

Cause: all entries took equal parts of the reported free slots and of the prefill capacity, although callers are distributed by a hash. Entries that most callers use refused while others had room.

Change, with the setting fair_queue: an entry tells agents the cost of the requests that arrived within the last second, by class, when it changes by a quarter and every 0.6 s, on links on which the agent asked for it (a query, which older entries ignore). The agent answers with the entry's part in thousandths in each report. It computes it from what all entries of its region, or all others, told, so that the parts of one report add up to one; an entry that told nothing for 1 s takes an equal part. The part applies to the free slots and to the prefill limit, whose sum stays as it was.

A demand message has at most 29 bytes, a part 8 bytes of each report.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -9,6 +9,7 @@
 pub mod caller_timeout;
 pub mod catalog;
 pub mod crashes;
+pub mod demand;
 pub mod event_stream;
 pub mod news;
 pub mod rollout;
@@ -28,6 +29,7 @@
     CauseHistory, CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause,
     request_causes,
 };
+pub use demand::{ClassDemand, EntryDemands};
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
 pub use routes::RouteTable;
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -14,7 +14,8 @@
 mod restrictions;
 
 use super::{
-    CallerTime, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget, WaitAllowance,
+    CallerTime, ClassDemand, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget,
+    WaitAllowance,
 };
 use crate::prelude::*;
 pub use entry_regions::EntryRegions;
@@ -131,6 +132,22 @@
         }
     }
 
+    /// Stores the part of a target's free slots, in thousandths, that this entry may take of those for its
+    /// region; `None` for an equal part. It holds until the next report.
+    pub fn set_part(&mut self, id: &str, part: Option<u16>) {
+        if let Some(load) = self.targets.get_mut(id) {
+            load.set_part(part.filter(|_| self.fair));
+        }
+    }
+
+    /// Returns the cost of the requests that arrived within the last second, by class, over the
+    /// services whose engines agents report on.
+    pub fn demand(&mut self, now: MonoTime) -> ClassDemand {
+        let mut demand = ClassDemand::default();
+        self.queues.values_mut().for_each(|queue| queue.add_demand(now, &mut demand));
+        demand
+    }
+
     /// Grants a slot to a request of an unknown caller, queues it, or refuses it if the expected wait
     /// is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
@@ -149,6 +166,7 @@
         let fair = self.fair;
         let service = request.service.clone();
         let mut waiter = Waiter::new(now, 0, request, caller);
+        self.queue_mut(&service).count_arrival(now, &waiter.request);
         if self.queue_mut(&service).ahead_of(&waiter).requests == 0
             && let Some(grant) = self.try_grant(now, &waiter.request, 0)
         {
@@ -415,7 +433,10 @@
             load.is_eligible(now, request, required)
                 && self.accepts_from(load).is_some_and(|at| at <= now)
                 && load.available_slots(now, &self.regions) > 0
-                && load.has_prefill_capacity(request.prompt_tokens, max_tokens)
+                && load.has_prefill_capacity(
+                    request.prompt_tokens,
+                    load.prefill_limit(max_tokens, &self.regions),
+                )
                 && !is_reserved(load)
                 && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
         };
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -1,6 +1,7 @@
 //! Load of one target, as seen by this entry.
 
 use super::{EntryRegions, SlotOutcome, SlotRequest};
+use crate::direct::demand::WHOLE_PART;
 use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
 use crate::prelude::*;
 
@@ -62,6 +63,9 @@
     taken_since_report: u32,
     /// Slots that this entry released since the last report.
     released_since_report: u32,
+    /// Part of the free slots for the entries of its region that this entry may take, in thousandths; `None`
+    /// for an equal part.
+    part: Option<u16>,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
 }
@@ -91,6 +95,7 @@
             free_slots: 0,
             taken_since_report: 0,
             released_since_report: 0,
+            part: None,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
         }
@@ -118,6 +123,23 @@
         self.released_since_report = 0;
     }
 
+    /// Stores the part of the free slots that this entry may take, as of the last report.
+    pub fn set_part(&mut self, part: Option<u16>) {
+        self.part = part.map(|part| part.min(WHOLE_PART));
+    }
+
+    /// Returns the limit of this entry's unread prompt tokens at the target. Each entry may have
+    /// `max_tokens`; if entries take parts, those of all entries are divided by them.
+    pub fn prefill_limit(&self, max_tokens: u32, entries: &EntryRegions) -> u32 {
+        let Some(part) = self.part.map(u64::from) else {
+            return max_tokens;
+        };
+        let local = entries.in_region();
+        let sharing = if self.local { local } else { entries.entries().saturating_sub(local) };
+        let tokens = u64::from(max_tokens) * u64::from(sharing.max(1)) * part;
+        u32::try_from(tokens / u64::from(WHOLE_PART)).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether a prompt of `tokens` fits under the limit of `max_tokens` unread prompt
     /// tokens. A prompt of any size fits if no other is pending.
     pub fn has_prefill_capacity(&self, tokens: u32, max_tokens: u32) -> bool {
@@ -272,12 +294,17 @@
             return self.limit_without_report(entries).saturating_sub(self.in_flight);
         }
         let free_slots = u64::from(self.free_slots);
-        let share = match self.local {
-            true => {
+        let whole = 100 * u64::from(WHOLE_PART);
+        let share = match (self.local, self.part.map(u64::from)) {
+            // Rounded like the equal parts, so that the sum over the entries exceeds the free slots by
+            // no more than theirs.
+            (true, Some(part)) => (free_slots * LOCAL_PERCENT * part).div_ceil(whole),
+            (false, Some(part)) => free_slots * (100 - LOCAL_PERCENT) * part / whole,
+            (true, None) => {
                 let local_entries = u64::from(entries.in_region().max(1));
                 (free_slots * LOCAL_PERCENT).div_ceil(100 * local_entries)
             }
-            false => {
+            (false, None) => {
                 let remote_entries = entries.entries().saturating_sub(entries.in_region()).max(1);
                 free_slots * (100 - LOCAL_PERCENT) / (100 * u64::from(remote_entries))
             }
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -12,7 +12,8 @@
 mod reservation;
 
 use super::{SlotGrant, SlotRequest, WaitTicket};
-use crate::direct::{CallerTime, EngineSpec};
+use crate::direct::demand::demand_class;
+use crate::direct::{CallerTime, ClassDemand, EngineSpec};
 use crate::prelude::*;
 use class::{ClassKey, OrderClass};
 use cost::CostEstimate;
@@ -179,6 +180,24 @@
         self.classes.iter_mut().for_each(|class| class.remove(ticket));
     }
 
+    /// Records the arrival of a request, whatever is decided on it.
+    pub fn count_arrival(&mut self, now: MonoTime, request: &SlotRequest) {
+        if self.fair {
+            let cost = self.cost_of(request);
+            self.class_mut(ClassKey::of(request)).arrived.add(now, RATE_WINDOW, cost);
+        }
+    }
+
+    /// Adds the cost of the recent arrivals by class, if agents report on the targets.
+    pub fn add_demand(&mut self, now: MonoTime, demand: &mut ClassDemand) {
+        for class in self.classes.iter_mut().filter(|_| self.estimate.has_engine()) {
+            let key = class.key();
+            let sum = &mut demand[demand_class(key.late, key.priority)];
+            let arrived = class.arrived.sum(now, RATE_WINDOW);
+            *sum = sum.saturating_add(u32::try_from(arrived).unwrap_or(u32::MAX));
+        }
+    }
+
     /// Records that `request` got a slot without waiting.
     pub fn count_direct_grant(&mut self, now: MonoTime, request: &SlotRequest) {
         if !self.fair {
--- a/core/src/direct/slots/queue/class.rs
+++ b/core/src/direct/slots/queue/class.rs
@@ -37,6 +37,8 @@
     waiting: usize,
     /// Cost of the slots granted recently.
     pub granted: RecentSum,
+    /// Cost of the requests that arrived recently.
+    pub arrived: RecentSum,
 }
 
 /// The waiting requests of one organisation in the order in which they are served.
--- a/core/src/direct/slots/queue/cost.rs
+++ b/core/src/direct/slots/queue/cost.rs
@@ -19,6 +19,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CostEstimate {
     figures: Option<EngineFigures>,
+    has_engine: bool,
     in_use: u32,
     updated_at: MonoTime,
     /// Recent time for which slots were in use, in milliseconds.
@@ -42,6 +43,7 @@
 impl CostEstimate {
     /// Sets the published figures; the default cost is kept without the times of the engine.
     pub fn set_engine(&mut self, engine: &EngineSpec) {
+        self.has_engine = true;
         let Some(timing) = engine.timing else {
             return;
         };
@@ -58,6 +60,11 @@
         });
     }
 
+    /// Returns whether the targets are engines.
+    pub fn has_engine(&self) -> bool {
+        self.has_engine
+    }
+
     /// Returns the expected cost of `request` in milliseconds, at least 1.
     pub fn cost(&self, request: &SlotRequest) -> u32 {
         ((self.published_ms(request) * self.correction()) as u32).max(1)
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -2,6 +2,7 @@
 //! an engine, on a platform whose key-value store lists the targets.
 
 pub mod agent;
+pub mod demand;
 pub mod entry;
 mod facts;
 mod follow;
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -13,8 +13,8 @@
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use buckthornwharf_core::direct::{
-    DeclaredVersion, DeclaredVersions, EngineSpec, LoadedModel, NewsCoverage, OriginSpec,
-    StorePosition,
+    DeclaredVersion, DeclaredVersions, EngineSpec, EntryDemands, LoadedModel, NewsCoverage,
+    OriginSpec, StorePosition,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
@@ -85,6 +85,8 @@
     /// Links to entries by the store keys of the entries.
     links: RefCell<SortedTable<Arc<str>, EntryLink>>,
     loads: watch::Sender<Option<EngineLoad>>,
+    /// What entries told of their demand.
+    demands: RefCell<EntryDemands>,
     /// Whether the engine was ordered to load a version; it accepts no requests until it has.
     load_ordered: Cell<bool>,
 }
@@ -118,6 +120,7 @@
             coverage_changed: Notify::new(),
             links: RefCell::default(),
             loads: watch::channel(None).0,
+            demands: RefCell::default(),
             load_ordered: Cell::new(false),
         })
     }
--- a/src/direct/agent/state/links.rs
+++ b/src/direct/agent/state/links.rs
@@ -3,7 +3,7 @@
 use super::AgentState;
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
-use crate::direct::loads::{LinkEvent, run_link};
+use crate::direct::loads::{LinkEvent, run_shared_link};
 use crate::direct::news::NewsMessage;
 use crate::direct::presence::PresenceRecord;
 use actix_rt::task::JoinHandle;
@@ -43,7 +43,10 @@
             let is_open =
                 |link: &EntryLink| (link.address, link.wants_news) == (address, wants_news);
             if !links.get(key).is_some_and(is_open) {
-                links.insert(key.clone(), self.open_link(key.clone(), address, wants_news));
+                links.insert(
+                    key.clone(),
+                    self.open_link(key.clone(), address, entry.region.clone(), wants_news),
+                );
             }
         }
         drop(links);
@@ -54,13 +57,16 @@
         self: &Rc<Self>,
         key: Arc<str>,
         address: SocketAddr,
+        region: RegionName,
         wants_news: bool,
     ) -> EntryLink {
         let state = self.clone();
+        let (part_state, entry) = (self.clone(), key.clone());
+        let part = move |now| part_state.part_of(now, &entry);
         let on_event = move |event| state.on_link_event(&key, event);
-        let task =
-            actix_rt::spawn(run_link(address, wants_news, self.subscribe_reports(), on_event));
-        EntryLink { address, wants_news, task }
+        let reports = self.subscribe_reports();
+        let task = actix_rt::spawn(run_shared_link(address, wants_news, reports, part, on_event));
+        EntryLink { address, region, wants_news, task }
     }
 
     /// Returns the keys of the entries that receive the engine's load.
@@ -68,10 +74,28 @@
         self.links.borrow().iter().map(|(key, _)| key.clone()).collect()
     }
 
+    /// Returns the part of the free slots that an entry may take of those for the entries of the own
+    /// region, or for the others; `None` if it takes an equal part.
+    fn part_of(&self, now: MonoTime, entry: &Arc<str>) -> Option<u16> {
+        let links = self.links.borrow();
+        let region = self.settings.region();
+        let is_local = |link: &EntryLink| link.region == region;
+        let local = links.get(entry).is_some_and(is_local);
+        let group = links.iter().filter(|(_, link)| is_local(link) == local).map(|(key, _)| key);
+        self.demands.borrow().part(now, entry, group)
+    }
+
     fn on_link_event(&self, entry: &Arc<str>, event: LinkEvent) {
         match event {
             LinkEvent::News(news) => self.on_news(entry, &news),
-            LinkEvent::Lost => self.coverage.borrow_mut().lost(entry),
+            LinkEvent::Demand(demand) => {
+                self.demands.borrow_mut().record(clock::now(), entry, &demand);
+                return;
+            }
+            LinkEvent::Lost => {
+                self.coverage.borrow_mut().lost(entry);
+                self.demands.borrow_mut().remove(entry);
+            }
         }
         self.coverage_changed.notify_waiters();
     }
@@ -112,6 +136,7 @@
 /// A link to an entry; dropping it closes the link.
 pub(super) struct EntryLink {
     address: SocketAddr,
+    region: RegionName,
     wants_news: bool,
     task: JoinHandle<()>,
 }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -70,7 +70,12 @@
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
-    loads::start_receiver(load_listener, state.subscribe_news(), on_message)?;
+    loads::start_receiver(
+        load_listener,
+        state.subscribe_news(),
+        state.subscribe_demand(),
+        on_message,
+    )?;
     let outage = start_followers(&store, &state);
     crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
@@ -83,6 +88,9 @@
         |_| {},
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
+    if settings.fair_queue {
+        actix_rt::spawn(state::run_demand(state.clone()));
+    }
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
     reload::watch_settings(settings_path, rejected, on_change)?;
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -6,7 +6,7 @@
 mod updates;
 
 pub use crashes::cause_list;
-pub use queue::{QueueDecision, ReservedSlot, run_queue};
+pub use queue::{QueueDecision, ReservedSlot, run_demand, run_queue};
 
 use super::pool::ConnectionPool;
 use crate::direct::facts::AgentConfig;
@@ -16,8 +16,8 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
 use buckthornwharf_core::direct::{
-    CallerLimits, CallerTimeoutEstimate, CrashLedger, GuiltyGroup, RetryAllowance, RetryBudget,
-    RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
+    CallerLimits, CallerTimeoutEstimate, ClassDemand, CrashLedger, GuiltyGroup, RetryAllowance,
+    RetryBudget, RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
@@ -45,6 +45,8 @@
     versions_listed: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     scheduler: RefCell<SlotScheduler>,
+    /// The entry's demand, for agents.
+    demand: watch::Sender<ClassDemand>,
     waiters: RefCell<SortedTable<WaitTicket, oneshot::Sender<QueueDecision>>>,
     retry_budgets: RefCell<SortedTable<ServiceName, RetryBudget>>,
     caller_timeouts: RefCell<SortedTable<RouteName, CallerTimeoutEstimate>>,
@@ -76,6 +78,7 @@
             scheduler: RefCell::new(
                 SlotScheduler::new(regions).with_fair_queue(settings.fair_queue),
             ),
+            demand: watch::channel(ClassDemand::default()).0,
             settings,
             news: watch::channel(VersionNews::default()).0,
             routes: RefCell::default(),
@@ -132,6 +135,11 @@
         self.news.subscribe()
     }
 
+    /// Subscribes to the demand of the entry; `None` if entries share targets equally.
+    pub fn subscribe_demand(&self) -> Option<watch::Receiver<ClassDemand>> {
+        self.settings.fair_queue.then(|| self.demand.subscribe())
+    }
+
     /// Returns the routes of the active configuration; `None` before the first.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -2,6 +2,7 @@
 
 use super::EntryState;
 use crate::clock;
+use crate::direct::demand::{MEASURE_INTERVAL, differs};
 use buckthornwharf_core::direct::slots::SlotOutcome;
 use buckthornwharf_core::direct::{Admission, CallerTime, SlotGrant, SlotRequest, WaitTicket};
 use buckthornwharf_core::prelude::*;
@@ -217,6 +218,19 @@
     }
 }
 
+/// Measures the demand that agents are told of, for the lifetime of the process.
+pub async fn run_demand(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(MEASURE_INTERVAL).await;
+        let demand = state.scheduler.borrow_mut().demand(clock::now());
+        state.demand.send_if_modified(|known| {
+            let modified = differs(known, &demand);
+            *known = demand;
+            modified
+        });
+    }
+}
+
 async fn sleep_for(delay: Option<Duration>) {
     match delay {
         Some(delay) => actix_rt::time::sleep(delay).await,
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -138,7 +138,7 @@
             let source = DeclarationSource::Agent { declared_at: declared.declared_at(now) };
             self.declare_version(now, declared.version(), source);
         }
-        self.on_load(now, message.load());
+        self.on_load(now, message.load(), message.part);
     }
 
     fn declare_version(&self, now: MonoTime, declared: LoadedModel, source: DeclarationSource) {
@@ -201,11 +201,12 @@
 
     /// Applies an agent's load report on its engine, to all targets at that address: an entry of a target
     /// that is gone may name it too. Reports on unknown targets are ignored.
-    fn on_load(&self, now: MonoTime, load: EngineLoad) {
+    fn on_load(&self, now: MonoTime, load: EngineLoad, part: Option<u16>) {
         let catalog = self.catalog.borrow();
         let mut scheduler = self.scheduler.borrow_mut();
         for target in catalog.iter().filter(|target| target.address == load.engine) {
             scheduler.set_load(now, &target.id, load.requests, load.accepting);
+            scheduler.set_part(&target.id, part);
         }
         drop((catalog, scheduler));
         self.serve_queue();
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,9 +1,13 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
 //! engines and to exchange news of declared versions.
 
+use super::demand::{
+    DEMAND_QUERY, DemandMessage, EntryMessage, REPEAT_INTERVAL as DEMAND_INTERVAL,
+};
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
 use anyhow::{Result, bail};
+use buckthornwharf_core::direct::ClassDemand;
 use buckthornwharf_core::prelude::*;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
@@ -12,6 +16,7 @@
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Error, Message};
@@ -57,13 +62,22 @@
     /// The declared versions that the agent knows; empty if the entry has heard of them on this link.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<DeclaredFields>,
+    /// The part of the free slots, in thousandths, that the entry may take of those for its region; absent
+    /// if it is an equal one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<u16>,
 }
 
 impl AgentMessage {
     /// Creates the message that reports `load` and tells of `versions`.
     pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
         let EngineLoad { engine, requests, accepting } = load;
-        Self { engine, requests, accepting, versions }
+        Self { engine, requests, accepting, versions, part: None }
+    }
+
+    /// Sets the part of the free slots that the entry may take.
+    pub fn with_part(self, part: Option<u16>) -> Self {
+        Self { part, ..self }
     }
 
     /// Returns the load of the agent's engine.
@@ -89,8 +103,8 @@
         .max_message_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Accepts links of agents on `listener` for the rest of the process, sends `news` on those that ask for it,
-/// and calls `on_message` with each message and the time of its receipt.
+/// Accepts links of agents on `listener` for the rest of the process, sends `news` and `demand` on those that
+/// ask for them, and calls `on_message` with each message and the time of its receipt.
 ///
 /// # Errors
 ///
@@ -98,6 +112,7 @@
 pub fn start_receiver(
     listener: std::net::TcpListener,
     news: watch::Receiver<VersionNews>,
+    demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage) + Clone + 'static,
 ) -> Result<()> {
     let listener = TcpListener::from_std(listener)?;
@@ -105,7 +120,8 @@
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    drop(actix_rt::spawn(serve_agent(stream, news.clone(), on_message.clone())));
+                    let (news, demand) = (news.clone(), demand.clone());
+                    drop(actix_rt::spawn(serve_agent(stream, news, demand, on_message.clone())));
                 }
                 Err(error) => {
                     log::warn!("event=accept_failed reason=\"{error}\"");
@@ -120,16 +136,18 @@
 async fn serve_agent(
     stream: TcpStream,
     news: watch::Receiver<VersionNews>,
+    demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage),
 ) {
     if let Err(error) = buckthornwharf_exchange::set_socket_options(&stream) {
         debug!("event=link_not_prepared reason=\"{error}\"");
         return;
     }
-    let mut wants_news = false;
+    let (mut wants_news, mut wants_demand) = (false, false);
     #[expect(clippy::result_large_err, reason = "the type is given by the library")]
     let on_request = |request: &Request, response: Response| {
         wants_news = request.uri().path() == NEWS_PATH;
+        wants_demand = request.uri().query() == Some(DEMAND_QUERY);
         Ok(response)
     };
     let link = accept_hdr_async_with_config(stream, on_request, Some(link_config())).await;
@@ -140,29 +158,56 @@
             return;
         }
     };
+    let news = Some(news).filter(|_| wants_news);
+    let demand = demand.filter(|_| wants_demand);
     let ended = tokio::select! {
         ended = receive(messages, |message| on_message(clock::now(), message)) => ended,
-        ended = send_news(sink, news), if wants_news => ended,
+        ended = send_to_agent(sink, news, demand) => ended,
     };
     if let Err(error) = ended {
         debug!("event=link_ended reason=\"{error:#}\"");
     }
 }
 
-/// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`].
-async fn send_news(
+/// Sends the news and the demand at once, whenever they change, and each [`NEWS_INTERVAL`] and
+/// [`DEMAND_INTERVAL`].
+async fn send_to_agent(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
-    mut news: watch::Receiver<VersionNews>,
+    mut news: Option<watch::Receiver<VersionNews>>,
+    mut demand: Option<watch::Receiver<ClassDemand>>,
 ) -> Result<()> {
+    let (mut news_at, mut demand_at) = (Instant::now(), Instant::now());
     loop {
-        let message = news.borrow_and_update().message(clock::now());
-        send(&mut sink, &message).await?;
-        if let Ok(Err(_)) = tokio::time::timeout(NEWS_INTERVAL, news.changed()).await {
-            bail!("the entry ends");
+        tokio::select! {
+            current = changed_or_due(&mut news, news_at), if news.is_some() => {
+                let message = current?.message(clock::now());
+                send(&mut sink, &message).await?;
+                news_at = Instant::now() + NEWS_INTERVAL;
+            }
+            current = changed_or_due(&mut demand, demand_at), if demand.is_some() => {
+                let message = DemandMessage { demand: current? };
+                send(&mut sink, &message).await?;
+                demand_at = Instant::now() + DEMAND_INTERVAL;
+            }
+            else => std::future::pending().await,
         }
     }
 }
 
+/// Waits for a change, at most until `due`, and returns the current value.
+async fn changed_or_due<T: Clone>(
+    receiver: &mut Option<watch::Receiver<T>>,
+    due: Instant,
+) -> Result<T> {
+    let Some(receiver) = receiver else {
+        return std::future::pending().await;
+    };
+    if let Ok(Err(_)) = tokio::time::timeout_at(due, receiver.changed()).await {
+        bail!("the entry ends");
+    }
+    Ok(receiver.borrow_and_update().clone())
+}
+
 /// Passes each message to `on_message` until the link ends.
 async fn receive<T: DeserializeOwned>(
     mut messages: impl Stream<Item = Result<Message, Error>> + Unpin,
@@ -195,6 +240,8 @@
 pub enum LinkEvent {
     /// News of declared versions.
     News(NewsMessage),
+    /// The entry's demand.
+    Demand(ClassDemand),
     /// The link has ended.
     Lost,
 }
@@ -202,14 +249,25 @@
 /// Sends the reports of an agent to the entry at `address` and reopens the link whenever it fails. If
 /// `wants_news`, the entry sends news on it. Returns when the sender of the loads is dropped.
 pub async fn run_link(
+    address: SocketAddr,
+    wants_news: bool,
+    reports: AgentReports,
+    on_event: impl Fn(LinkEvent),
+) {
+    run_shared_link(address, wants_news, reports, |_| None, on_event).await;
+}
+
+/// Like [`run_link`], and tells the entry with each report which part of the free slots it may take.
+pub async fn run_shared_link(
     address: SocketAddr,
     wants_news: bool,
     mut reports: AgentReports,
+    part: impl Fn(MonoTime) -> Option<u16>,
     on_event: impl Fn(LinkEvent),
 ) {
     loop {
         if let Ok(link) = open_link(address, wants_news).await {
-            let ended = use_link(link, &mut reports, &on_event).await;
+            let ended = use_link(link, &mut reports, &part, &on_event).await;
             on_event(LinkEvent::Lost);
             let Err(error) = ended else {
                 return;
@@ -223,8 +281,11 @@
 async fn open_link(address: SocketAddr, wants_news: bool) -> Result<WebSocketStream<TcpStream>> {
     let stream = buckthornwharf_exchange::connect(address, OPEN_TIMEOUT).await?;
     let path = if wants_news { NEWS_PATH } else { LOADS_PATH };
-    let handshake =
-        client_async_with_config(format!("ws://{address}{path}"), stream, Some(link_config()));
+    let handshake = client_async_with_config(
+        format!("ws://{address}{path}?{DEMAND_QUERY}"),
+        stream,
+        Some(link_config()),
+    );
     let (link, _) = tokio::time::timeout(OPEN_TIMEOUT, handshake).await??;
     Ok(link)
 }
@@ -233,12 +294,20 @@
 async fn use_link(
     link: WebSocketStream<TcpStream>,
     reports: &mut AgentReports,
+    part: &impl Fn(MonoTime) -> Option<u16>,
     on_event: &impl Fn(LinkEvent),
 ) -> Result<()> {
     let (sink, messages) = link.split();
     tokio::select! {
-        ended = receive(messages, |news| on_event(LinkEvent::News(news))) => ended,
-        ended = send_reports(sink, reports) => ended,
+        ended = receive(messages, |message| on_event(message_event(message))) => ended,
+        ended = send_reports(sink, reports, part) => ended,
+    }
+}
+
+fn message_event(message: EntryMessage) -> LinkEvent {
+    match message {
+        EntryMessage::News(news) => LinkEvent::News(news),
+        EntryMessage::Demand(DemandMessage { demand }) => LinkEvent::Demand(demand),
     }
 }
 
@@ -246,13 +315,16 @@
 async fn send_reports(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
     reports: &mut AgentReports,
+    part: &impl Fn(MonoTime) -> Option<u16>,
 ) -> Result<()> {
     let mut repeat = NewsRepeat::default();
     loop {
         let load = *reports.loads.borrow_and_update();
         if let Some(load) = load {
-            let versions = repeat.due_versions(clock::now(), &reports.news.borrow_and_update());
-            send(&mut sink, &AgentMessage::new(load, versions)).await?;
+            let now = clock::now();
+            let versions = repeat.due_versions(now, &reports.news.borrow_and_update());
+            let message = AgentMessage::new(load, versions).with_part(part(now));
+            send(&mut sink, &message).await?;
         }
         actix_rt::time::sleep(MIN_INTERVAL).await;
         if !reports.changed().await {
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -1,5 +1,6 @@
 //! News of declared versions: when they are sent, and their form on a link.
 
+use buckthornwharf::direct::demand::{DemandMessage, EntryMessage};
 use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
 use buckthornwharf::direct::news::{DeclaredFields, NEWS_INTERVAL, NewsRepeat, VersionNews};
 use buckthornwharf_core::direct::DeclaredVersion;
@@ -72,3 +73,28 @@
     let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
     assert_eq!((message.load(), message.versions), (load(), Vec::new()));
 }
+
+/// Demand is told to agents by each entry up to four times a second, so its messages must stay small.
+#[test]
+fn a_part_by_demand_is_left_out_unless_it_is_known() {
+    let message = AgentMessage::new(load(), Vec::new());
+    assert_eq!(encode(&message.clone().with_part(None)), encode(&message));
+    let with_part = message.with_part(Some(800));
+    let bytes = encode(&with_part);
+    assert_eq!(bytes.len() - encode(&AgentMessage::new(load(), Vec::new())).len(), 8);
+    let read: AgentMessage = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!(read, with_part);
+}
+
+/// News of an entry that tells no demand, and demand, arrive on the same link.
+#[test]
+fn an_agent_tells_news_and_demand_apart() {
+    let demand = DemandMessage { demand: [90_000, 90_000, 90_000, 90_000] };
+    let bytes = encode(&demand);
+    assert!(bytes.len() <= 29, "{} bytes", bytes.len());
+    let read: EntryMessage = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!(read, EntryMessage::Demand(demand));
+    let news = VersionNews::default().message(DECLARED_AT);
+    let read: EntryMessage = ciborium::from_reader(&encode(&news)[..]).expect("a message");
+    assert_eq!(read, EntryMessage::News(news));
+}
