--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -280,6 +280,10 @@
     /// Grants free slots to waiting requests, in queue order.
     pub fn grant_free_slots(&mut self, now: MonoTime) -> Vec<(WaitTicket, SlotGrant)> {
         let mut grants = Vec::new();
+        // Saves the attempts of all waiting requests while every target is full.
+        if !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0) {
+            return grants;
+        }
         let services: Vec<ServiceName> = self
             .queues
             .iter()
