--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -7,16 +7,21 @@
 pub mod backlog;
 pub mod budget;
 pub mod caller_timeout;
+pub mod capacity;
 pub mod catalog;
 pub mod crashes;
 pub mod demand;
+pub mod evacuation;
 pub mod event_stream;
+pub mod memory;
 pub mod news;
+pub mod placement;
 pub mod rollout;
 pub mod routes;
 pub mod serving;
 pub mod slots;
 pub mod store_position;
+pub mod version_choice;
 pub mod versions;
 pub mod watch_backoff;
 
@@ -30,8 +35,12 @@
     request_causes,
 };
 pub use demand::{ClassDemand, EntryDemands};
+pub use evacuation::{
+    EvacuatedPart, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
+};
 pub use event_stream::{EventStream, StreamEnd, StreamFault};
 pub use news::{NewsCoverage, news_sources};
+pub use placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
 pub use routes::RouteTable;
 pub use serving::{
     CallerLimits, ColdLimit, EngineSpec, EngineTiming, OrganisationKeys, OriginSpec, RegionSet,
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -7,12 +7,18 @@
 
 mod entry_regions;
 mod grant;
+mod learned;
 mod load;
 mod notices;
+mod placing;
+mod preview;
 mod queue;
 mod rate_limit;
 mod restrictions;
+mod token_bucket;
 
+use super::capacity::{CapacityTable, SpeedSample};
+use super::placement::{PlacementCheck, PlacementObstacle, PlacementRules, PlacementVerdict};
 use super::{
     CallerTime, ClassDemand, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget,
     WaitAllowance,
@@ -20,10 +26,13 @@
 use crate::prelude::*;
 pub use entry_regions::EntryRegions;
 pub use grant::{Admission, SlotGrant, SlotOutcome, SlotRequest, WaitTicket};
-use load::TargetLoad;
+pub(in crate::direct) use load::TargetLoad;
 pub use notices::MAX_PAUSE;
-use notices::NoticeTable;
-use queue::{Reservation, ServiceQueue, Waiter, late_wait, plain_retry_after, retry_after};
+pub(in crate::direct) use notices::NoticeTable;
+pub use preview::{SlotPreview, TargetPreview};
+pub(in crate::direct) use queue::Reservation;
+use queue::{Backlog, ServiceQueue, Waiter, late_wait, plain_retry_after, retry_after};
+pub(in crate::direct) use token_bucket::TokenBucket;
 
 /// Longest time that a target may need to read the pending prompts of one entry, so that the
 /// response to the last one is not late.
@@ -35,7 +44,7 @@
 
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct SlotScheduler {
     regions: EntryRegions,
     targets: SortedTable<Arc<str>, TargetLoad>,
@@ -48,7 +57,12 @@
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
+    rules: PlacementRules,
+    /// Whether waiting requests may have lost their last allowed target.
+    recheck_waiting: bool,
     next_ticket: WaitTicket,
+    /// The learned limits; `None` while they are not enabled.
+    capacity: Option<CapacityTable>,
 }
 
 impl SlotScheduler {
@@ -63,7 +77,10 @@
             reservations: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
+            rules: PlacementRules::default(),
+            recheck_waiting: false,
             next_ticket: 0,
+            capacity: None,
         }
     }
 
@@ -96,9 +113,15 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
-    /// Sets the published figures of a service's engines, from which costs are estimated.
-    pub fn set_engine(&mut self, service: &ServiceName, engine: &EngineSpec) {
-        self.queue_mut(service).set_engine(engine);
+    /// Sets the published figures of a service's engines, from which costs are estimated and limits are
+    /// learned.
+    pub fn set_engine(&mut self, service: &ServiceName, engine: Option<&EngineSpec>) {
+        if let Some(engine) = engine {
+            self.queue_mut(service).set_engine(engine);
+        }
+        if let Some(table) = &mut self.capacity {
+            table.set_engine(service, engine);
+        }
     }
 
     /// Replaces the targets. A target that is no longer registered gets no further requests and is
@@ -121,6 +144,8 @@
         for load in self.targets.values_mut() {
             load.registered = registered_ids.binary_search(&load.record.id).is_ok();
         }
+        self.recheck_waiting = true;
+        self.update_learned_targets();
         self.update_limit_shares();
     }
 
@@ -167,7 +192,7 @@
         let service = request.service.clone();
         let mut waiter = Waiter::new(now, 0, request, caller);
         self.queue_mut(&service).count_arrival(now, &waiter.request);
-        if self.queue_mut(&service).ahead_of(&waiter).requests == 0
+        if self.ahead_of(&waiter).requests == 0
             && let Some(grant) = self.try_grant(now, &waiter.request, 0)
         {
             self.queue_mut(&service).count_direct_grant(now, &waiter.request);
@@ -195,9 +220,8 @@
         let service = waiter.request.service.clone();
         loop {
             let usable_slots = self.usable_slots(now, &waiter.request);
-            let queue = self.queue_mut(&service);
-            let ahead = queue.ahead_of(&waiter);
-            let expected_wait = queue.expected_wait(now, &waiter, ahead, usable_slots);
+            let ahead = self.ahead_of(&waiter);
+            let expected_wait = self.expected_wait(now, &waiter, ahead, usable_slots);
             if expected_wait <= waiter.request.wait.max_wait
                 || ahead.requests < self.allowed_in_time(now, &waiter.request)
             {
@@ -256,18 +280,30 @@
             return;
         };
         load.release(now, outcome);
-        let service = load.record.service.clone();
-        self.queue_mut(&service).count_release(now, outcome == SlotOutcome::Answered);
+        let (service, site) = (load.record.service.clone(), load.record.site.clone());
+        if let Some(table) = &mut self.capacity
+            && outcome == SlotOutcome::Failed
+        {
+            table.record(now, id, SpeedSample::Failed, 0);
+        }
+        let answered_at = Some(site).filter(|_| outcome == SlotOutcome::Answered);
+        self.queue_mut(&service).count_release(now, answered_at);
     }
 
     /// Releases the slot of a request that was never sent.
     pub fn release_unused(&mut self, now: MonoTime, grant: &SlotGrant) {
         self.prefill_ended(now, grant);
+        self.release_unsent(now, grant);
+    }
+
+    /// Releases the slot of a request that was never sent, and whose prompt is no longer pending.
+    pub fn release_unsent(&mut self, now: MonoTime, grant: &SlotGrant) {
         self.notices.uncount(&grant.target);
+        self.rules.cold.uncount(&grant.target, grant.granted_at);
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
         }
-        self.queue_mut(&grant.target.service).count_release(now, false);
+        self.queue_mut(&grant.target.service).count_release(now, None);
     }
 
     /// Removes a waiting request from the queue.
@@ -281,7 +317,9 @@
     pub fn grant_free_slots(&mut self, now: MonoTime) -> Vec<(WaitTicket, SlotGrant)> {
         let mut grants = Vec::new();
         // Saves the attempts of all waiting requests while every target is full.
-        if !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0) {
+        if self.fair
+            && !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0)
+        {
             return grants;
         }
         let services: Vec<ServiceName> = self
@@ -296,8 +334,7 @@
             };
             let reserved = self.reservations.get(&service).map(|reservation| reservation.ticket);
             let large_tokens = self.large_tokens(&service);
-            let try_grant = |waiter: &Waiter| self.try_grant(now, &waiter.request, waiter.ticket);
-            queue.drain_granted(now, reserved, large_tokens, try_grant, &mut grants);
+            queue.drain_granted(now, reserved, large_tokens, self, &mut grants);
             self.update_reservation(now, &service, &mut queue, &grants);
             self.queues.insert(service, queue);
         }
@@ -333,11 +370,11 @@
         let Some(waiter) = queue.first_without_reservation(is_large) else {
             return;
         };
-        let required = self.required_version(now, &waiter.request);
+        let check = self.placement_check(now, &waiter.request, waiter.ticket);
         let lacks_only_prefill = |load: &&TargetLoad| {
-            load.is_eligible(now, &waiter.request, required)
-                && self.accepts_from(load).is_some_and(|at| at <= now)
-                && load.available_slots(now, &self.regions) > 0
+            let is_other = |obstacle, _| obstacle != PlacementObstacle::Prefill;
+            load.record.service == *service
+                && check.find_obstacle(load, PlacementObstacle::Retiring, is_other).is_none()
         };
         let targets = self.targets.values().filter(lacks_only_prefill);
         let Some(best) = targets.min_by_key(|load| load.pending_prefill_tokens()) else {
@@ -376,7 +413,7 @@
         let expiry = expiries.min()?;
         let reservation_ends = self.reservations.values().map(|reservation| reservation.until);
         let cooldown_ends = self.targets.values().filter_map(|load| load.cooldown_until());
-        let pause_ends = self.targets.values().filter_map(|load| self.accepts_from(load));
+        let pause_ends = self.targets.values().flat_map(|load| self.timed_ends(served_at, load));
         let slot_times =
             cooldown_ends.chain(pause_ends).chain(reservation_ends).filter(|at| *at > served_at);
         Some(slot_times.min().map_or(expiry, |slot_time| slot_time.min(expiry)))
@@ -392,6 +429,12 @@
         self.targets.values().map(|load| load.in_flight).sum()
     }
 
+    /// Returns the number of this entry's requests at targets in `sites`, which are in order.
+    pub fn in_flight_at(&self, sites: &[SiteName]) -> u32 {
+        let is_there = |load: &&TargetLoad| sites.binary_search(&load.record.site).is_ok();
+        self.targets.values().filter(is_there).map(|load| load.in_flight).sum()
+    }
+
     /// Returns whether the load reports of target `id` have stopped.
     pub fn is_silent(&self, now: MonoTime, id: &str) -> bool {
         self.targets.get(id).is_some_and(|load| load.is_silent(now))
@@ -408,6 +451,30 @@
         self.queues.get_or_insert_with(service.clone(), || ServiceQueue::new(fair))
     }
 
+    /// Returns what is served before `waiter`, as far as it competes for the same targets.
+    fn ahead_of(&self, waiter: &Waiter) -> Backlog {
+        let queue = self.queues.get(&waiter.request.service);
+        queue.map_or_else(Backlog::default, |queue| {
+            queue.ahead_of(waiter, |waiting| self.competes(waiting, &waiter.request))
+        })
+    }
+
+    /// Estimates how long `waiter`, with `ahead` before it, waits for one of `slots` slots. Only slots
+    /// released at sites that its request may use count.
+    fn expected_wait(
+        &mut self,
+        now: MonoTime,
+        waiter: &Waiter,
+        ahead: Backlog,
+        slots: u32,
+    ) -> Duration {
+        let Self { queues, rules, regions, fair, .. } = self;
+        let service = waiter.request.service.clone();
+        let queue = queues.get_or_insert_with(service, || ServiceQueue::new(*fair));
+        let is_usable = |site: &SiteName| rules.allows_site(regions, &waiter.request, site);
+        queue.expected_wait(now, waiter, ahead, slots, is_usable)
+    }
+
     /// Takes a slot at the eligible target with the lowest cost, if there is one. `ticket` is 0 for a
     /// request that does not wait.
     fn try_grant(
@@ -416,46 +483,27 @@
         request: &SlotRequest,
         ticket: WaitTicket,
     ) -> Option<SlotGrant> {
-        // Looked up at this point because a version may have been retired while the request waited.
-        let required = self.required_version(now, request);
-        let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
-        let max_tokens = self.prefill_limits.get(&request.service).copied().unwrap_or(u32::MAX);
-        // Late requests leave most of the prefill capacity to those that can still be in time.
-        let max_tokens = match self.fair && request.wait.late {
-            true => max_tokens / LATE_PREFILL_DIVISOR,
-            false => max_tokens,
-        };
-        let begin_by = |load: &TargetLoad| {
-            let loaded = load.loaded_version(request.model.as_ref()?);
-            Some(versions?.first_unmet(loaded)?.begin_by)
-        };
-        let reservation = self.reservations.get(&request.service);
-        let is_reserved = |load: &TargetLoad| {
-            reservation.is_some_and(|held| held.excludes(now, &load.record.id, ticket))
-        };
-        let has_room = |load: &&TargetLoad| {
-            load.is_eligible(now, request, required)
-                && self.accepts_from(load).is_some_and(|at| at <= now)
-                && load.available_slots(now, &self.regions) > 0
-                && load.has_prefill_capacity(
-                    request.prompt_tokens,
-                    load.prefill_limit(max_tokens, &self.regions),
-                )
-                && !is_reserved(load)
-                && begin_by(load).is_none_or(|begin_by| load.will_begin_by(now, begin_by))
-        };
-        let candidates = self.targets.values().filter(has_room);
-        let best = candidates.min_by_key(|load| load.cost(now, &self.regions))?;
+        self.begin_choice();
+        let check = self.placement_check(now, request, ticket);
+        let verdicts = self.targets.values().filter(|load| load.record.service == request.service);
+        let costs = verdicts.filter_map(|load| match check.verdict(load) {
+            PlacementVerdict::Allowed { cost } => Some((cost, load)),
+            PlacementVerdict::Blocked { .. } => None,
+        });
+        let (_, best) = costs.min_by_key(|(cost, _)| *cost)?;
         let id = best.record.id.clone();
-        let begin_by = begin_by(best);
+        let begin_by = check.begin_by(best);
+        let sent = self.record_sent(now, &id, request);
         let load = self.targets.get_mut(&id)?;
         load.take_slot(now, request);
         self.notices.count_sent(now, &load.record, load.limit_share);
+        self.rules.cold.count_sent(now, &load.record);
         Some(SlotGrant {
             target: load.record.clone(),
             prompt_tokens: request.prompt_tokens,
             granted_at: now,
             begin_by,
+            sent,
         })
     }
 
@@ -463,25 +511,44 @@
     /// can still meet its latency objective counts only targets that accept requests now; a late
     /// one also counts those that are loading a version.
     fn usable_slots(&self, now: MonoTime, request: &SlotRequest) -> u32 {
-        let required = self.required_version(now, request);
+        let check = self.placement_check(now, request, 0);
         let accepts_until = now + request.wait.max_wait;
-        let usable = |load: &&TargetLoad| {
-            load.serves(request, required)
-                && (request.wait.late || load.is_accepting(now))
-                && self.accepts_from(load).is_some_and(|at| at <= accepts_until)
-        };
+        let usable = |load: &&TargetLoad| check.is_usable_until(load, accepts_until);
         let slots_of = |load: &TargetLoad| {
             let slots = load.limit_without_report(&self.regions);
-            let allowed = self.notices.allowed_until(accepts_until, &load.record, load.limit_share);
-            allowed.map_or(slots, |allowed| slots.min(allowed))
+            check.allowed_until(load, accepts_until).map_or(slots, |allowed| slots.min(allowed))
         };
         self.targets.values().filter(usable).map(slots_of).fold(0, u32::saturating_add)
     }
 
-    /// Returns the oldest version of the request's model that may be used; `None` if any version
-    /// may.
-    fn required_version(&self, now: MonoTime, request: &SlotRequest) -> Option<u64> {
+    /// Returns what the verdicts on the targets of `request` depend on. The versions are looked up each time,
+    /// because one may have been retired while the request waited. `ticket` is 0 for a request that does not
+    /// wait.
+    fn placement_check<'a>(
+        &'a self,
+        now: MonoTime,
+        request: &'a SlotRequest,
+        ticket: WaitTicket,
+    ) -> PlacementCheck<'a> {
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
-        versions.and_then(|versions| versions.required(now))
+        let max_tokens = self.prefill_limits.get(&request.service).copied().unwrap_or(u32::MAX);
+        // Late requests leave most of the prefill capacity to those that can still be in time.
+        let max_prefill_tokens = match self.fair && request.wait.late {
+            true => max_tokens / LATE_PREFILL_DIVISOR,
+            false => max_tokens,
+        };
+        PlacementCheck {
+            now,
+            request,
+            ticket,
+            reservation: self.reservations.get(&request.service),
+            versions,
+            required: versions.and_then(|versions| versions.required(now)),
+            max_prefill_tokens,
+            entries: &self.regions,
+            notices: &self.notices,
+            rules: &self.rules,
+            learned: self.learned_placement(),
+        }
     }
 }
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -1,8 +1,9 @@
 //! Load of one target, as seen by this entry.
 
 use super::{EntryRegions, SlotOutcome, SlotRequest};
+use crate::direct::capacity::TargetWork;
 use crate::direct::demand::WHOLE_PART;
-use crate::direct::{LoadedModel, RegisteredTarget, TargetPhase};
+use crate::direct::{LoadedModel, RegisteredTarget};
 use crate::prelude::*;
 
 /// Cool-down of a target after a first failure (unreachable, or the exchange failed).
@@ -35,7 +36,7 @@
 
 /// One target, with this entry's requests at it and its last load report.
 #[derive(Debug, Clone)]
-pub(super) struct TargetLoad {
+pub(in crate::direct) struct TargetLoad {
     pub record: Arc<RegisteredTarget>,
     /// Requests of this entry at the target.
     pub in_flight: u32,
@@ -68,6 +69,8 @@
     part: Option<u16>,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
+    /// Learned limit, used instead of the registered slots; `None` if limits are not learned.
+    pub learned_limit: Option<u32>,
 }
 
 /// A request that waits for the first byte of its response.
@@ -98,6 +101,7 @@
             part: None,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
+            learned_limit: None,
         }
     }
 
@@ -118,7 +122,7 @@
         self.other_requests = requests.saturating_sub(self.in_flight);
         self.accepting = accepting;
         self.reported_at = Some(now);
-        self.free_slots = self.record.slots.saturating_sub(requests);
+        self.free_slots = self.slots().saturating_sub(requests);
         self.taken_since_report = 0;
         self.released_since_report = 0;
     }
@@ -210,7 +214,7 @@
     }
 
     /// Returns whether a request has waited too long for its first byte.
-    fn is_stuck(&self, now: MonoTime) -> bool {
+    pub fn is_stuck(&self, now: MonoTime) -> bool {
         self.pending.iter().any(|request| request.stuck_at < now)
     }
 
@@ -221,7 +225,12 @@
         self.released_since_report += 1;
         match outcome {
             SlotOutcome::Answered => self.consecutive_failures = 0,
-            SlotOutcome::Full => self.extend_cooldown(now, FULL_COOLDOWN),
+            SlotOutcome::Full => {
+                self.extend_cooldown(now, FULL_COOLDOWN);
+                if self.learned_limit.is_some() {
+                    self.set_full();
+                }
+            }
             SlotOutcome::Failed => {
                 let cooldown = FIRST_COOLDOWN * 2_u32.pow(self.consecutive_failures.min(8));
                 self.consecutive_failures += 1;
@@ -230,6 +239,13 @@
         }
     }
 
+    /// Records that no slot is free, as in a report. Requests that this entry sent since the last one are
+    /// among those that fill the target.
+    fn set_full(&mut self) {
+        self.other_requests = self.slots().saturating_sub(self.in_flight);
+        (self.free_slots, self.taken_since_report, self.released_since_report) = (0, 0, 0);
+    }
+
     fn extend_cooldown(&mut self, now: MonoTime, cooldown: Duration) {
         self.cooldown_until = self.cooldown_until.max(now + cooldown);
     }
@@ -239,25 +255,6 @@
         (self.cooldown_until > MonoTime::ZERO).then_some(self.cooldown_until)
     }
 
-    /// Returns whether the target may get `request` if it has a free slot. `required` is the oldest
-    /// version of the request's model that may be used.
-    pub fn is_eligible(&self, now: MonoTime, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.serves(request, required)
-            && self.cooldown_until <= now
-            && self.is_accepting(now)
-            && !self.is_stuck(now)
-            && !request.tried.contains(&self.record.id)
-    }
-
-    /// Returns whether the target serves the request's service and model, in version `required` or
-    /// a newer one.
-    pub fn serves(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        self.registered
-            && self.record.service == request.service
-            && self.record.phase == TargetPhase::Ready
-            && self.has_version(request, required)
-    }
-
     /// Returns whether the target accepts requests; true if there is no fresh report.
     pub fn is_accepting(&self, now: MonoTime) -> bool {
         self.accepting || !self.has_fresh_report(now)
@@ -268,22 +265,12 @@
         LoadedModel::newest_version(model, &self.record.models)
     }
 
-    fn has_version(&self, request: &SlotRequest, required: Option<u64>) -> bool {
-        let Some(model) = &request.model else {
-            return true;
-        };
-        let satisfies = |loaded: &LoadedModel| {
-            loaded.model == *model && required.is_none_or(|required| loaded.version >= required)
-        };
-        self.record.models.iter().any(satisfies)
-    }
-
     /// Returns how many requests this entry may have at the target while it has no fresh report.
     pub fn limit_without_report(&self, entries: &EntryRegions) -> u32 {
         if self.local {
-            return self.record.slots.div_ceil(entries.in_region().max(1));
+            return self.slots().div_ceil(entries.in_region().max(1));
         }
-        let remote_slots = u64::from(self.record.slots) * UNREPORTED_REMOTE_PERCENT / 100;
+        let remote_slots = u64::from(self.slots()) * UNREPORTED_REMOTE_PERCENT / 100;
         (remote_slots as u32 / entries.entries().max(1)).max(1)
     }
 
@@ -312,7 +299,7 @@
         let unused = (share as u32)
             .saturating_add(self.released_since_report)
             .saturating_sub(self.taken_since_report);
-        unused.min(self.record.slots.saturating_sub(self.in_flight))
+        unused.min(self.slots().saturating_sub(self.in_flight))
     }
 
     /// Returns the cost of sending a further request to the target: its utilisation in thousandths,
@@ -328,9 +315,40 @@
                     / u64::from(self.limit_without_report(entries).max(1))
             }
         };
+        utilisation + self.place_cost(now)
+    }
+
+    /// Returns the part of the cost that does not depend on the load.
+    pub fn place_cost(&self, now: MonoTime) -> u64 {
         let distance_cost = if self.local { 0 } else { REMOTE_COST };
         let silence_cost = if self.is_silent(now) { SILENT_COST } else { 0 };
-        utilisation + distance_cost + silence_cost
+        distance_cost + silence_cost
+    }
+
+    /// Returns how many requests of all entries the target takes.
+    fn slots(&self) -> u32 {
+        self.learned_limit.map_or(self.record.slots, |limit| limit.min(self.record.slots))
+    }
+
+    /// Returns what the target has to do. Each other entry of its region is expected to have sent `mirrored`
+    /// times as many requests as this one since the last report.
+    pub fn work(&self, now: MonoTime, entries: &EntryRegions, mirrored: f64) -> TargetWork {
+        let others = f64::from(entries.in_region().saturating_sub(1));
+        let other_requests = match self.has_fresh_report(now) {
+            true => {
+                f64::from(self.other_requests)
+                    + f64::from(self.taken_since_report) * others * mirrored
+            }
+            // Nothing tells the load of the others, so it is assumed to be like this entry's.
+            false => f64::from(self.in_flight) * others,
+        };
+        let oldest_wait = self.pending.iter().map(|request| now.since(request.granted_at)).max();
+        TargetWork {
+            requests: f64::from(self.in_flight) + other_requests,
+            other_requests,
+            unread_tokens: f64::from(self.pending_prefill_tokens),
+            oldest_wait: oldest_wait.unwrap_or_default(),
+        }
     }
 
     /// Returns whether the target's load reports have stopped; false if there has been none.
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -11,15 +11,15 @@
 mod recent;
 mod reservation;
 
-use super::{SlotGrant, SlotRequest, WaitTicket};
+use super::{SlotGrant, SlotRequest, SlotScheduler, WaitTicket};
 use crate::direct::demand::demand_class;
 use crate::direct::{CallerTime, ClassDemand, EngineSpec};
 use crate::prelude::*;
 use class::{ClassKey, OrderClass};
 use cost::CostEstimate;
 pub(super) use decision::{late_wait, plain_retry_after, retry_after};
-use recent::RecentSum;
-pub(super) use reservation::Reservation;
+use recent::{RecentReleases, RecentSum};
+pub(in crate::direct) use reservation::Reservation;
 
 /// Window over which the rate of released slots is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
@@ -79,39 +79,77 @@
     pub cost: u64,
 }
 
-/// What distinguishes requests that different targets can take.
-type Shape = (RouteName, Option<OrganisationName>, Option<ModelName>);
+/// The first of the requests that the same targets can take: those with its route, organisation and model.
+#[derive(Debug, Clone)]
+struct Shape(SlotRequest);
+
+/// Size of a failed request: larger ones of its shape get no slot either.
+#[derive(Debug, Clone, Copy)]
+struct FailedSize {
+    prompt_tokens: u32,
+    /// Answers need memory of the target, too.
+    answer_tokens: u32,
+    /// A late request may only use a part of the prefill capacity, so it says nothing of those in time.
+    late: bool,
+}
+
+impl FailedSize {
+    const ANY: Self = Self { prompt_tokens: 0, answer_tokens: 0, late: false };
+
+    fn covers(&self, request: &SlotRequest) -> bool {
+        request.prompt_tokens >= self.prompt_tokens
+            && answer_size(request) >= self.answer_tokens
+            && (request.wait.late || !self.late)
+    }
+}
 
-/// The smallest prompt of each shape that got no slot: larger ones get none either.
-struct FailedShapes(Vec<u32>);
+/// Returns the size of the answer; that of an unknown one counts as larger than any other.
+fn answer_size(request: &SlotRequest) -> u32 {
+    if request.answer_tokens == 0 { u32::MAX } else { request.answer_tokens }
+}
+
+/// The smallest request of each shape that got no slot.
+struct FailedShapes {
+    sizes: Vec<Option<FailedSize>>,
+    /// Whether the length of the answer decides on targets, too, by their memory.
+    checks_memory: bool,
+}
 
 impl FailedShapes {
-    fn new(shapes: usize) -> Self {
-        Self(vec![u32::MAX; shapes])
+    fn new(shapes: usize, checks_memory: bool) -> Self {
+        Self { sizes: vec![None; shapes], checks_memory }
     }
 
     fn covers(&self, waiter: &Waiter) -> bool {
-        let smallest = waiter.shape.and_then(|shape| self.0.get(shape));
-        smallest.is_some_and(|smallest| waiter.request.prompt_tokens >= *smallest)
+        let smallest = waiter.shape.and_then(|shape| *self.sizes.get(shape)?);
+        smallest.is_some_and(|smallest| smallest.covers(&waiter.request))
     }
 
     fn record(&mut self, waiter: &Waiter) {
-        let smallest = waiter.shape.and_then(|shape| self.0.get_mut(shape));
+        let smallest = waiter.shape.and_then(|shape| self.sizes.get_mut(shape));
         if let Some(smallest) = smallest
             && waiter.request.tried.is_empty()
         {
-            *smallest = waiter.request.prompt_tokens;
+            *smallest = Some(FailedSize {
+                prompt_tokens: waiter.request.prompt_tokens,
+                answer_tokens: if self.checks_memory { answer_size(&waiter.request) } else { 0 },
+                late: waiter.request.wait.late,
+            });
         }
     }
 
-    /// Excludes the requests that compete with `waiter`, whatever their size.
-    fn block_competing(&mut self, waiter: &Waiter, shapes: &[Shape]) {
+    /// Excludes the requests that compete with `waiter`, whatever their size, and that no other target can
+    /// take.
+    fn block_competing(&mut self, scheduler: &SlotScheduler, waiter: &Waiter, shapes: &[Shape]) {
         if !waiter.request.tried.is_empty() {
             return;
         }
-        for (smallest, (_, _, model)) in self.0.iter_mut().zip(shapes) {
-            if *model == waiter.request.model {
-                *smallest = 0;
+        for (smallest, Shape(request)) in self.sizes.iter_mut().zip(shapes) {
+            if request.model == waiter.request.model
+                && scheduler.competes(&waiter.request, request)
+                && !scheduler.can_go_elsewhere(&waiter.request, request)
+            {
+                *smallest = Some(FailedSize::ANY);
             }
         }
     }
@@ -123,8 +161,7 @@
     fair: bool,
     /// Sorted by key.
     classes: Vec<OrderClass>,
-    /// Cost of the slots released recently.
-    freed: RecentSum,
+    releases: RecentReleases,
     estimate: CostEstimate,
     shapes: Vec<Shape>,
 }
@@ -152,15 +189,19 @@
         Duration::from_millis(self.estimate.cost(request).into())
     }
 
-    /// Returns what is served before `waiter`, as far as it competes for the same targets.
-    pub fn ahead_of(&self, waiter: &Waiter) -> Backlog {
-        let key = ClassKey::of(&waiter.request);
+    /// Returns what is served before `waiter`, of the requests for which `competes` returns true.
+    pub fn ahead_of(&self, waiter: &Waiter, competes: impl Fn(&SlotRequest) -> bool) -> Backlog {
+        let request = &waiter.request;
+        let key = ClassKey::of(request);
+        let competes = |waiting: &SlotRequest| {
+            (!self.fair || waiting.model == request.model) && competes(waiting)
+        };
         let before = self.classes.iter().take_while(|class| class.key() <= key);
         let mut ahead = Backlog::default();
         for class in before {
             let backlog = match self.fair && class.key() == key {
-                true => class.ahead_of(waiter, self.cost_of(&waiter.request)),
-                false => class.backlog_competing(self.fair, &waiter.request),
+                true => class.ahead_of(waiter, self.cost_of(request), &competes),
+                false => class.backlog_competing(&competes),
             };
             ahead.requests += backlog.requests;
             ahead.cost += backlog.cost;
@@ -168,6 +209,12 @@
         ahead
     }
 
+    /// Iterates over the waiting requests by class.
+    pub fn requests(&self) -> impl Iterator<Item = (WaitTicket, &SlotRequest)> {
+        let waiters = self.classes.iter().flat_map(OrderClass::waiters);
+        waiters.map(|waiter| (waiter.ticket, &waiter.request))
+    }
+
     pub fn push(&mut self, now: MonoTime, mut waiter: Waiter) {
         waiter.cost = self.cost_of(&waiter.request);
         waiter.expires_at = now + waiter.request.wait.max_wait;
@@ -209,24 +256,26 @@
         self.count_grant(now, key, request, cost);
     }
 
-    /// Records that a slot was released. `answered`: whether a request has used it.
-    pub fn count_release(&mut self, now: MonoTime, answered: bool) {
+    /// Records that a slot was released. `answered_at`: site of its target, if a request has used it.
+    pub fn count_release(&mut self, now: MonoTime, answered_at: Option<SiteName>) {
         self.estimate.record_release(now);
-        if answered {
+        if let Some(site) = answered_at {
             let cost = if self.fair { self.estimate.mean_cost() } else { 1 };
-            self.freed.add(now, RATE_WINDOW, cost);
+            self.releases.add(now, site, cost);
         }
     }
 
-    /// Estimates how long `waiter`, with `ahead` before it, waits for one of `slots` slots.
+    /// Estimates how long `waiter`, with `ahead` before it, waits for one of `slots` slots, which are at
+    /// targets of sites for which `is_usable` returns true.
     pub fn expected_wait(
         &mut self,
         now: MonoTime,
         waiter: &Waiter,
         ahead: Backlog,
         slots: u32,
+        is_usable: impl Fn(&SiteName) -> bool,
     ) -> Duration {
-        let freed = self.freed.sum(now, RATE_WINDOW);
+        let freed = self.releases.sum_at(now, RATE_WINDOW, is_usable);
         if slots == 0 {
             return Duration::MAX;
         }
@@ -247,29 +296,35 @@
         RATE_WINDOW.mul_f64(needed as f64 / per_window.max(1) as f64)
     }
 
-    /// Removes each waiter for which `try_grant` returns a slot, in queue order, and adds it to
-    /// `grants`. `reserved` is the waiter that may get a slot where others of its kind cannot.
+    /// Removes each waiter that gets a slot of `scheduler`, in queue order, and adds it to `grants`. The
+    /// queue must not be one of `scheduler` meanwhile. `reserved` is the waiter that may get a slot where others of its kind cannot.
     pub fn drain_granted(
         &mut self,
         now: MonoTime,
         reserved: Option<WaitTicket>,
         large_tokens: u32,
-        mut try_grant: impl FnMut(&Waiter) -> Option<SlotGrant>,
+        scheduler: &mut SlotScheduler,
         grants: &mut Vec<(WaitTicket, SlotGrant)>,
     ) {
-        let mut failed = FailedShapes::new(self.shapes.len());
-        let (shapes, fair) = (std::mem::take(&mut self.shapes), self.fair);
+        if !self.fair {
+            let mut try_waiter =
+                |waiter: &Waiter| scheduler.try_grant(now, &waiter.request, waiter.ticket);
+            self.classes.iter_mut().for_each(|class| class.drain(&mut try_waiter, grants));
+            return;
+        }
+        let mut failed = FailedShapes::new(self.shapes.len(), scheduler.learns_limits());
+        let shapes = std::mem::take(&mut self.shapes);
         let mut try_waiter = |waiter: &Waiter| {
             if failed.covers(waiter) && reserved != Some(waiter.ticket) {
                 return None;
             }
-            let grant = try_grant(waiter);
+            let grant = scheduler.try_grant(now, &waiter.request, waiter.ticket);
             if grant.is_none() {
                 failed.record(waiter);
                 // Smaller prompts would take the prefill capacity that it waits for.
                 let is_large = waiter.request.prompt_tokens > large_tokens;
-                if fair && !waiter.request.wait.late && !is_large {
-                    failed.block_competing(waiter, &shapes);
+                if !waiter.request.wait.late && !is_large {
+                    failed.block_competing(scheduler, waiter, &shapes);
                 }
             }
             grant
@@ -283,8 +338,7 @@
             grants.push((waiter.ticket, grant));
             Some(waiter.cost)
         };
-        let credited = if self.fair { 1..classes } else { 0..0 };
-        for index in credited {
+        for index in 1..classes {
             while self.classes[index].has_credit()
                 && let Some(cost) = take(self, index)
             {
@@ -349,19 +403,20 @@
     }
 
     fn shape_of(&mut self, request: &SlotRequest) -> Option<usize> {
-        let is_shape = |(route, organisation, model): &Shape| {
-            *route == request.route
-                && *organisation == request.organisation
-                && *model == request.model
+        if !self.fair {
+            return None;
+        }
+        let is_shape = |shape: &Shape| {
+            shape.0.route == request.route
+                && shape.0.organisation == request.organisation
+                && shape.0.model == request.model
         };
         if self.is_empty() {
             self.shapes.clear();
         }
         let found = self.shapes.iter().position(is_shape);
         if found.is_none() && self.shapes.len() < MAX_SHAPES {
-            let shape =
-                (request.route.clone(), request.organisation.clone(), request.model.clone());
-            self.shapes.push(shape);
+            self.shapes.push(Shape(request.clone()));
             return Some(self.shapes.len() - 1);
         }
         found
--- a/core/src/direct/slots/queue/class.rs
+++ b/core/src/direct/slots/queue/class.rs
@@ -65,26 +65,29 @@
         self.waiting
     }
 
-    /// Returns the requests that compete with `request`, or all if not `fair`.
-    pub fn backlog_competing(&self, fair: bool, request: &SlotRequest) -> Backlog {
-        match fair {
-            true => backlog(self.flows.values().flat_map(|flow| &flow.waiters), request),
-            false => Backlog { requests: self.waiting, cost: self.waiting as u64 },
-        }
+    /// Returns the requests for which `competes` returns true.
+    pub fn backlog_competing(&self, competes: &impl Fn(&SlotRequest) -> bool) -> Backlog {
+        backlog(self.waiters(), competes)
     }
 
     /// Returns what is served before `waiter` of this class, whose cost is `cost`: the requests of
-    /// its organisation that go first, and as much of each other one.
-    pub fn ahead_of(&self, waiter: &Waiter, cost: u32) -> Backlog {
+    /// its organisation that go first, and as much of each other one. Only requests for which
+    /// `competes` returns true count.
+    pub fn ahead_of(
+        &self,
+        waiter: &Waiter,
+        cost: u32,
+        competes: &impl Fn(&SlotRequest) -> bool,
+    ) -> Backlog {
         let order = wait_order(waiter);
         let own = self.flows.get(&waiter.request.organisation);
         let own_waiters = own.into_iter().flat_map(|flow| &flow.waiters);
         let before = own_waiters.take_while(|other| wait_order(other) <= order);
-        let mut ahead = backlog(before, &waiter.request);
+        let mut ahead = backlog(before, competes);
         let share = ahead.cost + u64::from(cost);
         for (organisation, flow) in self.flows.iter() {
             if *organisation != waiter.request.organisation {
-                let other = backlog(flow.waiters.iter(), &waiter.request);
+                let other = backlog(flow.waiters.iter(), competes);
                 ahead.requests += other.requests;
                 ahead.cost += other.cost.min(share);
             }
@@ -128,6 +131,24 @@
         flow.tag.charge(cost, 1);
     }
 
+    /// Removes each waiter that gets a slot, in one pass, and adds it to `grants`; for the plain order.
+    pub fn drain(
+        &mut self,
+        try_grant: &mut impl FnMut(&Waiter) -> Option<SlotGrant>,
+        grants: &mut Vec<(WaitTicket, SlotGrant)>,
+    ) {
+        for flow in self.flows.values_mut() {
+            flow.waiters.retain(|waiter| match try_grant(waiter) {
+                Some(grant) => {
+                    grants.push((waiter.ticket, grant));
+                    self.waiting -= 1;
+                    false
+                }
+                None => true,
+            });
+        }
+    }
+
     /// Removes the first waiter that gets a slot, and returns it with the slot.
     pub fn take_granted(
         &mut self,
@@ -187,6 +208,10 @@
         self.flows.values().flat_map(|flow| &flow.waiters).map(|waiter| waiter.expires_at).min()
     }
 
+    pub fn waiters(&self) -> impl Iterator<Item = &Waiter> {
+        self.flows.values().flat_map(|flow| &flow.waiters)
+    }
+
     pub fn waiters_mut(&mut self) -> impl Iterator<Item = &mut Waiter> {
         self.flows.values_mut().flat_map(|flow| &mut flow.waiters)
     }
@@ -197,9 +222,12 @@
     (!waiter.caller.returned, waiter.expires_at)
 }
 
-fn backlog<'a>(waiters: impl Iterator<Item = &'a Waiter>, request: &SlotRequest) -> Backlog {
+fn backlog<'a>(
+    waiters: impl Iterator<Item = &'a Waiter>,
+    competes: &impl Fn(&SlotRequest) -> bool,
+) -> Backlog {
     let mut backlog = Backlog::default();
-    for waiter in waiters.filter(|waiter| waiter.request.model == request.model) {
+    for waiter in waiters.filter(|waiter| competes(&waiter.request)) {
         backlog.requests += 1;
         backlog.cost += u64::from(waiter.cost);
     }
--- a/core/src/direct/slots/queue/recent.rs
+++ b/core/src/direct/slots/queue/recent.rs
@@ -1,4 +1,4 @@
-//! Sum of what was counted within a window.
+//! Sums of what was counted within a window.
 
 use crate::prelude::*;
 use std::collections::VecDeque;
@@ -38,3 +38,32 @@
         }
     }
 }
+
+/// Recent releases of slots, with the sites of their targets.
+#[derive(Debug, Clone, Default)]
+pub struct RecentReleases(VecDeque<(MonoTime, SiteName, u32)>);
+
+impl RecentReleases {
+    /// Adds the release of a slot with this cost at a target of `site`.
+    pub fn add(&mut self, now: MonoTime, site: SiteName, cost: u32) {
+        if self.0.len() == MAX_COUNTS {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, site, cost));
+    }
+
+    /// Drops the releases that are older than `window`, and returns the cost of those at sites for which
+    /// `is_usable` returns true.
+    pub fn sum_at(
+        &mut self,
+        now: MonoTime,
+        window: Duration,
+        is_usable: impl Fn(&SiteName) -> bool,
+    ) -> u64 {
+        while self.0.front().is_some_and(|(at, ..)| now.since(*at) > window) {
+            self.0.pop_front();
+        }
+        let usable = self.0.iter().filter(|(_, site, _)| is_usable(site));
+        usable.map(|(.., cost)| u64::from(*cost)).sum()
+    }
+}
--- a/core/tests/direct_queueing.rs
+++ b/core/tests/direct_queueing.rs
@@ -208,7 +208,7 @@
             let mut entry = SlotScheduler::new(regions).with_fair_queue(fair);
             entry.set_other_entries(vec![&here; load.entries - 1].into_iter());
             entry.set_prefill_rate(&service, PROMPT_TOKENS_PER_MS as u32 * 1_000);
-            entry.set_engine(&service, &engine());
+            entry.set_engine(&service, Some(&engine()));
             entry
         };
         let target = |index: usize| {
--- a/src/direct.rs
+++ b/src/direct.rs
@@ -4,12 +4,15 @@
 pub mod agent;
 pub mod demand;
 pub mod entry;
+pub mod evacuation;
 mod facts;
 mod follow;
+pub mod inbound_guard;
 pub mod loads;
 pub mod metrics;
 pub mod news;
 mod outage;
+pub mod placement_report;
 mod presence;
 mod reload;
 mod service;
--- a/src/direct/agent/peers.rs
+++ b/src/direct/agent/peers.rs
@@ -4,6 +4,7 @@
 use super::stage::StagedVersion;
 use super::state::AgentState;
 use crate::clock;
+use crate::direct::inbound_guard::InboundGuard;
 use crate::direct::service::{ServiceAnswer, UploadPacer, start_service};
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Method, StatusCode};
@@ -172,11 +173,15 @@
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
-pub fn start_peer_service(listener: std::net::TcpListener, state: Rc<AgentState>) -> Result<()> {
+pub fn start_peer_service(
+    listener: std::net::TcpListener,
+    guard: Rc<InboundGuard>,
+    state: Rc<AgentState>,
+) -> Result<()> {
     let rate = state.agent_settings.link_bytes_per_second() * UPLOAD_LINK_SHARE;
     let pacer = Rc::new(UploadPacer::new(rate));
     let service = Rc::new(PeerService { state, pacer, slots: Rc::default() });
-    start_service(listener, move |request| {
+    start_service(listener, guard, move |request| {
         let service = service.clone();
         async move { service.answer(&request).await }
     })
@@ -272,6 +277,12 @@
         let model = &staged.version.model;
         let read = self.state.engine.staged_chunk(model, chunk, max_bytes).await;
         match read {
+            Ok(Some(bytes)) if is_corrupt(staged, chunk, &bytes) => {
+                // The chunk is fetched again once the stage is verified before the load.
+                warn!("event=stage_spoilt version={} piece={chunk}", staged.version.version);
+                self.state.stage.remove_staged(&staged.version, chunk);
+                not_found()
+            }
             Ok(Some(bytes)) => self.chunk_response(staged, bytes, slot),
             Ok(None) => not_found(),
             Err(error) => {
@@ -305,6 +316,12 @@
     }
 }
 
+/// Whether `bytes`, read from the stage, are known not to be those of `chunk`.
+fn is_corrupt(staged: &StagedVersion, chunk: usize, bytes: &Bytes) -> bool {
+    let manifest = staged.manifest.as_ref();
+    manifest.is_some_and(|manifest| !manifest.chunk_matches(chunk, bytes))
+}
+
 fn upload_class(request: &InboundRequest) -> UploadClass {
     match request.uri.query() {
         Some(_) => UploadClass::CrossRegion,
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -1,22 +1,24 @@
 //! State that the tasks of an agent share: wanted versions, other agents, and the engine's state.
 
 mod agents;
+mod evacuation;
 mod links;
 
 use super::stage::VersionStage;
 use crate::clock;
 use crate::direct::facts::AgentConfig;
 use crate::direct::follow::StoreEvent;
-use crate::direct::loads::{AgentReports, EngineLoad};
+use crate::direct::loads::{AgentReports, EngineDetails, EngineLoad};
 use crate::direct::metrics::DirectAgentMetrics;
 use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
+use buckthornwharf_core::direct::version_choice::{CopyTimes, versions_to_load};
 use buckthornwharf_core::direct::{
-    DeclaredVersion, DeclaredVersions, EngineSpec, EntryDemands, LoadedModel, NewsCoverage,
-    OriginSpec, StorePosition,
+    DeclaredVersion, EngineSpec, EntryDemands, LoadedModel, NewsCoverage, OriginSpec, StorePosition,
 };
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_core::weights::FetchShare;
 use buckthornwharf_platform::{EngineClient, EngineReport, StoreChange, StoreItem, serving};
 use links::EntryLink;
 use log::{info, warn};
@@ -24,6 +26,12 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, watch};
 
+/// Step to which the reported memory is rounded, in percent.
+const MEMORY_STEP: u64 = 5;
+/// Step to which the reported pace is rounded, in percent.
+const PACE_STEP: f64 = 10.0;
+/// Highest pace that is reported, in percent.
+const MAX_PACE: f64 = 10_000.0;
 /// Version that engines load as long as none has been declared.
 const FIRST_VERSION: u64 = 1;
 
@@ -45,6 +53,13 @@
     pub previous_retire_at: Option<MonoTime>,
 }
 
+impl WantedModel {
+    /// Returns the milliseconds since its declaration, 0 if there was none.
+    pub fn age_ms(&self) -> u128 {
+        self.declared_at.map_or(0, |declared| clock::now().since(declared).as_millis())
+    }
+}
+
 /// State that the tasks of an agent share.
 pub struct AgentState {
     /// Metrics of the agent.
@@ -149,11 +164,11 @@
     /// Handles changes of the versions that the operator declares in the store.
     pub fn on_version_event(&self, event: StoreEvent) {
         match event {
-            StoreEvent::Snapshot(items) => {
-                items.iter().for_each(|item| self.apply_version_item(item));
+            StoreEvent::Snapshot(range) => {
+                range.items.iter().for_each(|item| self.apply_version_item(item));
                 self.versions_known.set(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.apply_version_item(item);
@@ -220,29 +235,74 @@
         self.config.borrow().as_ref()?.origin()
     }
 
-    /// Returns the version that the engine should have loaded of each model.
+    /// Returns the versions that the engine has not loaded and that are worth loading, by model and
+    /// oldest first.
     pub fn wanted(&self) -> Vec<WantedModel> {
         let Some(spec) = self.engine_spec() else {
             return Vec::new();
         };
+        let models = spec.models.iter();
+        models.flat_map(|model| self.wanted_versions(model, &spec)).collect()
+    }
+
+    fn wanted_versions(&self, model: &ModelName, spec: &EngineSpec) -> Vec<WantedModel> {
+        let now = clock::now();
+        let loaded = self.loaded_version(model);
+        let of_version = |version| LoadedModel { model: model.clone(), version };
         let news = self.news.borrow();
-        let wanted = |model: ModelName| {
-            let versions = news.versions.get(&model);
-            let newest = versions.and_then(DeclaredVersions::newest);
-            let loaded = self.loaded_version(&model);
-            let unmet = versions.and_then(|known| known.first_unmet(loaded));
-            let met = versions.and_then(|known| known.last_met(loaded));
-            WantedModel {
-                declared_at: newest.map(|newest| newest.declared_at),
-                retire_at: unmet.map(|unmet| unmet.required_from),
-                previous_retire_at: met.map(|met| met.required_from),
-                version: LoadedModel {
-                    version: newest.map_or(FIRST_VERSION, |newest| newest.version),
-                    model,
-                },
-            }
+        let Some(versions) = news.versions.get(model).filter(|known| known.newest().is_some())
+        else {
+            let first = WantedModel {
+                version: of_version(FIRST_VERSION),
+                declared_at: None,
+                retire_at: None,
+                previous_retire_at: None,
+            };
+            return if loaded >= FIRST_VERSION { Vec::new() } else { vec![first] };
+        };
+        let times = self.copy_times(spec);
+        let time_left = |version| self.stage.time_left(&of_version(version), times);
+        let declared: Vec<DeclaredVersion> = versions.deciding(now).to_vec();
+        let unmet = versions.first_unmet(loaded);
+        let met = versions.last_met(loaded);
+        let wanted = |declared: DeclaredVersion| WantedModel {
+            version: of_version(declared.version),
+            declared_at: Some(declared.declared_at),
+            retire_at: unmet.map(|unmet| unmet.required_from),
+            previous_retire_at: met.map(|met| met.required_from),
         };
-        spec.models.into_iter().map(wanted).collect()
+        // The chunks of older versions than the staged one are no longer held.
+        let staged = self.stage.staged_version(model).unwrap_or(0);
+        let missing = declared.into_iter();
+        let missing: Vec<DeclaredVersion> = missing
+            .filter(|declared| declared.version > loaded && declared.version >= staged)
+            .collect();
+        versions_to_load(now, &missing, times, time_left).into_iter().map(wanted).collect()
+    }
+
+    fn copy_times(&self, spec: &EngineSpec) -> CopyTimes {
+        let link = self.agent_settings.link_bytes_per_second();
+        let origin = self.origin().map_or(link, |origin| origin.bytes_per_second as f64);
+        let bytes = f64::from(spec.chunks) * spec.chunk_bytes as f64;
+        let time = |rate: f64| Duration::from_secs_f64(bytes / rate.max(1.0));
+        CopyTimes { origin: time(origin), link: time(link) }
+    }
+
+    /// Returns which chunks of `version` may be fetched: all, unless an older version of the model that
+    /// this host does not hold yet is to be loaded before it.
+    pub fn fetch_share(&self, version: &LoadedModel) -> FetchShare {
+        let Some(spec) = self.engine_spec() else {
+            return FetchShare::ALL;
+        };
+        let wanted = self.wanted_versions(&version.model, &spec);
+        let older = wanted.first().map(|first| &first.version);
+        let times = self.copy_times(&spec);
+        let is_fetched = |older: &&LoadedModel| {
+            older.version < version.version && self.stage.time_left(older, times) > Duration::ZERO
+        };
+        older
+            .filter(is_fetched)
+            .map_or(FetchShare::ALL, |older| FetchShare::after(self.stage.missing_in_region(older)))
     }
 
     /// Returns the last report of the engine.
@@ -252,6 +312,11 @@
 
     /// Records a report of the engine and publishes its load.
     pub fn set_report(&self, report: EngineReport) {
+        let before = self.report.borrow().as_ref().map(|before| before.started_unix_ms);
+        if before.is_some_and(|before| before != report.started_unix_ms) {
+            // The stage is lost with the engine.
+            self.stage.forget_staged();
+        }
         let loaded = report.models.iter().map(|loaded| loaded.version).max().unwrap_or(0);
         self.metrics.loaded_version.set(i64::try_from(loaded).unwrap_or(i64::MAX));
         self.metrics.engine_requests.set(i64::from(report.requests()));
@@ -280,6 +345,7 @@
             engine: self.agent_settings.engine,
             requests: report.requests(),
             accepting: !self.load_ordered.get() && !report.loading,
+            details: self.settings.learned_limits.then(|| engine_details(report)),
         };
         self.loads.send_if_modified(|known| {
             let changed = *known != Some(load);
@@ -299,3 +365,17 @@
         self.report.borrow().as_ref().is_some_and(|report| report.models.contains(version))
     }
 }
+
+/// Returns what entries that learn limits use, rounded.
+fn engine_details(report: &EngineReport) -> EngineDetails {
+    let pace = report.pace.filter(|pace| pace.is_finite() && *pace > 0.0);
+    let rounded = |pace: f64| {
+        let steps = (pace * 100.0 / PACE_STEP).round().max(1.0);
+        (steps * PACE_STEP).min(MAX_PACE) as u32
+    };
+    let memory = (report.memory_total > 0).then(|| {
+        let percent = u128::from(report.memory_used) * 100 / u128::from(report.memory_total);
+        (percent.min(100) as u64).next_multiple_of(MEMORY_STEP) as u32
+    });
+    EngineDetails { pace: pace.map(rounded), waiting: report.waiting, memory }
+}
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -2,11 +2,13 @@
 
 mod caller;
 mod crash_reports;
+mod placement_report;
 mod pool;
 mod request;
 mod state;
 
 use super::follow;
+use super::inbound_guard::InboundGuard;
 use super::loads;
 use super::metrics::{self, DirectEntryMetrics};
 use super::outage::{OutageRole, StoreOutage};
@@ -20,9 +22,10 @@
 use anyhow::{Context, Result};
 use buckthornwharf_core::direct::WatchTiming;
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::READINESS_PATH;
 use buckthornwharf_platform::{StoreClient, keys};
-use log::{info, warn};
+use log::{debug, info, warn};
 use state::EntryState;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -64,14 +67,19 @@
     info!("event=started host={} callers={caller_address}", settings.host);
     let store = StoreClient::new(settings.store);
     let metrics = DirectEntryMetrics::new()?;
-    metrics::serve(&settings, metrics.registry().clone());
+    let guard = InboundGuard::new(&settings.host_limits, metrics.registry())?;
+    guard.prepare_listener(&caller_listener);
     let rejected = metrics.settings_rejected.clone();
-    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics);
+    let state = EntryState::new(settings.clone(), shutdown.clone(), metrics, guard.clone());
+    let asked = state.clone();
+    let other = move |request: &InboundRequest| placement_report::answer(&asked, request);
+    metrics::serve(&settings, &guard, state.metrics.registry().clone(), other);
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
     loads::start_receiver(
         load_listener,
+        state.guard.clone(),
         state.subscribe_news(),
         state.subscribe_demand(),
         on_message,
@@ -80,17 +88,21 @@
     crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
     let running = state.running();
+    let live_state = state.clone();
     actix_rt::spawn(presence::keep_registered(
         store,
         presence::ENTRY_PREFIX.to_owned(),
         record,
         running,
         |_| {},
+        move |until| live_state.set_registered_until(until),
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
     if settings.fair_queue {
         actix_rt::spawn(state::run_demand(state.clone()));
     }
+    actix_rt::spawn(state::run_evacuation_metrics(state.clone()));
+    actix_rt::spawn(state::run_limit_metrics(state.clone()));
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
     reload::watch_settings(settings_path, rejected, on_change)?;
@@ -100,7 +112,7 @@
 }
 
 fn start_readiness(listener: std::net::TcpListener, state: Rc<EntryState>) -> Result<()> {
-    start_service(listener, move |request| {
+    start_service(listener, state.guard.clone(), move |request| {
         let ready = request.uri.path() == READINESS_PATH && state.is_ready();
         async move {
             match ready {
@@ -156,9 +168,16 @@
         let accept_until = shutdown_at.map(|at: tokio::time::Instant| at + SHUTDOWN_ACCEPT_TIME);
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => caller::spawn(stream, state.clone()),
+                Ok((stream, source)) => {
+                    caller::spawn(stream, source, state.clone());
+                    if state.guard.is_crowded() {
+                        // Lets the new caller send its request before it is the oldest one.
+                        tokio::task::yield_now().await;
+                    }
+                }
                 Err(error) => {
-                    warn!("event=accept_failed reason=\"{error}\"");
+                    debug!("event=accept_failed reason=\"{error}\"");
+                    state.guard.count("accept_failed");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
@@ -184,10 +203,10 @@
     let Ok(listener) = listener.into_std() else {
         return;
     };
-    while let Ok((stream, _)) = listener.accept() {
+    while let Ok((stream, source)) = listener.accept() {
         let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
         match stream {
-            Ok(stream) => caller::spawn(stream, state.clone()),
+            Ok(stream) => caller::spawn(stream, source, state.clone()),
             Err(error) => warn!("event=accept_failed reason=\"{error}\""),
         }
     }
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -11,7 +11,7 @@
 use actix_http::StatusCode;
 use buckthornwharf_core::direct::attempt::time_left;
 use buckthornwharf_core::direct::{
-    AttemptFailure, RegisteredTarget, SlotGrant, SlotRequest, WaitAllowance,
+    AttemptFailure, PlacementObstacle, RegisteredTarget, SlotGrant, SlotRequest, WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
@@ -122,6 +122,9 @@
     Moved(ReservedSlot),
 }
 
+/// The request was not sent, because of an obstacle that came up after its slot was granted.
+pub(super) struct NotSent(pub PlacementObstacle);
+
 /// Why a step of an attempt was interrupted.
 enum Interruption {
     CallerDisconnected,
@@ -130,6 +133,8 @@
     Outdated,
     /// The target has fallen silent, and another one has this slot for the request.
     Moved(ReservedSlot),
+    /// The request may no longer be sent to the target.
+    NotSent(PlacementObstacle),
 }
 
 impl Interruption {
@@ -150,8 +155,8 @@
         self,
         caller: &mut InboundConnection,
         reply: &mut CallerReply,
-    ) -> AttemptResult {
-        match self.exchange(caller, reply).await {
+    ) -> Result<AttemptResult, NotSent> {
+        let result = match self.exchange(caller, reply).await {
             Ok(result) => result,
             Err(Interruption::CallerDisconnected) => {
                 AttemptResult::CallerDisconnected(self.stage.get())
@@ -159,7 +164,9 @@
             Err(Interruption::TimedOut) => AttemptResult::TimedOut,
             Err(Interruption::Outdated) => AttemptResult::Failed(AttemptFailure::Outdated),
             Err(Interruption::Moved(slot)) => AttemptResult::Moved(slot),
-        }
+            Err(Interruption::NotSent(obstacle)) => return Err(NotSent(obstacle)),
+        };
+        Ok(result)
     }
 
     async fn exchange(
@@ -183,6 +190,12 @@
         if caller.has_closed() {
             return Err(Interruption::CallerDisconnected);
         }
+        // Much may have changed since the slot was granted.
+        let slot_request = self.request.slot_request(clock::now(), self.tried);
+        if let Some(obstacle) = self.state.recheck_grant(&slot_request, self.grant) {
+            self.state.pool().keep(clock::now(), &target.id, connection, None);
+            return Err(Interruption::NotSent(obstacle));
+        }
         let Some(request) = self.outbound_request(target, reply.events.last_id()) else {
             return Err(Interruption::TimedOut);
         };
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -1,27 +1,34 @@
 //! State of an entry: configuration, versions, targets, slots and requests that wait for a slot.
 
 mod crashes;
+mod evacuation;
 mod notices;
+mod placement;
 mod queue;
+mod speed;
 mod updates;
 
 pub use crashes::cause_list;
+pub use evacuation::run_evacuation_metrics;
 pub use queue::{QueueDecision, ReservedSlot, run_demand, run_queue};
+pub use speed::run_limit_metrics;
 
 use super::pool::ConnectionPool;
 use crate::direct::facts::AgentConfig;
+use crate::direct::inbound_guard::InboundGuard;
 use crate::direct::metrics::DirectEntryMetrics;
 use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
 use buckthornwharf_core::direct::{
-    CallerLimits, CallerTimeoutEstimate, ClassDemand, CrashLedger, GuiltyGroup, RetryAllowance,
-    RetryBudget, RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
+    CallerLimits, CallerTimeoutEstimate, ClassDemand, CrashLedger, EvacuationReader, GuiltyGroup,
+    RetryAllowance, RetryBudget, RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
 use crashes::BrokenRequests;
+use evacuation::EvacuationAge;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::{Notify, oneshot, watch};
@@ -30,6 +37,8 @@
 pub struct EntryState {
     /// The entry's metrics.
     pub metrics: DirectEntryMetrics,
+    /// Bounds the connections that others open to this process.
+    pub guard: Rc<InboundGuard>,
     shutdown: watch::Receiver<bool>,
     settings: DirectSettings,
     store: StoreClient,
@@ -55,6 +64,9 @@
     guilty_causes: RefCell<Vec<GuiltyGroup>>,
     crash_news: Notify,
     broken_requests: RefCell<SortedTable<Arc<str>, BrokenRequests>>,
+    /// The evacuated sites as read by this entry's watch of the store.
+    evacuation_reader: RefCell<EvacuationReader>,
+    evacuation_age: Cell<EvacuationAge>,
     pool: RefCell<ConnectionPool>,
     queue_changed: Notify,
     open_requests: Cell<usize>,
@@ -67,17 +79,20 @@
         settings: DirectSettings,
         shutdown: watch::Receiver<bool>,
         metrics: DirectEntryMetrics,
+        guard: Rc<InboundGuard>,
     ) -> Rc<Self> {
         let sites = settings.regions.clone().into_iter().collect();
         let regions = EntryRegions::new(settings.region(), sites);
+        let mut scheduler = SlotScheduler::new(regions).with_fair_queue(settings.fair_queue);
+        if settings.learned_limits {
+            scheduler.enable_learned_limits(rand::random());
+        }
         Rc::new(Self {
             metrics,
+            guard,
             shutdown,
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
-            scheduler: RefCell::new(
-                SlotScheduler::new(regions).with_fair_queue(settings.fair_queue),
-            ),
             demand: watch::channel(ClassDemand::default()).0,
             settings,
             news: watch::channel(VersionNews::default()).0,
@@ -87,6 +102,7 @@
             targets_listed: Cell::new(false),
             versions_listed: Cell::new(false),
             entries: RefCell::default(),
+            scheduler: RefCell::new(scheduler),
             waiters: RefCell::default(),
             retry_budgets: RefCell::default(),
             caller_timeouts: RefCell::default(),
@@ -94,6 +110,8 @@
             guilty_causes: RefCell::default(),
             crash_news: Notify::new(),
             broken_requests: RefCell::default(),
+            evacuation_reader: RefCell::default(),
+            evacuation_age: Cell::default(),
             pool: RefCell::default(),
             queue_changed: Notify::new(),
             open_requests: Cell::new(0),
@@ -107,6 +125,11 @@
         self.routes.borrow().is_some() && self.targets_listed.get() && !self.is_shutting_down()
     }
 
+    /// Returns the host that the entry runs on.
+    pub fn host(&self) -> &HostName {
+        &self.settings.host
+    }
+
     /// Returns whether the process has received a shutdown signal.
     pub fn is_shutting_down(&self) -> bool {
         *self.shutdown.borrow()
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -3,7 +3,7 @@
 use super::EntryState;
 use crate::clock;
 use crate::direct::demand::{MEASURE_INTERVAL, differs};
-use buckthornwharf_core::direct::slots::SlotOutcome;
+use buckthornwharf_core::direct::slots::{SlotOutcome, SlotPreview};
 use buckthornwharf_core::direct::{Admission, CallerTime, SlotGrant, SlotRequest, WaitTicket};
 use buckthornwharf_core::prelude::*;
 use log::info;
@@ -94,6 +94,16 @@
         }
     }
 
+    /// Returns what would happen to a request of `caller` if it arrived now.
+    pub fn preview_slot(
+        &self,
+        now: MonoTime,
+        request: &SlotRequest,
+        caller: CallerTime,
+    ) -> SlotPreview {
+        self.scheduler.borrow().preview_from(now, request, caller)
+    }
+
     /// Removes a waiting request from the queue.
     fn cancel_slot_request(&self, ticket: WaitTicket) {
         self.waiters.borrow_mut().remove(&ticket);
@@ -144,6 +154,12 @@
         self.serve_queue();
     }
 
+    /// Releases the slot of a request that was not sent, and whose prompt is no longer pending.
+    pub fn release_unsent_slot(&self, grant: &SlotGrant) {
+        self.scheduler.borrow_mut().release_unsent(clock::now(), grant);
+        self.serve_queue();
+    }
+
     /// Releases the slot of a request that was sent to target `id`.
     pub fn release_slot(&self, id: &str, outcome: SlotOutcome) {
         self.scheduler.borrow_mut().release(clock::now(), id, outcome);
@@ -158,7 +174,8 @@
             return;
         }
         let granted = scheduler.grant_free_slots(now);
-        let expired = scheduler.expire(now);
+        let mut refused = scheduler.refuse_unplaceable();
+        refused.extend(scheduler.expire(now));
         drop(scheduler);
         let mut waiters = self.waiters.borrow_mut();
         let mut undelivered = Vec::new();
@@ -170,7 +187,7 @@
                 undelivered.push(grant);
             }
         }
-        for (ticket, retry_after) in expired {
+        for (ticket, retry_after) in refused {
             if let Some(sender) = waiters.remove(&ticket) {
                 // Fails if the caller has disconnected.
                 let _ = sender.send(QueueDecision::Refused(retry_after));
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -1,6 +1,7 @@
 //! Applies updates from the store and from agents to the state of an entry.
 
 use super::EntryState;
+use super::speed::log_speed_change;
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
 use crate::direct::follow::StoreEvent;
@@ -10,7 +11,7 @@
     DeclaredVersion, LoadedModel, RegisteredTarget, RouteTable, ServingConfig, TargetCatalog,
 };
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_platform::{StoreChange, StoreItem, keys, registry, serving};
+use buckthornwharf_platform::{StoreChange, StoreItem, StoreRange, keys, registry, serving};
 use log::{info, warn};
 use std::rc::Rc;
 
@@ -40,16 +41,19 @@
 }
 
 impl EntryState {
-    /// Applies a change of the keys that the operator writes: the configuration and declared versions.
+    /// Applies a change of the keys that the operator writes: the configuration, declared versions and
+    /// evacuated sites.
     pub fn on_operator_event(&self, event: StoreEvent) {
         let now = clock::now();
+        // Before the configuration, with which the entry becomes ready.
+        self.on_evacuation_event(now, &event);
         match event {
-            StoreEvent::Snapshot(items) => {
-                items.iter().for_each(|item| self.on_operator_item(now, item, true));
+            StoreEvent::Snapshot(range) => {
+                range.items.iter().for_each(|item| self.on_operator_item(now, item, true));
                 self.versions_listed.set(true);
                 self.set_news_current(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.on_operator_item(now, item, false);
@@ -99,19 +103,20 @@
             config.routes.len()
         );
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_config(&config);
         for service in &config.services {
+            scheduler.set_engine(&service.name, service.engine.as_ref());
             let rate = service.engine.as_ref().and_then(|spec| spec.prompt_tokens_per_second);
             if let Some(rate) = rate {
                 scheduler.set_prefill_rate(&service.name, rate);
             }
-            if let Some(engine) = &service.engine {
-                scheduler.set_engine(&service.name, engine);
-            }
         }
         drop(scheduler);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         self.publish_agent_config(AgentConfig::of(&config));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
+        drop(routes);
+        self.serve_queue();
     }
 
     /// Writes the configuration for agents again, which the store may have lost.
@@ -132,8 +137,12 @@
         actix_rt::spawn(facts::publish(self.store.clone(), config));
     }
 
-    /// Applies a message of an agent: the load of its engine, and the declared versions that it knows.
+    /// Applies a message of an agent: the load of its engine, and the declared versions and evacuated sites
+    /// that it knows.
     pub fn on_agent_message(&self, now: MonoTime, message: &AgentMessage) {
+        if let Some(fields) = &message.evacuated {
+            self.on_evacuation_news(now, fields.clone().into());
+        }
         for declared in &message.versions {
             let source = DeclarationSource::Agent { declared_at: declared.declared_at(now) };
             self.declare_version(now, declared.version(), source);
@@ -170,30 +179,40 @@
     /// Applies a change of the registered targets.
     pub fn on_target_event(&self, now: MonoTime, event: StoreEvent) {
         let mut catalog = self.catalog.borrow_mut();
+        let mut cold = Vec::new();
         match event {
             StoreEvent::Lost => {}
             StoreEvent::Recovered => catalog.registry_recovered(now),
-            StoreEvent::Snapshot(mut items) => {
+            StoreEvent::Snapshot(StoreRange { mut items, .. }) => {
                 items.sort_by_key(|item| item.revision);
                 catalog.replace(now, items.iter().filter_map(read_target).collect());
                 self.targets_listed.set(true);
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in changes {
-                    on_target_change(&mut catalog, now, change);
+                    cold.extend(on_target_change(&mut catalog, now, change));
                 }
             }
         }
         drop(catalog);
         self.refresh_targets();
+        // A target may write that it is cold in the same words as before.
+        for (id, remaining) in cold {
+            self.scheduler.borrow_mut().set_cold_remaining(now, &id, remaining);
+        }
+        self.report_cold();
     }
 
     pub(super) fn refresh_targets(&self) {
         let catalog = self.catalog.borrow();
         self.metrics.targets.set(catalog.iter().count() as i64);
-        self.scheduler.borrow_mut().set_targets(catalog.iter());
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_targets(catalog.iter());
+        scheduler.observe_starts(clock::now());
+        drop(scheduler);
         self.pool.borrow_mut().retain(|id| catalog.get(id).is_some());
         drop(catalog);
+        self.report_cold();
         // Wakes the queue task: a target that is missing after an outage of the registry has an expiry time.
         self.queue_changed.notify_one();
         self.serve_queue();
@@ -207,6 +226,9 @@
         for target in catalog.iter().filter(|target| target.address == load.engine) {
             scheduler.set_load(now, &target.id, load.requests, load.accepting);
             scheduler.set_part(&target.id, part);
+            let state = load.engine_state();
+            let change = state.and_then(|state| scheduler.set_engine_state(now, &target.id, state));
+            log_speed_change(target, change);
         }
         drop((catalog, scheduler));
         self.serve_queue();
@@ -216,16 +238,16 @@
     pub fn on_entry_event(&self, event: StoreEvent) {
         let mut entries = self.entries.borrow_mut();
         match event {
-            StoreEvent::Recovered | StoreEvent::Lost => {}
-            StoreEvent::Snapshot(items) => {
+            StoreEvent::Recovered | StoreEvent::Lost => return,
+            StoreEvent::Snapshot(range) => {
                 *entries = SortedTable::new();
-                for item in items {
+                for item in range.items {
                     if let Some(record) = PresenceRecord::read(&item.key, &item.value) {
                         entries.insert(item.key, record);
                     }
                 }
             }
-            StoreEvent::Changes(changes) => {
+            StoreEvent::Changes(changes, _) => {
                 for change in changes {
                     match change {
                         StoreChange::Removed { key, .. } => drop(entries.remove(&key)),
@@ -240,7 +262,10 @@
         }
         let others = entries.values().filter(|record| record.host != self.settings.host);
         let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.set_other_entries(others.map(|record| &record.region));
+        let others: Vec<&PresenceRecord> = others.collect();
+        scheduler.set_other_entries(others.iter().map(|record| &record.region));
+        let hosts = others.iter().map(|record| &record.host);
+        scheduler.set_entry_hosts(clock::now(), &self.settings.host, hosts);
         let (live, in_region) = (scheduler.regions().entries(), scheduler.regions().in_region());
         info!("event=entries live={live} in_region={in_region}");
         self.metrics.entries.set(i64::from(live));
@@ -257,7 +282,12 @@
     }
 }
 
-fn on_target_change(catalog: &mut TargetCatalog, now: MonoTime, change: StoreChange) {
+/// Applies a change of a target, and returns how long the target remains cold if its registration says so.
+fn on_target_change(
+    catalog: &mut TargetCatalog,
+    now: MonoTime,
+    change: StoreChange,
+) -> Option<(Arc<str>, Duration)> {
     match change {
         StoreChange::Put(item) => match read_target(&item) {
             Some(record) => {
@@ -268,16 +298,22 @@
                     record.models.iter().map(|model| model.version).collect::<Vec<u64>>(),
                     item.revision
                 );
+                let cold = record.cold_remaining.map(|remaining| (record.id.clone(), remaining));
                 catalog.put(record);
+                cold
             }
             // A target whose record cannot be read must not be used.
-            None => drop(registry::target_id(&item.key).map(|id| catalog.remove(now, id))),
+            None => {
+                registry::target_id(&item.key).map(|id| catalog.remove(now, id));
+                None
+            }
         },
         StoreChange::Removed { key, revision } => {
             if let Some(id) = registry::target_id(&key) {
                 let removed = catalog.remove(now, id);
                 info!("event=target_removed id={id} at_once={removed} revision={revision}");
             }
+            None
         }
     }
 }
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,19 +1,26 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
-//! engines and to exchange news of declared versions.
+//! engines and to exchange news of declared versions and evacuated sites.
 
 use super::demand::{
     DEMAND_QUERY, DemandMessage, EntryMessage, REPEAT_INTERVAL as DEMAND_INTERVAL,
 };
+use super::evacuation::EvacuatedFields;
+use super::inbound_guard::InboundGuard;
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
-use anyhow::{Result, bail};
-use buckthornwharf_core::direct::ClassDemand;
+use anyhow::{Result, anyhow, bail};
+use buckthornwharf_core::direct::capacity::EngineState;
+use buckthornwharf_core::direct::memory::{ConnectionKind, HolderPhase};
+use buckthornwharf_core::direct::{ClassDemand, EvacuationRepeat};
 use buckthornwharf_core::prelude::*;
+use buckthornwharf_exchange::ConnectionMemory;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
 use log::{debug, info};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -33,6 +40,14 @@
 const NEWS_PATH: &str = "/loads-and-news";
 /// Timeout to open a link, and to send a message.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Difference of the paces, in percent of the lower one, from which a report is sent at once.
+const CLEAR_PACE_PERCENT: u32 = 25;
+/// Timeout of the handshake of a link that is accepted; longer, since an entry that has just started accepts those
+/// of all agents at once.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time without a message after which a link is closed that has carried one; agents repeat theirs each
+/// [`REPEAT_INTERVAL`].
+const MAX_SILENCE: Duration = Duration::from_secs(10);
 /// Delay before a link is opened again.
 const REOPEN_DELAY: Duration = Duration::from_millis(700);
 /// Maximum size of a message, in bytes.
@@ -51,6 +66,44 @@
     pub requests: u32,
     /// Whether the engine accepts more requests.
     pub accepting: bool,
+    /// What entries that learn limits use besides; `None` if limits are not learned.
+    pub details: Option<EngineDetails>,
+}
+
+/// How fast an engine is and how full. The values are rounded, so that small changes cause no message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDetails {
+    /// Factor by which it is slower than usual, in percent, if it says so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pace: Option<u32>,
+    /// Number of requests that wait in it.
+    #[serde(default)]
+    pub waiting: u32,
+    /// Occupied memory in percent, if known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<u32>,
+}
+
+impl EngineLoad {
+    /// Returns the state of the engine, if it is reported.
+    pub fn engine_state(&self) -> Option<EngineState> {
+        let details = self.details?;
+        Some(EngineState {
+            pace: details.pace.map(|percent| f64::from(percent) / 100.0),
+            waiting: details.waiting,
+            running: self.requests.saturating_sub(details.waiting),
+            memory_part: details.memory.map(|percent| f64::from(percent) / 100.0),
+        })
+    }
+
+    /// Returns whether the engine is much faster or slower than in `sent`.
+    fn has_other_pace(&self, sent: &Self) -> bool {
+        let pace = |load: &Self| load.details.and_then(|details| details.pace).unwrap_or(100);
+        let (paces, sent) = (pace(self), pace(sent));
+        let (lower, higher) = (paces.min(sent), paces.max(sent));
+        u64::from(higher) * 100 >= u64::from(lower) * u64::from(100 + CLEAR_PACE_PERCENT)
+            && higher != lower
+    }
 }
 
 /// A message of an agent to an entry.
@@ -59,6 +112,9 @@
     engine: SocketAddr,
     requests: u32,
     accepting: bool,
+    /// How fast the engine is and how full; absent in messages of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    details: Option<EngineDetails>,
     /// The declared versions that the agent knows; empty if the entry has heard of them on this link.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<DeclaredFields>,
@@ -66,13 +122,17 @@
     /// if it is an equal one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub part: Option<u16>,
+    /// The evacuated sites, or some of them; `None` if the entry has heard of them on this link, or if
+    /// there has been no evacuation.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuated: Option<EvacuatedFields>,
 }
 
 impl AgentMessage {
-    /// Creates the message that reports `load` and tells of `versions`.
+    /// Creates the message that reports `load` and names `versions`, without evacuated sites.
     pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
-        let EngineLoad { engine, requests, accepting } = load;
-        Self { engine, requests, accepting, versions, part: None }
+        let EngineLoad { engine, requests, accepting, details } = load;
+        Self { engine, requests, accepting, details, versions, part: None, evacuated: None }
     }
 
     /// Sets the part of the free slots that the entry may take.
@@ -82,7 +142,8 @@
 
     /// Returns the load of the agent's engine.
     pub fn load(&self) -> EngineLoad {
-        EngineLoad { engine: self.engine, requests: self.requests, accepting: self.accepting }
+        let Self { engine, requests, accepting, details, .. } = *self;
+        EngineLoad { engine, requests, accepting, details }
     }
 }
 
@@ -91,7 +152,7 @@
 pub struct AgentReports {
     /// The load of its engine; `None` until it is known. The link ends when the sender is dropped.
     pub loads: watch::Receiver<Option<EngineLoad>>,
-    /// The declared versions that it knows.
+    /// The declared versions and evacuated sites that it knows.
     pub news: watch::Receiver<VersionNews>,
 }
 
@@ -101,30 +162,39 @@
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(0)
         .max_message_size(Some(MAX_MESSAGE_BYTES))
+        // The default of a frame is larger than that of a message, and a frame is read before it is checked.
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Accepts links of agents on `listener` for the rest of the process, sends `news` and `demand` on those that
-/// ask for them, and calls `on_message` with each message and the time of its receipt.
+/// Accepts links of agents on `listener` for the rest of the process, within the bounds of `guard`, sends
+/// `news` and `demand` on those that ask for them, and calls `on_message` with each message and the time of
+/// its receipt.
 ///
 /// # Errors
 ///
 /// Fails if the listener cannot be used on this thread.
 pub fn start_receiver(
     listener: std::net::TcpListener,
+    guard: Rc<InboundGuard>,
     news: watch::Receiver<VersionNews>,
     demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage) + Clone + 'static,
 ) -> Result<()> {
+    guard.prepare_listener(&listener);
     let listener = TcpListener::from_std(listener)?;
     actix_rt::spawn(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    let (news, demand) = (news.clone(), demand.clone());
-                    drop(actix_rt::spawn(serve_agent(stream, news, demand, on_message.clone())));
+                Ok((stream, source)) => {
+                    if let Some(memory) = guard.admit(ConnectionKind::Link, source) {
+                        let (news, demand) = (news.clone(), demand.clone());
+                        let on_message = on_message.clone();
+                        actix_rt::spawn(serve_agent(stream, memory, news, demand, on_message));
+                    }
                 }
                 Err(error) => {
-                    log::warn!("event=accept_failed reason=\"{error}\"");
+                    debug!("event=accept_failed reason=\"{error}\"");
+                    guard.count("accept_failed");
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -135,6 +205,7 @@
 
 async fn serve_agent(
     stream: TcpStream,
+    memory: ConnectionMemory,
     news: watch::Receiver<VersionNews>,
     demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage),
@@ -150,18 +221,36 @@
         wants_demand = request.uri().query() == Some(DEMAND_QUERY);
         Ok(response)
     };
-    let link = accept_hdr_async_with_config(stream, on_request, Some(link_config())).await;
+    let handshake = accept_hdr_async_with_config(stream, on_request, Some(link_config()));
+    let link = tokio::select! {
+        link = tokio::time::timeout(ACCEPT_TIMEOUT, handshake) => link,
+        () = memory.evicted() => return,
+    };
     let (sink, messages) = match link {
-        Ok(link) => link.split(),
-        Err(error) => {
+        Ok(Ok(link)) => link.split(),
+        Err(_) => {
+            debug!("event=link_refused reason=\"the handshake has timed out\"");
+            return;
+        }
+        Ok(Err(error)) => {
             debug!("event=link_refused reason=\"{error}\"");
             return;
         }
     };
+    let last_message = Cell::new(None);
+    let received = |message| {
+        let now = clock::now();
+        if last_message.replace(Some(now)).is_none() {
+            memory.set_phase(HolderPhase::Running);
+        }
+        on_message(now, message);
+    };
     let news = Some(news).filter(|_| wants_news);
     let demand = demand.filter(|_| wants_demand);
     let ended = tokio::select! {
-        ended = receive(messages, |message| on_message(clock::now(), message)) => ended,
+        ended = receive(messages, received) => ended,
+        () = memory.evicted() => Err(anyhow!("too many links")),
+        () = silent(&last_message) => Err(anyhow!("the agent is silent")),
         ended = send_to_agent(sink, news, demand) => ended,
     };
     if let Err(error) = ended {
@@ -169,20 +258,36 @@
     }
 }
 
+/// Waits until an agent that has reported its load has been silent for [`MAX_SILENCE`]. An agent that does not
+/// know the load of its engine yet may stay silent.
+async fn silent(last_message: &Cell<Option<MonoTime>>) {
+    loop {
+        actix_rt::time::sleep(MAX_SILENCE).await;
+        if last_message.get().is_some_and(|at| clock::now().since(at) >= MAX_SILENCE) {
+            return;
+        }
+    }
+}
+
 /// Sends the news and the demand at once, whenever they change, and each [`NEWS_INTERVAL`] and
-/// [`DEMAND_INTERVAL`].
+/// [`DEMAND_INTERVAL`]. Evacuated sites that do not fit into one message follow in further ones.
 async fn send_to_agent(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
     mut news: Option<watch::Receiver<VersionNews>>,
     mut demand: Option<watch::Receiver<ClassDemand>>,
 ) -> Result<()> {
     let (mut news_at, mut demand_at) = (Instant::now(), Instant::now());
+    let mut evacuation = EvacuationRepeat::default();
     loop {
         tokio::select! {
             current = changed_or_due(&mut news, news_at), if news.is_some() => {
-                let message = current?.message(clock::now());
-                send(&mut sink, &message).await?;
-                news_at = Instant::now() + NEWS_INTERVAL;
+                let (now, current) = (clock::now(), current?);
+                let part = evacuation.due_part(now, &current.evacuation);
+                let evacuated = part.map(EvacuatedFields::from);
+                send(&mut sink, &NewsMessage { evacuated, ..current.message(now) }).await?;
+                let pause =
+                    if evacuation.has_unsent() { Duration::ZERO } else { NEWS_INTERVAL };
+                news_at = Instant::now() + pause;
             }
             current = changed_or_due(&mut demand, demand_at), if demand.is_some() => {
                 let message = DemandMessage { demand: current? };
@@ -238,7 +343,7 @@
 /// What an agent hears on a link.
 #[derive(Debug)]
 pub enum LinkEvent {
-    /// News of declared versions.
+    /// News of declared versions and evacuated sites.
     News(NewsMessage),
     /// The entry's demand.
     Demand(ClassDemand),
@@ -318,22 +423,42 @@
     part: &impl Fn(MonoTime) -> Option<u16>,
 ) -> Result<()> {
     let mut repeat = NewsRepeat::default();
+    let mut evacuation = EvacuationRepeat::default();
     loop {
         let load = *reports.loads.borrow_and_update();
         if let Some(load) = load {
             let now = clock::now();
-            let versions = repeat.due_versions(now, &reports.news.borrow_and_update());
-            let message = AgentMessage::new(load, versions).with_part(part(now));
+            let message = {
+                let news = reports.news.borrow_and_update();
+                let evacuated = evacuation.due_part(now, &news.evacuation);
+                let evacuated = evacuated.map(EvacuatedFields::from);
+                let versions = repeat.due_versions(now, &news);
+                AgentMessage { evacuated, ..AgentMessage::new(load, versions) }
+            };
+            let message = message.with_part(part(now));
             send(&mut sink, &message).await?;
         }
-        actix_rt::time::sleep(MIN_INTERVAL).await;
-        if !reports.changed().await {
+        let pace_changed = reports.pace_changed(load, MIN_INTERVAL).await;
+        if !pace_changed && !evacuation.has_unsent() && !reports.changed().await {
             return Ok(());
         }
     }
 }
 
 impl AgentReports {
+    /// Waits for `time`, or until the pace clearly differs from that in `sent`; returns whether it does.
+    async fn pace_changed(&self, sent: Option<EngineLoad>, time: Duration) -> bool {
+        // A receiver of its own, so that other changes during the wait still count as new.
+        let mut loads = self.loads.clone();
+        let is_other = |load: &Option<EngineLoad>| {
+            sent.zip(*load).is_some_and(|(sent, load)| load.has_other_pace(&sent))
+        };
+        match tokio::time::timeout(time, loads.wait_for(is_other)).await {
+            Ok(changed) => changed.is_ok(),
+            Err(_) => false,
+        }
+    }
+
     /// Waits for a change, at most for [`REPEAT_INTERVAL`]. Returns false if the sender of the loads is
     /// dropped.
     async fn changed(&mut self) -> bool {
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -1,15 +1,19 @@
 //! Metrics of entries and agents of the direct path, in the Prometheus text format.
 
+use super::inbound_guard::InboundGuard;
 use super::service::{ServiceAnswer, start_service};
 use super::settings::DirectSettings;
 use crate::process;
 use actix_http::StatusCode;
 use anyhow::Result;
-use log::warn;
+use buckthornwharf_exchange::InboundRequest;
+use log::{info, warn};
 use prometheus::{
-    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    CounterVec, GaugeVec, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// HTTP path of the metrics.
 pub const PATH: &str = "/metrics";
@@ -17,6 +21,8 @@
 const FIRST_BYTE_BUCKETS: &[f64] = &[0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
 /// Histogram buckets of the time in the queue, in seconds.
 const QUEUE_BUCKETS: &[f64] = &[0.001, 0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+/// Labels of refusals and of the time in the queue.
+const PLACEMENT_LABELS: &[&str] = &["reason", "region", "organisation", "priority"];
 
 /// Metrics of an entry of the direct path.
 #[derive(Debug, Clone)]
@@ -40,6 +46,15 @@
     pub time_to_first_byte: Histogram,
     /// Time that a request waited for a slot, in seconds.
     pub queue_time: Histogram,
+    /// Requests that were refused for want of a target, by the obstacle of the target that came closest, the
+    /// allowed regions, the organisation and the priority.
+    pub placement_refusals: IntCounterVec,
+    /// Time that requests waited in the queue, in seconds, by the same labels.
+    pub placement_queue_time: CounterVec,
+    /// Requests that had a slot and were not sent, by the obstacle that had come up.
+    pub not_sent: IntCounterVec,
+    /// Times that targets became cold, by reason.
+    pub cold_targets: IntCounterVec,
     /// Requests in progress, from reading the request to the end of its answer, and new connections that
     /// wait for their first one.
     pub open_requests: IntGauge,
@@ -51,6 +66,18 @@
     pub targets: IntGauge,
     /// Live entries, this one included.
     pub entries: IntGauge,
+    /// Sites that the operator has evacuated, as far as the entry knows.
+    pub evacuated_sites: IntGauge,
+    /// Age of what the entry knows of evacuated sites, in milliseconds.
+    pub evacuation_age: IntGauge,
+    /// Requests of this entry that still run at targets in evacuated sites.
+    pub evacuated_requests: IntGauge,
+    /// Learned limit of each target.
+    pub target_limit: GaugeVec,
+    /// Times of each target without load, relative to the expected ones of its service.
+    pub target_floor: GaugeVec,
+    /// Requests of all entries at each target, as far as they are known.
+    pub target_load: GaugeVec,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -116,6 +143,30 @@
                 "Time that a request waited for a place at a target",
                 QUEUE_BUCKETS,
             )?,
+            placement_refusals: new_counters(
+                &registry,
+                "direct_placement_refusals_total",
+                "Requests refused for want of a target, by what kept the closest target from getting it",
+                PLACEMENT_LABELS,
+            )?,
+            placement_queue_time: new_seconds(
+                &registry,
+                "direct_placement_queue_seconds_total",
+                "Time that requests waited for a target, by what kept the closest target from getting it",
+                PLACEMENT_LABELS,
+            )?,
+            not_sent: new_counters(
+                &registry,
+                "direct_not_sent_total",
+                "Requests that had a place and were not sent, by what had come up",
+                &["reason"],
+            )?,
+            cold_targets: new_counters(
+                &registry,
+                "direct_cold_targets_total",
+                "Times that targets became cold, by reason",
+                &["reason"],
+            )?,
             open_requests: new_gauge(&registry, "direct_open_requests", "Requests in progress")?,
             waiting_requests: new_gauge(
                 &registry,
@@ -129,6 +180,32 @@
             )?,
             targets: new_gauge(&registry, "direct_targets", "Targets that are registered")?,
             entries: new_gauge(&registry, "direct_entries", "Live entries")?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
+            evacuation_age: new_gauge(
+                &registry,
+                "direct_evacuation_age_milliseconds",
+                "Age of what is known of evacuated sites; 0 while the store is watched",
+            )?,
+            evacuated_requests: new_gauge(
+                &registry,
+                "direct_evacuated_requests",
+                "Requests of this entry that still run at targets in evacuated sites",
+            )?,
+            target_limit: new_target_gauges(
+                &registry,
+                "direct_target_limit",
+                "Learned number of requests that a target takes at a time",
+            )?,
+            target_floor: new_target_gauges(
+                &registry,
+                "direct_target_floor_ratio",
+                "Times of a target without load, relative to the expected ones",
+            )?,
+            target_load: new_target_gauges(
+                &registry,
+                "direct_target_load",
+                "Requests of all entries at a target",
+            )?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -154,6 +231,8 @@
     pub declared_version: IntGauge,
     /// Requests that are running or waiting in the engine.
     pub engine_requests: IntGauge,
+    /// Sites that the operator has evacuated, as far as the agent knows.
+    pub evacuated_sites: IntGauge,
     /// Changed settings that were invalid.
     pub settings_rejected: IntCounter,
 }
@@ -194,6 +273,7 @@
                 "direct_engine_requests",
                 "Requests that the engine runs or keeps",
             )?,
+            evacuated_sites: new_evacuated_sites(&registry)?,
             settings_rejected: new_settings_rejected(&registry)?,
             registry,
         })
@@ -205,18 +285,29 @@
     }
 }
 
-/// Serves the metrics of `registry` on the port in the settings for the rest of the process. If the
-/// address cannot be bound, logs a warning and the process runs without.
-pub fn serve(settings: &DirectSettings, registry: Registry) {
+/// Serves the metrics of `registry`, and what `other` answers, on the port in the settings for the rest of the
+/// process. If the address cannot be bound, logs a warning and the process runs without.
+pub fn serve(
+    settings: &DirectSettings,
+    guard: &Rc<InboundGuard>,
+    registry: Registry,
+    other: impl Fn(&InboundRequest) -> Option<ServiceAnswer> + Clone + 'static,
+) {
     let Some(port) = settings.metrics_port else {
         return;
     };
     let address = SocketAddr::new(settings.peers.ip, port);
     let started = process::bind(address).and_then(|listener| {
-        start_service(listener, move |request| {
+        info!("event=metrics address={}", listener.local_addr()?);
+        let gauges = guard.clone();
+        start_service(listener, guard.clone(), move |request| {
             let answer = match request.uri.path() {
-                PATH => render(&registry),
-                _ => ServiceAnswer::new(StatusCode::NOT_FOUND, "not here"),
+                PATH => {
+                    gauges.update_gauges();
+                    render(&registry)
+                }
+                _ => other(&request)
+                    .unwrap_or_else(|| ServiceAnswer::new(StatusCode::NOT_FOUND, "not here")),
             };
             async move { answer }
         })
@@ -251,6 +342,18 @@
     Ok(counters)
 }
 
+fn new_target_gauges(registry: &Registry, name: &str, help: &str) -> Result<GaugeVec> {
+    let gauges = GaugeVec::new(Opts::new(name, help), &["target"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
+fn new_seconds(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> Result<CounterVec> {
+    let seconds = CounterVec::new(Opts::new(name, help), labels)?;
+    registry.register(Box::new(seconds.clone()))?;
+    Ok(seconds)
+}
+
 fn new_counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
     let counter = IntCounter::new(name, help)?;
     registry.register(Box::new(counter.clone()))?;
@@ -262,6 +365,10 @@
     new_counter(registry, "direct_settings_rejected_total", help)
 }
 
+fn new_evacuated_sites(registry: &Registry) -> Result<IntGauge> {
+    new_gauge(registry, "direct_evacuated_sites", "Sites that the operator has evacuated")
+}
+
 fn new_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -1,7 +1,7 @@
 //! News of declared versions: when they are sent, and their form on a link.
 
 use buckthornwharf::direct::demand::{DemandMessage, EntryMessage};
-use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
+use buckthornwharf::direct::loads::{AgentMessage, EngineDetails, EngineLoad};
 use buckthornwharf::direct::news::{DeclaredFields, NEWS_INTERVAL, NewsRepeat, VersionNews};
 use buckthornwharf_core::direct::DeclaredVersion;
 use buckthornwharf_core::prelude::*;
@@ -19,7 +19,7 @@
 
 fn load() -> EngineLoad {
     let engine = "127.0.0.1:1".parse().expect("an address");
-    EngineLoad { engine, requests: 3, accepting: true }
+    EngineLoad { engine, requests: 3, accepting: true, details: None }
 }
 
 /// The message of an agent that knows no news.
@@ -67,7 +67,7 @@
 
 #[test]
 fn messages_with_and_without_news_are_understood_by_both_sides() {
-    let EngineLoad { engine, requests, accepting } = load();
+    let EngineLoad { engine, requests, accepting, .. } = load();
     let earlier = encode(&EarlierMessage { engine, requests, accepting });
     assert_eq!(encode(&AgentMessage::new(load(), Vec::new())), earlier);
     let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
@@ -98,3 +98,26 @@
     let read: EntryMessage = ciborium::from_reader(&encode(&news)[..]).expect("a message");
     assert_eq!(read, EntryMessage::News(news));
 }
+
+/// Guards against entries of an earlier build that lose the load of agents that report more than it, and
+/// against pace and memory that do not reach an entry.
+#[test]
+fn a_report_of_pace_and_memory_is_understood_by_entries_that_know_of_none() {
+    #[derive(serde::Deserialize)]
+    struct EarlierFields {
+        requests: u32,
+        accepting: bool,
+    }
+    let details = EngineDetails { pace: Some(250), waiting: 1, memory: Some(60) };
+    let load = EngineLoad { details: Some(details), ..load() };
+    let bytes = encode(&AgentMessage::new(load, Vec::new()));
+    let message: AgentMessage = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!(message.load(), load);
+    let state = message.load().engine_state().expect("a state");
+    assert_eq!((state.pace, state.waiting, state.running), (Some(2.5), 1, 2));
+    assert_eq!(state.memory_part, Some(0.6));
+    let earlier: EarlierFields = ciborium::from_reader(&bytes[..]).expect("a message");
+    assert_eq!((earlier.requests, earlier.accepting), (3, true));
+    let plain = encode(&AgentMessage::new(self::load(), Vec::new()));
+    assert!(bytes.len() <= plain.len() + 40, "{} and {} bytes", bytes.len(), plain.len());
+}
