--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -277,8 +277,8 @@
             PlacementObstacle::Tried => unless(!request.tried.contains(&record.id)),
             PlacementObstacle::NoSlot => unless(load.available_slots(*now, self.entries) > 0),
             PlacementObstacle::Reserved => {
-                let held = self.reservation;
-                unless(!held.is_some_and(|held| held.excludes(*now, &record.id, self.ticket)))
+                let held = self.reservation?;
+                held.excludes(*now, &record.id, self.ticket).then_some(Some(held.until))
             }
             PlacementObstacle::Prefill => {
                 let (tokens, max_tokens) = (request.prompt_tokens, self.prefill_limit(load));
--- a/core/tests/direct_placement.rs
+++ b/core/tests/direct_placement.rs
@@ -471,3 +471,101 @@
     let grant = granted(scheduler.request(at(10_001), request_of("other", Some("o"))));
     assert_eq!(&*grant.target.id, "x");
 }
+
+#[test]
+fn in_the_fair_order_a_restricted_request_does_not_keep_back_one_that_can_go_elsewhere() {
+    // Guards against a request that waits although a target is free, because one of the same model that was
+    // tried before it cannot use that target.
+    let mut scheduler = scheduler().with_fair_queue(true);
+    scheduler.set_config(&config(&["y"], &["z"]));
+    let (restricted, free) = (request_of("r", None), request_of("other", None));
+    fill(&mut scheduler, &free);
+    for _ in 0..3 {
+        queued(scheduler.request(at(1), restricted.clone()));
+    }
+    let waiting = queued(scheduler.request(at(2), free.clone()));
+    // Both could use this slot, so it goes to the one that came first.
+    scheduler.release(at(3), "y", SlotOutcome::Answered);
+    let grants = scheduler.grant_free_slots(at(3));
+    assert_eq!(grants.len(), 1);
+    assert!(grants[0].0 < waiting);
+    scheduler.release(at(4), "z", SlotOutcome::Answered);
+    let grants = scheduler.grant_free_slots(at(4));
+    let granted_to: Vec<_> =
+        grants.iter().map(|(ticket, grant)| (*ticket, &*grant.target.id)).collect();
+    assert_eq!(granted_to, [(waiting, "z")]);
+    // Those that can only use a target for which no other waits are not delayed at all.
+    scheduler.release(at(5), "z", SlotOutcome::Answered);
+    let impatient = SlotRequest {
+        wait: WaitAllowance { max_wait: Duration::from_millis(1), late: false },
+        ..request_of("other", Some("o"))
+    };
+    assert_eq!(&*granted(scheduler.request(at(5), impatient)).target.id, "z");
+}
+
+#[test]
+fn in_the_fair_order_the_expected_wait_counts_only_releases_in_the_allowed_regions() {
+    // Guards against a request that is queued in vain because slots elsewhere become free quickly.
+    let mut scheduler = scheduler().with_fair_queue(true);
+    scheduler.set_config(&config(&["y"], &[]));
+    fill(&mut scheduler, &request_of("r", None));
+    for millis in 0..100 {
+        let grant = granted(scheduler.request(at(millis), request_of("other", None)));
+        assert_ne!(&*grant.target.id, "y");
+        scheduler.release(at(millis), &grant.target.id, SlotOutcome::Answered);
+    }
+    let of_restricted = scheduler.preview(at(100), &request_of("r", None)).expected_wait;
+    let of_free = scheduler.preview(at(100), &request_of("other", None)).expected_wait;
+    assert!(of_restricted > of_free, "{of_restricted:?} and {of_free:?}");
+}
+
+#[test]
+fn a_target_reserved_for_a_large_prompt_is_an_obstacle_for_others_until_the_prompt_fits() {
+    // Guards against small prompts that take the prefill capacity for which a large one waits.
+    for learned in [false, true] {
+        let mut scheduler = scheduler().with_fair_queue(true);
+        if learned {
+            scheduler.enable_learned_limits(1);
+        }
+        scheduler.set_targets([target("x", "x")].iter());
+        scheduler.set_prefill_rate(&"llm".into(), 1000);
+        let of_size = |prompt_tokens| SlotRequest { prompt_tokens, ..request_of("r", None) };
+        let first = granted(scheduler.request(at(0), of_size(60)));
+        let large = queued(scheduler.request(at(0), of_size(80)));
+        assert!(scheduler.grant_free_slots(at(1)).is_empty());
+        let reserved = blocked(PlacementObstacle::Reserved, Some(101));
+        assert_eq!(verdict_of(&scheduler, 1, &of_size(10), "x"), reserved);
+        let after = verdict_of(&scheduler, 101, &of_size(10), "x");
+        assert!(matches!(after, PlacementVerdict::Allowed { .. }), "{after:?}");
+        scheduler.prefill_done(at(2), &first);
+        let grants = scheduler.grant_free_slots(at(2));
+        assert_eq!(grants.iter().map(|(ticket, _)| *ticket).collect::<Vec<_>>(), [large]);
+        let after = verdict_of(&scheduler, 2, &of_size(10), "x");
+        assert!(matches!(after, PlacementVerdict::Allowed { .. }), "{after:?}");
+    }
+}
+
+#[test]
+fn late_requests_and_entries_with_a_small_part_have_a_lower_prefill_limit() {
+    // Guards against late requests, and crowded entries, that make those in time late; also where limits are
+    // learned.
+    for learned in [false, true] {
+        let mut scheduler = scheduler().with_fair_queue(true);
+        if learned {
+            scheduler.enable_learned_limits(1);
+        }
+        scheduler.set_targets([target("x", "x")].iter());
+        scheduler.set_prefill_rate(&"llm".into(), 1000);
+        let in_time = SlotRequest { prompt_tokens: 30, ..request_of("r", None) };
+        let mut late = in_time.clone();
+        late.wait.late = true;
+        scheduler.set_load(at(0), "x", 0, true);
+        granted(scheduler.request(at(0), in_time.clone()));
+        let verdict = verdict_of(&scheduler, 1, &in_time, "x");
+        assert!(matches!(verdict, PlacementVerdict::Allowed { .. }), "{verdict:?}");
+        let no_capacity = blocked(PlacementObstacle::Prefill, None);
+        assert_eq!(verdict_of(&scheduler, 1, &late, "x"), no_capacity);
+        scheduler.set_part("x", Some(500));
+        assert_eq!(verdict_of(&scheduler, 1, &in_time, "x"), no_capacity);
+    }
+}
