--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -87,27 +87,24 @@
 #[derive(Debug, Clone, Copy)]
 struct FailedSize {
     prompt_tokens: u32,
-    /// Answers need memory of the target, too.
-    answer_tokens: u32,
+    /// 0 if the length of the answer is not known; `None` if it does not decide on targets.
+    answer_tokens: Option<u32>,
     /// A late request may only use a part of the prefill capacity, so it says nothing of those in time.
     late: bool,
 }
 
 impl FailedSize {
-    const ANY: Self = Self { prompt_tokens: 0, answer_tokens: 0, late: false };
+    const ANY: Self = Self { prompt_tokens: 0, answer_tokens: None, late: false };
 
     fn covers(&self, request: &SlotRequest) -> bool {
+        let answer = request.answer_tokens;
+        let is_covered = |failed: u32| answer == failed || (failed > 0 && answer > failed);
         request.prompt_tokens >= self.prompt_tokens
-            && answer_size(request) >= self.answer_tokens
+            && self.answer_tokens.is_none_or(is_covered)
             && (request.wait.late || !self.late)
     }
 }
 
-/// Returns the size of the answer; that of an unknown one counts as larger than any other.
-fn answer_size(request: &SlotRequest) -> u32 {
-    if request.answer_tokens == 0 { u32::MAX } else { request.answer_tokens }
-}
-
 /// The smallest request of each shape that got no slot.
 struct FailedShapes {
     sizes: Vec<Option<FailedSize>>,
@@ -132,7 +129,7 @@
         {
             *smallest = Some(FailedSize {
                 prompt_tokens: waiter.request.prompt_tokens,
-                answer_tokens: if self.checks_memory { answer_size(&waiter.request) } else { 0 },
+                answer_tokens: self.checks_memory.then_some(waiter.request.answer_tokens),
                 late: waiter.request.wait.late,
             });
         }
--- a/core/tests/direct_capacity.rs
+++ b/core/tests/direct_capacity.rs
@@ -9,6 +9,7 @@
 };
 use buckthornwharf_core::direct::{
     Admission, EngineSpec, EngineTiming, RegisteredTarget, SlotGrant, SlotRequest, SlotScheduler,
+    WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use uneven_fleet::{FleetPlan, FleetResult, Placement, play, request, scheduler, target};
@@ -371,3 +372,29 @@
     let sample = meter.on_events(at(480), 1).expect("a sample");
     assert_eq!((sample.count, sample.mean), (1, Duration::from_millis(400)));
 }
+
+/// Guards against a short answer that waits in the fair order because a longer one, which was tried before it,
+/// does not fit into the memory of the target.
+#[test]
+fn in_the_fair_order_a_long_answer_does_not_keep_back_a_short_one_that_fits_into_memory() {
+    let mut scheduler = scheduler(1, Some(1)).with_fair_queue(true);
+    let service = ServiceName::from("plain");
+    scheduler.set_engine(&service, Some(&engine_spec()));
+    scheduler.set_prefill_rate(&service, 20_700);
+    scheduler.set_targets([engine_target("a")].iter());
+    let state = EngineState { running: 2, memory_part: Some(0.9), ..EngineState::default() };
+    report(&mut scheduler, at(0), "a", state);
+    let late = |prompt_tokens, answer_tokens| SlotRequest {
+        answer_tokens,
+        wait: WaitAllowance { max_wait: Duration::from_secs(2), late: true },
+        ..prompt_of(prompt_tokens)
+    };
+    let long = scheduler.request(at(1), late(100, 600));
+    let short = scheduler.request(at(2), late(200, 21));
+    let (Admission::Queued(long), Admission::Queued(short)) = (long, short) else {
+        panic!("not queued");
+    };
+    let grants = scheduler.grant_free_slots(at(3));
+    let tickets: Vec<_> = grants.iter().map(|(ticket, _)| *ticket).collect();
+    assert_eq!(tickets, [short], "{long} does not fit");
+}
