--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod capacity;
 pub mod catalog;
 pub mod crashes;
+pub mod demand;
 pub mod evacuation;
 pub mod event_stream;
 pub mod memory;
@@ -27,12 +28,13 @@
 pub use attempt::{AttemptFailure, FinalAnswer, NextStep, WorkKind, next_step};
 pub use backlog::BacklogLimit;
 pub use budget::{RetryAllowance, RetryBudget};
-pub use caller_timeout::{CallerTimeoutEstimate, WaitAllowance, wait_allowance};
+pub use caller_timeout::{CallerTime, CallerTimeoutEstimate, WaitAllowance, wait_allowance};
 pub use catalog::{LoadedModel, RegisteredTarget, TargetCatalog, TargetPhase};
 pub use crashes::{
     CauseHistory, CauseId, CrashId, CrashLedger, CrashReport, GuiltyGroup, SentCause,
     request_causes,
 };
+pub use demand::{ClassDemand, EntryDemands};
 pub use evacuation::{
     EvacuatedPart, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
 };
--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -18,8 +18,8 @@
 pub(in crate::direct) use evacuation::EvacuatedSites;
 pub(in crate::direct) use learned_capacity::{LearnedPlacement, MIRRORED_PART};
 
-use super::slots::{EntryRegions, NoticeTable, TargetLoad};
-use super::{DeclaredVersions, RegisteredTarget, SlotRequest};
+use super::slots::{EntryRegions, NoticeTable, Reservation, TargetLoad};
+use super::{DeclaredVersions, RegisteredTarget, SlotRequest, WaitTicket};
 use crate::prelude::*;
 use strum::VariantArray;
 
@@ -68,6 +68,8 @@
     Tried,
     /// This entry has no free slot there.
     NoSlot,
+    /// It is reserved for a large prompt that waits.
+    Reserved,
     /// It has too much unread prompt of this entry.
     Prefill,
     /// The request does not fit into its memory.
@@ -140,11 +142,15 @@
 pub(in crate::direct) struct PlacementCheck<'a> {
     pub now: MonoTime,
     pub request: &'a SlotRequest,
+    /// Ticket of the request; 0 if it does not wait.
+    pub ticket: WaitTicket,
+    /// The target reserved for a large prompt of the service, if there is one.
+    pub reservation: Option<&'a Reservation>,
     /// Declared versions of the request's model.
     pub versions: Option<&'a DeclaredVersions>,
     /// Oldest version that may be used; `None` if any may.
     pub required: Option<u64>,
-    /// Maximum unread prompt tokens of this entry at a target.
+    /// Maximum unread prompt tokens of this entry at a target, if the entries take equal parts.
     pub max_prefill_tokens: u32,
     pub entries: &'a EntryRegions,
     pub notices: &'a NoticeTable,
@@ -226,6 +232,11 @@
         timed.filter_map(|obstacle| self.check(*obstacle, load)?).max().unwrap_or(self.now)
     }
 
+    /// Returns the maximum unread prompt tokens of this entry at the target.
+    fn prefill_limit(&self, load: &TargetLoad) -> u32 {
+        load.prefill_limit(self.max_prefill_tokens, self.entries)
+    }
+
     /// Returns by when the target must have begun to run the request.
     pub fn begin_by(&self, load: &TargetLoad) -> Option<MonoTime> {
         model_version::begin_by(self.request, self.versions, load)
@@ -265,8 +276,12 @@
             }
             PlacementObstacle::Tried => unless(!request.tried.contains(&record.id)),
             PlacementObstacle::NoSlot => unless(load.available_slots(*now, self.entries) > 0),
+            PlacementObstacle::Reserved => {
+                let held = self.reservation?;
+                held.excludes(*now, &record.id, self.ticket).then_some(Some(held.until))
+            }
             PlacementObstacle::Prefill => {
-                let (tokens, max_tokens) = (request.prompt_tokens, self.max_prefill_tokens);
+                let (tokens, max_tokens) = (request.prompt_tokens, self.prefill_limit(load));
                 unless(match &self.learned {
                     Some(learned) => learned.reads_in_time(self, load),
                     None => load.has_prefill_capacity(tokens, max_tokens),
--- a/core/src/direct/placement/learned_capacity.rs
+++ b/core/src/direct/placement/learned_capacity.rs
@@ -42,7 +42,7 @@
             return true;
         }
         let slowness = self.table.slowness(check.now, &load.record.id).max(1.0);
-        let max_tokens = f64::from(check.max_prefill_tokens) / slowness;
+        let max_tokens = f64::from(check.prefill_limit(load)) / slowness;
         load.has_prefill_capacity(prompt_tokens, max_tokens as u32)
     }
 
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -18,27 +18,29 @@
 mod token_bucket;
 
 use super::capacity::{CapacityTable, SpeedSample};
-use super::placement::{PlacementCheck, PlacementRules, PlacementVerdict};
-use super::{DeclaredVersion, DeclaredVersions, RegisteredTarget};
+use super::placement::{PlacementCheck, PlacementObstacle, PlacementRules, PlacementVerdict};
+use super::{
+    CallerTime, ClassDemand, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget,
+    WaitAllowance,
+};
 use crate::prelude::*;
-use crate::routing::hash::combine_hashes;
 pub use entry_regions::EntryRegions;
 pub use grant::{Admission, SlotGrant, SlotOutcome, SlotRequest, WaitTicket};
 pub(in crate::direct) use load::TargetLoad;
 pub use notices::MAX_PAUSE;
 pub(in crate::direct) use notices::NoticeTable;
 pub use preview::{SlotPreview, TargetPreview};
-use queue::{ServiceQueue, Waiter};
+pub(in crate::direct) use queue::Reservation;
+use queue::{Backlog, ServiceQueue, Waiter, late_wait, plain_retry_after, retry_after};
 pub(in crate::direct) use token_bucket::TokenBucket;
 
-/// Shortest and longest time after which a refused caller may retry. The response will miss its
-/// latency objective anyway, so the overload gets time to pass. The time is also long enough to
-/// tell retries from callers with a shorter timeout.
-const RETRY_AFTER_RANGE: (Duration, Duration) =
-    (Duration::from_millis(1000), Duration::from_millis(1900));
 /// Longest time that a target may need to read the pending prompts of one entry, so that the
 /// response to the last one is not late.
 const MAX_PREFILL_TIME: Duration = Duration::from_millis(100);
+/// A prompt above this part of the prefill limit is large: two of them do not fit.
+const LARGE_DIVISOR: u32 = 2;
+/// Part of the prefill limit that late requests may use, in the fair order.
+const LATE_PREFILL_DIVISOR: u32 = 4;
 
 /// Grants slots at targets to this entry's requests, and queues or refuses requests while there is
 /// none.
@@ -48,6 +50,10 @@
     targets: SortedTable<Arc<str>, TargetLoad>,
     notices: NoticeTable,
     queues: SortedTable<ServiceName, ServiceQueue>,
+    /// Whether waiting requests are ordered fairly.
+    fair: bool,
+    /// Targets reserved for large prompts, by service.
+    reservations: SortedTable<ServiceName, Reservation>,
     versions: SortedTable<ModelName, DeclaredVersions>,
     /// Maximum number of unread prompt tokens of this entry at one target, by service.
     prefill_limits: SortedTable<ServiceName, u32>,
@@ -67,6 +73,8 @@
             targets: SortedTable::new(),
             notices: NoticeTable::default(),
             queues: SortedTable::new(),
+            fair: false,
+            reservations: SortedTable::new(),
             versions: SortedTable::new(),
             prefill_limits: SortedTable::new(),
             rules: PlacementRules::default(),
@@ -76,6 +84,12 @@
         }
     }
 
+    /// Orders waiting requests fairly; to be called before the first request.
+    pub fn with_fair_queue(mut self, fair: bool) -> Self {
+        self.fair = fair;
+        self
+    }
+
     /// Replaces the other entries that share the targets by those in these regions.
     pub fn set_other_entries<'a>(&mut self, regions: impl Iterator<Item = &'a RegionName>) {
         self.regions.set_others(regions);
@@ -99,6 +113,17 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
+    /// Sets the published figures of a service's engines, from which costs are estimated and limits are
+    /// learned.
+    pub fn set_engine(&mut self, service: &ServiceName, engine: Option<&EngineSpec>) {
+        if let Some(engine) = engine {
+            self.queue_mut(service).set_engine(engine);
+        }
+        if let Some(table) = &mut self.capacity {
+            table.set_engine(service, engine);
+        }
+    }
+
     /// Replaces the targets. A target that is no longer registered gets no further requests and is
     /// kept until this entry's requests at it have ended.
     pub fn set_targets<'a>(&mut self, records: impl Iterator<Item = &'a Arc<RegisteredTarget>>) {
@@ -132,31 +157,107 @@
         }
     }
 
-    /// Grants a slot to a request, queues it, or refuses it if the expected wait is too long.
+    /// Stores the part of a target's free slots, in thousandths, that this entry may take of those for its
+    /// region; `None` for an equal part. It holds until the next report.
+    pub fn set_part(&mut self, id: &str, part: Option<u16>) {
+        if let Some(load) = self.targets.get_mut(id) {
+            load.set_part(part.filter(|_| self.fair));
+        }
+    }
+
+    /// Returns the cost of the requests that arrived within the last second, by class, over the
+    /// services whose engines agents report on.
+    pub fn demand(&mut self, now: MonoTime) -> ClassDemand {
+        let mut demand = ClassDemand::default();
+        self.queues.values_mut().for_each(|queue| queue.add_demand(now, &mut demand));
+        demand
+    }
+
+    /// Grants a slot to a request of an unknown caller, queues it, or refuses it if the expected wait
+    /// is too long.
     pub fn request(&mut self, now: MonoTime, request: SlotRequest) -> Admission {
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let ahead = queue.ahead_of(&request, |waiting| {
-            placing::competes(&self.rules, &self.regions, &self.targets, waiting, &request)
-        });
-        if ahead == 0
-            && let Some(grant) = self.try_grant(now, &request)
+        let caller = CallerTime { returned: !request.tried.is_empty(), time_left: Duration::ZERO };
+        self.request_from(now, request, caller)
+    }
+
+    /// Grants a slot to a request of `caller`, queues it, or refuses it if the expected wait is too
+    /// long.
+    pub fn request_from(
+        &mut self,
+        now: MonoTime,
+        request: SlotRequest,
+        caller: CallerTime,
+    ) -> Admission {
+        let fair = self.fair;
+        let service = request.service.clone();
+        let mut waiter = Waiter::new(now, 0, request, caller);
+        self.queue_mut(&service).count_arrival(now, &waiter.request);
+        if self.ahead_of(&waiter).requests == 0
+            && let Some(grant) = self.try_grant(now, &waiter.request, 0)
         {
+            self.queue_mut(&service).count_direct_grant(now, &waiter.request);
             return Admission::Granted(grant);
         }
-        let usable_slots = self.usable_slots(now, &request);
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
-            self.rules.allows_site(&self.regions, &request, site)
-        });
         self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        if expected_wait > request.wait.max_wait && ahead >= self.allowed_in_time(now, &request) {
-            let pause = if usable_slots == 0 { self.pause_left(now, &request) } else { None };
-            return Admission::Refused(retry_after(ticket).max(pause.unwrap_or_default()));
+        waiter.ticket = self.next_ticket;
+        if fair && waiter.request.wait.late && !caller.time_left.is_zero() {
+            waiter.request.wait = self.late_wait(&waiter.request, caller);
+        }
+        match self.queue_or_refuse(now, waiter) {
+            Ok(ticket) => Admission::Queued(ticket),
+            Err(retry_after) => Admission::Refused(retry_after),
+        }
+    }
+
+    /// Queues a request that gets no slot now, as a late one if it cannot be in time. If that is too
+    /// long as well, returns the time after which its caller may retry.
+    fn queue_or_refuse(
+        &mut self,
+        now: MonoTime,
+        mut waiter: Waiter,
+    ) -> Result<WaitTicket, Duration> {
+        let ticket = waiter.ticket;
+        let service = waiter.request.service.clone();
+        loop {
+            let usable_slots = self.usable_slots(now, &waiter.request);
+            let ahead = self.ahead_of(&waiter);
+            let expected_wait = self.expected_wait(now, &waiter, ahead, usable_slots);
+            if expected_wait <= waiter.request.wait.max_wait
+                || ahead.requests < self.allowed_in_time(now, &waiter.request)
+            {
+                self.queue_mut(&service).push(now, waiter);
+                return Ok(ticket);
+            }
+            if self.set_late(now, &mut waiter) {
+                continue;
+            }
+            let delay = self.retry_after(now, &waiter, expected_wait);
+            let pause =
+                if usable_slots == 0 { self.pause_left(now, &waiter.request) } else { None };
+            return Err(delay.max(pause.unwrap_or_default()));
+        }
+    }
+
+    /// Turns a waiter that cannot be in time into a late one, if it is not and its caller still waits.
+    fn set_late(&mut self, now: MonoTime, waiter: &mut Waiter) -> bool {
+        let caller = waiter.caller_at(now);
+        let can_be_late = self.fair && !waiter.request.wait.late && !caller.time_left.is_zero();
+        if can_be_late {
+            waiter.request.wait = self.late_wait(&waiter.request, caller);
+        }
+        can_be_late
+    }
+
+    fn late_wait(&mut self, request: &SlotRequest, caller: CallerTime) -> WaitAllowance {
+        let service_time = self.queue_mut(&request.service).service_time(request);
+        late_wait(caller, service_time)
+    }
+
+    fn retry_after(&self, now: MonoTime, waiter: &Waiter, drain_time: Duration) -> Duration {
+        match self.fair {
+            true => retry_after(waiter.ticket, waiter.caller_at(now), drain_time),
+            false => plain_retry_after(waiter.ticket),
         }
-        let queue = self.queues.get_or_insert_with(request.service.clone(), ServiceQueue::default);
-        queue.push(Waiter { ticket, expires_at: now + request.wait.max_wait, request });
-        Admission::Queued(ticket)
     }
 
     /// Records that a request's prompt is no longer pending at the target: its response has begun.
@@ -179,15 +280,14 @@
             return;
         };
         load.release(now, outcome);
+        let (service, site) = (load.record.service.clone(), load.record.site.clone());
         if let Some(table) = &mut self.capacity
             && outcome == SlotOutcome::Failed
         {
             table.record(now, id, SpeedSample::Failed, 0);
         }
-        if outcome == SlotOutcome::Answered {
-            let (service, site) = (load.record.service.clone(), load.record.site.clone());
-            self.queues.get_or_insert_with(service, ServiceQueue::default).count_release(now, site);
-        }
+        let answered_at = Some(site).filter(|_| outcome == SlotOutcome::Answered);
+        self.queue_mut(&service).count_release(now, answered_at);
     }
 
     /// Releases the slot of a request that was never sent.
@@ -203,6 +303,7 @@
         if let Some(load) = self.targets.get_mut(&grant.target.id) {
             load.release(now, SlotOutcome::Answered);
         }
+        self.queue_mut(&grant.target.service).count_release(now, None);
     }
 
     /// Removes a waiting request from the queue.
@@ -215,6 +316,12 @@
     /// Grants free slots to waiting requests, in queue order.
     pub fn grant_free_slots(&mut self, now: MonoTime) -> Vec<(WaitTicket, SlotGrant)> {
         let mut grants = Vec::new();
+        // Saves the attempts of all waiting requests while every target is full.
+        if self.fair
+            && !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0)
+        {
+            return grants;
+        }
         let services: Vec<ServiceName> = self
             .queues
             .iter()
@@ -225,17 +332,77 @@
             let Some(mut queue) = self.queues.remove(&service) else {
                 continue;
             };
-            queue.drain_granted(|request| self.try_grant(now, request), &mut grants);
+            let reserved = self.reservations.get(&service).map(|reservation| reservation.ticket);
+            let large_tokens = self.large_tokens(&service);
+            queue.drain_granted(now, reserved, large_tokens, self, &mut grants);
+            self.update_reservation(now, &service, &mut queue, &grants);
             self.queues.insert(service, queue);
         }
         grants
     }
 
+    /// Returns the largest prompt of which two fit under the prefill limit.
+    fn large_tokens(&self, service: &ServiceName) -> u32 {
+        self.prefill_limits.get(service).map_or(u32::MAX, |limit| limit / LARGE_DIVISOR)
+    }
+
+    /// Ends a reservation that was used or has expired. Reserves a target for the first large prompt that
+    /// waits only for prefill capacity.
+    fn update_reservation(
+        &mut self,
+        now: MonoTime,
+        service: &ServiceName,
+        queue: &mut ServiceQueue,
+        grants: &[(WaitTicket, SlotGrant)],
+    ) {
+        if let Some(reservation) = self.reservations.get(service) {
+            let is_used = grants.iter().any(|(ticket, _)| *ticket == reservation.ticket);
+            if !is_used && now < reservation.until {
+                return;
+            }
+            self.reservations.remove(service);
+        }
+        if !self.fair {
+            return;
+        }
+        let large_tokens = self.large_tokens(service);
+        let is_large = |request: &SlotRequest| request.prompt_tokens > large_tokens;
+        let Some(waiter) = queue.first_without_reservation(is_large) else {
+            return;
+        };
+        let check = self.placement_check(now, &waiter.request, waiter.ticket);
+        let lacks_only_prefill = |load: &&TargetLoad| {
+            let is_other = |obstacle, _| obstacle != PlacementObstacle::Prefill;
+            load.record.service == *service
+                && check.find_obstacle(load, PlacementObstacle::Retiring, is_other).is_none()
+        };
+        let targets = self.targets.values().filter(lacks_only_prefill);
+        let Some(best) = targets.min_by_key(|load| load.pending_prefill_tokens()) else {
+            return;
+        };
+        waiter.had_reservation = true;
+        let until = waiter.expires_at.min(now + MAX_PREFILL_TIME);
+        let reservation =
+            Reservation { ticket: waiter.ticket, target: best.record.id.clone(), until };
+        self.reservations.insert(service.clone(), reservation);
+    }
+
     /// Removes the waiting requests whose longest wait has passed, and returns them with the time
-    /// after which each caller may retry.
+    /// after which each caller may retry. In the fair order, a request that can still be answered late
+    /// waits on.
     pub fn expire(&mut self, now: MonoTime) -> Vec<(WaitTicket, Duration)> {
-        let expired = self.queues.values_mut().flat_map(|queue| queue.expire(now));
-        expired.map(|ticket| (ticket, retry_after(ticket))).collect()
+        let expired: Vec<Waiter> =
+            self.queues.values_mut().flat_map(|queue| queue.take_expired(now)).collect();
+        let mut refused = Vec::new();
+        for mut waiter in expired {
+            let ticket = waiter.ticket;
+            let queued = match self.set_late(now, &mut waiter) {
+                true => self.queue_or_refuse(now, waiter),
+                false => Err(self.retry_after(now, &waiter, Duration::ZERO)),
+            };
+            refused.extend(queued.err().map(|retry_after| (ticket, retry_after)));
+        }
+        refused
     }
 
     /// Returns when [`SlotScheduler::expire`] or [`SlotScheduler::grant_free_slots`] is due next if
@@ -244,9 +411,11 @@
     pub fn next_wake(&self, served_at: MonoTime) -> Option<MonoTime> {
         let expiries = self.queues.values().filter_map(ServiceQueue::next_expiry);
         let expiry = expiries.min()?;
+        let reservation_ends = self.reservations.values().map(|reservation| reservation.until);
         let cooldown_ends = self.targets.values().filter_map(|load| load.cooldown_until());
         let pause_ends = self.targets.values().flat_map(|load| self.timed_ends(served_at, load));
-        let slot_times = cooldown_ends.chain(pause_ends).filter(|at| *at > served_at);
+        let slot_times =
+            cooldown_ends.chain(pause_ends).chain(reservation_ends).filter(|at| *at > served_at);
         Some(slot_times.min().map_or(expiry, |slot_time| slot_time.min(expiry)))
     }
 
@@ -277,10 +446,45 @@
         silent.map(|load| load.record.id.clone()).collect()
     }
 
-    /// Takes a slot at the eligible target with the lowest cost, if there is one.
-    fn try_grant(&mut self, now: MonoTime, request: &SlotRequest) -> Option<SlotGrant> {
+    fn queue_mut(&mut self, service: &ServiceName) -> &mut ServiceQueue {
+        let fair = self.fair;
+        self.queues.get_or_insert_with(service.clone(), || ServiceQueue::new(fair))
+    }
+
+    /// Returns what is served before `waiter`, as far as it competes for the same targets.
+    fn ahead_of(&self, waiter: &Waiter) -> Backlog {
+        let queue = self.queues.get(&waiter.request.service);
+        queue.map_or_else(Backlog::default, |queue| {
+            queue.ahead_of(waiter, |waiting| self.competes(waiting, &waiter.request))
+        })
+    }
+
+    /// Estimates how long `waiter`, with `ahead` before it, waits for one of `slots` slots. Only slots
+    /// released at sites that its request may use count.
+    fn expected_wait(
+        &mut self,
+        now: MonoTime,
+        waiter: &Waiter,
+        ahead: Backlog,
+        slots: u32,
+    ) -> Duration {
+        let Self { queues, rules, regions, fair, .. } = self;
+        let service = waiter.request.service.clone();
+        let queue = queues.get_or_insert_with(service, || ServiceQueue::new(*fair));
+        let is_usable = |site: &SiteName| rules.allows_site(regions, &waiter.request, site);
+        queue.expected_wait(now, waiter, ahead, slots, is_usable)
+    }
+
+    /// Takes a slot at the eligible target with the lowest cost, if there is one. `ticket` is 0 for a
+    /// request that does not wait.
+    fn try_grant(
+        &mut self,
+        now: MonoTime,
+        request: &SlotRequest,
+        ticket: WaitTicket,
+    ) -> Option<SlotGrant> {
         self.begin_choice();
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, ticket);
         let verdicts = self.targets.values().filter(|load| load.record.service == request.service);
         let costs = verdicts.filter_map(|load| match check.verdict(load) {
             PlacementVerdict::Allowed { cost } => Some((cost, load)),
@@ -307,7 +511,7 @@
     /// can still meet its latency objective counts only targets that accept requests now; a late
     /// one also counts those that are loading a version.
     fn usable_slots(&self, now: MonoTime, request: &SlotRequest) -> u32 {
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let accepts_until = now + request.wait.max_wait;
         let usable = |load: &&TargetLoad| check.is_usable_until(load, accepts_until);
         let slots_of = |load: &TargetLoad| {
@@ -318,23 +522,29 @@
     }
 
     /// Returns what the verdicts on the targets of `request` depend on. The versions are looked up each time,
-    /// because one may have been retired while the request waited.
+    /// because one may have been retired while the request waited. `ticket` is 0 for a request that does not
+    /// wait.
     fn placement_check<'a>(
         &'a self,
         now: MonoTime,
         request: &'a SlotRequest,
+        ticket: WaitTicket,
     ) -> PlacementCheck<'a> {
         let versions = request.model.as_ref().and_then(|model| self.versions.get(model));
+        let max_tokens = self.prefill_limits.get(&request.service).copied().unwrap_or(u32::MAX);
+        // Late requests leave most of the prefill capacity to those that can still be in time.
+        let max_prefill_tokens = match self.fair && request.wait.late {
+            true => max_tokens / LATE_PREFILL_DIVISOR,
+            false => max_tokens,
+        };
         PlacementCheck {
             now,
             request,
+            ticket,
+            reservation: self.reservations.get(&request.service),
             versions,
             required: versions.and_then(|versions| versions.required(now)),
-            max_prefill_tokens: self
-                .prefill_limits
-                .get(&request.service)
-                .copied()
-                .unwrap_or(u32::MAX),
+            max_prefill_tokens,
             entries: &self.regions,
             notices: &self.notices,
             rules: &self.rules,
@@ -342,11 +552,3 @@
         }
     }
 }
-
-/// Returns the time after which the caller of this request may retry. It is jittered evenly over
-/// [`RETRY_AFTER_RANGE`], so that callers refused together do not retry together.
-fn retry_after(ticket: WaitTicket) -> Duration {
-    let (shortest, longest) = RETRY_AFTER_RANGE;
-    let range_ms = (longest - shortest).as_millis() as u64;
-    shortest + Duration::from_millis(combine_hashes(ticket, 0) % range_ms)
-}
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -2,7 +2,6 @@
 
 use super::load::TargetLoad;
 use super::{SlotGrant, SlotRequest, SlotScheduler};
-use crate::direct::EngineSpec;
 use crate::direct::capacity::{
     CapacityTable, EngineState, SentState, SpeedChange, SpeedSample, TargetLimit, TargetWork,
 };
@@ -19,13 +18,6 @@
         self.capacity = Some(table);
     }
 
-    /// Sets the published figures of a service.
-    pub fn set_engine(&mut self, service: &ServiceName, engine: Option<&EngineSpec>) {
-        if let Some(table) = &mut self.capacity {
-            table.set_engine(service, engine);
-        }
-    }
-
     /// Stores what the agent of target `id` reports besides its load.
     pub fn set_engine_state(
         &mut self,
@@ -99,6 +91,11 @@
         self.capacity.as_ref().map(LearnedPlacement::new)
     }
 
+    /// Returns whether limits are learned.
+    pub(super) fn learns_limits(&self) -> bool {
+        self.capacity.is_some()
+    }
+
     /// Begins a choice of a target.
     pub(super) fn begin_choice(&mut self) {
         if let Some(table) = &mut self.capacity {
--- a/core/src/direct/slots/placing.rs
+++ b/core/src/direct/slots/placing.rs
@@ -2,10 +2,8 @@
 
 use super::load::TargetLoad;
 use super::queue::ServiceQueue;
-use super::{EntryRegions, SlotGrant, SlotRequest, SlotScheduler, WaitTicket, retry_after};
-use crate::direct::placement::{
-    ColdReason, PlacementObstacle, PlacementRules, PlacementVerdict, TargetVerdict,
-};
+use super::{SlotGrant, SlotRequest, SlotScheduler, WaitTicket, plain_retry_after};
+use crate::direct::placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
 use crate::direct::{RegionSet, ServingConfig};
 use crate::prelude::*;
 
@@ -83,7 +81,7 @@
 
     /// Returns the verdict on each target of the request's service, in the order of their ids.
     pub fn verdicts(&self, now: MonoTime, request: &SlotRequest) -> Vec<TargetVerdict> {
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let targets = self.targets.values().filter(|load| load.record.service == request.service);
         let verdict = |load: &TargetLoad| TargetVerdict {
             target: load.record.clone(),
@@ -95,7 +93,7 @@
     /// Returns why no target may get `request` now: the weakest of the targets' obstacles, so that of the target
     /// that comes closest. `None` if a target may get it, or there is none.
     pub fn main_obstacle(&self, now: MonoTime, request: &SlotRequest) -> Option<PlacementObstacle> {
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let mut weakest = None;
         for load in self.targets.values().filter(|load| load.record.service == request.service) {
             match check.verdict(load) {
@@ -122,7 +120,7 @@
     ) -> Option<PlacementObstacle> {
         use PlacementObstacle::{Evacuated, Region, Version};
         let load = self.targets.get(&grant.target.id)?;
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let is_relevant = |obstacle, _| matches!(obstacle, Region | Evacuated | Version);
         if let Some((obstacle, _)) = check.find_obstacle(load, Version, is_relevant) {
             return Some(obstacle);
@@ -143,7 +141,7 @@
             .map(|(ticket, _)| ticket)
             .collect();
         unplaceable.iter().for_each(|ticket| self.cancel(*ticket));
-        unplaceable.into_iter().map(|ticket| (ticket, retry_after(ticket))).collect()
+        unplaceable.into_iter().map(|ticket| (ticket, plain_retry_after(ticket))).collect()
     }
 
     /// Returns whether the service has targets, and all of them are at sites that the request may not use.
@@ -170,20 +168,25 @@
         let accepts_from = (!notices.is_leaving(&load.record)).then_some(accepts_from);
         accepts_from.into_iter().chain(self.rules.cold.blocked_until(now, &load.record))
     }
-}
 
-/// Returns whether a target may serve both requests, so that they wait for the same slots.
-pub(super) fn competes(
-    rules: &PlacementRules,
-    entries: &EntryRegions,
-    targets: &SortedTable<Arc<str>, TargetLoad>,
-    waiting: &SlotRequest,
-    request: &SlotRequest,
-) -> bool {
-    let allows_both = |load: &TargetLoad| {
-        load.record.service == request.service
-            && rules.allows_site(entries, waiting, &load.record.site)
-            && rules.allows_site(entries, request, &load.record.site)
-    };
-    rules.allow_all_sites() || targets.values().any(allows_both)
+    /// Returns whether a target may serve both requests, so that they wait for the same slots.
+    pub(super) fn competes(&self, waiting: &SlotRequest, request: &SlotRequest) -> bool {
+        let allows_both = |load: &TargetLoad| {
+            load.record.service == request.service
+                && self.rules.allows_site(&self.regions, waiting, &load.record.site)
+                && self.rules.allows_site(&self.regions, request, &load.record.site)
+        };
+        self.rules.allow_all_sites() || self.targets.values().any(allows_both)
+    }
+
+    /// Returns whether a target may serve `request` but not `waiting`, so that it need not wait for the same
+    /// slots.
+    pub(super) fn can_go_elsewhere(&self, waiting: &SlotRequest, request: &SlotRequest) -> bool {
+        let allows_only = |load: &TargetLoad| {
+            load.record.service == request.service
+                && !self.rules.allows_site(&self.regions, waiting, &load.record.site)
+                && self.rules.allows_site(&self.regions, request, &load.record.site)
+        };
+        !self.rules.allow_all_sites() && self.targets.values().any(allows_only)
+    }
 }
--- a/core/src/direct/slots/preview.rs
+++ b/core/src/direct/slots/preview.rs
@@ -1,7 +1,8 @@
 //! What would happen to a request if it arrived now, without a change of any state.
 
-use super::placing::competes;
+use super::queue::Waiter;
 use super::{Admission, SlotRequest, SlotScheduler};
+use crate::direct::CallerTime;
 use crate::direct::placement::TargetVerdict;
 use crate::prelude::*;
 
@@ -36,21 +37,31 @@
 }
 
 impl SlotScheduler {
-    /// Returns what would happen to `request` if it arrived now. It is decided by the code that decides on
-    /// requests, on a copy of the state.
+    /// Returns what would happen to `request` of an unknown caller if it arrived now.
     pub fn preview(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
-        let mut queue = self.queues.get(&request.service).cloned().unwrap_or_default();
-        let ahead = queue.ahead_of(request, |waiting| {
-            competes(&self.rules, &self.regions, &self.targets, waiting, request)
-        });
-        let usable_slots = self.usable_slots(now, request);
-        let expected_wait = queue.expected_wait(now, ahead, usable_slots, |site| {
-            self.rules.allows_site(&self.regions, request, site)
-        });
+        self.preview_from(now, request, CallerTime::default())
+    }
+
+    /// Returns what would happen to `request` of `caller` if it arrived now. It is decided by the code that
+    /// decides on requests, on a copy of the state.
+    pub fn preview_from(
+        &self,
+        now: MonoTime,
+        request: &SlotRequest,
+        caller: CallerTime,
+    ) -> SlotPreview {
+        let mut copy = self.clone();
+        let caller =
+            CallerTime { returned: caller.returned || !request.tried.is_empty(), ..caller };
+        let waiter = Waiter::new(now, 0, request.clone(), caller);
+        let ahead = copy.ahead_of(&waiter);
+        let usable_slots = copy.usable_slots(now, request);
+        let expected_wait = copy.expected_wait(now, &waiter, ahead, usable_slots);
+        let waiting = copy.queue_mut(&request.service).len();
         SlotPreview {
-            admission: self.clone().request(now, request.clone()),
-            waiting: queue.len(),
-            ahead,
+            admission: copy.request_from(now, request.clone(), caller),
+            waiting,
+            ahead: ahead.requests,
             usable_slots,
             expected_wait: (usable_slots > 0).then_some(expected_wait),
             targets: self.preview_targets(now, request),
--- a/core/src/direct/slots/restrictions.rs
+++ b/core/src/direct/slots/restrictions.rs
@@ -32,7 +32,7 @@
     /// Returns the time until the first target of `request` that is paused, limited or cold may get a request
     /// again.
     pub(super) fn pause_left(&self, now: MonoTime, request: &SlotRequest) -> Option<Duration> {
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let candidates = self.targets.values().filter(|load| check.is_candidate(load));
         let pause_end = candidates.map(|load| check.allowed_from(load)).min()?;
         Some(pause_end.since(now))
@@ -41,7 +41,7 @@
     /// Returns how many requests the limited and cold targets that have a free slot allow within the time that
     /// `request` may wait.
     pub(super) fn allowed_in_time(&self, now: MonoTime, request: &SlotRequest) -> usize {
-        let check = self.placement_check(now, request);
+        let check = self.placement_check(now, request, 0);
         let accepts_until = now + request.wait.max_wait;
         let allowed = |load: &TargetLoad| {
             let allowed = check.allowed_until(load, accepts_until)?;
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -15,7 +15,7 @@
 use crate::direct::settings::{DirectAgentSettings, DirectSettings};
 use buckthornwharf_core::direct::version_choice::{CopyTimes, versions_to_load};
 use buckthornwharf_core::direct::{
-    DeclaredVersion, EngineSpec, LoadedModel, NewsCoverage, OriginSpec, StorePosition,
+    DeclaredVersion, EngineSpec, EntryDemands, LoadedModel, NewsCoverage, OriginSpec, StorePosition,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_core::weights::FetchShare;
@@ -100,6 +100,8 @@
     /// Links to entries by the store keys of the entries.
     links: RefCell<SortedTable<Arc<str>, EntryLink>>,
     loads: watch::Sender<Option<EngineLoad>>,
+    /// What entries told of their demand.
+    demands: RefCell<EntryDemands>,
     /// Whether the engine was ordered to load a version; it accepts no requests until it has.
     load_ordered: Cell<bool>,
 }
@@ -133,6 +135,7 @@
             coverage_changed: Notify::new(),
             links: RefCell::default(),
             loads: watch::channel(None).0,
+            demands: RefCell::default(),
             load_ordered: Cell::new(false),
         })
     }
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -77,7 +77,13 @@
     start_readiness(readiness_listener, state.clone())?;
     let agent_state = state.clone();
     let on_message = move |now, message| agent_state.on_agent_message(now, &message);
-    loads::start_receiver(load_listener, state.guard.clone(), state.subscribe_news(), on_message)?;
+    loads::start_receiver(
+        load_listener,
+        state.guard.clone(),
+        state.subscribe_news(),
+        state.subscribe_demand(),
+        on_message,
+    )?;
     let outage = start_followers(&store, &state);
     crash_reports::start(store.clone(), settings.host.clone(), outage, state.clone());
     let record = PresenceRecord::of(&settings);
@@ -92,6 +98,9 @@
         move |until| live_state.set_registered_until(until),
     ));
     actix_rt::spawn(state::run_queue(state.clone()));
+    if settings.fair_queue {
+        actix_rt::spawn(state::run_demand(state.clone()));
+    }
     actix_rt::spawn(state::run_evacuation_metrics(state.clone()));
     actix_rt::spawn(state::run_limit_metrics(state.clone()));
     let reloaded = state.clone();
--- a/src/direct/entry/placement_report.rs
+++ b/src/direct/entry/placement_report.rs
@@ -10,8 +10,8 @@
 use actix_http::{Method, StatusCode};
 use buckthornwharf_core::direct::slots::{SlotPreview, TargetPreview};
 use buckthornwharf_core::direct::{
-    Admission, OrganisationKeys, PlacementVerdict, ServingRoute, SlotRequest, TargetVerdict,
-    wait_allowance,
+    Admission, CallerTime, OrganisationKeys, PlacementVerdict, ServingRoute, SlotRequest,
+    TargetVerdict, wait_allowance,
 };
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
@@ -56,7 +56,8 @@
     }
     let services = route.services.iter().map(|(service, _)| {
         let request = slot_request(service, route, organisation, query);
-        let preview = state.preview_slot(now, &request);
+        let caller = CallerTime { returned: false, time_left: timeout_of(route) };
+        let preview = state.preview_slot(now, &request, caller);
         service_report(now, &request, preview)
     });
     Ok(PlacementReport {
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -10,7 +10,7 @@
 
 pub use crashes::cause_list;
 pub use evacuation::run_evacuation_metrics;
-pub use queue::{QueueDecision, ReservedSlot, run_queue};
+pub use queue::{QueueDecision, ReservedSlot, run_demand, run_queue};
 pub use speed::run_limit_metrics;
 
 use super::pool::ConnectionPool;
@@ -22,7 +22,7 @@
 use crate::direct::settings::{BoundSettings, DirectSettings};
 use buckthornwharf_core::direct::slots::EntryRegions;
 use buckthornwharf_core::direct::{
-    CallerLimits, CallerTimeoutEstimate, CrashLedger, EvacuationReader, GuiltyGroup,
+    CallerLimits, CallerTimeoutEstimate, ClassDemand, CrashLedger, EvacuationReader, GuiltyGroup,
     RetryAllowance, RetryBudget, RouteTable, SlotScheduler, TargetCatalog, WaitTicket,
 };
 use buckthornwharf_core::prelude::*;
@@ -54,6 +54,8 @@
     versions_listed: Cell<bool>,
     entries: RefCell<SortedTable<Arc<str>, PresenceRecord>>,
     scheduler: RefCell<SlotScheduler>,
+    /// The entry's demand, for agents.
+    demand: watch::Sender<ClassDemand>,
     waiters: RefCell<SortedTable<WaitTicket, oneshot::Sender<QueueDecision>>>,
     retry_budgets: RefCell<SortedTable<ServiceName, RetryBudget>>,
     caller_timeouts: RefCell<SortedTable<RouteName, CallerTimeoutEstimate>>,
@@ -81,7 +83,7 @@
     ) -> Rc<Self> {
         let sites = settings.regions.clone().into_iter().collect();
         let regions = EntryRegions::new(settings.region(), sites);
-        let mut scheduler = SlotScheduler::new(regions);
+        let mut scheduler = SlotScheduler::new(regions).with_fair_queue(settings.fair_queue);
         if settings.learned_limits {
             scheduler.enable_learned_limits(rand::random());
         }
@@ -91,6 +93,7 @@
             shutdown,
             bounds: RefCell::new(settings.bounds.clone()),
             store: StoreClient::new(settings.store),
+            demand: watch::channel(ClassDemand::default()).0,
             settings,
             news: watch::channel(VersionNews::default()).0,
             routes: RefCell::default(),
@@ -155,6 +158,11 @@
         self.news.subscribe()
     }
 
+    /// Subscribes to the demand of the entry; `None` if entries share targets equally.
+    pub fn subscribe_demand(&self) -> Option<watch::Receiver<ClassDemand>> {
+        self.settings.fair_queue.then(|| self.demand.subscribe())
+    }
+
     /// Returns the routes of the active configuration; `None` before the first.
     pub fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().clone()
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -2,8 +2,9 @@
 
 use super::EntryState;
 use crate::clock;
+use crate::direct::demand::{MEASURE_INTERVAL, differs};
 use buckthornwharf_core::direct::slots::{SlotOutcome, SlotPreview};
-use buckthornwharf_core::direct::{Admission, SlotGrant, SlotRequest, WaitTicket};
+use buckthornwharf_core::direct::{Admission, CallerTime, SlotGrant, SlotRequest, WaitTicket};
 use buckthornwharf_core::prelude::*;
 use log::info;
 use std::rc::Rc;
@@ -73,13 +74,14 @@
 }
 
 impl EntryState {
-    /// Requests a slot. If the request is queued, returns the pending slot as the error.
+    /// Requests a slot for a request of `caller`. If the request is queued, returns the pending slot as the error.
     pub fn request_slot(
         &self,
         now: MonoTime,
         request: SlotRequest,
+        caller: CallerTime,
     ) -> Result<QueueDecision, PendingSlot<'_>> {
-        match self.scheduler.borrow_mut().request(now, request) {
+        match self.scheduler.borrow_mut().request_from(now, request, caller) {
             Admission::Granted(grant) => Ok(QueueDecision::Granted(grant)),
             Admission::Refused(retry_after) => Ok(QueueDecision::Refused(retry_after)),
             Admission::Queued(ticket) => {
@@ -92,9 +94,14 @@
         }
     }
 
-    /// Returns what would happen to a request if it arrived now.
-    pub fn preview_slot(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
-        self.scheduler.borrow().preview(now, request)
+    /// Returns what would happen to a request of `caller` if it arrived now.
+    pub fn preview_slot(
+        &self,
+        now: MonoTime,
+        request: &SlotRequest,
+        caller: CallerTime,
+    ) -> SlotPreview {
+        self.scheduler.borrow().preview_from(now, request, caller)
     }
 
     /// Removes a waiting request from the queue.
@@ -116,7 +123,8 @@
     ) -> Option<ReservedSlot> {
         let now = clock::now();
         request.tried.extend(self.scheduler.borrow().silent_targets(now));
-        let decision = match self.request_slot(now, request) {
+        let caller = CallerTime { returned: true, ..CallerTime::default() };
+        let decision = match self.request_slot(now, request, caller) {
             Ok(decision) => decision,
             Err(mut pending) => pending.decided().await?,
         };
@@ -227,6 +235,19 @@
     }
 }
 
+/// Measures the demand that agents are told of, for the lifetime of the process.
+pub async fn run_demand(state: Rc<EntryState>) {
+    loop {
+        actix_rt::time::sleep(MEASURE_INTERVAL).await;
+        let demand = state.scheduler.borrow_mut().demand(clock::now());
+        state.demand.send_if_modified(|known| {
+            let modified = differs(known, &demand);
+            *known = demand;
+            modified
+        });
+    }
+}
+
 async fn sleep_for(delay: Option<Duration>) {
     match delay {
         Some(delay) => actix_rt::time::sleep(delay).await,
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -1,14 +1,17 @@
 //! Links between agents and entries: WebSocket connections that agents open, to report the loads of their
 //! engines and to exchange news of declared versions and evacuated sites.
 
+use super::demand::{
+    DEMAND_QUERY, DemandMessage, EntryMessage, REPEAT_INTERVAL as DEMAND_INTERVAL,
+};
 use super::evacuation::EvacuatedFields;
 use super::inbound_guard::InboundGuard;
 use super::news::{DeclaredFields, NEWS_INTERVAL, NewsMessage, NewsRepeat, VersionNews};
 use crate::clock;
 use anyhow::{Result, anyhow, bail};
-use buckthornwharf_core::direct::EvacuationRepeat;
 use buckthornwharf_core::direct::capacity::EngineState;
 use buckthornwharf_core::direct::memory::{ConnectionKind, HolderPhase};
+use buckthornwharf_core::direct::{ClassDemand, EvacuationRepeat};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::ConnectionMemory;
 use futures_util::{Sink, SinkExt, Stream, StreamExt};
@@ -20,6 +23,7 @@
 use std::rc::Rc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::{Bytes, Error, Message};
@@ -114,6 +118,10 @@
     /// The declared versions that the agent knows; empty if the entry has heard of them on this link.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub versions: Vec<DeclaredFields>,
+    /// The part of the free slots, in thousandths, that the entry may take of those for its region; absent
+    /// if it is an equal one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<u16>,
     /// The evacuated sites, or some of them; `None` if the entry has heard of them on this link, or if
     /// there has been no evacuation.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -124,7 +132,12 @@
     /// Creates the message that reports `load` and names `versions`, without evacuated sites.
     pub fn new(load: EngineLoad, versions: Vec<DeclaredFields>) -> Self {
         let EngineLoad { engine, requests, accepting, details } = load;
-        Self { engine, requests, accepting, details, versions, evacuated: None }
+        Self { engine, requests, accepting, details, versions, part: None, evacuated: None }
+    }
+
+    /// Sets the part of the free slots that the entry may take.
+    pub fn with_part(self, part: Option<u16>) -> Self {
+        Self { part, ..self }
     }
 
     /// Returns the load of the agent's engine.
@@ -153,8 +166,9 @@
         .max_frame_size(Some(MAX_MESSAGE_BYTES))
 }
 
-/// Accepts links of agents on `listener` for the rest of the process, within the bounds of `guard`, sends `news` on those that ask for it,
-/// and calls `on_message` with each message and the time of its receipt.
+/// Accepts links of agents on `listener` for the rest of the process, within the bounds of `guard`, sends
+/// `news` and `demand` on those that ask for them, and calls `on_message` with each message and the time of
+/// its receipt.
 ///
 /// # Errors
 ///
@@ -163,6 +177,7 @@
     listener: std::net::TcpListener,
     guard: Rc<InboundGuard>,
     news: watch::Receiver<VersionNews>,
+    demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage) + Clone + 'static,
 ) -> Result<()> {
     guard.prepare_listener(&listener);
@@ -172,8 +187,9 @@
             match listener.accept().await {
                 Ok((stream, source)) => {
                     if let Some(memory) = guard.admit(ConnectionKind::Link, source) {
+                        let (news, demand) = (news.clone(), demand.clone());
                         let on_message = on_message.clone();
-                        actix_rt::spawn(serve_agent(stream, memory, news.clone(), on_message));
+                        actix_rt::spawn(serve_agent(stream, memory, news, demand, on_message));
                     }
                 }
                 Err(error) => {
@@ -191,16 +207,18 @@
     stream: TcpStream,
     memory: ConnectionMemory,
     news: watch::Receiver<VersionNews>,
+    demand: Option<watch::Receiver<ClassDemand>>,
     on_message: impl Fn(MonoTime, AgentMessage),
 ) {
     if let Err(error) = buckthornwharf_exchange::set_socket_options(&stream) {
         debug!("event=link_not_prepared reason=\"{error}\"");
         return;
     }
-    let mut wants_news = false;
+    let (mut wants_news, mut wants_demand) = (false, false);
     #[expect(clippy::result_large_err, reason = "the type is given by the library")]
     let on_request = |request: &Request, response: Response| {
         wants_news = request.uri().path() == NEWS_PATH;
+        wants_demand = request.uri().query() == Some(DEMAND_QUERY);
         Ok(response)
     };
     let handshake = accept_hdr_async_with_config(stream, on_request, Some(link_config()));
@@ -227,11 +245,13 @@
         }
         on_message(now, message);
     };
+    let news = Some(news).filter(|_| wants_news);
+    let demand = demand.filter(|_| wants_demand);
     let ended = tokio::select! {
         ended = receive(messages, received) => ended,
         () = memory.evicted() => Err(anyhow!("too many links")),
         () = silent(&last_message) => Err(anyhow!("the agent is silent")),
-        ended = send_news(sink, news), if wants_news => ended,
+        ended = send_to_agent(sink, news, demand) => ended,
     };
     if let Err(error) = ended {
         debug!("event=link_ended reason=\"{error:#}\"");
@@ -249,30 +269,50 @@
     }
 }
 
-/// Sends the news at once, whenever they change, and each [`NEWS_INTERVAL`]. Evacuated sites that do not
-/// fit into one message follow in further ones.
-async fn send_news(
+/// Sends the news and the demand at once, whenever they change, and each [`NEWS_INTERVAL`] and
+/// [`DEMAND_INTERVAL`]. Evacuated sites that do not fit into one message follow in further ones.
+async fn send_to_agent(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
-    mut news: watch::Receiver<VersionNews>,
+    mut news: Option<watch::Receiver<VersionNews>>,
+    mut demand: Option<watch::Receiver<ClassDemand>>,
 ) -> Result<()> {
+    let (mut news_at, mut demand_at) = (Instant::now(), Instant::now());
     let mut evacuation = EvacuationRepeat::default();
     loop {
-        let now = clock::now();
-        let message = {
-            let news = news.borrow_and_update();
-            let part = evacuation.due_part(now, &news.evacuation);
-            NewsMessage { evacuated: part.map(EvacuatedFields::from), ..news.message(now) }
-        };
-        send(&mut sink, &message).await?;
-        if evacuation.has_unsent() {
-            continue;
-        }
-        if let Ok(Err(_)) = tokio::time::timeout(NEWS_INTERVAL, news.changed()).await {
-            bail!("the entry ends");
+        tokio::select! {
+            current = changed_or_due(&mut news, news_at), if news.is_some() => {
+                let (now, current) = (clock::now(), current?);
+                let part = evacuation.due_part(now, &current.evacuation);
+                let evacuated = part.map(EvacuatedFields::from);
+                send(&mut sink, &NewsMessage { evacuated, ..current.message(now) }).await?;
+                let pause =
+                    if evacuation.has_unsent() { Duration::ZERO } else { NEWS_INTERVAL };
+                news_at = Instant::now() + pause;
+            }
+            current = changed_or_due(&mut demand, demand_at), if demand.is_some() => {
+                let message = DemandMessage { demand: current? };
+                send(&mut sink, &message).await?;
+                demand_at = Instant::now() + DEMAND_INTERVAL;
+            }
+            else => std::future::pending().await,
         }
     }
 }
 
+/// Waits for a change, at most until `due`, and returns the current value.
+async fn changed_or_due<T: Clone>(
+    receiver: &mut Option<watch::Receiver<T>>,
+    due: Instant,
+) -> Result<T> {
+    let Some(receiver) = receiver else {
+        return std::future::pending().await;
+    };
+    if let Ok(Err(_)) = tokio::time::timeout_at(due, receiver.changed()).await {
+        bail!("the entry ends");
+    }
+    Ok(receiver.borrow_and_update().clone())
+}
+
 /// Passes each message to `on_message` until the link ends.
 async fn receive<T: DeserializeOwned>(
     mut messages: impl Stream<Item = Result<Message, Error>> + Unpin,
@@ -305,6 +345,8 @@
 pub enum LinkEvent {
     /// News of declared versions and evacuated sites.
     News(NewsMessage),
+    /// The entry's demand.
+    Demand(ClassDemand),
     /// The link has ended.
     Lost,
 }
@@ -312,14 +354,25 @@
 /// Sends the reports of an agent to the entry at `address` and reopens the link whenever it fails. If
 /// `wants_news`, the entry sends news on it. Returns when the sender of the loads is dropped.
 pub async fn run_link(
+    address: SocketAddr,
+    wants_news: bool,
+    reports: AgentReports,
+    on_event: impl Fn(LinkEvent),
+) {
+    run_shared_link(address, wants_news, reports, |_| None, on_event).await;
+}
+
+/// Like [`run_link`], and tells the entry with each report which part of the free slots it may take.
+pub async fn run_shared_link(
     address: SocketAddr,
     wants_news: bool,
     mut reports: AgentReports,
+    part: impl Fn(MonoTime) -> Option<u16>,
     on_event: impl Fn(LinkEvent),
 ) {
     loop {
         if let Ok(link) = open_link(address, wants_news).await {
-            let ended = use_link(link, &mut reports, &on_event).await;
+            let ended = use_link(link, &mut reports, &part, &on_event).await;
             on_event(LinkEvent::Lost);
             let Err(error) = ended else {
                 return;
@@ -333,8 +386,11 @@
 async fn open_link(address: SocketAddr, wants_news: bool) -> Result<WebSocketStream<TcpStream>> {
     let stream = buckthornwharf_exchange::connect(address, OPEN_TIMEOUT).await?;
     let path = if wants_news { NEWS_PATH } else { LOADS_PATH };
-    let handshake =
-        client_async_with_config(format!("ws://{address}{path}"), stream, Some(link_config()));
+    let handshake = client_async_with_config(
+        format!("ws://{address}{path}?{DEMAND_QUERY}"),
+        stream,
+        Some(link_config()),
+    );
     let (link, _) = tokio::time::timeout(OPEN_TIMEOUT, handshake).await??;
     Ok(link)
 }
@@ -343,12 +399,20 @@
 async fn use_link(
     link: WebSocketStream<TcpStream>,
     reports: &mut AgentReports,
+    part: &impl Fn(MonoTime) -> Option<u16>,
     on_event: &impl Fn(LinkEvent),
 ) -> Result<()> {
     let (sink, messages) = link.split();
     tokio::select! {
-        ended = receive(messages, |news| on_event(LinkEvent::News(news))) => ended,
-        ended = send_reports(sink, reports) => ended,
+        ended = receive(messages, |message| on_event(message_event(message))) => ended,
+        ended = send_reports(sink, reports, part) => ended,
+    }
+}
+
+fn message_event(message: EntryMessage) -> LinkEvent {
+    match message {
+        EntryMessage::News(news) => LinkEvent::News(news),
+        EntryMessage::Demand(DemandMessage { demand }) => LinkEvent::Demand(demand),
     }
 }
 
@@ -356,6 +420,7 @@
 async fn send_reports(
     mut sink: impl Sink<Message, Error = Error> + Unpin,
     reports: &mut AgentReports,
+    part: &impl Fn(MonoTime) -> Option<u16>,
 ) -> Result<()> {
     let mut repeat = NewsRepeat::default();
     let mut evacuation = EvacuationRepeat::default();
@@ -365,11 +430,12 @@
             let now = clock::now();
             let message = {
                 let news = reports.news.borrow_and_update();
-                let part = evacuation.due_part(now, &news.evacuation);
-                let evacuated = part.map(EvacuatedFields::from);
+                let evacuated = evacuation.due_part(now, &news.evacuation);
+                let evacuated = evacuated.map(EvacuatedFields::from);
                 let versions = repeat.due_versions(now, &news);
                 AgentMessage { evacuated, ..AgentMessage::new(load, versions) }
             };
+            let message = message.with_part(part(now));
             send(&mut sink, &message).await?;
         }
         let pace_changed = reports.pace_changed(load, MIN_INTERVAL).await;
