--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -36,11 +36,9 @@
         sample: SpeedSample,
     ) -> Option<SpeedChange> {
         let table = self.capacity.as_mut()?;
-        let load = self.targets.get_mut(&grant.target.id)?;
+        let load = self.targets.get(&grant.target.id)?;
         let work = load.work(now, &self.regions, 0.0);
-        let change = table.record(now, &grant.target.id, sample, work.requests.round() as u32);
-        load.learned_limit = table.limit(&grant.target.id);
-        change
+        table.record(now, &grant.target.id, sample, work.requests.round() as u32)
     }
 
     /// Returns the learned limits of the registered targets; empty if they are not enabled.
@@ -75,7 +73,7 @@
         };
         for load in self.targets.values_mut() {
             table.set_target(&load.record);
-            load.learned_limit = table.limit(&load.record.id);
+            load.is_learned = true;
         }
         let targets = &self.targets;
         table.retain(|id| targets.contains_key(id));
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -69,8 +69,8 @@
     part: Option<u16>,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
-    /// Learned limit, used instead of the registered slots; `None` if limits are not learned.
-    pub learned_limit: Option<u32>,
+    /// Whether its limit is learned.
+    pub is_learned: bool,
 }
 
 /// A request that waits for the first byte of its response.
@@ -101,7 +101,7 @@
             part: None,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
-            learned_limit: None,
+            is_learned: false,
         }
     }
 
@@ -122,7 +122,7 @@
         self.other_requests = requests.saturating_sub(self.in_flight);
         self.accepting = accepting;
         self.reported_at = Some(now);
-        self.free_slots = self.slots().saturating_sub(requests);
+        self.free_slots = self.record.slots.saturating_sub(requests);
         self.taken_since_report = 0;
         self.released_since_report = 0;
     }
@@ -227,7 +227,7 @@
             SlotOutcome::Answered => self.consecutive_failures = 0,
             SlotOutcome::Full => {
                 self.extend_cooldown(now, FULL_COOLDOWN);
-                if self.learned_limit.is_some() {
+                if self.is_learned {
                     self.set_full();
                 }
             }
@@ -242,7 +242,7 @@
     /// Records that no slot is free, as in a report. Requests that this entry sent since the last one are
     /// among those that fill the target.
     fn set_full(&mut self) {
-        self.other_requests = self.slots().saturating_sub(self.in_flight);
+        self.other_requests = self.record.slots.saturating_sub(self.in_flight);
         (self.free_slots, self.taken_since_report, self.released_since_report) = (0, 0, 0);
     }
 
@@ -268,9 +268,9 @@
     /// Returns how many requests this entry may have at the target while it has no fresh report.
     pub fn limit_without_report(&self, entries: &EntryRegions) -> u32 {
         if self.local {
-            return self.slots().div_ceil(entries.in_region().max(1));
+            return self.record.slots.div_ceil(entries.in_region().max(1));
         }
-        let remote_slots = u64::from(self.slots()) * UNREPORTED_REMOTE_PERCENT / 100;
+        let remote_slots = u64::from(self.record.slots) * UNREPORTED_REMOTE_PERCENT / 100;
         (remote_slots as u32 / entries.entries().max(1)).max(1)
     }
 
@@ -299,7 +299,7 @@
         let unused = (share as u32)
             .saturating_add(self.released_since_report)
             .saturating_sub(self.taken_since_report);
-        unused.min(self.slots().saturating_sub(self.in_flight))
+        unused.min(self.record.slots.saturating_sub(self.in_flight))
     }
 
     /// Returns the cost of sending a further request to the target: its utilisation in thousandths,
@@ -325,11 +325,6 @@
         distance_cost + silence_cost
     }
 
-    /// Returns how many requests of all entries the target takes.
-    fn slots(&self) -> u32 {
-        self.learned_limit.map_or(self.record.slots, |limit| limit.min(self.record.slots))
-    }
-
     /// Returns what the target has to do. Each other entry of its region is expected to have sent `mirrored`
     /// times as many requests as this one since the last report.
     pub fn work(&self, now: MonoTime, entries: &EntryRegions, mirrored: f64) -> TargetWork {
