--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -1,5 +1,8 @@
-//! How much each target of a service takes, learned from the times of its answers and from what its
-//! agent reports.
+//! The expected time until each target of a service answers, learned from the times of its answers and from
+//! what its agent reports.
+//!
+//! Targets are chosen by this time. The learned limit of a target is a part of it: above the limit, the time
+//! is expected to rise with the load. It does not bound the slots, which remain the registered ones.
 //!
 //! All values are those of one entry. They are a fixed number of fields for each target, are updated by
 //! constant work for each event, and are forgotten within seconds.
@@ -33,9 +36,10 @@
 pub struct TargetLimit {
     /// Id of the target.
     pub id: Arc<str>,
-    /// Number of requests that it takes concurrently without becoming slow.
+    /// Learned number of concurrent requests above which its times rise; more may be sent.
     pub limit: u32,
-    /// Ratio of its times while it is not loaded to the expected ones of its service.
+    /// Ratio of its times while it is not loaded to the expected ones; in ms for a service without published
+    /// figures, whose expected time is 1 ms.
     pub floor: f64,
     /// Requests of all entries at it, as far as they are known.
     pub load: u32,
@@ -81,7 +85,8 @@
         }
     }
 
-    /// Stores what an agent reports of its target.
+    /// Stores what an agent reports of its target, and returns whether the target has become slow or normal
+    /// by it.
     pub fn set_engine_state(
         &mut self,
         now: MonoTime,
@@ -94,7 +99,7 @@
         target.take_change(now, service)
     }
 
-    /// Returns the number of requests that target `id` takes; `None` if it is unknown.
+    /// Returns the learned limit of target `id`, in requests; `None` if it is unknown.
     pub fn limit(&self, id: &str) -> Option<u32> {
         self.targets.get(id).map(TargetCapacity::limit)
     }
@@ -126,7 +131,7 @@
         is_failing().unwrap_or(false)
     }
 
-    /// Returns whether a request with these tokens fits into the memory of target `id`; true if its memory
+    /// Returns whether a request with these tokens of prompt and answer fits into the memory of target `id`; true if its memory
     /// is not known. `entries` send to the target, and have the same report.
     pub fn fits_memory(&self, now: MonoTime, id: &str, tokens: (u32, u32), entries: u32) -> bool {
         let fits = || {
@@ -137,7 +142,8 @@
         fits().unwrap_or(true)
     }
 
-    /// Records that a request with these tokens is sent to target `id`, which has `work`.
+    /// Records that a request with these tokens of prompt and answer is sent to target `id`, which has `work`.
+    /// Returns the state to which its time is compared later.
     pub fn record_sent(
         &mut self,
         now: MonoTime,
--- a/core/src/direct/capacity/limit.rs
+++ b/core/src/direct/capacity/limit.rs
@@ -1,20 +1,22 @@
-//! The concurrency at which the times of a target begin to rise.
+//! The concurrency at which the times of a target begin to rise. It is a part of the expected time of the
+//! target, and no bound on the requests that are sent to it.
 
 use super::speed::SpeedWindow;
 use crate::prelude::*;
 
-/// Elevation of the times above their floor from which the load is too high: a factor of 1.4.
-const TOO_HIGH: f64 = 0.336;
-/// Elevation below which the limit may rise: a factor of 1.15. Between the two it stays, so that it settles.
-const CALM: f64 = 0.140;
+/// Elevation of the times above their floor from which the load is too high, as a logarithm: a factor of 1.4.
+const CUT_ELEVATION: f64 = 0.336;
+/// Elevation below which the limit may rise, as a logarithm: a factor of 1.15. Between the two it stays, so
+/// that it settles.
+const RISE_ELEVATION: f64 = 0.140;
 /// Part of the limit that must be in use for it to rise by a whole step.
 const USED_PART: f64 = 0.6;
-/// Rise of a limit that is in use, for each calm window.
+/// Rise of a limit that is in use, as a part of it, for each window below [`RISE_ELEVATION`].
 const USED_RISE: f64 = 0.15;
 /// The same for a limit that is not in use. It makes a target that was slow for a while normal again.
 const UNUSED_RISE: f64 = 0.04;
 /// Rise near the load that was too high, as a part of the usual rise.
-const NEAR_CEILING: f64 = 0.2;
+const NEAR_CEILING_FACTOR: f64 = 0.2;
 /// Time after which the load that was too high is forgotten.
 const CEILING_RETENTION: Duration = Duration::from_secs(8);
 /// Minimum time between two rises.
@@ -34,7 +36,7 @@
 }
 
 impl ConcurrencyLimit {
-    /// Creates the limit of a target with `slots`, of which `ratio` are used.
+    /// Creates the limit of a target: `ratio` times its `slots`.
     pub fn new(slots: u32, ratio: f64) -> Self {
         let slots = f64::from(slots.max(1));
         let mut limit = Self {
@@ -48,16 +50,17 @@
         limit
     }
 
-    /// Returns the number of requests.
+    /// Returns the limit as a whole number of requests, at least 1.
     pub fn value(&self) -> u32 {
         self.limit.round().max(1.0) as u32
     }
 
-    /// Returns the ratio to the slots.
+    /// Returns the ratio of the limit to the slots.
     pub fn ratio(&self) -> f64 {
         self.limit / self.slots
     }
 
+    /// Returns the registered slots, at least 1.
     pub fn slots(&self) -> f64 {
         self.slots
     }
@@ -66,23 +69,24 @@
         (self.slots * MIN_PART).max(1.0)
     }
 
-    /// Applies the times of a window.
+    /// Cuts or raises the limit by the times of a window.
     pub fn on_window(&mut self, now: MonoTime, window: SpeedWindow) {
         // Requests that were sent before the last cut ran at the load from before it.
         if window.begun_at < self.cut_at {
             return;
         }
-        if window.elevation > TOO_HIGH {
+        if window.elevation > CUT_ELEVATION {
             // Times that are high at the load of the floor, too, have another reason than the load.
             if window.load > window.floor_load + 1.0 {
                 self.cut(now, window);
             }
-        } else if window.elevation < CALM && now.since(self.risen_at) >= RISE_INTERVAL {
+        } else if window.elevation < RISE_ELEVATION && now.since(self.risen_at) >= RISE_INTERVAL {
             self.rise(now, window.load);
         }
     }
 
-    /// The times of a saturated target are proportional to its load, which gives the load of the floor.
+    /// Cuts the limit to the load at which the times would be those of the floor: the times of a saturated
+    /// target are proportional to its load.
     fn cut(&mut self, now: MonoTime, window: SpeedWindow) {
         let sustainable = window.load * (-window.elevation).exp();
         let limit = sustainable.max(window.floor_load.min(window.load * 0.9)).max(self.min());
@@ -102,7 +106,7 @@
         let rate = if is_used || is_forgotten { USED_RISE } else { UNUSED_RISE };
         let raised = self.limit * (1.0 + rate);
         let is_near = self.ceiling.is_some_and(|ceiling| raised > ceiling * 0.8);
-        let rate = if is_near { rate * NEAR_CEILING } else { rate };
+        let rate = if is_near { rate * NEAR_CEILING_FACTOR } else { rate };
         self.limit = (self.limit * (1.0 + rate)).min(self.slots);
         self.risen_at = now;
     }
--- a/core/src/direct/capacity/speed.rs
+++ b/core/src/direct/capacity/speed.rs
@@ -22,7 +22,7 @@
 const MAX_WINDOW: Duration = Duration::from_secs(3);
 /// Standard deviations of a window's mean that chance explains.
 const CHANCE_DEVIATIONS: f64 = 2.0;
-/// First windows of a target, which only measure its floor.
+/// Number of windows after the start of a target that only measure its floor.
 const LEARNING_WINDOWS: u32 = 4;
 /// Weight of a window that is faster than the floor.
 const FLOOR_FALL: f64 = 0.5;
@@ -219,6 +219,7 @@
         }
     }
 
+    /// Returns the times that a target of usual speed needs.
     pub fn model(&self) -> WorkModel {
         self.model
     }
@@ -276,10 +277,12 @@
         self.sent_rate * decay(now, self.sent_at, RATE_TIME)
     }
 
+    /// Returns the share of failures among the answers.
     pub fn failures(&self) -> f64 {
         self.failures
     }
 
+    /// Returns the usual ratio of a limit to the slots; 1 if nothing is known.
     pub fn limit_ratio(&self) -> f64 {
         self.limit_ratio.unwrap_or(1.0)
     }
--- a/core/src/direct/capacity/target.rs
+++ b/core/src/direct/capacity/target.rs
@@ -71,7 +71,7 @@
     pub is_slow: bool,
     /// Factor by which it is slower than the usual target of its service.
     pub slowness: f64,
-    /// Its limit.
+    /// Its learned limit, in requests.
     pub limit: u32,
 }
 
@@ -93,6 +93,7 @@
 }
 
 impl TargetCapacity {
+    /// Creates the state of a target that has just started, with the values of its service.
     pub fn new(target: &RegisteredTarget, service: &ServiceSpeed) -> Self {
         Self {
             service: target.service.clone(),
@@ -116,18 +117,22 @@
             && self.limit.slots() == f64::from(target.slots.max(1))
     }
 
+    /// Returns the service of the target.
     pub fn service(&self) -> &ServiceName {
         &self.service
     }
 
+    /// Returns the learned limit, in requests.
     pub fn limit(&self) -> u32 {
         self.limit.value()
     }
 
+    /// Returns the registered slots, at least 1.
     pub fn slots(&self) -> f64 {
         self.limit.slots()
     }
 
+    /// Stores what the agent reports.
     pub fn set_engine_state(&mut self, now: MonoTime, state: EngineState) {
         (self.state, self.state_at, self.tokens_since_state) = (state, Some(now), 0.0);
     }
@@ -142,6 +147,7 @@
         pace.filter(|pace| pace.is_finite()).unwrap_or(1.0).clamp(PACE_RANGE.0, PACE_RANGE.1)
     }
 
+    /// Records that a request with these tokens is sent, and returns the state to which its time is compared.
     pub fn record_sent(
         &mut self,
         now: MonoTime,
@@ -181,6 +187,7 @@
         used <= memory * MEMORY_PART || state.running + state.waiting == 0
     }
 
+    /// Records a measured time or a failure; `load` requests of all entries are at the target.
     pub fn record(
         &mut self,
         now: MonoTime,
@@ -263,9 +270,9 @@
         work: TargetWork,
     ) -> f64 {
         let usual = service.model().start_ms(prompt_tokens, work);
-        let crowding = ((work.requests + 1.0) / f64::from(self.limit())).max(1.0);
-        let failing = 1.0 + (FAILURE_SLOWNESS - 1.0) * self.failure_share(now);
-        let expected = usual * self.slowness(now, service) * crowding * failing;
+        let load_factor = ((work.requests + 1.0) / f64::from(self.limit())).max(1.0);
+        let failure_factor = 1.0 + (FAILURE_SLOWNESS - 1.0) * self.failure_share(now);
+        let expected = usual * self.slowness(now, service) * load_factor * failure_factor;
         // An answer that has not begun shows that the target is slow before its time is known.
         expected.max(work.oldest_wait.as_secs_f64() * 1000.0)
     }
--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -16,7 +16,7 @@
 pub use cold::ColdReason;
 pub(in crate::direct) use cold::ColdTargets;
 pub(in crate::direct) use evacuation::EvacuatedSites;
-pub(in crate::direct) use learned_capacity::{LearnedPlacement, MIRRORED_PART};
+pub(in crate::direct) use learned_capacity::{LearnedPlacement, OTHER_ENTRY_RATIO};
 
 use super::slots::{EntryRegions, NoticeTable, Reservation, TargetLoad};
 use super::{DeclaredVersions, RegisteredTarget, SlotRequest, WaitTicket};
@@ -155,7 +155,7 @@
     pub entries: &'a EntryRegions,
     pub notices: &'a NoticeTable,
     pub rules: &'a PlacementRules,
-    /// The learned capacities; `None` if they are not learned.
+    /// The learned values of the targets; `None` if limits are not learned.
     pub learned: Option<LearnedPlacement<'a>>,
 }
 
@@ -244,6 +244,7 @@
 
     /// Returns whether `obstacle` exists; if so, the inner value is when it ends, if known.
     fn check(&self, obstacle: PlacementObstacle, load: &TargetLoad) -> Option<Option<MonoTime>> {
+        // The end of an obstacle of the first kind is not known.
         let unless = |fits: bool| (!fits).then_some(None);
         let from = |at: MonoTime| (at > self.now).then_some(Some(at));
         let Self { now, request, notices, rules, .. } = self;
--- a/core/src/direct/placement/learned_capacity.rs
+++ b/core/src/direct/placement/learned_capacity.rs
@@ -1,27 +1,28 @@
-//! What the learned capacity of a target means for a request.
+//! Placement of a request by the learned speed, failures and memory of the targets.
 
 use super::PlacementCheck;
 use crate::direct::capacity::{CapacityTable, TargetWork};
 use crate::direct::slots::TargetLoad;
 use std::cell::OnceCell;
 
-/// Part of the requests that this entry sent to a target since its last report that each other entry in
-/// the region is expected to have sent to it as well: all have the same report, and different noise.
-pub const MIRRORED_PART: f64 = 0.25;
+/// Requests that each other entry of the region is expected to have sent to a target since its last report, as
+/// a part of those that this entry sent: all have the same report, but choose with different random numbers.
+pub const OTHER_ENTRY_RATIO: f64 = 0.25;
 
 /// Time between reports of a target, in seconds.
 const REPORT_INTERVAL: f64 = 0.1;
 
-/// The learned capacities, and what other entries are expected to send meanwhile.
+/// The learned values of the targets, and what other entries are expected to send meanwhile.
 #[derive(Debug, Clone)]
 pub struct LearnedPlacement<'a> {
     table: &'a CapacityTable,
-    /// Requests that the other entries are expected to send to a target until its next report; not needed for
-    /// most requests that wait, since they find no target.
+    /// Requests that the other entries are expected to send to a target until its next report. Computed on
+    /// first use, since most requests that wait find no target.
     arrivals: OnceCell<f64>,
 }
 
 impl<'a> LearnedPlacement<'a> {
+    /// Creates the placement of one request.
     pub fn new(table: &'a CapacityTable) -> Self {
         Self { table, arrivals: OnceCell::new() }
     }
@@ -32,7 +33,7 @@
         let prompt_tokens = check.request.prompt_tokens;
         let arrivals = *self.arrivals.get_or_init(|| self.expected_arrivals(check));
         let cost = self.table.cost(check.now, &load.record.id, prompt_tokens, work, arrivals);
-        cost + load.place_cost(check.now)
+        cost + load.load_independent_cost(check.now)
     }
 
     /// Returns whether the target reads the prompt in time; a slow one takes fewer unread tokens.
@@ -57,13 +58,14 @@
         self.table.fits_memory(check.now, &load.record.id, tokens, check.entries.in_region())
     }
 
-    /// The other entries send as many requests as this one.
+    /// Returns the requests that the other entries are expected to send to a target until its next report: each
+    /// sends as many as this one.
     fn expected_arrivals(&self, check: &PlacementCheck<'_>) -> f64 {
         let others = f64::from(check.entries.entries().saturating_sub(1));
         self.table.sent_rate(check.now, &check.request.service) * others * REPORT_INTERVAL
     }
 
     fn work(&self, check: &PlacementCheck<'_>, load: &TargetLoad) -> TargetWork {
-        load.work(check.now, check.entries, MIRRORED_PART)
+        load.work(check.now, check.entries, OTHER_ENTRY_RATIO)
     }
 }
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -1,11 +1,12 @@
-//! Placement by learned limits and expected times, while they are enabled.
+//! Learned limits and expected times of the targets, while they are enabled. They order the targets, and do not
+//! change their slots.
 
 use super::load::TargetLoad;
 use super::{SlotGrant, SlotRequest, SlotScheduler};
 use crate::direct::capacity::{
     CapacityTable, EngineState, SentState, SpeedChange, SpeedSample, TargetLimit, TargetWork,
 };
-use crate::direct::placement::{LearnedPlacement, MIRRORED_PART};
+use crate::direct::placement::{LearnedPlacement, OTHER_ENTRY_RATIO};
 use crate::prelude::*;
 
 impl SlotScheduler {
@@ -28,7 +29,7 @@
         self.capacity.as_mut()?.set_engine_state(now, id, state)
     }
 
-    /// Records how quickly the target of `grant` answers.
+    /// Records how quickly the target of `grant` answers, and returns whether it has become slow or normal by it.
     pub fn record_speed(
         &mut self,
         now: MonoTime,
@@ -66,22 +67,22 @@
         self.capacity.as_ref()?.expected_start(now, id, request.prompt_tokens, self.work(now, load))
     }
 
-    /// Follows a change of the targets.
+    /// Adds and removes learned values after a change of the targets.
     pub(super) fn update_learned_targets(&mut self) {
         let Some(table) = &mut self.capacity else {
             return;
         };
         for load in self.targets.values_mut() {
             table.set_target(&load.record);
-            load.is_learned = true;
+            load.counts_as_full_when_refused = true;
         }
         let targets = &self.targets;
         table.retain(|id| targets.contains_key(id));
     }
 
-    /// What the target has to do, with what the other entries are expected to have sent.
+    /// Returns what the target has to do, with what the other entries are expected to have sent.
     fn work(&self, now: MonoTime, load: &TargetLoad) -> TargetWork {
-        load.work(now, &self.regions, MIRRORED_PART)
+        load.work(now, &self.regions, OTHER_ENTRY_RATIO)
     }
 
     /// Returns what the placement of requests takes into account; `None` if limits are not learned.
@@ -111,7 +112,7 @@
         let Some((table, load)) = self.capacity.as_mut().zip(self.targets.get(id)) else {
             return SentState::default();
         };
-        let work = load.work(now, &self.regions, MIRRORED_PART);
+        let work = load.work(now, &self.regions, OTHER_ENTRY_RATIO);
         table.record_sent(now, id, (request.prompt_tokens, request.answer_tokens), work)
     }
 }
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -69,8 +69,8 @@
     part: Option<u16>,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
-    /// Whether its limit is learned.
-    pub is_learned: bool,
+    /// Whether a refusal counts as a report without free slots; set while limits are learned.
+    pub counts_as_full_when_refused: bool,
 }
 
 /// A request that waits for the first byte of its response.
@@ -82,6 +82,7 @@
 }
 
 impl TargetLoad {
+    /// Creates the load of a target without requests and reports; `local` if it is in this entry's region.
     pub fn new(record: Arc<RegisteredTarget>, local: bool) -> Self {
         Self {
             record,
@@ -101,7 +102,7 @@
             part: None,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
-            is_learned: false,
+            counts_as_full_when_refused: false,
         }
     }
 
@@ -227,7 +228,7 @@
             SlotOutcome::Answered => self.consecutive_failures = 0,
             SlotOutcome::Full => {
                 self.extend_cooldown(now, FULL_COOLDOWN);
-                if self.is_learned {
+                if self.counts_as_full_when_refused {
                     self.set_full();
                 }
             }
@@ -315,24 +316,29 @@
                     / u64::from(self.limit_without_report(entries).max(1))
             }
         };
-        utilisation + self.place_cost(now)
+        utilisation + self.load_independent_cost(now)
     }
 
     /// Returns the part of the cost that does not depend on the load.
-    pub fn place_cost(&self, now: MonoTime) -> u64 {
+    pub fn load_independent_cost(&self, now: MonoTime) -> u64 {
         let distance_cost = if self.local { 0 } else { REMOTE_COST };
         let silence_cost = if self.is_silent(now) { SILENT_COST } else { 0 };
         distance_cost + silence_cost
     }
 
-    /// Returns what the target has to do. Each other entry of its region is expected to have sent `mirrored`
-    /// times as many requests as this one since the last report.
-    pub fn work(&self, now: MonoTime, entries: &EntryRegions, mirrored: f64) -> TargetWork {
+    /// Returns what the target has to do. Each other entry of its region is expected to have sent
+    /// `other_entry_ratio` times as many requests as this one since the last report.
+    pub fn work(
+        &self,
+        now: MonoTime,
+        entries: &EntryRegions,
+        other_entry_ratio: f64,
+    ) -> TargetWork {
         let others = f64::from(entries.in_region().saturating_sub(1));
         let other_requests = match self.has_fresh_report(now) {
             true => {
                 f64::from(self.other_requests)
-                    + f64::from(self.taken_since_report) * others * mirrored
+                    + f64::from(self.taken_since_report) * others * other_entry_ratio
             }
             // Nothing tells the load of the others, so it is assumed to be like this entry's.
             false => f64::from(self.in_flight) * others,
--- a/core/src/direct/slots/preview.rs
+++ b/core/src/direct/slots/preview.rs
@@ -30,7 +30,7 @@
     pub verdict: TargetVerdict,
     /// Region of the target's site, if it is known.
     pub region: Option<RegionName>,
-    /// The learned limit, if limits are learned.
+    /// The learned limit in requests, if limits are learned; it orders the targets, and does not bound their slots.
     pub learned_limit: Option<u32>,
     /// Requests of this entry at it.
     pub in_flight: u32,
--- a/src/direct/metrics.rs
+++ b/src/direct/metrics.rs
@@ -72,7 +72,7 @@
     pub evacuation_age: IntGauge,
     /// Requests of this entry that still run at targets in evacuated sites.
     pub evacuated_requests: IntGauge,
-    /// Learned limit of each target.
+    /// Learned limit of each target, in requests.
     pub target_limit: GaugeVec,
     /// Times of each target without load, relative to the expected ones of its service.
     pub target_floor: GaugeVec,
--- a/src/direct/placement_report.rs
+++ b/src/direct/placement_report.rs
@@ -83,7 +83,7 @@
     /// Time until that ends, in milliseconds, if it is known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub ends_in_ms: Option<u64>,
-    /// Requests that it takes at a time: the learned limit, or the registered one.
+    /// The learned limit, above which its times are expected to rise, or the registered slots, in requests.
     pub limit: u32,
     /// Whether the limit is learned.
     pub learned: bool,
