--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -248,11 +248,14 @@
         can_be_late
     }
 
+    /// Returns how long `request` of `caller` may wait as a late one.
     fn late_wait(&mut self, request: &SlotRequest, caller: CallerTime) -> WaitAllowance {
         let service_time = self.queue_mut(&request.service).service_time(request);
         late_wait(caller, service_time)
     }
 
+    /// Returns the time after which the caller of `waiter` may retry, if the requests before it need
+    /// `drain_time`.
     fn retry_after(&self, now: MonoTime, waiter: &Waiter, drain_time: Duration) -> Duration {
         match self.fair {
             true => retry_after(waiter.ticket, waiter.caller_at(now), drain_time),
@@ -316,7 +319,7 @@
     /// Grants free slots to waiting requests, in queue order.
     pub fn grant_free_slots(&mut self, now: MonoTime) -> Vec<(WaitTicket, SlotGrant)> {
         let mut grants = Vec::new();
-        // Saves the attempts of all waiting requests while every target is full.
+        // Without a free slot no waiting request can get one, so none is tried.
         if self.fair
             && !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0)
         {
@@ -373,10 +376,9 @@
         let check = self.placement_check(now, &waiter.request, waiter.ticket);
         let lacks_only_prefill = |load: &&TargetLoad| {
             let is_other = |obstacle, _| obstacle != PlacementObstacle::Prefill;
-            load.record.service == *service
-                && check.find_obstacle(load, PlacementObstacle::Retiring, is_other).is_none()
+            check.find_obstacle(load, PlacementObstacle::Retiring, is_other).is_none()
         };
-        let targets = self.targets.values().filter(lacks_only_prefill);
+        let targets = self.targets_of(service).filter(lacks_only_prefill);
         let Some(best) = targets.min_by_key(|load| load.pending_prefill_tokens()) else {
             return;
         };
@@ -446,6 +448,17 @@
         silent.map(|load| load.record.id.clone()).collect()
     }
 
+    /// Returns the targets of a service in the order of their ids, those that are no longer registered
+    /// included.
+    fn targets_of(&self, service: &ServiceName) -> impl Iterator<Item = &TargetLoad> {
+        self.targets.values().filter(move |load| load.record.service == *service)
+    }
+
+    /// Returns the registered targets of all services.
+    fn registered_targets(&self) -> impl Iterator<Item = &TargetLoad> {
+        self.targets.values().filter(|load| load.registered)
+    }
+
     fn queue_mut(&mut self, service: &ServiceName) -> &mut ServiceQueue {
         let fair = self.fair;
         self.queues.get_or_insert_with(service.clone(), || ServiceQueue::new(fair))
@@ -485,11 +498,11 @@
     ) -> Option<SlotGrant> {
         self.begin_choice();
         let check = self.placement_check(now, request, ticket);
-        let verdicts = self.targets.values().filter(|load| load.record.service == request.service);
-        let costs = verdicts.filter_map(|load| match check.verdict(load) {
-            PlacementVerdict::Allowed { cost } => Some((cost, load)),
-            PlacementVerdict::Blocked { .. } => None,
-        });
+        let costs =
+            self.targets_of(&request.service).filter_map(|load| match check.verdict(load) {
+                PlacementVerdict::Allowed { cost } => Some((cost, load)),
+                PlacementVerdict::Blocked { .. } => None,
+            });
         let (_, best) = costs.min_by_key(|(cost, _)| *cost)?;
         let id = best.record.id.clone();
         let begin_by = check.begin_by(best);
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -47,12 +47,11 @@
         let Some(table) = &self.capacity else {
             return Vec::new();
         };
-        let registered = self.targets.values().filter(|load| load.registered);
         let limit_of = |load: &TargetLoad| {
             let requests = load.work(now, &self.regions, 0.0).requests.round() as u32;
             table.target_limit(now, &load.record.id, requests)
         };
-        registered.filter_map(limit_of).collect()
+        self.registered_targets().filter_map(limit_of).collect()
     }
 
     /// Returns the expected time until target `id` begins to answer `request` if it were sent now; `None` if
--- a/core/src/direct/slots/placing.rs
+++ b/core/src/direct/slots/placing.rs
@@ -38,8 +38,9 @@
     /// Notes which of the present targets have started or appeared, since these are cold. To be called after
     /// [`SlotScheduler::set_targets`].
     pub fn observe_starts(&mut self, now: MonoTime) {
-        let registered = self.targets.values().filter(|load| load.registered);
-        self.rules.cold.observe(now, registered.map(|load| &*load.record));
+        let records =
+            self.targets.values().filter(|load| load.registered).map(|load| &*load.record);
+        self.rules.cold.observe(now, records);
     }
 
     /// Records how long a target remains cold by the registration that it has just written.
@@ -75,19 +76,18 @@
 
     /// Returns the number of registered targets that are cold.
     pub fn cold_targets(&self, now: MonoTime) -> usize {
-        let registered = self.targets.values().filter(|load| load.registered);
-        registered.filter(|load| self.rules.cold.is_cold(now, &load.record)).count()
+        let is_cold = |load: &&TargetLoad| self.rules.cold.is_cold(now, &load.record);
+        self.registered_targets().filter(is_cold).count()
     }
 
     /// Returns the verdict on each target of the request's service, in the order of their ids.
     pub fn verdicts(&self, now: MonoTime, request: &SlotRequest) -> Vec<TargetVerdict> {
         let check = self.placement_check(now, request, 0);
-        let targets = self.targets.values().filter(|load| load.record.service == request.service);
         let verdict = |load: &TargetLoad| TargetVerdict {
             target: load.record.clone(),
             verdict: check.verdict(load),
         };
-        targets.map(verdict).collect()
+        self.targets_of(&request.service).map(verdict).collect()
     }
 
     /// Returns why no target may get `request` now: the weakest of the targets' obstacles, so that of the target
@@ -95,7 +95,7 @@
     pub fn main_obstacle(&self, now: MonoTime, request: &SlotRequest) -> Option<PlacementObstacle> {
         let check = self.placement_check(now, request, 0);
         let mut weakest = None;
-        for load in self.targets.values().filter(|load| load.record.service == request.service) {
+        for load in self.targets_of(&request.service) {
             match check.verdict(load) {
                 PlacementVerdict::Allowed { .. } => return None,
                 PlacementVerdict::Blocked { obstacle, .. } => weakest = weakest.max(Some(obstacle)),
@@ -146,9 +146,8 @@
 
     /// Returns whether the service has targets, and all of them are at sites that the request may not use.
     fn is_unplaceable(&self, request: &SlotRequest) -> bool {
-        let is_of_service =
-            |load: &&TargetLoad| load.registered && load.record.service == request.service;
-        let mut targets = self.targets.values().filter(is_of_service).peekable();
+        let targets = self.targets_of(&request.service).filter(|load| load.registered);
+        let mut targets = targets.peekable();
         let allows =
             |load: &TargetLoad| self.rules.allows_site(&self.regions, request, &load.record.site);
         targets.peek().is_some() && !targets.any(allows)
@@ -172,21 +171,19 @@
     /// Returns whether a target may serve both requests, so that they wait for the same slots.
     pub(super) fn competes(&self, waiting: &SlotRequest, request: &SlotRequest) -> bool {
         let allows_both = |load: &TargetLoad| {
-            load.record.service == request.service
-                && self.rules.allows_site(&self.regions, waiting, &load.record.site)
+            self.rules.allows_site(&self.regions, waiting, &load.record.site)
                 && self.rules.allows_site(&self.regions, request, &load.record.site)
         };
-        self.rules.allow_all_sites() || self.targets.values().any(allows_both)
+        self.rules.allow_all_sites() || self.targets_of(&request.service).any(allows_both)
     }
 
     /// Returns whether a target may serve `request` but not `waiting`, so that it need not wait for the same
     /// slots.
     pub(super) fn can_go_elsewhere(&self, waiting: &SlotRequest, request: &SlotRequest) -> bool {
         let allows_only = |load: &TargetLoad| {
-            load.record.service == request.service
-                && !self.rules.allows_site(&self.regions, waiting, &load.record.site)
+            !self.rules.allows_site(&self.regions, waiting, &load.record.site)
                 && self.rules.allows_site(&self.regions, request, &load.record.site)
         };
-        !self.rules.allow_all_sites() && self.targets.values().any(allows_only)
+        !self.rules.allow_all_sites() && self.targets_of(&request.service).any(allows_only)
     }
 }
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -48,6 +48,7 @@
 }
 
 impl Waiter {
+    /// Creates the waiter of a request that arrives now.
     pub fn new(
         now: MonoTime,
         ticket: WaitTicket,
@@ -164,6 +165,7 @@
 }
 
 impl ServiceQueue {
+    /// Creates an empty queue, in the fair order or in the plain one.
     pub fn new(fair: bool) -> Self {
         Self { fair, ..Self::default() }
     }
@@ -212,6 +214,7 @@
         waiters.map(|waiter| (waiter.ticket, &waiter.request))
     }
 
+    /// Adds a waiter, whose longest wait begins now.
     pub fn push(&mut self, now: MonoTime, mut waiter: Waiter) {
         waiter.cost = self.cost_of(&waiter.request);
         waiter.expires_at = now + waiter.request.wait.max_wait;
@@ -220,6 +223,7 @@
         self.class_mut(ClassKey::of(&waiter.request)).push(waiter, fair);
     }
 
+    /// Removes the waiter with this ticket, if it is there.
     pub fn remove(&mut self, ticket: WaitTicket) {
         self.classes.iter_mut().for_each(|class| class.remove(ticket));
     }
@@ -355,6 +359,7 @@
         expired
     }
 
+    /// Returns when the longest wait of the first waiter passes; `None` if none waits.
     pub fn next_expiry(&self) -> Option<MonoTime> {
         self.classes.iter().filter_map(OrderClass::next_expiry).min()
     }
--- a/core/src/direct/slots/queue/class.rs
+++ b/core/src/direct/slots/queue/class.rs
@@ -14,11 +14,14 @@
 /// Order of the classes: those in time before late ones, then by priority.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ClassKey {
+    /// Whether its requests cannot be in time.
     pub late: bool,
+    /// Priority of its requests; a lower number is served first.
     pub priority: u8,
 }
 
 impl ClassKey {
+    /// Returns the class of a request.
     pub fn of(request: &SlotRequest) -> Self {
         Self { late: request.wait.late, priority: request.priority }
     }
@@ -32,7 +35,7 @@
     flows: SortedTable<Option<OrganisationName>, OrganisationFlow>,
     /// Start tag of the request served last.
     virtual_time: StartTag,
-    /// Cost that may be granted before higher classes.
+    /// Cost that may be granted before higher classes, in milliseconds of a slot.
     credit: f64,
     waiting: usize,
     /// Cost of the slots granted recently.
@@ -95,6 +98,7 @@
         ahead
     }
 
+    /// Adds a waiter to those of its organisation.
     pub fn push(&mut self, waiter: Waiter, fair: bool) {
         let organisation = waiter.request.organisation.clone().filter(|_| fair);
         let flow = self.flows.get_or_insert_with(organisation, OrganisationFlow::default);
@@ -192,10 +196,12 @@
         };
     }
 
+    /// Takes the cost of a grant, in milliseconds of a slot, off the credit.
     pub fn spend_credit(&mut self, cost: u32) {
         self.credit = (self.credit - f64::from(cost)).max(0.0);
     }
 
+    /// Moves the waiters whose longest wait has passed to `expired`.
     pub fn take_expired(&mut self, now: MonoTime, expired: &mut Vec<Waiter>) {
         let before = expired.len();
         for flow in self.flows.values_mut() {
@@ -204,6 +210,7 @@
         self.waiting -= expired.len() - before;
     }
 
+    /// Returns when the longest wait of the first waiter passes; `None` if none waits.
     pub fn next_expiry(&self) -> Option<MonoTime> {
         self.flows.values().flat_map(|flow| &flow.waiters).map(|waiter| waiter.expires_at).min()
     }
--- a/core/src/direct/slots/queue/cost.rs
+++ b/core/src/direct/slots/queue/cost.rs
@@ -76,6 +76,7 @@
         ((mean * self.correction()) as u32).max(1)
     }
 
+    /// Records that `request` takes a slot.
     pub fn record_grant(&mut self, now: MonoTime, request: &SlotRequest) {
         self.update(now);
         self.in_use += 1;
@@ -83,11 +84,13 @@
         self.grants += 1.0;
     }
 
+    /// Records that a request releases its slot.
     pub fn record_release(&mut self, now: MonoTime) {
         self.update(now);
         self.in_use = self.in_use.saturating_sub(1);
     }
 
+    /// Returns the cost of a request by the published figures, in milliseconds of a slot.
     fn published_ms(&self, request: &SlotRequest) -> f64 {
         let Some(figures) = &self.figures else {
             return DEFAULT_COST_MS;
@@ -101,6 +104,7 @@
         (prompt * figures.prompt_token_ms + answer * figures.answer_token_ms) * slots
     }
 
+    /// Returns the ratio of the measured slot time to the published one.
     fn correction(&self) -> f64 {
         let (lowest, highest) = CORRECTION_RANGE;
         match self.grants >= MIN_GRANTS {
--- a/core/src/direct/slots/restrictions.rs
+++ b/core/src/direct/slots/restrictions.rs
@@ -50,6 +50,7 @@
         self.targets.values().filter_map(allowed).sum()
     }
 
+    /// Recomputes this entry's share of a limit that a target names, after a change of the targets or entries.
     pub(super) fn update_limit_shares(&mut self) {
         let mut service_regions: SortedTable<ServiceName, Vec<RegionName>> = SortedTable::new();
         for load in self.targets.values().filter(|load| load.registered) {
