--- a/exchange/src/memory.rs
+++ b/exchange/src/memory.rs
@@ -20,7 +20,7 @@
 /// Longest time that a request waits for memory; short, so that the caller can retry in time.
 const MAX_ROOM_WAIT: Duration = Duration::from_millis(1000);
 
-/// The connection has to be closed because the memory or the connections of the process are spent.
+/// The connection has to be closed because the memory or the connections of the process are used up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Evicted;
 
@@ -29,12 +29,14 @@
 pub struct ProcessMemory {
     /// `None` if the process is not bounded.
     budget: Option<RefCell<MemoryBudget>>,
-    accounts: RefCell<Vec<Option<Rc<EvictionSignal>>>>,
+    /// Signals of the open connections, by the index of their [`HolderId`].
+    signals: RefCell<Vec<Option<Rc<EvictionSignal>>>>,
     /// Notified when memory becomes free.
     freed: Notify,
     hasher: RandomState,
 }
 
+/// Tells a connection that it has to be closed for others.
 #[derive(Debug, Default)]
 struct EvictionSignal {
     is_evicted: Cell<bool>,
@@ -46,7 +48,7 @@
     pub fn new(limits: Option<BudgetLimits>) -> Rc<Self> {
         Rc::new(Self {
             budget: limits.map(|limits| RefCell::new(MemoryBudget::new(limits))),
-            accounts: RefCell::default(),
+            signals: RefCell::default(),
             freed: Notify::new(),
             hasher: RandomState::new(),
         })
@@ -67,7 +69,7 @@
         self.budget.as_ref().map_or(0, |budget| budget.borrow().connections())
     }
 
-    /// Returns whether there are as many connections as callers may have.
+    /// Returns whether there are as many connections as callers may have, so that one is closed for each new one.
     pub fn is_crowded(&self) -> bool {
         self.budget.as_ref().is_some_and(|budget| budget.borrow().is_crowded())
     }
@@ -87,22 +89,24 @@
         let AdmittedConnection { id, victim } = opened.ok_or(Evicted)?;
         victim.into_iter().for_each(|victim| self.evict(victim));
         let signal = Rc::new(EvictionSignal::default());
-        let mut accounts = self.accounts.borrow_mut();
-        if accounts.len() <= id.index() {
-            accounts.resize(id.index() + 1, None);
+        let mut signals = self.signals.borrow_mut();
+        if signals.len() <= id.index() {
+            signals.resize(id.index() + 1, None);
         }
-        accounts[id.index()] = Some(signal.clone());
+        signals[id.index()] = Some(signal.clone());
         Ok(ConnectionMemory(Some(Account { process: self.clone(), id, signal })))
     }
 
+    /// Tells the connection `id` that it has to be closed.
     fn evict(&self, id: HolderId) {
-        if let Some(signal) = &self.accounts.borrow()[id.index()] {
+        if let Some(signal) = &self.signals.borrow()[id.index()] {
             signal.is_evicted.set(true);
             signal.notify.notify_one();
         }
     }
 }
 
+/// A connection that the budget counts; it is released on drop.
 struct Account {
     process: Rc<ProcessMemory>,
     id: HolderId,
@@ -110,10 +114,13 @@
 }
 
 impl Account {
+    /// Calls `f` with the budget; `None` if the process is not bounded.
     fn with_budget<T>(&self, f: impl FnOnce(&mut MemoryBudget) -> T) -> Option<T> {
         self.process.budget.as_ref().map(|budget| f(&mut budget.borrow_mut()))
     }
 
+    /// Holds `bytes` in total instead of what is held now, and returns whether there is room for them. Wakes a
+    /// connection that waits for room if this is less than before.
     fn try_hold(&self, bytes: usize) -> bool {
         let held = self.with_budget(|budget| {
             let before = budget.held_bytes();
@@ -126,11 +133,42 @@
         }
         true
     }
+
+    async fn wait_evicted(&self) {
+        while !self.signal.is_evicted.get() {
+            self.signal.notify.notified().await;
+        }
+    }
+
+    async fn wait_for_room(&self, bytes: usize) -> Result<(), Evicted> {
+        let give_up_at = Instant::now() + MAX_ROOM_WAIT;
+        let mut make_room_at = Instant::now() + ROOM_INTERVAL;
+        loop {
+            let woken = tokio::select! {
+                biased;
+                () = self.wait_evicted() => return Err(Evicted),
+                woken = timeout_at(make_room_at, self.process.freed.notified()) => woken,
+            };
+            if self.try_hold(bytes) {
+                // There may be room for the next one as well.
+                self.process.freed.notify_one();
+                return Ok(());
+            }
+            if woken.is_err() {
+                if Instant::now() >= give_up_at {
+                    return Err(Evicted);
+                }
+                make_room_at = Instant::now() + ROOM_INTERVAL;
+                let victims = self.with_budget(|budget| budget.make_room(self.id, bytes));
+                victims.into_iter().flatten().for_each(|victim| self.process.evict(victim));
+            }
+        }
+    }
 }
 
 impl Drop for Account {
     fn drop(&mut self) {
-        self.process.accounts.borrow_mut()[self.id.index()] = None;
+        self.process.signals.borrow_mut()[self.id.index()] = None;
         self.with_budget(|budget| budget.close(self.id));
         self.process.freed.notify_one();
     }
@@ -147,26 +185,27 @@
 }
 
 impl ConnectionMemory {
-    /// Holds `bytes` in addition to the connection itself, if there is room.
+    /// Holds `bytes` in addition to the connection itself, and returns whether there is room for them.
     pub fn try_hold(&self, bytes: usize) -> bool {
         self.0.as_ref().is_none_or(|account| account.try_hold(CONNECTION_BYTES + bytes))
     }
 
-    /// Counts `bytes` in addition to the connection itself, which it holds already.
+    /// Counts `bytes` that are already in use, in addition to the connection itself, whether or not there is room.
     pub fn count(&self, bytes: usize) {
         if let Some(account) = &self.0 {
             account.with_budget(|budget| budget.count(account.id, CONNECTION_BYTES + bytes));
         }
     }
 
-    /// Notes what the connection is doing.
+    /// Records what the connection is doing.
     pub fn set_phase(&self, phase: HolderPhase) {
         if let Some(account) = &self.0 {
             account.with_budget(|budget| budget.set_phase(account.id, phase));
         }
     }
 
-    /// Notes the key of the request that is being read.
+    /// Records the key of the request that is being read. Room is made at the cost of the key that holds most; the
+    /// hash is random for each process, so that callers cannot choose equal ones.
     pub fn set_key(&self, headers: &HeaderMap) {
         if let Some(account) = &self.0
             && let Some(key) = headers.get(AUTHORIZATION)
@@ -201,36 +240,3 @@
         }
     }
 }
-
-impl Account {
-    async fn wait_evicted(&self) {
-        while !self.signal.is_evicted.get() {
-            self.signal.notify.notified().await;
-        }
-    }
-
-    async fn wait_for_room(&self, bytes: usize) -> Result<(), Evicted> {
-        let give_up_at = Instant::now() + MAX_ROOM_WAIT;
-        let mut make_room_at = Instant::now() + ROOM_INTERVAL;
-        loop {
-            let woken = tokio::select! {
-                biased;
-                () = self.wait_evicted() => return Err(Evicted),
-                woken = timeout_at(make_room_at, self.process.freed.notified()) => woken,
-            };
-            if self.try_hold(bytes) {
-                // There may be room for the next one as well.
-                self.process.freed.notify_one();
-                return Ok(());
-            }
-            if woken.is_err() {
-                if Instant::now() >= give_up_at {
-                    return Err(Evicted);
-                }
-                make_room_at = Instant::now() + ROOM_INTERVAL;
-                let victims = self.with_budget(|budget| budget.make_room(self.id, bytes));
-                victims.into_iter().flatten().for_each(|victim| self.process.evict(victim));
-            }
-        }
-    }
-}
