--- a/core/src/direct/memory.rs
+++ b/core/src/direct/memory.rs
@@ -201,7 +201,7 @@
     }
 
     /// Returns whether there are as many connections as callers may have.
-    pub fn is_crowded(&self) -> bool {
+    pub fn is_at_caller_limit(&self) -> bool {
         self.connections() >= self.limits.callers
     }
 
--- a/exchange/src/memory.rs
+++ b/exchange/src/memory.rs
@@ -70,8 +70,8 @@
     }
 
     /// Returns whether there are as many connections as callers may have, so that one is closed for each new one.
-    pub fn is_crowded(&self) -> bool {
-        self.budget.as_ref().is_some_and(|budget| budget.borrow().is_crowded())
+    pub fn is_at_caller_limit(&self) -> bool {
+        self.budget.as_ref().is_some_and(|budget| budget.borrow().is_at_caller_limit())
     }
 
     /// Admits a connection from `source`. Another one may be evicted for it.
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -170,7 +170,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, source)) => {
                     caller::spawn(stream, source, state.clone());
-                    if state.guard.is_crowded() {
+                    if state.guard.is_at_caller_limit() {
                         // Lets the new caller send its request before it is the oldest one.
                         tokio::task::yield_now().await;
                     }
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -203,6 +203,7 @@
         self.report_cold();
     }
 
+    /// Applies the targets of the catalog to the scheduler, the metrics and the open connections.
     pub(super) fn refresh_targets(&self) {
         let catalog = self.catalog.borrow();
         self.metrics.targets.set(catalog.iter().count() as i64);
--- a/src/direct/inbound_guard.rs
+++ b/src/direct/inbound_guard.rs
@@ -1,4 +1,5 @@
-//! Bounds what a process spends on connections that others open to it, and counts and logs what it refuses.
+//! Limits the memory and the number of connections that others open to a process, and counts and logs what it
+//! refuses.
 
 use super::settings::HostLimits;
 use crate::clock;
@@ -96,12 +97,13 @@
         admitted.ok()
     }
 
-    /// Returns whether new callers take the connections of others.
-    pub fn is_crowded(&self) -> bool {
-        self.memory.is_crowded()
+    /// Returns whether a connection has to be closed for each new caller.
+    pub fn is_at_caller_limit(&self) -> bool {
+        self.memory.is_at_caller_limit()
     }
 
-    /// Counts a request that was not read, and its connection closed.
+    /// Counts a request that was not read completely and whose connection was closed. Closed, idle and broken
+    /// connections are not refusals.
     pub fn count_unread(&self, failure: &InboundError) {
         let reason = match failure {
             InboundError::ReadTimeout => "read_timeout",
