Placement: targets without room are left out before their verdict is computed

Under overload each report of an agent let each waiting request ask for the verdict of each target, with several lookups by name. A test of the target's own load comes first, and a service without a target that has room is not tried at all.

--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -319,12 +319,6 @@
     /// Grants free slots to waiting requests, in queue order.
     pub fn grant_free_slots(&mut self, now: MonoTime) -> Vec<(WaitTicket, SlotGrant)> {
         let mut grants = Vec::new();
-        // Without a free slot no waiting request can get one, so none is tried.
-        if self.fair
-            && !self.targets.values().any(|load| load.available_slots(now, &self.regions) > 0)
-        {
-            return grants;
-        }
         let services: Vec<ServiceName> = self
             .queues
             .iter()
@@ -332,6 +326,10 @@
             .map(|(name, _)| name.clone())
             .collect();
         for service in services {
+            // Without a target that has room no waiting request can get one, so none is tried.
+            if !self.targets_of(&service).any(|load| load.has_room(now, &self.regions)) {
+                continue;
+            }
             let Some(mut queue) = self.queues.remove(&service) else {
                 continue;
             };
@@ -498,11 +496,13 @@
     ) -> Option<SlotGrant> {
         self.begin_choice();
         let check = self.placement_check(now, request, ticket);
-        let costs =
-            self.targets_of(&request.service).filter_map(|load| match check.verdict(load) {
-                PlacementVerdict::Allowed { cost } => Some((cost, load)),
-                PlacementVerdict::Blocked { .. } => None,
-            });
+        // Under overload most targets are full. Their verdicts would cost more than the rest of the choice.
+        let candidates =
+            self.targets_of(&request.service).filter(|load| load.has_room(now, &self.regions));
+        let costs = candidates.filter_map(|load| match check.verdict(load) {
+            PlacementVerdict::Allowed { cost } => Some((cost, load)),
+            PlacementVerdict::Blocked { .. } => None,
+        });
         let (_, best) = costs.min_by_key(|(cost, _)| *cost)?;
         let id = best.record.id.clone();
         let begin_by = check.begin_by(best);
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -261,6 +261,14 @@
         self.accepting || !self.has_fresh_report(now)
     }
 
+    /// Returns whether the target could get a request of this entry now, as far as its own load and failures tell.
+    pub fn has_room(&self, now: MonoTime, entries: &EntryRegions) -> bool {
+        self.registered
+            && self.cooldown_until <= now
+            && self.is_accepting(now)
+            && self.available_slots(now, entries) > 0
+    }
+
     /// Returns the version of `model` that the target has loaded, or 0 if it has none.
     pub fn loaded_version(&self, model: &ModelName) -> u64 {
         LoadedModel::newest_version(model, &self.record.models)
