--- a/core/src/direct/version_choice.rs
+++ b/core/src/direct/version_choice.rs
@@ -38,9 +38,10 @@
     let mut kept: Vec<DeclaredVersion> = Vec::new();
     for older in declared.iter().rev() {
         let is_needed = kept.last().is_none_or(|newer| {
+            let fetch_time = time_left(older.version);
             !is_skipped(older, newer, times)
                 && time_left(newer.version) > Duration::ZERO
-                && now + time_left(older.version) + MIN_USE_TIME < newer.required_from
+                && now + fetch_time + min_use_time(fetch_time) < newer.required_from
         });
         if is_needed {
             kept.push(*older);
@@ -50,6 +51,15 @@
     kept
 }
 
+/// Returns the shortest time until its retirement for which a version is worth loading. One that this host does
+/// not hold yet is missing at others, too, and all of them have to load it.
+fn min_use_time(fetch_time: Duration) -> Duration {
+    match fetch_time.is_zero() {
+        true => MIN_USE_TIME,
+        false => MIN_USE_TIME + ROLLOUT_TIME,
+    }
+}
+
 /// Returns whether `older` is not fetched because `newer` was declared before half of `older` could be
 /// read from the origin, and can be in use before the targets need either. From half on, `older` is
 /// finished: the origin may fail before `newer` is complete.
--- a/core/tests/direct_versions.rs
+++ b/core/tests/direct_versions.rs
@@ -157,6 +157,14 @@
     assert_eq!(chosen(27_500, &[18_000, 20_000], &[0.0, 2.0]), [3]);
 }
 
+#[test]
+fn a_version_that_would_be_retired_during_its_rollout_gives_way_to_the_newer_one() {
+    // Guards against an origin that comes back and is read for a version that hardly any host can still load.
+    assert_eq!(chosen(25_400, &[18_000, 21_000], &[0.0, 2.0]), [2, 3]);
+    assert_eq!(chosen(24_000, &[18_000, 21_000], &[1.0, 2.0]), [2, 3]);
+    assert_eq!(chosen(24_600, &[18_000, 21_000], &[1.0, 2.0]), [3]);
+}
+
 #[test]
 fn the_poll_interval_is_short_while_the_list_changes_and_doubles_otherwise() {
     let mut backoff = PollBackoff::default();
