Placement: one place for the check of regions, for what is allowed, and for engines' figures

The shortcut for targets without room stood in front of the decision, and two rules looked up the region of each site also where no region is restricted; both are part of the decision now. Each target carried a flag that only said whether limits are learned, a configuration was applied by three calls, and the lookup of a target with its service stood six times. No behaviour changes; the tests of core/tests/direct_* pass unchanged.

--- a/core/src/direct/capacity.rs
+++ b/core/src/direct/capacity.rs
@@ -106,40 +106,28 @@
 
     /// Returns the limit and speed of target `id`, at which `load` requests are known.
     pub fn target_limit(&self, now: MonoTime, id: &Arc<str>, load: u32) -> Option<TargetLimit> {
-        let target = self.targets.get(id)?;
-        let service = self.services.get(target.service())?;
+        let (target, service) = self.find(id)?;
         let floor = target.floor(now, service);
         Some(TargetLimit { id: id.clone(), limit: target.limit(), floor, load })
     }
 
     /// Returns by which factor the target is slower than the published or usual speed of its service.
     pub fn slowness(&self, now: MonoTime, id: &str) -> f64 {
-        let slowness = || {
-            let target = self.targets.get(id)?;
-            let service = self.services.get(target.service())?;
-            Some(target.relative_slowness(now, service))
-        };
-        slowness().unwrap_or(1.0)
+        let found = self.find(id);
+        found.map_or(1.0, |(target, service)| target.relative_slowness(now, service))
     }
 
     /// Returns whether target `id` fails far more requests than the others of its service.
     pub fn is_failing(&self, now: MonoTime, id: &str) -> bool {
-        let is_failing = || {
-            let target = self.targets.get(id)?;
-            Some(target.is_failing(now, self.services.get(target.service())?))
-        };
-        is_failing().unwrap_or(false)
+        self.find(id).is_some_and(|(target, service)| target.is_failing(now, service))
     }
 
-    /// Returns whether a request with these tokens of prompt and answer fits into the memory of target `id`; true if its memory
-    /// is not known. `entries` send to the target, and have the same report.
+    /// Returns whether a request with these tokens of prompt and answer fits into the memory of target `id`; true
+    /// if its memory is not known. `entries` send to the target, and have the same report.
     pub fn fits_memory(&self, now: MonoTime, id: &str, tokens: (u32, u32), entries: u32) -> bool {
-        let fits = || {
-            let target = self.targets.get(id)?;
-            let service = self.services.get(target.service())?;
-            Some(target.fits_memory(now, service.model(), tokens, entries))
-        };
-        fits().unwrap_or(true)
+        self.find(id).is_none_or(|(target, service)| {
+            target.fits_memory(now, service.model(), tokens, entries)
+        })
     }
 
     /// Records that a request with these tokens of prompt and answer is sent to target `id`, which has `work`.
@@ -186,8 +174,7 @@
         prompt_tokens: u32,
         work: TargetWork,
     ) -> Option<Duration> {
-        let target = self.targets.get(id)?;
-        let service = self.services.get(target.service())?;
+        let (target, service) = self.find(id)?;
         let millis = target.expected_start_ms(now, service, prompt_tokens, work);
         Some(Duration::from_secs_f64(millis.clamp(0.0, 1e6) / 1000.0))
     }
@@ -214,10 +201,7 @@
         mut work: TargetWork,
         arrivals: f64,
     ) -> u64 {
-        let Some(target) = self.targets.get(id) else {
-            return 0;
-        };
-        let Some(service) = self.services.get(target.service()) else {
+        let Some((target, service)) = self.find(id) else {
             return 0;
         };
         let noise = combine_hashes(combine_hashes(self.seed, self.decisions), hash_text(id));
@@ -230,6 +214,11 @@
         let utilisation = (work.requests / f64::from(target.limit())).min(2.0);
         (time_cost + utilisation * UTILISATION_COST) as u64 + noise % NOISE_COST
     }
+
+    fn find(&self, id: &str) -> Option<(&TargetCapacity, &ServiceSpeed)> {
+        let target = self.targets.get(id)?;
+        Some((target, self.services.get(target.service())?))
+    }
 }
 
 /// Maps a hash to a number from 0 up to 1.
--- a/core/src/direct/placement.rs
+++ b/core/src/direct/placement.rs
@@ -128,8 +128,19 @@
         request: &SlotRequest,
         site: &SiteName,
     ) -> bool {
-        !self.evacuated.contains(site)
-            && self.allowed_regions.allows(request, entries.region_of(site))
+        !self.evacuated.contains(site) && self.allows_region(entries, request, site)
+    }
+
+    /// Returns whether `request` may be served in the region of `site`.
+    fn allows_region(
+        &self,
+        entries: &EntryRegions,
+        request: &SlotRequest,
+        site: &SiteName,
+    ) -> bool {
+        // Most deployments restrict nothing, and need no lookup of the region.
+        let regions = &self.allowed_regions;
+        regions.is_empty() || regions.allows(request, entries.region_of(site))
     }
 
     /// Returns whether every request may be served at every site.
@@ -175,6 +186,18 @@
         }
     }
 
+    /// Returns the cost of the target if the request may be sent there now. Under overload most targets have no
+    /// room. Their verdicts would cost more than the rest of the choice, so their load is checked first.
+    pub fn allowed_cost(&self, load: &TargetLoad) -> Option<u64> {
+        if !load.has_room(self.now, self.entries) {
+            return None;
+        }
+        match self.verdict(load) {
+            PlacementVerdict::Allowed { cost } => Some(cost),
+            PlacementVerdict::Blocked { .. } => None,
+        }
+    }
+
     /// Returns the strongest obstacle, of those that are at least as strong as `weakest`, for which `is_relevant`
     /// returns true, with its end if known.
     pub fn find_obstacle(
@@ -253,11 +276,7 @@
             PlacementObstacle::Unregistered => unless(load.registered),
             PlacementObstacle::Draining => unless(target_state::is_ready(record)),
             PlacementObstacle::Region => {
-                let regions = &rules.allowed_regions;
-                unless(
-                    regions.is_empty()
-                        || regions.allows(request, self.entries.region_of(&record.site)),
-                )
+                unless(rules.allows_region(self.entries, request, &record.site))
             }
             PlacementObstacle::Evacuated => unless(!rules.evacuated.contains(&record.site)),
             PlacementObstacle::Leaving => unless(!notices.is_leaving(record)),
--- a/core/src/direct/slots.rs
+++ b/core/src/direct/slots.rs
@@ -18,7 +18,7 @@
 mod token_bucket;
 
 use super::capacity::{CapacityTable, SpeedSample};
-use super::placement::{PlacementCheck, PlacementObstacle, PlacementRules, PlacementVerdict};
+use super::placement::{PlacementCheck, PlacementObstacle, PlacementRules};
 use super::{
     CallerTime, ClassDemand, DeclaredVersion, DeclaredVersions, EngineSpec, RegisteredTarget,
     WaitAllowance,
@@ -113,11 +113,14 @@
         self.prefill_limits.insert(service.clone(), max_tokens as u32);
     }
 
-    /// Sets the published figures of a service's engines, from which costs are estimated and limits are
-    /// learned.
+    /// Sets the published figures of a service's engines, which bound the unread prompts, and from which costs are
+    /// estimated and limits are learned.
     pub fn set_engine(&mut self, service: &ServiceName, engine: Option<&EngineSpec>) {
         if let Some(engine) = engine {
             self.queue_mut(service).set_engine(engine);
+            if let Some(rate) = engine.prompt_tokens_per_second {
+                self.set_prefill_rate(service, rate);
+            }
         }
         if let Some(table) = &mut self.capacity {
             table.set_engine(service, engine);
@@ -284,10 +287,12 @@
         };
         load.release(now, outcome);
         let (service, site) = (load.record.service.clone(), load.record.site.clone());
-        if let Some(table) = &mut self.capacity
-            && outcome == SlotOutcome::Failed
-        {
-            table.record(now, id, SpeedSample::Failed, 0);
+        if let Some(table) = &mut self.capacity {
+            match outcome {
+                SlotOutcome::Answered => {}
+                SlotOutcome::Full => load.set_full(),
+                SlotOutcome::Failed => drop(table.record(now, id, SpeedSample::Failed, 0)),
+            }
         }
         let answered_at = Some(site).filter(|_| outcome == SlotOutcome::Answered);
         self.queue_mut(&service).count_release(now, answered_at);
@@ -496,14 +501,9 @@
     ) -> Option<SlotGrant> {
         self.begin_choice();
         let check = self.placement_check(now, request, ticket);
-        // Under overload most targets are full. Their verdicts would cost more than the rest of the choice.
-        let candidates =
-            self.targets_of(&request.service).filter(|load| load.has_room(now, &self.regions));
-        let costs = candidates.filter_map(|load| match check.verdict(load) {
-            PlacementVerdict::Allowed { cost } => Some((cost, load)),
-            PlacementVerdict::Blocked { .. } => None,
-        });
-        let (_, best) = costs.min_by_key(|(cost, _)| *cost)?;
+        let targets = self.targets_of(&request.service);
+        let allowed = targets.filter_map(|load| Some((check.allowed_cost(load)?, load)));
+        let (_, best) = allowed.min_by_key(|(cost, _)| *cost)?;
         let id = best.record.id.clone();
         let begin_by = check.begin_by(best);
         let sent = self.record_sent(now, &id, request);
--- a/core/src/direct/slots/learned.rs
+++ b/core/src/direct/slots/learned.rs
@@ -71,9 +71,8 @@
         let Some(table) = &mut self.capacity else {
             return;
         };
-        for load in self.targets.values_mut() {
+        for load in self.targets.values() {
             table.set_target(&load.record);
-            load.counts_as_full_when_refused = true;
         }
         let targets = &self.targets;
         table.retain(|id| targets.contains_key(id));
--- a/core/src/direct/slots/load.rs
+++ b/core/src/direct/slots/load.rs
@@ -69,8 +69,6 @@
     part: Option<u16>,
     cooldown_until: MonoTime,
     consecutive_failures: u32,
-    /// Whether a refusal counts as a report without free slots; set while limits are learned.
-    pub counts_as_full_when_refused: bool,
 }
 
 /// A request that waits for the first byte of its response.
@@ -102,7 +100,6 @@
             part: None,
             cooldown_until: MonoTime::ZERO,
             consecutive_failures: 0,
-            counts_as_full_when_refused: false,
         }
     }
 
@@ -226,12 +223,7 @@
         self.released_since_report += 1;
         match outcome {
             SlotOutcome::Answered => self.consecutive_failures = 0,
-            SlotOutcome::Full => {
-                self.extend_cooldown(now, FULL_COOLDOWN);
-                if self.counts_as_full_when_refused {
-                    self.set_full();
-                }
-            }
+            SlotOutcome::Full => self.extend_cooldown(now, FULL_COOLDOWN),
             SlotOutcome::Failed => {
                 let cooldown = FIRST_COOLDOWN * 2_u32.pow(self.consecutive_failures.min(8));
                 self.consecutive_failures += 1;
@@ -242,7 +234,7 @@
 
     /// Records that no slot is free, as in a report. Requests that this entry sent since the last one are
     /// among those that fill the target.
-    fn set_full(&mut self) {
+    pub fn set_full(&mut self) {
         self.other_requests = self.record.slots.saturating_sub(self.in_flight);
         (self.free_slots, self.taken_since_report, self.released_since_report) = (0, 0, 0);
     }
--- a/core/src/direct/slots/placing.rs
+++ b/core/src/direct/slots/placing.rs
@@ -8,9 +8,12 @@
 use crate::prelude::*;
 
 impl SlotScheduler {
-    /// Applies the allowed regions and the limits of cold targets of a configuration. They hold for requests that
-    /// wait already, too.
+    /// Applies the published figures of engines, the allowed regions and the limits of cold targets of a
+    /// configuration. They hold for requests that wait already, too.
     pub fn set_config(&mut self, config: &ServingConfig) {
+        for service in &config.services {
+            self.set_engine(&service.name, service.engine.as_ref());
+        }
         self.rules.allowed_regions.set_config(config);
         self.rules.cold.set_config(config);
         self.recheck_waiting = true;
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -102,16 +102,7 @@
              routes={}",
             config.routes.len()
         );
-        let mut scheduler = self.scheduler.borrow_mut();
-        scheduler.set_config(&config);
-        for service in &config.services {
-            scheduler.set_engine(&service.name, service.engine.as_ref());
-            let rate = service.engine.as_ref().and_then(|spec| spec.prompt_tokens_per_second);
-            if let Some(rate) = rate {
-                scheduler.set_prefill_rate(&service.name, rate);
-            }
-        }
-        drop(scheduler);
+        self.scheduler.borrow_mut().set_config(&config);
         self.metrics.generation.set(i64::try_from(generation).unwrap_or(i64::MAX));
         self.publish_agent_config(AgentConfig::of(&config));
         *routes = Some(Rc::new(RouteTable::new(Arc::new(config))));
