Streams: events are counted where they are split

The relay scanned each part of a stream for the ends of events again, to measure pauses, with a pattern of its own beside that of EventStream, and for all deployments. EventStream counts the events that it returns instead, which replaces its flag for the first one.

--- a/core/src/direct/event_stream.rs
+++ b/core/src/direct/event_stream.rs
@@ -42,10 +42,10 @@
     /// Length of the beginning of `partial` that is known to hold no separator.
     scanned: usize,
     last_id: Option<String>,
+    /// Number of complete events of the current target.
+    complete_events: u32,
     /// Whether a target has sent an event.
     has_begun: bool,
-    /// Whether the current target has.
-    has_events: bool,
 }
 
 impl EventStream {
@@ -54,7 +54,7 @@
     pub fn begin_attempt(&mut self) {
         self.partial.clear();
         self.scanned = 0;
-        self.has_events = false;
+        self.complete_events = 0;
     }
 
     /// Adds received bytes and returns the events that are complete now; empty if there are none.
@@ -87,11 +87,12 @@
     fn take_ids(&mut self, complete: &[u8]) -> Result<(), StreamFault> {
         for event in events(complete) {
             let id = event_id(event);
-            let is_joint = self.has_begun && !self.has_events;
+            let is_joint = self.has_begun && self.complete_events == 0;
             if is_joint && !follows(id.as_deref(), self.last_id()) {
                 return Err(StreamFault::NotContinued);
             }
-            (self.has_begun, self.has_events) = (true, true);
+            self.has_begun = true;
+            self.complete_events = self.complete_events.saturating_add(1);
             self.last_id = id;
         }
         Ok(())
@@ -106,7 +107,7 @@
         if is_within_event(&self.partial) {
             return Err(StreamFault::WithinEvent);
         }
-        if end == StreamEnd::Closed && !self.has_events {
+        if end == StreamEnd::Closed && self.complete_events == 0 {
             return Err(StreamFault::NoEvent);
         }
         self.scanned = 0;
@@ -118,6 +119,11 @@
         self.partial.len()
     }
 
+    /// Returns the number of complete events since the current target began.
+    pub fn complete_events(&self) -> u32 {
+        self.complete_events
+    }
+
     /// Returns the id of the last complete event, if there is one and it has an id.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -206,12 +206,14 @@
                 false => self.unless_silent(caller, connection.read_body()).await,
             };
             let part = part.map_err(|interruption| interruption.closing(&mut connection))?;
+            let events_before = reply.events.complete_events();
             let step = take_received(&mut reply.events, &mut connection, part);
+            let events = reply.events.complete_events() - events_before;
             if !step.events.is_empty() && !std::mem::replace(&mut has_begun, true) {
                 self.state.on_answer_begun(&self.request.service, &self.request.causes);
                 self.state.record_started(self.grant);
             }
-            if let Some(sample) = pauses.on_events(clock::now(), count_events(&step.events)) {
+            if let Some(sample) = pauses.on_events(clock::now(), events) {
                 self.state.record_pauses(self.grant, sample);
             }
             let received_at = clock::now();
@@ -313,12 +315,6 @@
     AttemptResult::Answered(RelayedAnswer { status, framing, connection_action })
 }
 
-/// Returns the number of events, which end in an empty line; at least 1 if there is a part of one.
-fn count_events(events: &[u8]) -> u32 {
-    let ends = events.windows(2).filter(|pair| matches!(*pair, b"\n\n" | b"\r\r" | b"\n\r"));
-    u32::try_from(ends.count()).unwrap_or(u32::MAX).max(u32::from(!events.is_empty()))
-}
-
 /// Returns whether the status says that the target failed. A time-out is not counted: the request would
 /// time out at another target, too.
 fn is_target_failure(status: StatusCode) -> bool {
