Entries and agents: one loop for gauges, one form of a link, one check for keys

Two tasks with the same interval updated gauges, a second form of run_link served only tests, the check whether a route needs a key stood twice, and the agent's loop copied lists and a report to find the first wanted version. No behaviour changes; the tests' calls of run_link name the absent part, their assertions are unchanged.

--- a/core/src/direct/routes.rs
+++ b/core/src/direct/routes.rs
@@ -54,9 +54,9 @@
         None
     }
 
-    /// Returns whether callers need a key on routes that are not anonymous.
-    pub fn requires_key(&self) -> bool {
-        self.config.organisations.is_some()
+    /// Returns whether callers need a key on `route`.
+    pub fn requires_key(&self, route: &ServingRoute) -> bool {
+        self.config.organisations.is_some() && !route.anonymous
     }
 
     /// Returns the organisation that holds `key`, and its priority if it has one of its own.
--- a/src/direct/agent/manager.rs
+++ b/src/direct/agent/manager.rs
@@ -47,19 +47,9 @@
                 answered_at = clock::now();
                 state.set_engine_up(true);
                 state.set_report(report);
-                let wanted = next_missing_version(&state);
-                if wanted.is_none() {
-                    fetcher.read_stage().await;
-                }
-                if let Some(wanted) = wanted {
-                    tokio::select! {
-                        () = monitor_engine(&state) => {}
-                        () = install(&state, &fetcher, &wanted) => {}
-                        () = wait_superseded(&state, &fetcher, &wanted) => {
-                            info!("event=superseded version={}", wanted.version.version);
-                        }
-                    }
-                    state.set_load_ordered(false);
+                match state.wanted().into_iter().next() {
+                    None => fetcher.read_stage().await,
+                    Some(wanted) => load_wanted(&state, &fetcher, &wanted).await,
                 }
             }
             Err(error) => {
@@ -78,6 +68,18 @@
     }
 }
 
+/// Loads `wanted` into the engine, unless the engine goes down or a newer version supersedes it.
+async fn load_wanted(state: &AgentState, fetcher: &ChunkFetcher, wanted: &WantedModel) {
+    tokio::select! {
+        () = monitor_engine(state) => {}
+        () = install(state, fetcher, wanted) => {}
+        () = wait_superseded(state, fetcher, wanted) => {
+            info!("event=superseded version={}", wanted.version.version);
+        }
+    }
+    state.set_load_ordered(false);
+}
+
 /// Polls the engine's state while chunks are fetched, so that entries keep receiving its load. Returns
 /// once the engine counts as down: nothing can be staged in it then, and other agents must not rely on
 /// this one.
@@ -95,12 +97,6 @@
     }
 }
 
-/// Returns the first wanted version.
-fn next_missing_version(state: &AgentState) -> Option<WantedModel> {
-    state.report()?;
-    state.wanted().into_iter().next()
-}
-
 /// Returns once a newer version supersedes `wanted`, unless the engine has been ordered to load `wanted`
 /// by then: as soon as `wanted` is not worth loading any more, or all chunks of the next version are
 /// parked. Fetches the chunks of the next version meanwhile.
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -262,7 +262,6 @@
         };
         let times = self.copy_times(spec);
         let time_left = |version| self.stage.time_left(&of_version(version), times);
-        let declared: Vec<DeclaredVersion> = versions.deciding(now).to_vec();
         let unmet = versions.first_unmet(loaded);
         let met = versions.last_met(loaded);
         let wanted = |declared: DeclaredVersion| WantedModel {
@@ -273,10 +272,10 @@
         };
         // The chunks of older versions than the staged one are no longer held.
         let staged = self.stage.staged_version(model).unwrap_or(0);
-        let missing = declared.into_iter();
-        let missing: Vec<DeclaredVersion> = missing
-            .filter(|declared| declared.version > loaded && declared.version >= staged)
-            .collect();
+        let declared = versions.deciding(now).iter().copied();
+        let is_missing =
+            |declared: &DeclaredVersion| declared.version > loaded && declared.version >= staged;
+        let missing: Vec<DeclaredVersion> = declared.filter(is_missing).collect();
         versions_to_load(now, &missing, times, time_left).into_iter().map(wanted).collect()
     }
 
--- a/src/direct/agent/state/links.rs
+++ b/src/direct/agent/state/links.rs
@@ -4,7 +4,7 @@
 use super::AgentState;
 use crate::clock;
 use crate::direct::facts::{self, AgentConfig};
-use crate::direct::loads::{LinkEvent, run_shared_link};
+use crate::direct::loads::{LinkEvent, run_link};
 use crate::direct::news::NewsMessage;
 use crate::direct::presence::PresenceRecord;
 use actix_rt::task::JoinHandle;
@@ -66,7 +66,7 @@
         let part = move |now| part_state.part_of(now, &entry);
         let on_event = move |event| state.on_link_event(&key, event);
         let reports = self.subscribe_reports();
-        let task = actix_rt::spawn(run_shared_link(address, wants_news, reports, part, on_event));
+        let task = actix_rt::spawn(run_link(address, wants_news, reports, part, on_event));
         EntryLink { address, region, wants_news, task }
     }
 
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -101,8 +101,7 @@
     if settings.fair_queue {
         actix_rt::spawn(state::run_demand(state.clone()));
     }
-    actix_rt::spawn(state::run_evacuation_metrics(state.clone()));
-    actix_rt::spawn(state::run_limit_metrics(state.clone()));
+    actix_rt::spawn(state::run_gauges(state.clone()));
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
     reload::watch_settings(settings_path, rejected, on_change)?;
--- a/src/direct/entry/placement_report.rs
+++ b/src/direct/entry/placement_report.rs
@@ -50,7 +50,7 @@
         found.ok_or_else(|| (StatusCode::NOT_FOUND, format!("no organisation {name}")))
     });
     let organisation = organisation.transpose()?;
-    if organisation.is_none() && table.requires_key() && !route.anonymous {
+    if organisation.is_none() && table.requires_key(route) {
         let reason = format!("route {} requires the key of an organisation", route.name);
         return Err((StatusCode::BAD_REQUEST, reason));
     }
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -95,7 +95,7 @@
     let found = table.find(&tags.host, inbound.uri.path());
     let route = found.ok_or_else(|| reject(Rejection::NoRoute))?;
     let organisation = tags.key.as_deref().and_then(|key| table.organisation(key));
-    if organisation.is_none() && table.requires_key() && !route.anonymous {
+    if organisation.is_none() && table.requires_key(route) {
         return Err(reject(Rejection::UnknownKey));
     }
     let timeout = timeout_of(route);
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod evacuation;
+mod gauges;
 mod notices;
 mod placement;
 mod queue;
@@ -9,9 +10,8 @@
 mod updates;
 
 pub use crashes::cause_list;
-pub use evacuation::run_evacuation_metrics;
+pub use gauges::run_gauges;
 pub use queue::{QueueDecision, ReservedSlot, run_demand, run_queue};
-pub use speed::run_limit_metrics;
 
 use super::pool::ConnectionPool;
 use crate::direct::facts::AgentConfig;
--- a/src/direct/entry/state/evacuation.rs
+++ b/src/direct/entry/state/evacuation.rs
@@ -1,15 +1,10 @@
 //! Evacuated sites: what the entry hears of them from the store and from agents.
 
 use super::EntryState;
-use crate::clock;
 use crate::direct::evacuation::{self, EvacuationSource};
 use crate::direct::follow::StoreEvent;
 use buckthornwharf_core::direct::{EvacuatedPart, EvacuationState};
 use buckthornwharf_core::prelude::*;
-use std::rc::Rc;
-
-/// Time between updates of the metrics.
-const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// When what the entry knows of evacuated sites was confirmed last.
 #[derive(Debug, Clone, Copy, Default)]
@@ -62,7 +57,7 @@
         self.update_evacuation_metrics(now);
     }
 
-    fn update_evacuation_metrics(&self, now: MonoTime) {
+    pub(super) fn update_evacuation_metrics(&self, now: MonoTime) {
         let news = self.news.borrow();
         let sites = news.evacuation.newest().sites();
         self.metrics.evacuated_sites.set(sites.len() as i64);
@@ -73,11 +68,3 @@
         self.metrics.evacuated_requests.set(i64::from(requests));
     }
 }
-
-/// Updates the metrics of evacuated sites for the lifetime of the process.
-pub async fn run_evacuation_metrics(state: Rc<EntryState>) {
-    loop {
-        state.update_evacuation_metrics(clock::now());
-        actix_rt::time::sleep(METRICS_INTERVAL).await;
-    }
-}
--- a/src/direct/entry/state/queue.rs
+++ b/src/direct/entry/state/queue.rs
@@ -101,7 +101,7 @@
         request: &SlotRequest,
         caller: CallerTime,
     ) -> SlotPreview {
-        self.scheduler.borrow().preview_from(now, request, caller)
+        self.scheduler.borrow().preview(now, request, caller)
     }
 
     /// Removes a waiting request from the queue.
--- a/src/direct/entry/state/speed.rs
+++ b/src/direct/entry/state/speed.rs
@@ -4,12 +4,8 @@
 use crate::clock;
 use buckthornwharf_core::direct::capacity::{PauseSample, SpeedChange, SpeedSample};
 use buckthornwharf_core::direct::{RegisteredTarget, SlotGrant};
+use buckthornwharf_core::prelude::*;
 use log::info;
-use std::rc::Rc;
-use std::time::Duration;
-
-/// Interval at which the metrics of the targets are updated.
-const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 
 impl EntryState {
     /// Records that the answer to the request with this slot has begun with its first event, or is complete.
@@ -33,8 +29,11 @@
         log_speed_change(&grant.target, change);
     }
 
-    fn update_limit_metrics(&self) {
-        let limits = self.scheduler.borrow().target_limits(clock::now());
+    pub(super) fn update_limit_metrics(&self, now: MonoTime) {
+        if !self.settings.learned_limits {
+            return;
+        }
+        let limits = self.scheduler.borrow().target_limits(now);
         let metrics = &self.metrics;
         // Targets get new ids when they restart, so the values of those that are gone are dropped.
         metrics.target_limit.reset();
@@ -60,14 +59,3 @@
         target.id, target.service, change.slowness, change.limit, target.slots
     );
 }
-
-/// Updates the metrics of learned limits for the lifetime of the process, if limits are learned.
-pub async fn run_limit_metrics(state: Rc<EntryState>) {
-    if !state.settings.learned_limits {
-        return;
-    }
-    loop {
-        actix_rt::time::sleep(METRICS_INTERVAL).await;
-        state.update_limit_metrics();
-    }
-}
--- a/src/direct/loads.rs
+++ b/src/direct/loads.rs
@@ -351,19 +351,10 @@
     Lost,
 }
 
-/// Sends the reports of an agent to the entry at `address` and reopens the link whenever it fails. If
-/// `wants_news`, the entry sends news on it. Returns when the sender of the loads is dropped.
+/// Sends the reports of an agent to the entry at `address`, with the part of the free slots that it may take, and
+/// reopens the link whenever it fails. If `wants_news`, the entry sends news on it. Returns when the sender of the
+/// loads is dropped.
 pub async fn run_link(
-    address: SocketAddr,
-    wants_news: bool,
-    reports: AgentReports,
-    on_event: impl Fn(LinkEvent),
-) {
-    run_shared_link(address, wants_news, reports, |_| None, on_event).await;
-}
-
-/// Like [`run_link`], and tells the entry with each report which part of the free slots it may take.
-pub async fn run_shared_link(
     address: SocketAddr,
     wants_news: bool,
     mut reports: AgentReports,
--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -161,7 +161,7 @@
     let (_sender, receiver) = watch::channel(Some(load));
     let news = watch::channel(VersionNews::default()).1;
     let reports = AgentReports { loads: receiver, news };
-    actix_rt::spawn(run_link(fleet.peer_address(), false, reports, |_| {}));
+    actix_rt::spawn(run_link(fleet.peer_address(), false, reports, |_| None, |_| {}));
     fleet.wait_untouched(0).await;
 }
 
--- a/tests/direct_silent.rs
+++ b/tests/direct_silent.rs
@@ -38,7 +38,8 @@
         for engine in &fleet.engines {
             let (sender, receiver) = watch::channel(None);
             let news = watch::channel(VersionNews::default()).1;
-            actix_rt::spawn(run_link(entry, false, AgentReports { loads: receiver, news }, |_| {}));
+            let agent = AgentReports { loads: receiver, news };
+            actix_rt::spawn(run_link(entry, false, agent, |_| None, |_| {}));
             reports.engines.push(engine.address);
             reports.senders.push(Some(sender));
         }
