Slots: plain names for kinds of requests, one preview, one conversion to milliseconds

The fair queue called requests that the same targets can take a shape. A second preview served only tests, and the conversion of a duration to fractional milliseconds stood in six places. The plain order no longer updates an estimate that only the fair order reads. No behaviour changes; assertions are unchanged.

--- a/core/src/clock.rs
+++ b/core/src/clock.rs
@@ -50,3 +50,8 @@
         MonoTime(self.0.saturating_sub(micros))
     }
 }
+
+/// Returns a duration in milliseconds, with its fraction.
+pub fn millis_f64(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1000.0
+}
--- a/core/src/direct/capacity/model.rs
+++ b/core/src/direct/capacity/model.rs
@@ -1,5 +1,6 @@
 //! The times that a target of usual speed needs, from the published figures of its service.
 
+use crate::clock::millis_f64;
 use crate::direct::EngineSpec;
 use crate::prelude::*;
 
@@ -47,10 +48,6 @@
     memory_tokens: Option<f64>,
 }
 
-fn millis(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1000.0
-}
-
 impl WorkModel {
     /// Creates the model of engines with these figures.
     pub fn of(spec: &EngineSpec) -> Self {
@@ -62,7 +59,7 @@
         let chunk =
             timing.map(|timing| f64::from(timing.prefill_tokens)).filter(|chunk| *chunk > 0.0);
         let of_timing = |part: fn(&crate::direct::EngineTiming) -> Duration| {
-            timing.as_ref().map_or(0.0, |timing| millis(part(timing)))
+            timing.as_ref().map_or(0.0, |timing| millis_f64(part(timing)))
         };
         let step = of_timing(|timing| timing.step);
         Self {
--- a/core/src/direct/capacity/target.rs
+++ b/core/src/direct/capacity/target.rs
@@ -3,6 +3,7 @@
 use super::limit::ConcurrencyLimit;
 use super::speed::{ServiceSpeed, SpeedTrack, TimeKind, log_ratio};
 use super::{PauseSample, TargetWork, WorkModel};
+use crate::clock::millis_f64;
 use crate::direct::RegisteredTarget;
 use crate::prelude::*;
 
@@ -205,14 +206,14 @@
                 self.record_failures(now, 0.0);
                 // The pace may have changed while the request ran.
                 let pace = self.pace(now).max(f64::from(sent.pace_percent) / 100.0);
-                let expected = sent.expected.as_secs_f64() * 1000.0 * pace;
-                let measured = now.since(sent_at).as_secs_f64() * 1000.0;
+                let expected = millis_f64(sent.expected) * pace;
+                let measured = millis_f64(now.since(sent_at));
                 let load = f64::from(sent.load + load) / 2.0;
                 (TimeKind::Start, sent_at, log_ratio(measured, expected), load)
             }
             SpeedSample::Paused(pauses) => {
                 let expected = service.model().pause_ms(f64::from(load)) * self.pace(now);
-                let measured = pauses.mean.as_secs_f64() * 1000.0;
+                let measured = millis_f64(pauses.mean);
                 let begun_at = now - pauses.mean * pauses.count;
                 (TimeKind::Pause, begun_at, log_ratio(measured, expected), f64::from(load))
             }
@@ -274,7 +275,7 @@
         let failure_factor = 1.0 + (FAILURE_SLOWNESS - 1.0) * self.failure_share(now);
         let expected = usual * self.slowness(now, service) * load_factor * failure_factor;
         // An answer that has not begun shows that the target is slow before its time is known.
-        expected.max(work.oldest_wait.as_secs_f64() * 1000.0)
+        expected.max(millis_f64(work.oldest_wait))
     }
 
     /// Returns a change between slow and normal that was not returned before.
--- a/core/src/direct/slots/preview.rs
+++ b/core/src/direct/slots/preview.rs
@@ -37,19 +37,9 @@
 }
 
 impl SlotScheduler {
-    /// Returns what would happen to `request` of an unknown caller if it arrived now.
-    pub fn preview(&self, now: MonoTime, request: &SlotRequest) -> SlotPreview {
-        self.preview_from(now, request, CallerTime::default())
-    }
-
     /// Returns what would happen to `request` of `caller` if it arrived now. It is decided by the code that
     /// decides on requests, on a copy of the state.
-    pub fn preview_from(
-        &self,
-        now: MonoTime,
-        request: &SlotRequest,
-        caller: CallerTime,
-    ) -> SlotPreview {
+    pub fn preview(&self, now: MonoTime, request: &SlotRequest, caller: CallerTime) -> SlotPreview {
         let mut copy = self.clone();
         let caller =
             CallerTime { returned: caller.returned || !request.tried.is_empty(), ..caller };
--- a/core/src/direct/slots/queue.rs
+++ b/core/src/direct/slots/queue.rs
@@ -28,7 +28,7 @@
 /// Lowest part of the rate that late requests are expected to get.
 const MIN_RATE_DIVISOR: u64 = 20;
 /// Maximum number of distinct kinds of requests whose failure to get a slot is remembered.
-const MAX_SHAPES: usize = 1_024;
+const MAX_KINDS: usize = 1_024;
 
 /// A waiting request.
 #[derive(Debug, Clone)]
@@ -44,7 +44,7 @@
     /// Expected cost: 1 in the plain order, milliseconds of a slot in the fair order.
     cost: u32,
     /// Index of the requests that the same targets can take, if it is remembered.
-    shape: Option<usize>,
+    kind: Option<usize>,
 }
 
 impl Waiter {
@@ -63,7 +63,7 @@
             caller,
             had_reservation: false,
             cost: 1,
-            shape: None,
+            kind: None,
         }
     }
 
@@ -82,9 +82,9 @@
 
 /// The first of the requests that the same targets can take: those with its route, organisation and model.
 #[derive(Debug, Clone)]
-struct Shape(SlotRequest);
+struct RequestKind(SlotRequest);
 
-/// Size of a failed request: larger ones of its shape get no slot either.
+/// Size of a failed request: larger ones of its kind get no slot either.
 #[derive(Debug, Clone, Copy)]
 struct FailedSize {
     prompt_tokens: u32,
@@ -106,25 +106,25 @@
     }
 }
 
-/// The smallest request of each shape that got no slot.
-struct FailedShapes {
+/// The smallest request of each kind that got no slot.
+struct FailedKinds {
     sizes: Vec<Option<FailedSize>>,
     /// Whether the length of the answer decides on targets, too, by their memory.
     checks_memory: bool,
 }
 
-impl FailedShapes {
-    fn new(shapes: usize, checks_memory: bool) -> Self {
-        Self { sizes: vec![None; shapes], checks_memory }
+impl FailedKinds {
+    fn new(kinds: usize, checks_memory: bool) -> Self {
+        Self { sizes: vec![None; kinds], checks_memory }
     }
 
     fn covers(&self, waiter: &Waiter) -> bool {
-        let smallest = waiter.shape.and_then(|shape| *self.sizes.get(shape)?);
+        let smallest = waiter.kind.and_then(|kind| *self.sizes.get(kind)?);
         smallest.is_some_and(|smallest| smallest.covers(&waiter.request))
     }
 
     fn record(&mut self, waiter: &Waiter) {
-        let smallest = waiter.shape.and_then(|shape| self.sizes.get_mut(shape));
+        let smallest = waiter.kind.and_then(|kind| self.sizes.get_mut(kind));
         if let Some(smallest) = smallest
             && waiter.request.tried.is_empty()
         {
@@ -138,11 +138,16 @@
 
     /// Excludes the requests that compete with `waiter`, whatever their size, and that no other target can
     /// take.
-    fn block_competing(&mut self, scheduler: &SlotScheduler, waiter: &Waiter, shapes: &[Shape]) {
+    fn block_competing(
+        &mut self,
+        scheduler: &SlotScheduler,
+        waiter: &Waiter,
+        kinds: &[RequestKind],
+    ) {
         if !waiter.request.tried.is_empty() {
             return;
         }
-        for (smallest, Shape(request)) in self.sizes.iter_mut().zip(shapes) {
+        for (smallest, RequestKind(request)) in self.sizes.iter_mut().zip(kinds) {
             if request.model == waiter.request.model
                 && scheduler.competes(&waiter.request, request)
                 && !scheduler.can_go_elsewhere(&waiter.request, request)
@@ -161,7 +166,7 @@
     classes: Vec<OrderClass>,
     releases: RecentReleases,
     estimate: CostEstimate,
-    shapes: Vec<Shape>,
+    kinds: Vec<RequestKind>,
 }
 
 impl ServiceQueue {
@@ -218,7 +223,7 @@
     pub fn push(&mut self, now: MonoTime, mut waiter: Waiter) {
         waiter.cost = self.cost_of(&waiter.request);
         waiter.expires_at = now + waiter.request.wait.max_wait;
-        waiter.shape = self.shape_of(&waiter.request);
+        waiter.kind = self.kind_of(&waiter.request);
         let fair = self.fair;
         self.class_mut(ClassKey::of(&waiter.request)).push(waiter, fair);
     }
@@ -259,7 +264,9 @@
 
     /// Records that a slot was released. `answered_at`: site of its target, if a request has used it.
     pub fn count_release(&mut self, now: MonoTime, answered_at: Option<SiteName>) {
-        self.estimate.record_release(now);
+        if self.fair {
+            self.estimate.record_release(now);
+        }
         if let Some(site) = answered_at {
             let cost = if self.fair { self.estimate.mean_cost() } else { 1 };
             self.releases.add(now, site, cost);
@@ -313,8 +320,8 @@
             self.classes.iter_mut().for_each(|class| class.drain(&mut try_waiter, grants));
             return;
         }
-        let mut failed = FailedShapes::new(self.shapes.len(), scheduler.learns_limits());
-        let shapes = std::mem::take(&mut self.shapes);
+        let mut failed = FailedKinds::new(self.kinds.len(), scheduler.learns_limits());
+        let kinds = std::mem::take(&mut self.kinds);
         let mut try_waiter = |waiter: &Waiter| {
             if failed.covers(waiter) && reserved != Some(waiter.ticket) {
                 return None;
@@ -325,7 +332,7 @@
                 // Smaller prompts would take the prefill capacity that it waits for.
                 let is_large = waiter.request.prompt_tokens > large_tokens;
                 if !waiter.request.wait.late && !is_large {
-                    failed.block_competing(scheduler, waiter, &shapes);
+                    failed.block_competing(scheduler, waiter, &kinds);
                 }
             }
             grant
@@ -349,7 +356,7 @@
         for index in 0..classes {
             while take(self, index).is_some() {}
         }
-        self.shapes = shapes;
+        self.kinds = kinds;
     }
 
     /// Removes the waiters whose longest wait has passed and returns them.
@@ -404,22 +411,22 @@
         &mut self.classes[index]
     }
 
-    fn shape_of(&mut self, request: &SlotRequest) -> Option<usize> {
+    fn kind_of(&mut self, request: &SlotRequest) -> Option<usize> {
         if !self.fair {
             return None;
         }
-        let is_shape = |shape: &Shape| {
-            shape.0.route == request.route
-                && shape.0.organisation == request.organisation
-                && shape.0.model == request.model
+        let is_kind = |kind: &RequestKind| {
+            kind.0.route == request.route
+                && kind.0.organisation == request.organisation
+                && kind.0.model == request.model
         };
         if self.is_empty() {
-            self.shapes.clear();
+            self.kinds.clear();
         }
-        let found = self.shapes.iter().position(is_shape);
-        if found.is_none() && self.shapes.len() < MAX_SHAPES {
-            self.shapes.push(Shape(request.clone()));
-            return Some(self.shapes.len() - 1);
+        let found = self.kinds.iter().position(is_kind);
+        if found.is_none() && self.kinds.len() < MAX_KINDS {
+            self.kinds.push(RequestKind(request.clone()));
+            return Some(self.kinds.len() - 1);
         }
         found
     }
--- a/core/src/direct/slots/queue/cost.rs
+++ b/core/src/direct/slots/queue/cost.rs
@@ -1,6 +1,7 @@
 //! Cost of a request: the time for which it uses a slot of a target.
 
 use super::SlotRequest;
+use crate::clock::millis_f64;
 use crate::direct::EngineSpec;
 use crate::prelude::*;
 
@@ -49,12 +50,13 @@
         };
         let usual_tokens = engine.usual_tokens.unwrap_or_default();
         let context = f64::from(usual_tokens.0) + f64::from(usual_tokens.1) / 2.0;
-        let per_request = ms(timing.per_request) + ms(timing.per_context) * context / 1_000.0;
+        let per_request =
+            millis_f64(timing.per_request) + millis_f64(timing.per_context) * context / 1_000.0;
         let slots = f64::from(engine.slots);
         let prompt_rate = engine.prompt_tokens_per_second.filter(|rate| *rate > 0);
         self.figures = Some(EngineFigures {
             prompt_token_ms: prompt_rate.map_or(0.0, |rate| 1_000.0 / f64::from(rate)),
-            answer_token_ms: ms(timing.step) + per_request * slots,
+            answer_token_ms: millis_f64(timing.step) + per_request * slots,
             usual_tokens,
             memory_per_token: engine.memory_tokens.map_or(0.0, |memory| slots / memory as f64),
         });
@@ -116,13 +118,9 @@
     fn update(&mut self, now: MonoTime) {
         let elapsed = now.since(self.updated_at);
         let kept = (-elapsed.as_secs_f64() / MEMORY_TIME.as_secs_f64()).exp();
-        self.busy_ms = self.busy_ms * kept + ms(elapsed) * f64::from(self.in_use);
+        self.busy_ms = self.busy_ms * kept + millis_f64(elapsed) * f64::from(self.in_use);
         self.granted_ms *= kept;
         self.grants *= kept;
         self.updated_at = now;
     }
 }
-
-fn ms(duration: Duration) -> f64 {
-    duration.as_secs_f64() * 1_000.0
-}
--- a/core/tests/direct_placement.rs
+++ b/core/tests/direct_placement.rs
@@ -2,9 +2,10 @@
 
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
-    Admission, ColdLimit, DeclaredVersion, LoadedModel, OrganisationKeys, PlacementObstacle,
-    PlacementVerdict, RegionSet, RegisteredTarget, ServingConfig, ServingRoute, ServingService,
-    SlotGrant, SlotRequest, SlotScheduler, TargetPhase, WaitAllowance, WaitTicket, WorkKind,
+    Admission, CallerTime, ColdLimit, DeclaredVersion, LoadedModel, OrganisationKeys,
+    PlacementObstacle, PlacementVerdict, RegionSet, RegisteredTarget, ServingConfig, ServingRoute,
+    ServingService, SlotGrant, SlotRequest, SlotScheduler, TargetPhase, WaitAllowance, WaitTicket,
+    WorkKind,
 };
 use buckthornwharf_core::prelude::*;
 
@@ -514,8 +515,10 @@
         assert_ne!(&*grant.target.id, "y");
         scheduler.release(at(millis), &grant.target.id, SlotOutcome::Answered);
     }
-    let of_restricted = scheduler.preview(at(100), &request_of("r", None)).expected_wait;
-    let of_free = scheduler.preview(at(100), &request_of("other", None)).expected_wait;
+    let of_restricted =
+        scheduler.preview(at(100), &request_of("r", None), CallerTime::default()).expected_wait;
+    let of_free =
+        scheduler.preview(at(100), &request_of("other", None), CallerTime::default()).expected_wait;
     assert!(of_restricted > of_free, "{of_restricted:?} and {of_free:?}");
 }
 
--- a/core/tests/direct_preview.rs
+++ b/core/tests/direct_preview.rs
@@ -2,8 +2,8 @@
 
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
-    Admission, PlacementVerdict, RegisteredTarget, SlotRequest, SlotScheduler, TargetPhase,
-    TargetVerdict, WaitAllowance,
+    Admission, CallerTime, PlacementVerdict, RegisteredTarget, SlotRequest, SlotScheduler,
+    TargetPhase, TargetVerdict, WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use rand::rngs::StdRng;
@@ -73,7 +73,7 @@
             scheduler.expire(now);
             let request = request(&mut rng);
             let (waiting, in_flight) = (scheduler.waiting(), scheduler.in_flight());
-            let preview = scheduler.preview(now, &request);
+            let preview = scheduler.preview(now, &request, CallerTime::default());
             assert_eq!((scheduler.waiting(), scheduler.in_flight()), (waiting, in_flight));
             assert_eq!(preview.targets.len(), targets.len());
             let admission = scheduler.request(now, request);
