Cold targets: entries that are not settled use a 64th again

Cause: let an entry that others may not know use up to a 16th of what a cold target bears. Nine entries that were cut off while seven others shared the target sent 46 requests in a second, of 44.97 allowed: the property test of the sum found it in a run of its random cases, some of which the commit had passed. It had also raised the bounds of the test of the share. After a restart of all hosts cold targets are again used little for 6 s, which costs callers; a larger share needs entries to know each other's age.

--- a/core/src/direct/placement/cold_share.rs
+++ b/core/src/direct/placement/cold_share.rs
@@ -17,10 +17,8 @@
 /// Part of the tolerance that the entries that share a target may use at once. Twice as much is used while
 /// entries that are cut off go by an older list of entries.
 const SHARED_TOLERANCE: f64 = 0.4;
-/// Largest share of an entry that others may not know, or that may not know them, and the highest rate that it
-/// stands for in requests per second. If all entries have just started, these shares together still use
-/// most of what the targets bear.
-const UNSETTLED_SHARE: (f64, f64) = (1.0 / 16.0, 2.0);
+/// Smallest share of an entry, and the highest rate that it stands for in requests per second.
+const SMALLEST_SHARE: (f64, f64) = (1.0 / 64.0, 0.5);
 /// Maximum number of lists of entries that are remembered.
 const MAX_LISTS: usize = 32;
 
@@ -101,8 +99,8 @@
         if self.is_settled(now) {
             return rate;
         }
-        let (largest_share, highest_rate) = UNSETTLED_SHARE;
-        rate.min(per_second * largest_share).min(highest_rate)
+        let (smallest_share, highest_rate) = SMALLEST_SHARE;
+        rate.min(per_second * smallest_share).min(highest_rate)
     }
 
     fn is_settled(&self, now: MonoTime) -> bool {
--- a/core/tests/direct_cold.rs
+++ b/core/tests/direct_cold.rs
@@ -196,9 +196,9 @@
     // Guards against entries that each take the whole limit because they do not see each other.
     let mut scheduler = new_scheduler(20.0);
     set_target(&mut scheduler, at(0), &target(1, Some(100_000)));
-    // The share is a 16th: 1.25 requests per second.
-    assert_eq!(send_all(&mut scheduler, 0, 3000), 3);
-    assert_eq!(send_all(&mut scheduler, 3000, 6500), 5);
+    // The smallest share is a 64th.
+    assert_eq!(send_all(&mut scheduler, 0, 3000), 0);
+    assert_eq!(send_all(&mut scheduler, 3000, 6500), 2);
 
     let mut scheduler = lone_scheduler(20.0);
     scheduler.set_registered_until(at(20_000), at(20_000 + LEASE_MS));
@@ -209,10 +209,10 @@
     set_target(&mut cut_off, at(0), &target(1, Some(100_000)));
     assert!(send_all(&mut cut_off, 7000, 8000) >= 19);
     assert!(send_all(&mut cut_off, 8000, 10_000) >= 39);
-    assert!(send_all(&mut cut_off, 10_000, 13_000) <= 4);
+    assert!(send_all(&mut cut_off, 10_000, 13_000) <= 2);
     // Others may have taken over its share until they know it again.
     cut_off.set_registered_until(at(13_000), at(100_000));
-    assert!(send_all(&mut cut_off, 13_000, 18_000) <= 7);
+    assert!(send_all(&mut cut_off, 13_000, 18_000) <= 3);
     assert!(send_all(&mut cut_off, 19_500, 20_500) >= 19);
 }
 
