Tests of slots: one sample target and request

Six test files wrote out the same target and request. They share one of each and state the values that they are about; values and assertions are unchanged.

--- a/core/tests/direct_cold.rs
+++ b/core/tests/direct_cold.rs
@@ -1,14 +1,17 @@
 //! Cold targets: when a target counts as cold, and how the entries share what it bears. Several entries'
 //! schedulers in virtual time.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
     Admission, ColdLimit, ColdReason, PlacementObstacle, PlacementVerdict, RegisteredTarget,
-    ServingConfig, ServingService, SlotGrant, SlotRequest, SlotScheduler, TargetPhase,
-    WaitAllowance,
+    ServingConfig, ServingService, SlotGrant, SlotScheduler,
 };
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
+use slot_samples::{sample_request, sample_target};
 
 const START_TIME: Duration = Duration::from_secs(3);
 /// Time to live of the registration of an entry, in milliseconds.
@@ -19,15 +22,10 @@
 
 fn target(started_unix_ms: u64, cold_remaining_ms: Option<u64>) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
-        id: "t".into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("a valid address"),
-        site: "x".into(),
         slots: 1000,
-        phase: TargetPhase::Ready,
-        models: Vec::new(),
         started_unix_ms,
         cold_remaining: cold_remaining_ms.map(Duration::from_millis),
+        ..sample_target()
     })
 }
 
@@ -46,21 +44,6 @@
     }
 }
 
-fn request() -> SlotRequest {
-    SlotRequest {
-        service: "llm".into(),
-        route: "r".into(),
-        organisation: None,
-        priority: 1,
-        wait: WaitAllowance { max_wait: Duration::from_millis(150), late: false },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
-        prompt_tokens: 0,
-        answer_tokens: 0,
-        model: None,
-    }
-}
-
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
@@ -89,7 +72,7 @@
 
 /// Requests a slot, which is released at once. A request that is queued leaves the queue.
 fn try_send(scheduler: &mut SlotScheduler, now: MonoTime) -> Option<SlotGrant> {
-    match scheduler.request(now, request()) {
+    match scheduler.request(now, sample_request()) {
         Admission::Granted(grant) => {
             scheduler.prefill_done(now, &grant);
             scheduler.release(now, &grant.target.id, SlotOutcome::Answered);
@@ -111,7 +94,7 @@
 }
 
 fn verdict(scheduler: &SlotScheduler, now: MonoTime) -> PlacementVerdict {
-    scheduler.verdicts(now, &request())[0].verdict
+    scheduler.verdicts(now, &sample_request())[0].verdict
 }
 
 fn is_cold(scheduler: &SlotScheduler, now: MonoTime) -> bool {
@@ -221,14 +204,17 @@
     // Guards against a time to retry that does not fit the missing resource, and against a wait in vain.
     let mut scheduler = lone_scheduler(0.25);
     set_target(&mut scheduler, at(10_000), &target(2, Some(20_000)));
-    let Admission::Refused(retry_after) = scheduler.request(at(10_000), request()) else {
+    let Admission::Refused(retry_after) = scheduler.request(at(10_000), sample_request()) else {
         panic!("not refused")
     };
     assert_eq!(retry_after, Duration::from_secs(4));
     let until = Some(at(14_000));
     let cold = PlacementVerdict::Blocked { obstacle: PlacementObstacle::Cold, until };
     assert_eq!(verdict(&scheduler, at(10_000)), cold);
-    assert_eq!(scheduler.main_obstacle(at(10_000), &request()), Some(PlacementObstacle::Cold));
+    assert_eq!(
+        scheduler.main_obstacle(at(10_000), &sample_request()),
+        Some(PlacementObstacle::Cold)
+    );
     assert!(try_send(&mut scheduler, at(14_000)).is_some());
 }
 
@@ -237,7 +223,7 @@
     // Guards against a token that is left unused while requests wait.
     let mut scheduler = lone_scheduler(10.0);
     set_target(&mut scheduler, at(10_000), &target(2, None));
-    let Admission::Queued(_) = scheduler.request(at(10_000), request()) else {
+    let Admission::Queued(_) = scheduler.request(at(10_000), sample_request()) else {
         panic!("not queued")
     };
     assert_eq!(scheduler.next_wake(at(10_000)), Some(at(10_100)));
@@ -250,19 +236,19 @@
     // slot was granted while the target was warm.
     let mut scheduler = lone_scheduler(1.0);
     let grants: Vec<SlotGrant> = (0..2)
-        .filter_map(|_| match scheduler.request(at(9_999), request()) {
+        .filter_map(|_| match scheduler.request(at(9_999), sample_request()) {
             Admission::Granted(grant) => Some(grant),
             _ => None,
         })
         .collect();
     set_target(&mut scheduler, at(10_000), &target(2, Some(20_000)));
-    let obstacle = scheduler.recheck_grant(at(10_001), &request(), &grants[0]);
+    let obstacle = scheduler.recheck_grant(at(10_001), &sample_request(), &grants[0]);
     assert_eq!(obstacle, Some(PlacementObstacle::Cold));
-    assert_eq!(scheduler.recheck_grant(at(11_000), &request(), &grants[1]), None);
+    assert_eq!(scheduler.recheck_grant(at(11_000), &sample_request(), &grants[1]), None);
     grants.iter().for_each(|grant| scheduler.release_unused(at(11_000), grant));
     assert!(try_send(&mut scheduler, at(11_500)).is_none());
 
-    let Admission::Granted(unused) = scheduler.request(at(12_000), request()) else {
+    let Admission::Granted(unused) = scheduler.request(at(12_000), sample_request()) else {
         panic!("no slot")
     };
     assert!(try_send(&mut scheduler, at(12_001)).is_none());
@@ -279,7 +265,7 @@
     let evacuated =
         PlacementVerdict::Blocked { obstacle: PlacementObstacle::Evacuated, until: None };
     assert_eq!(verdict(&scheduler, at(11_000)), evacuated);
-    assert!(matches!(scheduler.request(at(11_000), request()), Admission::Refused(_)));
+    assert!(matches!(scheduler.request(at(11_000), sample_request()), Admission::Refused(_)));
     assert!(scheduler.set_evacuated(at(12_000), []));
     assert!(is_cold(&scheduler, at(14_999)));
     assert!(!is_cold(&scheduler, at(15_000)));
--- a/core/tests/direct_evacuation.rs
+++ b/core/tests/direct_evacuation.rs
@@ -1,15 +1,19 @@
 //! Evacuated sites: which value holds, their form in messages, and what it means for requests.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::evacuation::{MAX_PART_BYTES, MAX_PARTS};
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
     Admission, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
-    RegisteredTarget, SlotGrant, SlotRequest, SlotScheduler, StoreEra, StorePosition, TargetPhase,
+    RegisteredTarget, SlotGrant, SlotRequest, SlotScheduler, StoreEra, StorePosition,
     WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
 use proptest::collection::vec;
 use proptest::prelude::*;
+use slot_samples::{sample_request, sample_target};
 use std::collections::{BTreeMap, BTreeSet};
 
 fn position(era: u64, revision: u64) -> StorePosition {
@@ -295,14 +299,9 @@
 fn target(id: &str, site: &str) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
         id: id.into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
         site: site.into(),
         slots: if site == "a" { 2 } else { 8 },
-        phase: TargetPhase::Ready,
-        models: Vec::new(),
-        started_unix_ms: 0,
-        cold_remaining: None,
+        ..sample_target()
     })
 }
 
@@ -316,16 +315,8 @@
 
 fn request() -> SlotRequest {
     SlotRequest {
-        service: "llm".into(),
-        route: "r".into(),
-        organisation: None,
-        priority: 1,
         wait: WaitAllowance { max_wait: Duration::from_secs(2), late: true },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
-        prompt_tokens: 0,
-        answer_tokens: 0,
-        model: None,
+        ..sample_request()
     }
 }
 
--- a/core/tests/direct_limits.rs
+++ b/core/tests/direct_limits.rs
@@ -1,11 +1,13 @@
 //! Limits of the request rate that targets name: several entries' schedulers in virtual time.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
-use buckthornwharf_core::direct::{
-    Admission, RegisteredTarget, SlotGrant, SlotRequest, SlotScheduler, TargetPhase, WaitAllowance,
-};
+use buckthornwharf_core::direct::{Admission, RegisteredTarget, SlotGrant, SlotScheduler};
 use buckthornwharf_core::prelude::*;
 use proptest::prelude::*;
+use slot_samples::{sample_request, sample_target};
 
 const REGIONS: [&str; 3] = ["x", "y", "z"];
 /// Window in which requests are counted, in milliseconds.
@@ -16,32 +18,13 @@
 fn target(id: &str, site: &str, started_unix_ms: u64) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
         id: id.into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("a valid address"),
         site: site.into(),
         slots: 16,
-        phase: TargetPhase::Ready,
-        models: Vec::new(),
         started_unix_ms,
-        cold_remaining: None,
+        ..sample_target()
     })
 }
 
-fn request() -> SlotRequest {
-    SlotRequest {
-        service: "llm".into(),
-        route: "r".into(),
-        organisation: None,
-        priority: 1,
-        wait: WaitAllowance { max_wait: Duration::from_millis(150), late: false },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
-        prompt_tokens: 0,
-        answer_tokens: 0,
-        model: None,
-    }
-}
-
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
@@ -62,7 +45,7 @@
 
 /// Requests a slot, which is released at once. A request that is queued leaves the queue.
 fn try_send(scheduler: &mut SlotScheduler, now: MonoTime) -> Option<SlotGrant> {
-    match scheduler.request(now, request()) {
+    match scheduler.request(now, sample_request()) {
         Admission::Granted(grant) => {
             scheduler.prefill_done(now, &grant);
             scheduler.release(now, &grant.target.id, SlotOutcome::Answered);
@@ -165,7 +148,7 @@
     let scheduler = &mut schedulers(&["x"], &targets)[0];
     scheduler.record_limit(at(0), &targets[0], Some(1.0));
     for _ in 0..3 {
-        let Admission::Granted(grant) = scheduler.request(at(1100), request()) else {
+        let Admission::Granted(grant) = scheduler.request(at(1100), sample_request()) else {
             panic!("the limit allows a request");
         };
         scheduler.release_unused(at(1100), &grant);
@@ -209,12 +192,12 @@
     targets.iter().for_each(|target| {
         scheduler.record_limit(at(0), target, Some(0.25));
     });
-    let Admission::Refused(retry_after) = scheduler.request(at(0), request()) else {
+    let Admission::Refused(retry_after) = scheduler.request(at(0), sample_request()) else {
         panic!("the request is not refused");
     };
     assert_eq!(retry_after, Duration::from_secs(4));
     // Shortly before a limit allows a request, it waits for that.
-    let Admission::Queued(ticket) = scheduler.request(at(3900), request()) else {
+    let Admission::Queued(ticket) = scheduler.request(at(3900), sample_request()) else {
         panic!("the request is not queued");
     };
     assert_eq!(scheduler.next_wake(at(3900)), Some(at(4000)));
--- a/core/tests/direct_placement.rs
+++ b/core/tests/direct_placement.rs
@@ -1,5 +1,8 @@
 //! Where requests may be sent: each rule alone, and pairs of rules.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
     Admission, CallerTime, ColdLimit, DeclaredVersion, LoadedModel, OrganisationKeys,
@@ -8,6 +11,7 @@
     WorkKind,
 };
 use buckthornwharf_core::prelude::*;
+use slot_samples::{sample_request, sample_target};
 
 /// Without load reports, an entry uses four of them at a target in another region.
 const SLOTS: u32 = 10;
@@ -22,17 +26,7 @@
 );
 
 fn target(id: &str, site: &str) -> Arc<RegisteredTarget> {
-    Arc::new(RegisteredTarget {
-        id: id.into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("valid address"),
-        site: site.into(),
-        slots: SLOTS,
-        phase: TargetPhase::Ready,
-        models: Vec::new(),
-        started_unix_ms: 0,
-        cold_remaining: None,
-    })
+    Arc::new(RegisteredTarget { id: id.into(), site: site.into(), slots: SLOTS, ..sample_target() })
 }
 
 /// A target in each of the regions x, y and z, and one at a site whose region is unknown.
@@ -79,16 +73,10 @@
 
 fn request_of(route: &str, organisation: Option<&str>) -> SlotRequest {
     SlotRequest {
-        service: "llm".into(),
         route: route.into(),
         organisation: organisation.map(OrganisationName::from),
-        priority: 1,
         wait: WaitAllowance { max_wait: Duration::from_millis(2000), late: false },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
-        prompt_tokens: 0,
-        answer_tokens: 0,
-        model: None,
+        ..sample_request()
     }
 }
 
--- a/core/tests/direct_places.rs
+++ b/core/tests/direct_places.rs
@@ -1,25 +1,25 @@
 //! Slots at targets under load: which requests are granted one, queued or refused.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
     Admission, DeclaredVersion, LoadedModel, RegisteredTarget, SlotGrant, SlotRequest,
-    SlotScheduler, TargetPhase, WaitAllowance,
+    SlotScheduler, WaitAllowance,
 };
 use buckthornwharf_core::prelude::*;
+use slot_samples::{sample_request, sample_target};
 
 const SLOTS: u32 = 4;
 
 fn target(id: &str, site: &str, version: u64) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
         id: id.into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("valid address"),
         site: site.into(),
         slots: SLOTS,
-        phase: TargetPhase::Ready,
         models: vec![LoadedModel { model: "m".into(), version }],
-        started_unix_ms: 0,
-        cold_remaining: None,
+        ..sample_target()
     })
 }
 
@@ -34,16 +34,9 @@
 
 fn request(late: bool) -> SlotRequest {
     SlotRequest {
-        service: "llm".into(),
-        route: "r".into(),
-        organisation: None,
-        priority: 1,
         wait: WaitAllowance { max_wait: Duration::from_millis(600), late },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
-        prompt_tokens: 0,
-        answer_tokens: 0,
         model: Some("m".into()),
+        ..sample_request()
     }
 }
 
--- a/core/tests/direct_preview.rs
+++ b/core/tests/direct_preview.rs
@@ -1,5 +1,8 @@
 //! The preview of a decision on a request.
 
+#[path = "support/slot_samples.rs"]
+mod slot_samples;
+
 use buckthornwharf_core::direct::slots::{EntryRegions, SlotOutcome};
 use buckthornwharf_core::direct::{
     Admission, CallerTime, PlacementVerdict, RegisteredTarget, SlotRequest, SlotScheduler,
@@ -8,34 +11,25 @@
 use buckthornwharf_core::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use slot_samples::{sample_request, sample_target};
 
 fn target(number: usize) -> Arc<RegisteredTarget> {
     Arc::new(RegisteredTarget {
         id: format!("target-{number}").into(),
-        service: "llm".into(),
-        address: "127.0.0.1:1".parse().expect("an address"),
         site: if number.is_multiple_of(2) { "a" } else { "b" }.into(),
         slots: 3,
         phase: if number == 5 { TargetPhase::Draining } else { TargetPhase::Ready },
-        models: Vec::new(),
-        started_unix_ms: 0,
-        cold_remaining: None,
+        ..sample_target()
     })
 }
 
 fn request(rng: &mut StdRng) -> SlotRequest {
     let late = rng.random_bool(0.5);
     SlotRequest {
-        service: "llm".into(),
-        route: "r".into(),
-        organisation: None,
         priority: rng.random_range(0..3),
         wait: WaitAllowance { max_wait: Duration::from_millis(rng.random_range(50..900)), late },
-        objective: Duration::from_millis(400),
-        tried: Vec::new(),
         prompt_tokens: rng.random_range(0..2000),
-        answer_tokens: 0,
-        model: None,
+        ..sample_request()
     }
 }
 
