Tests of link messages: the sample load and the encoding stand once

Three test files wrote out the same load of an engine and the same encoding; the fuzz tests begin from the same message with another port. Assertions are unchanged.

--- a/tests/evacuation_news.rs
+++ b/tests/evacuation_news.rs
@@ -1,10 +1,14 @@
 //! Evacuated sites on the links between entries and agents: their form, and their size.
 
+#[path = "support/link_messages.rs"]
+mod link_messages;
+
 use buckthornwharf::direct::evacuation::EvacuatedFields;
 use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
 use buckthornwharf::direct::news::{DeclaredFields, NewsMessage, VersionNews};
 use buckthornwharf_core::direct::{EvacuatedPart, EvacuatedSites, StoreEra, StorePosition};
 use buckthornwharf_core::prelude::*;
+use link_messages::{encode, sample_load};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -26,23 +30,12 @@
     accepting: bool,
 }
 
-fn encode(message: &impl Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes).expect("CBOR");
-    bytes
-}
-
 fn parts(names: impl Iterator<Item = String>) -> Vec<EvacuatedPart> {
     let position = StorePosition { era: StoreEra::new(3), revision: u64::MAX };
     let value = EvacuatedSites::new(position, names.map(SiteName::from));
     value.parts().expect("few enough parts")
 }
 
-fn load() -> EngineLoad {
-    let engine = "127.0.0.1:1".parse().expect("an address");
-    EngineLoad { engine, requests: 3, accepting: true, details: None }
-}
-
 #[test]
 fn messages_without_evacuations_are_as_before_and_those_with_them_are_understood_by_old_builds() {
     let now = MonoTime::from_millis(5);
@@ -51,8 +44,8 @@
     assert_eq!(encode(&news), encode(&earlier));
     let read: NewsMessage = ciborium::from_reader(&encode(&earlier)[..]).expect("a message");
     assert_eq!(read, news);
-    let mut report = AgentMessage::new(load(), Vec::new());
-    let EngineLoad { engine, requests, accepting, .. } = load();
+    let mut report = AgentMessage::new(sample_load(), Vec::new());
+    let EngineLoad { engine, requests, accepting, .. } = sample_load();
     let earlier_report = EarlierReport { engine, requests, accepting };
     assert_eq!(encode(&report), encode(&earlier_report));
 
--- a/tests/outside_input.rs
+++ b/tests/outside_input.rs
@@ -1,8 +1,11 @@
 //! Fuzz tests of everything that reads input from outside: whatever it is and however it is divided, it is read
 //! or refused.
 
+#[path = "support/link_messages.rs"]
+mod link_messages;
+
 use actix_http::Method;
-use buckthornwharf::direct::loads::{AgentMessage, EngineLoad};
+use buckthornwharf::direct::loads::AgentMessage;
 use buckthornwharf::direct::news::NewsMessage;
 use buckthornwharf::direct::settings::DirectSettings;
 use buckthornwharf_core::direct::{EventStream, StreamEnd};
@@ -11,9 +14,9 @@
 };
 use buckthornwharf_platform::{registry, serving};
 use bytes::Bytes;
+use link_messages::{encode, sample_load};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use serde::Serialize;
 use serde_json::json;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -262,22 +265,12 @@
 }
 
 fn agent_message() -> Vec<u8> {
-    let engine = "127.0.0.1:80".parse().expect("an address");
-    cbor(&AgentMessage::new(
-        EngineLoad { engine, requests: 3, accepting: true, details: None },
-        Vec::new(),
-    ))
+    encode(&AgentMessage::new(sample_load(), Vec::new()))
 }
 
 fn news_message() -> Vec<u8> {
     let versions = [json!({ "model": "m", "version": 2, "age": 5 })];
-    cbor(&json!({ "current": true, "versions": versions }))
-}
-
-fn cbor(message: &impl Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes).expect("it is encoded");
-    bytes
+    encode(&json!({ "current": true, "versions": versions }))
 }
 
 fn settings() -> Vec<u8> {
--- a/tests/version_news.rs
+++ b/tests/version_news.rs
@@ -1,10 +1,14 @@
 //! News of declared versions: when they are sent, and their form on a link.
 
+#[path = "support/link_messages.rs"]
+mod link_messages;
+
 use buckthornwharf::direct::demand::{DemandMessage, EntryMessage};
 use buckthornwharf::direct::loads::{AgentMessage, EngineDetails, EngineLoad};
 use buckthornwharf::direct::news::{DeclaredFields, NEWS_INTERVAL, NewsRepeat, VersionNews};
 use buckthornwharf_core::direct::DeclaredVersion;
 use buckthornwharf_core::prelude::*;
+use link_messages::{encode, sample_load};
 use serde::Serialize;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -17,11 +21,6 @@
     DeclaredVersion { version, declared_at, required_from, begin_by: required_from }
 }
 
-fn load() -> EngineLoad {
-    let engine = "127.0.0.1:1".parse().expect("an address");
-    EngineLoad { engine, requests: 3, accepting: true, details: None }
-}
-
 /// The message of an agent that knows no news.
 #[derive(Serialize)]
 struct EarlierMessage {
@@ -30,12 +29,6 @@
     accepting: bool,
 }
 
-fn encode(message: &impl Serialize) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(message, &mut bytes).expect("CBOR");
-    bytes
-}
-
 #[test]
 fn changed_declarations_are_passed_on_at_once_and_repeated_until_they_are_required() {
     let mut news = VersionNews::default();
@@ -67,21 +60,21 @@
 
 #[test]
 fn messages_with_and_without_news_are_understood_by_both_sides() {
-    let EngineLoad { engine, requests, accepting, .. } = load();
+    let EngineLoad { engine, requests, accepting, .. } = sample_load();
     let earlier = encode(&EarlierMessage { engine, requests, accepting });
-    assert_eq!(encode(&AgentMessage::new(load(), Vec::new())), earlier);
+    assert_eq!(encode(&AgentMessage::new(sample_load(), Vec::new())), earlier);
     let message: AgentMessage = ciborium::from_reader(&earlier[..]).expect("a message");
-    assert_eq!((message.load(), message.versions), (load(), Vec::new()));
+    assert_eq!((message.load(), message.versions), (sample_load(), Vec::new()));
 }
 
 /// Demand is told to agents by each entry up to four times a second, so its messages must stay small.
 #[test]
 fn a_part_by_demand_is_left_out_unless_it_is_known() {
-    let message = AgentMessage::new(load(), Vec::new());
+    let message = AgentMessage::new(sample_load(), Vec::new());
     assert_eq!(encode(&message.clone().with_part(None)), encode(&message));
     let with_part = message.with_part(Some(800));
     let bytes = encode(&with_part);
-    assert_eq!(bytes.len() - encode(&AgentMessage::new(load(), Vec::new())).len(), 8);
+    assert_eq!(bytes.len() - encode(&AgentMessage::new(sample_load(), Vec::new())).len(), 8);
     let read: AgentMessage = ciborium::from_reader(&bytes[..]).expect("a message");
     assert_eq!(read, with_part);
 }
@@ -109,7 +102,7 @@
         accepting: bool,
     }
     let details = EngineDetails { pace: Some(250), waiting: 1, memory: Some(60) };
-    let load = EngineLoad { details: Some(details), ..load() };
+    let load = EngineLoad { details: Some(details), ..sample_load() };
     let bytes = encode(&AgentMessage::new(load, Vec::new()));
     let message: AgentMessage = ciborium::from_reader(&bytes[..]).expect("a message");
     assert_eq!(message.load(), load);
@@ -118,6 +111,6 @@
     assert_eq!(state.memory_part, Some(0.6));
     let earlier: EarlierFields = ciborium::from_reader(&bytes[..]).expect("a message");
     assert_eq!((earlier.requests, earlier.accepting), (3, true));
-    let plain = encode(&AgentMessage::new(self::load(), Vec::new()));
+    let plain = encode(&AgentMessage::new(sample_load(), Vec::new()));
     assert!(bytes.len() <= plain.len() + 40, "{} and {} bytes", bytes.len(), plain.len());
 }
