Review case 2: a raised grace period is not used by a running entry

Cause: the entry takes the grace period from the settings at its start. SIGHUP replaces the other bounds, but not this one.

Change: none to the product. The case raises grace_s from 8 to 16, sends SIGHUP, and stops the entry 6 s later while streams of 5.8 s run.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod manifest;
 mod process;
 mod record;
+mod reload;
 mod sha256;
 mod store;
 mod weights;
@@ -26,6 +27,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = || match case.as_str() {
+        "reload" => reload::run(&folder, trouble),
         "manifest" => manifest::run(&folder, trouble),
         _ => Verdict::NotRun,
     };
