--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,6 +11,7 @@
 mod record;
 mod reload;
 mod sha256;
+mod spoilt;
 mod store;
 mod weights;
 
@@ -27,6 +28,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = || match case.as_str() {
+        "spoilt" => spoilt::run(&folder, trouble),
         "reload" => reload::run(&folder, trouble),
         "manifest" => manifest::run(&folder, trouble),
         _ => Verdict::NotRun,
