Review case 4: a stream cut by a crash ends as complete

Cause: a stream without framing counts as complete if its connection closes between two events, also if the engine is gone.

Change: none to the product. The case ends the process of an engine between two events of such a stream.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! Only the standard library is used.
 
 mod client;
+mod crash;
 mod engine;
 mod fleet;
 mod http;
@@ -22,6 +23,9 @@
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
     let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next());
+    if case == "engine" {
+        crash::run_engine();
+    }
     let Some(folder) = folder.map(PathBuf::from) else {
         eprintln!("usage: review-standin CASE FOLDER");
         return ExitCode::from(2);
@@ -29,6 +33,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = || match case.as_str() {
         "spoilt" => spoilt::run(&folder, trouble),
+        "crash" => crash::run(&folder, trouble),
         "reload" => reload::run(&folder, trouble),
         "manifest" => manifest::run(&folder, trouble),
         _ => Verdict::NotRun,
