Review case 5: an entry acts on a stale configuration when it is in touch

Cause: a watch of the operator's keys times out after 3.7 s, but a host whose connections went silent counts as in touch after 3 s.

Change: none to the product. The case silences the connections of an entry to the store and takes a key away 0.2 s later.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,9 +9,11 @@
 mod json;
 mod manifest;
 mod process;
+mod proxy;
 mod record;
 mod reload;
 mod sha256;
+mod silent;
 mod spoilt;
 mod store;
 mod weights;
@@ -32,6 +34,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = || match case.as_str() {
+        "silent" => silent::run(&folder, trouble),
         "spoilt" => spoilt::run(&folder, trouble),
         "crash" => crash::run(&folder, trouble),
         "reload" => reload::run(&folder, trouble),
