Agents: an order relies on a verification of the stage for 1.5 s at most

Cause: `install` verified the stage, read the engine's report and sent the order, however long that took. A pause of the process is one way; a report whose body arrives slowly is another one, without any pause.

Change: an order takes a VerifiedStage, which knows when the first chunk was read. CallClient::call_if asks whether the call may still be sent once the connection is open; an order whose verification is older than 1.5 s is withdrawn, and the control loop verifies again. With the order's timeout of 1.5 s an engine takes only chunks that were intact within 3 s. The report must also come from the start of the engine whose stage was read.

A unit test covers call_if.

--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -80,6 +80,8 @@
     TooLong,
     /// the call has an invalid path or host
     InvalidRequest,
+    /// the call was withdrawn before it was sent
+    Withdrawn,
 }
 
 impl std::error::Error for CallError {}
@@ -111,9 +113,23 @@
     /// [`CallError`]. Only [`CallError::Unreachable`] and [`CallError::InvalidRequest`] guarantee
     /// that the server did not receive the call.
     pub async fn call(&self, call: OutboundCall) -> Result<CallAnswer, CallError> {
+        self.call_if(call, || true).await
+    }
+
+    /// Like [`CallClient::call`], but sends nothing if `may_send` returns false. It is asked once a connection
+    /// is open, right before the call is written.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError`]. [`CallError::Withdrawn`], too, guarantees that the server did not receive the call.
+    pub async fn call_if(
+        &self,
+        call: OutboundCall,
+        may_send: impl FnOnce() -> bool,
+    ) -> Result<CallAnswer, CallError> {
         let sent_at = Instant::now();
         let max_answer_bytes = call.max_answer_bytes;
-        let answered = tokio::time::timeout(call.head_timeout, self.send(call)).await;
+        let answered = tokio::time::timeout(call.head_timeout, self.send(call, may_send)).await;
         let (mut connection, head) = answered.map_err(|_| CallError::TimedOut)??;
         if head.length.is_some_and(|length| length > max_answer_bytes as u64) {
             return Err(CallError::TooLong);
@@ -144,9 +160,13 @@
     async fn send(
         &self,
         call: OutboundCall,
+        may_send: impl FnOnce() -> bool,
     ) -> Result<(OutboundConnection, AnswerHead), CallError> {
         let request = self.build_request(call)?;
         let mut connection = self.connection().await.map_err(CallError::Unreachable)?;
+        if !may_send() {
+            return Err(CallError::Withdrawn);
+        }
         let head = connection.exchange(request).await.map_err(CallError::Failed)?;
         Ok((connection, head))
     }
--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -200,6 +200,16 @@
     }
 }
 
+/// Guards against a call that was decided on long before a connection for it is open.
+#[actix_rt::test]
+async fn a_call_that_is_withdrawn_before_it_is_sent_does_not_reach_the_server() {
+    let (client, accepted) = serve_after(Duration::ZERO).await;
+    let withdrawn = client.call_if(get("/withdrawn"), || false).await;
+    assert!(matches!(withdrawn, Err(CallError::Withdrawn)), "{withdrawn:?}");
+    client.call_if(get("/sent"), || true).await.expect("an answer");
+    assert_eq!(accepted.get(), 2, "the connection of the withdrawn call is not used");
+}
+
 /// Starts a server that answers with `head`, and then with `repeated` until the client closes.
 async fn serve_endless(head: &'static str, repeated: &'static str) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod stage;
 mod state;
+mod verified_stage;
 
 use super::follow::{self, PolledList};
 use super::inbound_guard::InboundGuard;
--- a/src/direct/agent/manager.rs
+++ b/src/direct/agent/manager.rs
@@ -1,13 +1,13 @@
 //! Control loop that loads the wanted versions into the engine.
 
-use super::fetcher::{ChunkFetcher, StagedManifest};
-use super::stage::StagedVersion;
+use super::fetcher::ChunkFetcher;
 use super::state::{AgentState, WantedModel};
+use super::verified_stage::VerifiedStage;
 use crate::clock;
 use buckthornwharf_core::direct::LoadedModel;
 use buckthornwharf_core::direct::rollout::RolloutTurn;
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_platform::{LoadOrder, OrderAnswer};
+use buckthornwharf_platform::{EngineReport, LoadOrder, OrderAnswer};
 use log::{info, warn};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -158,7 +158,7 @@
     let mut verify_time = Duration::ZERO;
     if turn_at.since(held_at) > EARLY_VERIFY_TIME {
         // Chunks that turned corrupt while they were exchanged can still be fetched before the turn.
-        if !verify_staged(state, fetcher, &wanted.version, &staged).await {
+        if VerifiedStage::verify(state, fetcher, &wanted.version, &staged).await.is_none() {
             return;
         }
         verify_time = clock::now().since(held_at);
@@ -169,37 +169,58 @@
         actix_rt::time::sleep(ORDER_RETRY_DELAY).await;
         return;
     };
-    if !verify_staged(state, fetcher, &wanted.version, &staged).await {
+    let Some(stage) = VerifiedStage::verify(state, fetcher, &wanted.version, &staged).await else {
         return;
-    }
-    let report = match state.engine.report().await {
-        Ok(report) => report,
-        Err(error) => {
-            warn!("event=engine_lost reason=\"{error}\"");
-            return;
-        }
     };
+    match state.engine.report().await {
+        Ok(report) if stage.is_of(&report) => {
+            order_load(state, wanted, fence, stage, report).await;
+        }
+        Ok(report) => {
+            info!("event=order_waits reason=engine_restarted born={}", report.started_unix_ms);
+            state.set_report(report);
+        }
+        Err(error) => warn!("event=engine_lost reason=\"{error}\""),
+    }
+}
+
+/// Orders the engine to load `wanted` from `stage` and waits until it has. No order is sent if the verification
+/// of the stage is too old by then, as after a pause of the process.
+async fn order_load(
+    state: &AgentState,
+    wanted: &WantedModel,
+    fence: u64,
+    stage: VerifiedStage,
+    report: EngineReport,
+) {
     let expected_orders = report.accepted_orders;
     let (running, waiting) = (report.running, report.waiting);
     state.set_report(report);
     // Tell entries to stop sending before the engine starts to reject requests.
     state.set_load_ordered(true);
     let order = LoadOrder { version: wanted.version.clone(), fence, expected_orders };
-    let answer = state.engine.load(&order).await;
+    let answer = state.engine.load(&order, || stage.is_current()).await;
+    let label = match &answer {
+        Ok(answer) => answer.into(),
+        Err(error) if error.is_withdrawn() => "withdrawn",
+        Err(_) => "none",
+    };
+    state.metrics.orders.with_label_values(&[label]).inc();
     info!(
-        "event=ordered version={} fence={fence} after_orders={expected_orders} age_ms={} running={running} \
-         waiting={waiting} answer={}",
+        "event=ordered version={} fence={fence} after_orders={expected_orders} age_ms={} verified_ms={} \
+         running={running} waiting={waiting} answer={}",
         wanted.version.version,
         wanted.age_ms(),
+        stage.age().as_millis(),
         match &answer {
             Ok(answer) => format!("{answer:?}"),
             Err(error) => format!("\"{error}\""),
         }
     );
-    let label = answer.as_ref().map_or("none", |answer| answer.into());
-    state.metrics.orders.with_label_values(&[label]).inc();
     match answer {
         Ok(OrderAnswer::Begun | OrderAnswer::Done) => wait_loaded(state, wanted).await,
+        // The control loop verifies the stage again.
+        Err(error) if error.is_withdrawn() => {}
         Ok(OrderAnswer::Unfit | OrderAnswer::Fenced) | Err(_) => {
             actix_rt::time::sleep(ORDER_RETRY_DELAY).await;
         }
@@ -226,27 +247,6 @@
     RolloutTurn { held_at, previous_retire_at, retire_at, turn, hosts }.start_at()
 }
 
-/// Verifies the stage once more and returns whether all chunks are intact. If not, only the intact
-/// ones stay recorded as staged, so that the others are fetched again.
-async fn verify_staged(
-    state: &AgentState,
-    fetcher: &ChunkFetcher,
-    version: &LoadedModel,
-    staged: &StagedManifest,
-) -> bool {
-    let held = fetcher.verified_chunks(version, &staged.manifest).await;
-    if held.is_full() {
-        return true;
-    }
-    warn!("event=stage_spoilt version={} sound={}", version.version, held.count());
-    state.stage.set_staged(StagedVersion {
-        version: version.clone(),
-        manifest: Some(staged.manifest.clone()),
-        held,
-    });
-    false
-}
-
 async fn wait_loaded(state: &AgentState, wanted: &WantedModel) {
     let version = &wanted.version;
     let ordered = clock::now();
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -17,6 +17,8 @@
 
 /// Timeout for a condition to hold.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between a verification and an order after which corruption may not go unnoticed.
+const UNVERIFIED_TIME: Duration = Duration::from_secs(4);
 
 async fn eventually(what: &str, condition: impl FnMut() -> bool) {
     assert!(
@@ -186,6 +188,52 @@
     wait_all_loaded(&fleet, 2).await;
 }
 
+/// Waits until the agent has read back the whole stage of a fleet with one engine, with `version` in it.
+async fn wait_stage_read(fleet: &SoakFleet, version: u64) {
+    let engine = &fleet.engines[0];
+    let read = async {
+        loop {
+            engine.stage_read.notified().await;
+            if engine.valid_chunks(version) == CHUNKS {
+                return;
+            }
+        }
+    };
+    let read = tokio::time::timeout(CONDITION_TIMEOUT, read).await;
+    read.expect("the agent verifies the staged version");
+}
+
+/// Guards against a load from a stage that was verified long before the order (review/4).
+#[actix_rt::test]
+async fn a_chunk_corrupted_while_the_agent_is_suspended_after_the_verification_is_not_loaded() {
+    let fleet = SoakFleet::start(1, 1).await;
+    wait_settled(&fleet).await;
+    operator::declare_version(&fleet.store, 2);
+    wait_stage_read(&fleet, 2).await;
+    let agent = fleet.process("agent-0");
+    agent.with_process(|process| process.suspend());
+    fleet.engines[0].corrupt_chunk(3);
+    actix_rt::time::sleep(UNVERIFIED_TIME).await;
+    agent.with_process(|process| process.resume());
+    wait_all_loaded(&fleet, 2).await;
+}
+
+/// Guards against a load from a stage that was verified long before the order, by an agent that waits for the
+/// engine's answers in between.
+#[actix_rt::test]
+async fn a_chunk_corrupted_while_the_engine_reports_slowly_after_the_verification_is_not_loaded() {
+    let fleet = SoakFleet::start(1, 1).await;
+    wait_settled(&fleet).await;
+    operator::declare_version(&fleet.store, 2);
+    wait_stage_read(&fleet, 2).await;
+    let engine = &fleet.engines[0];
+    engine.report_delay.set(UNVERIFIED_TIME);
+    engine.corrupt_chunk(3);
+    actix_rt::time::sleep(UNVERIFIED_TIME).await;
+    engine.report_delay.set(Duration::ZERO);
+    wait_all_loaded(&fleet, 2).await;
+}
+
 #[actix_rt::test]
 async fn a_version_that_supersedes_one_still_being_swapped_in_is_loaded_completely() {
     let fleet = SoakFleet::start(1, 4).await;
