Entries: a shutdown refuses requests that may outlast it and answers the rest

What callers see: in a planned stop of an entry, requests that are read late in the grace period are sent to a target and cut without an answer at its end, also those that may not be repeated (LOST).

Cause: an entry took each request that it had read, whatever was left of the grace period, and the process ended with its requests open. A request may be complete 3.5 s after the signal, or later by the time limit for reading.

Change: DrainPeriod decides which requests are taken after the signal. One whose deadline lies after the end is refused with 503 and retry-after 0, unless it may be repeated and is read while connections are still accepted. Requests that are open 0.5 s before the end of the grace period get 503 if they were not sent, 502 otherwise; a stream that has begun is cut.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod crashes;
 pub mod demand;
+pub mod drain;
 pub mod evacuation;
 pub mod event_stream;
 pub mod memory;
@@ -35,6 +36,7 @@
     request_causes,
 };
 pub use demand::{ClassDemand, EntryDemands};
+pub use drain::DrainPeriod;
 pub use evacuation::{
     EvacuatedPart, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
 };
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -20,7 +20,7 @@
 use crate::process;
 use actix_http::StatusCode;
 use anyhow::{Context, Result};
-use buckthornwharf_core::direct::WatchTiming;
+use buckthornwharf_core::direct::{DrainPeriod, WatchTiming};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::InboundRequest;
 use buckthornwharf_platform::request::READINESS_PATH;
@@ -32,11 +32,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Time for which the entry still accepts connections during shutdown. The platform stops sending them
-/// after two failed readiness probes, one second apart.
-const SHUTDOWN_ACCEPT_TIME: Duration = Duration::from_millis(2500);
-/// Time reserved between the end of draining and the end of the grace period.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time in which requests that are given up at the end of a shutdown are answered.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(250);
 /// Delay after a failed accept, so that the loop does not spin when file descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -154,17 +151,16 @@
     outage
 }
 
-/// Accepts connections from callers until shutdown, then waits for open requests to end, at most until
-/// `grace` is almost over.
+/// Accepts connections from callers until shutdown, then waits for open requests to end. Those that are still
+/// open when `grace` is almost over are given up with an answer.
 async fn accept_connections(
     listener: TcpListener,
     state: Rc<EntryState>,
     mut shutdown: watch::Receiver<bool>,
     grace: Duration,
 ) {
-    let mut shutdown_at = None;
+    let mut drain: Option<DrainPeriod> = None;
     loop {
-        let accept_until = shutdown_at.map(|at: tokio::time::Instant| at + SHUTDOWN_ACCEPT_TIME);
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, source)) => {
@@ -180,23 +176,30 @@
                     actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
-            _ = shutdown.wait_for(|shutdown| *shutdown), if shutdown_at.is_none() => {
-                shutdown_at = Some(tokio::time::Instant::now());
+            _ = shutdown.wait_for(|shutdown| *shutdown), if drain.is_none() => {
+                drain = Some(state.begin_drain(grace));
             }
-            () = sleep_until(accept_until) => break,
+            () = sleep_until(drain.map(|drain| drain.accept_until)) => break,
         }
     }
     accept_backlog(listener, &state);
-    let Some(shutdown_at) = shutdown_at else {
+    let Some(drain) = drain else {
         return;
     };
-    let drain_until = shutdown_at + grace.saturating_sub(EXIT_MARGIN);
-    let drained = tokio::time::timeout_at(drain_until, state.wait_idle()).await;
-    if drained.is_err() {
-        warn!("event=stopped_early requests={}", state.open_requests());
+    tokio::select! {
+        () = state.wait_idle() => {}
+        () = sleep_until(Some(drain.end)) => give_up_open_requests(&state).await,
     }
 }
 
+/// Ends the requests that are still open: those that have no answer yet get one.
+async fn give_up_open_requests(state: &EntryState) {
+    warn!("event=stopped_early requests={}", state.open_requests());
+    state.end_drain();
+    // What cannot be sent in this time ends with the process.
+    let _ = tokio::time::timeout(LAST_ANSWERS_TIME, state.wait_idle()).await;
+}
+
 /// Accepts the connections that are already open, and closes the listener, which would reset them.
 fn accept_backlog(listener: TcpListener, state: &Rc<EntryState>) {
     let Ok(listener) = listener.into_std() else {
@@ -211,9 +214,9 @@
     }
 }
 
-async fn sleep_until(at: Option<tokio::time::Instant>) {
+async fn sleep_until(at: Option<MonoTime>) {
     match at {
-        Some(at) => tokio::time::sleep_until(at).await,
+        Some(at) => actix_rt::time::sleep(at.since(clock::now())).await,
         None => std::future::pending().await,
     }
 }
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -110,6 +110,8 @@
     },
     CallerDisconnected,
     TimedOut,
+    /// The process is about to exit.
+    ShutDown,
 }
 
 impl RequestRun<'_> {
@@ -145,6 +147,9 @@
                 SlotResult::TimedOut => {
                     return self.refuse(caller, Duration::ZERO, "timeout").await;
                 }
+                SlotResult::ShutDown => {
+                    return self.refuse(caller, Duration::ZERO, "shutdown").await;
+                }
             };
             // Its causes may have become known while the request was queued.
             if let Some(retry_after) = self.crash_refusal() {
@@ -194,6 +199,10 @@
                     return ConnectionAction::Abort;
                 }
                 AttemptResult::TimedOut => return self.give_up_timed_out(caller).await,
+                AttemptResult::ShutDown(stage) => {
+                    self.may_have_run |= stage != AttemptStage::Connecting;
+                    return self.refuse(caller, Duration::ZERO, "shutdown").await;
+                }
                 AttemptResult::Failed(failure) => failure,
                 AttemptResult::Moved(slot) => {
                     reserved = Some(slot);
@@ -309,6 +318,7 @@
                 None => SlotResult::TimedOut,
             },
             () = caller.closed() => SlotResult::CallerDisconnected,
+            () = self.state.drain_ended() => SlotResult::ShutDown,
         };
         self.state.count_queue_time(&slot_request, obstacle, clock::now().since(now));
         result
--- a/src/direct/entry/request/admission.rs
+++ b/src/direct/entry/request/admission.rs
@@ -72,6 +72,7 @@
     NoId,
     NoRoute,
     UnknownKey,
+    ShuttingDown,
 }
 
 /// Returns the time within which requests to `route` are answered.
@@ -101,6 +102,10 @@
     let timeout = timeout_of(route);
     let caller_timeout =
         tags.caller_timeout.map_or(timeout, |caller_timeout| caller_timeout.min(timeout));
+    let deadline = now + caller_timeout;
+    if !state.admits_in_drain(now, route.kind, deadline) {
+        return Err(reject(Rejection::ShuttingDown));
+    }
     let priority = organisation.and_then(|(_, priority)| *priority).unwrap_or(route.priority);
     let service = table.service_of(route, &tags.id).clone();
     let path = inbound.uri.path_and_query().map_or("", |path| path.as_str());
@@ -118,7 +123,7 @@
         elapsed_before: tags.caller_timeout.map_or(Duration::ZERO, |caller_timeout| {
             state.observe_caller_timeout(now, &route.name, caller_timeout)
         }),
-        deadline: now + caller_timeout,
+        deadline,
         objective: route.objective,
         inbound,
         tags,
@@ -133,6 +138,8 @@
                 let retry_ms = rand::rng().random_range(UNCONFIGURED_RETRY_MS);
                 (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(retry_ms)))
             }
+            // Another entry can take the request at once.
+            Rejection::ShuttingDown => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::ZERO)),
             Rejection::NoId => (StatusCode::BAD_REQUEST, None),
             Rejection::NoRoute => (StatusCode::NOT_FOUND, None),
             Rejection::UnknownKey => (StatusCode::UNAUTHORIZED, None),
--- a/src/direct/entry/request/attempt.rs
+++ b/src/direct/entry/request/attempt.rs
@@ -116,6 +116,8 @@
     CallerDisconnected(AttemptStage),
     /// The request's deadline has passed.
     TimedOut,
+    /// The process is about to exit; the attempt had got this far.
+    ShutDown(AttemptStage),
     /// There is no response that can be relayed, or a stream broke off.
     Failed(AttemptFailure),
     /// The target fell silent; the next attempt has this slot.
@@ -129,6 +131,8 @@
 enum Interruption {
     CallerDisconnected,
     TimedOut,
+    /// The process is about to exit.
+    ShutDown,
     /// The target had not begun to respond when its loaded version was retired.
     Outdated,
     /// The target has fallen silent, and another one has this slot for the request.
@@ -162,6 +166,7 @@
                 AttemptResult::CallerDisconnected(self.stage.get())
             }
             Err(Interruption::TimedOut) => AttemptResult::TimedOut,
+            Err(Interruption::ShutDown) => AttemptResult::ShutDown(self.stage.get()),
             Err(Interruption::Outdated) => AttemptResult::Failed(AttemptFailure::Outdated),
             Err(Interruption::Moved(slot)) => AttemptResult::Moved(slot),
             Err(Interruption::NotSent(obstacle)) => return Err(NotSent(obstacle)),
@@ -353,7 +358,8 @@
         }
     }
 
-    /// Waits for a step. Interrupted if the caller disconnects or the deadline passes.
+    /// Waits for a step. Interrupted if the caller disconnects, the deadline passes or the process is about to
+    /// exit.
     async fn within_deadline<T>(
         &self,
         caller: &mut InboundConnection,
@@ -368,6 +374,7 @@
             done = step => Ok(done),
             () = caller.closed() => Err(Interruption::CallerDisconnected),
             () = actix_rt::time::sleep(time_left) => Err(Interruption::TimedOut),
+            () = self.state.drain_ended() => Err(Interruption::ShutDown),
         }
     }
 }
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -1,6 +1,7 @@
 //! State of an entry: configuration, versions, targets, slots and requests that wait for a slot.
 
 mod crashes;
+mod drain;
 mod evacuation;
 mod gauges;
 mod notices;
@@ -28,6 +29,7 @@
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::StoreClient;
 use crashes::BrokenRequests;
+use drain::DrainState;
 use evacuation::EvacuationAge;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -71,6 +73,7 @@
     queue_changed: Notify,
     open_requests: Cell<usize>,
     no_open_requests: Notify,
+    drain: DrainState,
 }
 
 impl EntryState {
@@ -116,6 +119,7 @@
             queue_changed: Notify::new(),
             open_requests: Cell::new(0),
             no_open_requests: Notify::new(),
+            drain: DrainState::default(),
         })
     }
 
