Own path: answers without end no longer fill the memory of agents and entries

Bytes without end, in a head or a body: on the direct path, and in calls to engines, the origin and the store, they are given up or sent on as they are read; tests show it. On the product's own path it can happen: the parts of an answer pass through channels without a limit, from the target to the link and from the link to the caller, and an entry collects an answer that is no stream until it is complete.

Change: an answer that is no stream has at most 8 MB, at agents and entries.

An answer that is cut in its head: a head counts only with the empty line that ends it, so that this can't happen here; tests cut answers at each byte of their heads (exchange, own path) and in five places (entry process).

--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -77,6 +77,38 @@
     }
 }
 
+/// Guards against an answer that is cut in its head and taken for one with an empty or short body.
+#[actix_rt::test]
+async fn an_answer_cut_anywhere_in_its_head_is_an_error() {
+    const ANSWERS: [&str; 4] = [
+        "HTTP/1.1 200 OK\r\nserver: s\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nserver: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nserver: s\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nContent-Length: 12\r\n\r\n",
+    ];
+    for answer in ANSWERS {
+        for cut_at in 0..answer.len() {
+            let client = CallClient::new(serve_cut(&answer[..cut_at]).await);
+            let failure = client.call(get("/")).await.expect_err("the head is cut");
+            let is_cut = matches!(failure, CallError::Failed(ExchangeError::ClosedEarly));
+            assert!(is_cut, "{:?}: {failure}", &answer[..cut_at]);
+        }
+    }
+}
+
+/// Starts a server that answers a request with `part` and closes the connection.
+async fn serve_cut(part: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a client connects");
+        let mut request = vec![0; 4096];
+        assert!(stream.read(&mut request).await.expect("the request arrives") > 0);
+        stream.write_all(part.as_bytes()).await.expect("the client reads");
+    });
+    address
+}
+
 #[actix_rt::test]
 async fn a_malformed_answer_is_an_error() {
     let client = serve(&["what is this?\r\n\r\n"]).await;
@@ -263,6 +295,18 @@
     }
 }
 
+/// Guards against a call whose answer fills the memory of the process.
+#[actix_rt::test]
+async fn a_body_without_end_is_given_up_at_the_size_limit() {
+    for head in
+        ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n"]
+    {
+        let client = CallClient::new(serve_endless(head, "5\r\nhello\r\n").await);
+        let failure = client.call(get("/")).await.expect_err("the body has no end");
+        assert!(matches!(failure, CallError::TooLong), "{head:?}: {failure}");
+    }
+}
+
 const BODY_BYTES: usize = 100_000;
 
 /// Aborts an exchange whose peer stands still, so that it has not acknowledged the whole request. Returns
--- a/src/agent/answer_check.rs
+++ b/src/agent/answer_check.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-/// Maximum bytes buffered: of a JSON answer, or of the unchecked events of a stream.
+/// Maximum size of an answer that is no stream, and of the unchecked events of a stream, in bytes.
 pub const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
 const EVENT_END: &[u8] = b"\n\n";
 const EVENT_PREFIX: &[u8] = b"data: ";
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -1,8 +1,11 @@
 //! HTTP client with which an agent runs requests at its target.
 
 mod exchange;
+mod window;
 
-use super::answer_check::{AnswerChecker, AnswerFault, AnswerFormat};
+pub use window::ANSWER_WINDOW_BYTES;
+
+use super::answer_check::{AnswerChecker, AnswerFault, AnswerFormat, MAX_BUFFERED_BYTES};
 use actix_http::StatusCode;
 use actix_rt::net::TcpStream;
 use buckthornwharf_core::frame::SubmitFrame;
@@ -11,6 +14,7 @@
 use exchange::{TargetRequest, TargetResponse};
 use std::net::SocketAddr;
 use tokio::sync::{mpsc, oneshot};
+use window::AnswerWindow;
 
 /// Timeout of the target's answer to a cancellation.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -150,9 +154,16 @@
             content_type: response.content_type.clone(),
             digest: frame.digest,
         });
+        let window = AnswerWindow::default();
+        let is_stream = response.content_type.starts_with(EVENT_STREAM_TYPE);
+        let mut received_bytes = 0;
         while let Some(bytes) = response.next_part().await? {
+            received_bytes += bytes.len();
+            if !is_stream && received_bytes > MAX_BUFFERED_BYTES {
+                return Err(reject_answer(AnswerFault::TooLarge));
+            }
             let checked = checker.push(bytes).map_err(reject_answer)?;
-            forward_checked(events, &mut head, checked);
+            forward_checked(events, &mut head, window.hold(checked).await);
         }
         let rest = checker.finish().map_err(|fault| match fault {
             AnswerFault::Truncated | AnswerFault::Malformed if !response.is_delimited => {
@@ -160,7 +171,7 @@
             }
             fault => reject_answer(fault),
         })?;
-        forward_checked(events, &mut head, rest);
+        forward_checked(events, &mut head, window.hold(rest).await);
         if let Some(head) = head {
             events.send(head);
         }
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry: accepts callers' requests and forwards them to agents.
 
+pub mod answer_channel;
 pub mod caller;
 pub mod late_cancels;
 pub mod links;
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -1,5 +1,6 @@
 //! HTTP side of a caller's request: parses the request and writes the answer.
 
+use super::answer_channel::AnswerReceiver;
 use super::prompt::PromptSummary;
 use crate::admin::response_with_type;
 use crate::shared::ActiveConfig;
@@ -11,10 +12,11 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use serde::Serialize;
-use tokio::sync::mpsc;
 
 /// Maximum size of a request's body.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
+/// Maximum size of an answer that is buffered until it is complete.
+pub const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Time within which a caller must send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size of an idempotency key.
@@ -213,10 +215,7 @@
 /// Builds the response from `events`. An answer that is not an event stream is buffered until it is
 /// complete, so that `x-result-code` is the final result. An event stream that fails is aborted
 /// without the end marker of its body.
-pub async fn write_answer(
-    mut events: mpsc::UnboundedReceiver<CallerEvent>,
-    mut guard: CallerGuard,
-) -> Response<BoxBody> {
+pub async fn write_answer(mut events: AnswerReceiver, mut guard: CallerGuard) -> Response<BoxBody> {
     let id = guard.id;
     let (status, content_type, digest) = match events.recv().await {
         Some(CallerEvent::Head { status, content_type, digest }) => (status, content_type, digest),
@@ -236,7 +235,10 @@
             .map_into_boxed_body();
     }
     let collected = collect_body(&mut events).await;
-    guard.disarm();
+    if collected != Err(ResultCode::AnswerDiscarded) {
+        // Otherwise the answer may go on, and the request is cancelled as if the caller had left.
+        guard.disarm();
+    }
     match collected {
         Ok(body) => {
             response_builder(id, status, &content_type, digest).body(body).map_into_boxed_body()
@@ -246,7 +248,7 @@
 }
 
 fn body_stream(
-    events: mpsc::UnboundedReceiver<CallerEvent>,
+    events: AnswerReceiver,
     guard: CallerGuard,
 ) -> impl futures_util::Stream<Item = Result<Bytes, TruncatedAnswerError>> {
     futures_util::stream::unfold(Some((events, guard)), |state| async {
@@ -265,12 +267,13 @@
     })
 }
 
-async fn collect_body(
-    events: &mut mpsc::UnboundedReceiver<CallerEvent>,
-) -> Result<Bytes, ResultCode> {
+async fn collect_body(events: &mut AnswerReceiver) -> Result<Bytes, ResultCode> {
     let mut body = BytesMut::new();
     while let Some(event) = events.recv().await {
         match event {
+            CallerEvent::Body(bytes) if body.len() + bytes.len() > MAX_WHOLE_ANSWER_BYTES => {
+                return Err(ResultCode::AnswerDiscarded);
+            }
             CallerEvent::Body(bytes) => body.extend_from_slice(&bytes),
             CallerEvent::End(ResultCode::Ok) => return Ok(body.freeze()),
             CallerEvent::End(code) => return Err(code),
--- a/src/entry/requests.rs
+++ b/src/entry/requests.rs
@@ -1,5 +1,6 @@
 //! Requests of an entry's callers: runs the state machine of each and carries out its actions.
 
+use super::answer_channel::AnswerSender;
 use super::caller::{CallerEvent, CallerRequest};
 use super::late_cancels::LateCancels;
 use super::observer::RequestObserver;
@@ -16,14 +17,13 @@
 use buckthornwharf_core::request::{LinkId, RequestDriver};
 use buckthornwharf_core::routing::{PickAffinity, PickRequest, PickedTarget, TargetPicker};
 use std::collections::VecDeque;
-use tokio::sync::mpsc;
 
 /// A request that has not ended.
 struct InFlightRequest {
     driver: RequestDriver,
     caller: CallerRequest,
     affinity: PickAffinity,
-    events: mpsc::UnboundedSender<CallerEvent>,
+    events: AnswerSender,
     attempt: Option<CurrentAttempt>,
     /// Body frames forwarded; if more than one, taken as the number of tokens used.
     body_frames: u32,
@@ -120,7 +120,7 @@
         &mut self,
         id: RequestId,
         caller: CallerRequest,
-        events: mpsc::UnboundedSender<CallerEvent>,
+        events: AnswerSender,
         observer: RequestObserver,
     ) -> Result<(), ResultCode> {
         let now = clock::now();
@@ -284,7 +284,10 @@
                     let Some(request) = self.requests.get_mut(&id) else { continue };
                     request.observer.on_body(clock::now());
                     request.body_frames += 1;
-                    let _ = request.events.send(CallerEvent::Body(bytes));
+                    if let Err(error) = request.events.send(CallerEvent::Body(bytes)) {
+                        log::warn!("request={id} is cancelled: {error}");
+                        self.drive(id, DriverEvent::CallerGone);
+                    }
                 }
                 DriverAction::Finish(code) => self.finish(id, code),
             }
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -1,5 +1,6 @@
 //! Traffic thread of an entry: serves callers over HTTP and forwards their requests over links.
 
+use super::answer_channel::answer_channel;
 use super::caller::{CallerGuard, CallerRequest, error_response, read_request, write_answer};
 use super::links::LinkManager;
 use super::observer::{RequestObserver, RequestRecorder, RequestSubject};
@@ -130,7 +131,7 @@
             return error_response(id, code);
         }
     };
-    let (sender, receiver) = mpsc::unbounded_channel();
+    let (sender, receiver) = answer_channel();
     let subject = subject_of(id, &caller);
     let observer = RequestObserver::start(recorder.clone(), clock::now(), subject.clone());
     let submitted = traffic.borrow_mut().table.submit(id, caller, sender, observer);
--- a/tests/direct/calls.rs
+++ b/tests/direct/calls.rs
@@ -130,6 +130,17 @@
         stream.write_all(head.as_bytes()).await.expect("the connection is open");
     }
 
+    /// Sends a request, and returns its connection, from which nothing is read.
+    pub async fn post_unread(&self, path: &str, id: String) -> TcpStream {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nauthorization: Bearer secret\r\n\
+             attempt-id: {id}\r\ndeadline-ms: {DEADLINE_MS}\r\ncontent-length: 0\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(self.entries[0].callers).await.expect("it connects");
+        stream.write_all(head.as_bytes()).await.expect("the connection is open");
+        stream
+    }
+
     /// Sends a request, and returns the bytes that arrive until the connection ends.
     pub async fn post_raw(&self, path: &str, id: &str) -> String {
         let head = format!(
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -251,6 +251,15 @@
         self.entries[0].process.borrow().id()
     }
 
+    /// The peak of the resident memory of the first entry's process, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.entry_process_id()));
+        let status = status.expect("the entry runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+        kilobytes * 1024
+    }
+
     /// Whether the process of the first entry runs.
     pub fn is_entry_running(&self) -> bool {
         self.entries[0].process.borrow_mut().is_running()
@@ -278,6 +287,14 @@
         register(&self.store, &self.engines[number], state);
     }
 
+    /// Registers a target at another address.
+    pub fn set_address(&self, number: usize, address: SocketAddr) {
+        let engine = &self.engines[number];
+        let mut registration = engine.registration("ledger", "ready");
+        registration["address"] = address.to_string().into();
+        self.store.put(&format!("servers/{}", engine.id), &registration);
+    }
+
     /// How many requests the targets ran in total.
     pub fn runs(&self) -> usize {
         self.engines.iter().map(|engine| engine.runs()).sum()
--- a/tests/direct_answers.rs
+++ b/tests/direct_answers.rs
@@ -10,6 +10,10 @@
 use fleet::DirectFleet;
 use standin::engine::{EngineBehaviour, STREAM_EVENTS};
 use standin::shape::AnswerShape;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 fn whole_stream() -> String {
     (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect()
@@ -99,3 +103,107 @@
     }
     assert!(fleet.engines[0].runs() > 0, "the first target got none of the requests");
 }
+
+/// Starts a target that answers each request with `part` and closes the connection. In the part, `ID` stands for
+/// the request's id.
+async fn serve_part(part: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("the entry connects");
+            let mut request = vec![0; 4096];
+            let length = stream.read(&mut request).await.expect("a request");
+            let request = String::from_utf8_lossy(&request[..length]).into_owned();
+            let id = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
+            let answer = part.replace("ID", id.unwrap_or_default());
+            stream.write_all(answer.as_bytes()).await.expect("the entry reads");
+        }
+    });
+    address
+}
+
+/// Guards against an answer that is cut in its head and passed on as a complete one with an empty or short body.
+#[actix_rt::test]
+async fn an_answer_that_is_cut_in_its_head_is_not_passed_on() {
+    const PARTS: [&str; 5] = [
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\n",
+        "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\ncontent-len",
+        "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\ncontent-length: 5\r\n",
+        "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r",
+    ];
+    for part in PARTS {
+        let fleet = DirectFleet::start(1).await;
+        fleet.set_address(0, serve_part(part).await);
+        fleet.pause().await;
+        for path in ["/once/x", "/stream/x"] {
+            let reply = fleet.post(path, path).await;
+            assert_eq!((reply.status, reply.body.as_str()), (502, ""), "{path} {part:?}");
+            fleet.pause().await;
+        }
+    }
+}
+
+/// Starts a target that answers each request with `head` and then with `repeated` until the entry closes.
+async fn serve_endless(head: &'static str, repeated: String) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    let repeated = Rc::new(repeated);
+    actix_rt::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.expect("the entry connects");
+            let repeated = repeated.clone();
+            actix_rt::spawn(async move {
+                let mut request = vec![0; 4096];
+                let length = stream.read(&mut request).await.expect("a request");
+                let request = String::from_utf8_lossy(&request[..length]).into_owned();
+                let id = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
+                let head = head.replace("ID", id.unwrap_or_default());
+                let mut sent = stream.write_all(head.as_bytes()).await;
+                while sent.is_ok() {
+                    sent = stream.write_all(repeated.as_bytes()).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against bytes without end, in a head or a body, that fill the memory of the entry; its callers read
+/// nothing of their answers.
+#[actix_rt::test]
+async fn an_answer_without_end_does_not_fill_the_memory_of_the_entry() {
+    const CALLERS: usize = 4;
+    const MAX_BYTES: u64 = 64 * 1024 * 1024;
+    let chunk = format!("3e8\r\n{}\r\n", "x".repeat(1000));
+    let answers = [
+        ("", "no answer ".repeat(100)),
+        ("HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: ", "s".repeat(1000)),
+        ("HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\n\r\n", "x".repeat(1000)),
+        (
+            "HTTP/1.1 200 OK\r\nattempt-id: ID\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n",
+            chunk.clone(),
+        ),
+        (
+            "HTTP/1.1 500 Failed\r\nattempt-id: ID\r\nserver-seal: s\r\ntransfer-encoding: chunked\r\n\r\n",
+            chunk,
+        ),
+    ];
+    for (head, repeated) in answers {
+        let fleet = DirectFleet::start(1).await;
+        fleet.set_address(0, serve_endless(head, repeated).await);
+        fleet.pause().await;
+        let paths = ["/plain/x", "/once/x", "/stream/x"].into_iter().cycle().take(CALLERS);
+        let callers =
+            paths.enumerate().map(|(number, path)| fleet.post_unread(path, format!("id-{number}")));
+        let callers = futures_util::future::join_all(callers).await;
+        fleet.pause_longer_than_accepting().await;
+        let peak = fleet.peak_memory();
+        assert!(peak < MAX_BYTES, "{head:?}: {peak} bytes");
+        drop(callers);
+        fleet.set_address(0, fleet.engines[0].address);
+        fleet.wait_status("/plain/x", "secret", 200).await;
+        assert!(fleet.is_entry_running());
+    }
+}
--- a/tests/direct_callers.rs
+++ b/tests/direct_callers.rs
@@ -211,15 +211,6 @@
     number
 }
 
-/// The peak of the resident memory of the entry's process, in bytes.
-fn peak_memory(fleet: &DirectFleet) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", fleet.entry_process_id()));
-    let status = status.expect("the entry runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a peak");
-    let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
-    kilobytes * 1024
-}
-
 fn open_descriptors(fleet: &DirectFleet) -> usize {
     let folder = std::fs::read_dir(format!("/proc/{}/fd", fleet.entry_process_id()));
     folder.expect("the entry runs").count()
@@ -270,7 +261,7 @@
         let (served, also_served) = callers.await;
         attack.join().expect("the attack is carried out");
         assert!(fleet.is_entry_running(), "{kind:?}: the entry ended");
-        let peak = peak_memory(&fleet);
+        let peak = fleet.peak_memory();
         println!("{kind:?}: peak {peak}, served {}", served + also_served);
         assert!(peak < MEMORY_MEGABYTES * 1_000_000, "{kind:?}: {peak} bytes are resident");
         assert_eq!(fleet.readiness().await, Some(200), "{kind:?}");
