Agents: a manifest that a chunk does not match twice is read again

Cause: an agent took the first manifest that it could parse for right and every chunk that does not match it for corrupt. It never read the manifest again, and handed it to other agents.

Change: ManifestDoubt counts mismatches of each chunk. A manifest whose number or size of chunks is not that of the configuration is refused, as all of its chunks would count as unreachable.

--- a/src/direct/agent/fetcher.rs
+++ b/src/direct/agent/fetcher.rs
@@ -1,5 +1,6 @@
 //! Fetches the chunks of a version from the origin and other agents into the engine's stage.
 
+mod doubt;
 mod manifest;
 mod run;
 
@@ -14,7 +15,8 @@
     ChunkSet, CrossRegionMode, DistributionPlan, FetchLimits, HashKind, PlanHost, VersionManifest,
 };
 use log::{info, warn};
-use run::{ChunkDestination, FetchRun};
+use manifest::FoundManifest;
+use run::{ChunkDestination, FetchEnd, FetchRun};
 use std::rc::Rc;
 
 /// Rate limit from one region to another, as a multiple of the rate of a host's link.
@@ -46,26 +48,36 @@
     /// version. The future may be dropped at any time; chunks fetched so far are kept.
     pub async fn park(&self, wanted: &WantedModel) {
         let version = &wanted.version;
-        let found = self.manifest(wanted).await;
-        self.state.stage.park(version, &found.manifest);
-        let held = self.state.stage.staged(version).map(|parked| parked.held);
-        let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
-        self.state.wait_all_agents().await;
-        info!(
-            "event=parking_started version={} held={} age_ms={}",
-            version.version,
-            held.count(),
-            wanted.age_ms()
-        );
-        let destination = ChunkDestination::Memory;
-        let mut run = FetchRun::new(self, wanted, found, held, destination);
-        run.finish().await;
-        info!(
-            "event=parking_ended version={} took_ms={} age_ms={}",
-            version.version,
-            clock::now().since(run.started).as_millis(),
-            wanted.age_ms()
-        );
+        let mut found = self.manifest(wanted).await;
+        let mut has_waited = false;
+        loop {
+            self.state.stage.park(version, &found.manifest);
+            let held = self.state.stage.staged(version).map(|parked| parked.held);
+            let held = held.unwrap_or_else(|| ChunkSet::new(found.manifest.chunks.len()));
+            if !std::mem::replace(&mut has_waited, true) {
+                self.state.wait_all_agents().await;
+            }
+            info!(
+                "event=parking_started version={} held={} age_ms={}",
+                version.version,
+                held.count(),
+                wanted.age_ms()
+            );
+            let destination = ChunkDestination::Memory;
+            let mut run = FetchRun::new(self, wanted, found.clone(), held, destination);
+            match run.finish().await {
+                FetchEnd::Complete => {
+                    info!(
+                        "event=parking_ended version={} took_ms={} age_ms={}",
+                        version.version,
+                        clock::now().since(run.started).as_millis(),
+                        wanted.age_ms()
+                    );
+                    return;
+                }
+                FetchEnd::OtherManifest(manifest) => found.manifest = manifest,
+            }
+        }
     }
 
     /// Moves the chunks of `version` that are parked in memory to the engine's stage.
@@ -92,13 +104,34 @@
     pub async fn stage(&self, wanted: &WantedModel) -> StagedManifest {
         let version = &wanted.version;
         self.stage_parked(version).await;
-        let found = self.manifest(wanted).await;
-        let manifest = found.manifest.clone();
+        let mut found = self.manifest(wanted).await;
+        loop {
+            let held = self.held_in_stage(wanted, &found).await;
+            let destination = ChunkDestination::Stage;
+            let mut run = FetchRun::new(self, wanted, found.clone(), held, destination);
+            match run.finish().await {
+                FetchEnd::Complete => {
+                    info!(
+                        "event=fetch_ended version={} took_ms={} age_ms={}",
+                        version.version,
+                        clock::now().since(run.started).as_millis(),
+                        wanted.age_ms()
+                    );
+                    return StagedManifest { manifest: found.manifest };
+                }
+                FetchEnd::OtherManifest(manifest) => found.manifest = manifest,
+            }
+        }
+    }
+
+    /// Records `wanted` as the version in the stage, and returns which of its chunks are there.
+    async fn held_in_stage(&self, wanted: &WantedModel, found: &FoundManifest) -> ChunkSet {
+        let (version, manifest) = (&wanted.version, &found.manifest);
         let manifest_age_ms = wanted.age_ms();
         // All is verified again before the load, so the stage is read here only if its content is unknown.
-        let held = match self.state.stage.recorded_chunks(version, &manifest) {
+        let held = match self.state.stage.recorded_chunks(version, manifest) {
             Some(held) => held,
-            None => self.verified_chunks(version, &manifest).await,
+            None => self.verified_chunks(version, manifest).await,
         };
         info!(
             "event=fetch_started version={} held={} settled={} manifest_age_ms={manifest_age_ms} \
@@ -116,16 +149,7 @@
         if !held.is_full() {
             self.state.wait_all_agents().await;
         }
-        let destination = ChunkDestination::Stage;
-        let mut run = FetchRun::new(self, wanted, found, held, destination);
-        run.finish().await;
-        info!(
-            "event=fetch_ended version={} took_ms={} age_ms={}",
-            version.version,
-            clock::now().since(run.started).as_millis(),
-            wanted.age_ms()
-        );
-        StagedManifest { manifest }
+        held
     }
 
     /// Reads what is in the engine's stage, unless that is known, so that it does not have to be read when
--- a/src/direct/agent/fetcher/manifest.rs
+++ b/src/direct/agent/fetcher/manifest.rs
@@ -24,6 +24,7 @@
 const ORIGIN_ONLY_TIME: Duration = Duration::from_secs(3);
 
 /// A manifest, and whether an agent of the same region already holds the whole version.
+#[derive(Debug, Clone)]
 pub(super) struct FoundManifest {
     pub manifest: Arc<VersionManifest>,
     pub region_has_copy: bool,
@@ -49,7 +50,7 @@
                 return FoundManifest { manifest: Arc::new(manifest), region_has_copy };
             }
             for address in self.relay_sources(version) {
-                if let Ok(manifest) = self.peers.manifest(address, version).await {
+                if let Some(manifest) = self.peer_manifest(address, version).await {
                     return FoundManifest { manifest: Arc::new(manifest), region_has_copy };
                 }
             }
@@ -64,15 +65,41 @@
     ) -> Option<Arc<VersionManifest>> {
         let staged = self.state.stage.staged(version).and_then(|staged| staged.manifest);
         match (staged, region_peer) {
-            (None, Some(address)) => self.peers.manifest(address, version).await.ok().map(Arc::new),
+            (None, Some(address)) => self.peer_manifest(address, version).await.map(Arc::new),
             (staged, _) => staged,
         }
     }
 
+    async fn peer_manifest(
+        &self,
+        address: SocketAddr,
+        version: &LoadedModel,
+    ) -> Option<VersionManifest> {
+        let manifest = self.peers.manifest(address, version).await.ok()?;
+        self.fits_engine(&manifest).then_some(manifest)
+    }
+
+    /// Returns whether a manifest has the number and the size of chunks that the configuration names.
+    pub(super) fn fits_engine(&self, manifest: &VersionManifest) -> bool {
+        let Some(spec) = self.state.engine_spec() else {
+            return true;
+        };
+        let fits = manifest.chunks.len() == spec.chunks as usize
+            && manifest.chunk_bytes == spec.chunk_bytes;
+        if !fits {
+            warn!(
+                "event=odd_manifest pieces={} piece_bytes={}",
+                manifest.chunks.len(),
+                manifest.chunk_bytes
+            );
+        }
+        fits
+    }
+
     async fn origin_manifest(&self, version: &LoadedModel) -> Option<VersionManifest> {
         let origin = self.state.origin()?;
         match OriginClient::new(origin.address).manifest(version).await {
-            Ok(manifest) => Some(manifest),
+            Ok(manifest) => self.fits_engine(&manifest).then_some(manifest),
             Err(error) => {
                 warn!("event=no_manifest reason=\"{error}\"");
                 None
--- a/src/direct/agent/fetcher/run.rs
+++ b/src/direct/agent/fetcher/run.rs
@@ -1,6 +1,7 @@
 //! One fetch of a version: drives the [`FetchMachine`] and runs a task for each fetch and poll.
 
 use super::ChunkFetcher;
+use super::doubt::ManifestDoubt;
 use super::manifest::FoundManifest;
 use crate::clock;
 use crate::direct::agent::state::WantedModel;
@@ -35,6 +36,23 @@
     Memory,
 }
 
+/// How a fetch ended.
+#[derive(Debug)]
+pub(super) enum FetchEnd {
+    /// All chunks are stored at the destination.
+    Complete,
+    /// The origin has sent another manifest than the one in use, which some chunks do not match.
+    OtherManifest(Arc<VersionManifest>),
+}
+
+/// What a fetch waits for.
+enum FetchStep {
+    /// An event for the machine.
+    Event(FetchEvent),
+    /// The manifest was read again; `None` if it could not be read.
+    Reread(Option<VersionManifest>),
+}
+
 /// A fetch machine with the tasks that carry out its actions. Dropping it aborts the tasks.
 pub(super) struct FetchRun<'a> {
     fetcher: &'a ChunkFetcher,
@@ -57,6 +75,7 @@
     progress_at: MonoTime,
     share: FetchShare,
     share_checked_at: MonoTime,
+    doubt: ManifestDoubt,
     pub started: MonoTime,
 }
 
@@ -99,12 +118,13 @@
             progress_at: started,
             share: FetchShare::ALL,
             share_checked_at: MonoTime::ZERO,
+            doubt: ManifestDoubt::default(),
             started,
         }
     }
 
-    /// Fetches until all chunks are stored at the destination.
-    pub async fn finish(&mut self) {
+    /// Fetches until all chunks are stored at the destination, or the manifest turns out to be wrong.
+    pub async fn finish(&mut self) -> FetchEnd {
         let mut event = FetchEvent::Tick;
         loop {
             let now = clock::now();
@@ -118,10 +138,19 @@
             }
             for action in actions {
                 if self.carry_out(action).await {
-                    return;
+                    return FetchEnd::Complete;
                 }
             }
-            event = self.next_event().await;
+            event = match self.next_step().await {
+                FetchStep::Event(event) => event,
+                FetchStep::Reread(Some(manifest))
+                    if manifest != *self.manifest && self.fetcher.fits_engine(&manifest) =>
+                {
+                    warn!("event=manifest_replaced version={}", self.version.version);
+                    return FetchEnd::OtherManifest(Arc::new(manifest));
+                }
+                FetchStep::Reread(_) => FetchEvent::Tick,
+            };
         }
     }
 
@@ -163,16 +192,18 @@
         }
     }
 
-    async fn next_event(&mut self) -> FetchEvent {
+    async fn next_step(&mut self) -> FetchStep {
         let wake = self.machine.next_wake();
         let pause = wake.map_or(Duration::ZERO, |wake| wake.since(clock::now()));
         let state = &self.fetcher.state;
         tokio::select! {
-            Some(event) = self.events.recv() => event,
+            Some(event) = self.events.recv() => FetchStep::Event(event),
+            manifest = self.doubt.reread() => FetchStep::Reread(manifest),
             () = state.agents_changed.notified() => {
-                FetchEvent::Replanned(self.fetcher.plan(&self.manifest, self.region_has_copy))
+                let plan = self.fetcher.plan(&self.manifest, self.region_has_copy);
+                FetchStep::Event(FetchEvent::Replanned(plan))
             }
-            () = actix_rt::time::sleep(pause) => FetchEvent::Tick,
+            () = actix_rt::time::sleep(pause) => FetchStep::Event(FetchEvent::Tick),
         }
     }
 
@@ -190,6 +221,8 @@
             FetchAction::ReportCorrupt(source, chunk) => {
                 warn!("event=corrupt_piece source={source:?} piece={chunk}");
                 self.count(&source, "corrupt");
+                let origin = self.fetcher.state.origin().map(|origin| origin.address);
+                self.doubt.record(&self.version, chunk, origin);
             }
             FetchAction::Complete => {
                 for store in self.stores.drain(..) {
--- a/src/direct/agent/stage.rs
+++ b/src/direct/agent/stage.rs
@@ -101,9 +101,16 @@
     }
 
     /// Starts to park chunks of `version` in memory. Parked chunks of another version are dropped; those
-    /// of the same version stay.
+    /// of the same version that match `manifest` stay.
     pub fn park(&self, version: &LoadedModel, manifest: &Arc<VersionManifest>) {
         let mut parked = self.parked.borrow_mut();
+        if let Some(parked) = parked.as_mut()
+            && parked.version == *version
+            && parked.manifest != *manifest
+        {
+            parked.manifest = manifest.clone();
+            parked.chunks.retain(|chunk, bytes| manifest.chunk_matches(*chunk, bytes));
+        }
         if parked.as_ref().is_none_or(|parked| parked.version != *version) {
             *parked = Some(ParkedVersion {
                 version: version.clone(),
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -234,6 +234,17 @@
     wait_all_loaded(&fleet, 2).await;
 }
 
+/// Guards against an agent that keeps a manifest with a wrong digit and never holds the version (review/1).
+#[actix_rt::test]
+async fn a_version_whose_first_manifests_have_a_wrong_digit_is_loaded() {
+    let fleet = SoakFleet::start(1, 2).await;
+    wait_settled(&fleet).await;
+    fleet.origin.wrong_manifests.set(2);
+    operator::declare_version(&fleet.store, 2);
+    wait_all_loaded(&fleet, 2).await;
+    assert_eq!(fleet.origin.wrong_manifests.get(), 0, "no agent read a wrong manifest");
+}
+
 #[actix_rt::test]
 async fn a_version_that_supersedes_one_still_being_swapped_in_is_loaded_completely() {
     let fleet = SoakFleet::start(1, 4).await;
