Entries: a shutdown uses the grace period of the newest settings

Cause: the grace period of the start was passed to the loop that accepts connections; a reload replaced only the bounds in the entry's state.

Change: the loop reads the grace period from the state when the signal arrives. Agents, which ignored reloads, use the newest version_time for versions that are declared later.

--- a/src/direct/agent.rs
+++ b/src/direct/agent.rs
@@ -70,8 +70,9 @@
     let registration =
         presence::keep_registered(store, prefix, record, engine_up, on_registered, |_| {});
     actix_rt::spawn(registration);
-    // No setting of an agent can change at run time; a reload only checks and logs the file.
-    reload::watch_settings(settings_path, rejected, |_| {})?;
+    let reloaded = state.clone();
+    let on_change = move |settings: DirectSettings| reloaded.set_bounds(&settings.bounds);
+    reload::watch_settings(settings_path, rejected, on_change)?;
     tokio::select! {
         never = manager::run(state.clone()) => match never {},
         _ = shutdown.wait_for(|shutdown| *shutdown) => {}
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -12,7 +12,7 @@
 use crate::direct::metrics::DirectAgentMetrics;
 use crate::direct::news::VersionNews;
 use crate::direct::presence::PresenceRecord;
-use crate::direct::settings::{DirectAgentSettings, DirectSettings};
+use crate::direct::settings::{BoundSettings, DirectAgentSettings, DirectSettings};
 use buckthornwharf_core::direct::version_choice::{CopyTimes, versions_to_load};
 use buckthornwharf_core::direct::{
     DeclaredVersion, EngineSpec, EntryDemands, LoadedModel, NewsCoverage, OriginSpec, StorePosition,
@@ -68,6 +68,8 @@
     pub settings: DirectSettings,
     /// The section `agent` of the settings.
     pub agent_settings: DirectAgentSettings,
+    /// Time by which a declared version replaces older ones, by the newest settings.
+    version_time: Cell<Duration>,
     /// Client for the engine on this host.
     pub engine: EngineClient,
     /// Notified when the wanted versions may have changed.
@@ -116,6 +118,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             metrics,
+            version_time: Cell::new(settings.bounds.version_time),
             settings,
             agent_settings,
             engine,
@@ -196,6 +199,11 @@
         self.wanted_changed.notify_one();
     }
 
+    /// Replaces the bounds after the settings were reloaded. Versions declared before keep their times.
+    pub fn set_bounds(&self, bounds: &BoundSettings) {
+        self.version_time.set(bounds.version_time);
+    }
+
     /// Returns the loads and declared versions to send to an entry.
     fn subscribe_reports(&self) -> AgentReports {
         AgentReports { loads: self.loads.subscribe(), news: self.news.subscribe() }
@@ -204,7 +212,7 @@
     /// Records a declaration. A new one calls for the agents of all regions, from which chunks are fetched.
     fn declare(&self, declared: LoadedModel, declared_at: MonoTime) {
         let version = declared.version;
-        let required_from = declared_at + self.settings.bounds.version_time;
+        let required_from = declared_at + self.version_time.get();
         let begin_by = required_from;
         let declaration = DeclaredVersion { version, declared_at, required_from, begin_by };
         let is_newest = self.news.borrow().newest(&declared.model) < Some(version);
--- a/src/direct/entry.rs
+++ b/src/direct/entry.rs
@@ -102,7 +102,7 @@
     let reloaded = state.clone();
     let on_change = move |settings: DirectSettings| reloaded.set_bounds(settings.bounds);
     reload::watch_settings(settings_path, rejected, on_change)?;
-    accept_connections(caller_listener, state, shutdown, settings.bounds.grace).await;
+    accept_connections(caller_listener, state, shutdown).await;
     info!("event=stopped host={}", settings.host);
     Ok(())
 }
@@ -152,12 +152,11 @@
 }
 
 /// Accepts connections from callers until shutdown, then waits for open requests to end. Those that are still
-/// open when `grace` is almost over are given up with an answer.
+/// open when the grace period is almost over are given up with an answer.
 async fn accept_connections(
     listener: TcpListener,
     state: Rc<EntryState>,
     mut shutdown: watch::Receiver<bool>,
-    grace: Duration,
 ) {
     let mut drain: Option<DrainPeriod> = None;
     loop {
@@ -177,7 +176,7 @@
                 }
             },
             _ = shutdown.wait_for(|shutdown| *shutdown), if drain.is_none() => {
-                drain = Some(state.begin_drain(grace));
+                drain = Some(state.begin_drain(state.grace()));
             }
             () = sleep_until(drain.map(|drain| drain.accept_until)) => break,
         }
--- a/src/direct/entry/state.rs
+++ b/src/direct/entry/state.rs
@@ -178,6 +178,11 @@
         routes.as_ref().map(|table| table.config().limits).unwrap_or_default()
     }
 
+    /// Returns the time from the shutdown signal to the kill, by the newest settings.
+    pub fn grace(&self) -> Duration {
+        self.bounds.borrow().grace
+    }
+
     /// Replaces the bounds after the settings were reloaded.
     pub fn set_bounds(&self, bounds: BoundSettings) {
         self.bounds.replace(bounds);
--- a/tests/direct/fleet.rs
+++ b/tests/direct/fleet.rs
@@ -164,6 +164,19 @@
         std::fs::write(path, text).expect("the settings can be written");
     }
 
+    /// Changes the bounds in the settings file of the first entry, and waits until the entry has read them.
+    pub async fn set_bound(&self, bound: &str, value: u64) {
+        let path = self.folder.path().join("entry-1.yml");
+        let text = std::fs::read_to_string(&path).expect("the settings can be read");
+        let mut settings: Value = serde_json::from_str(&text).expect("they are JSON");
+        settings["bounds"][bound] = value.into();
+        self.replace_settings(0, &settings.to_string());
+        eventually("the settings are reloaded", || {
+            self.entry_log(0).contains("event=settings_reloaded")
+        })
+        .await;
+    }
+
     /// Returns what an entry has logged, which goes to its standard output.
     pub fn entry_log(&self, number: usize) -> String {
         self.entries[number].process.borrow().stdout()
--- a/tests/direct_shutdown.rs
+++ b/tests/direct_shutdown.rs
@@ -88,3 +88,19 @@
     assert_eq!(fleet.runs(), 1);
     assert!(fleet.exits_cleanly().await);
 }
+
+/// Guards against a shutdown that ends by the grace period of the start, although it was raised since (review/2).
+#[actix_rt::test]
+async fn a_shutdown_lasts_for_the_grace_period_of_the_newest_settings() {
+    const GRACE_SECONDS: u64 = 16;
+    let mut fleet = DirectFleet::start(1).await;
+    fleet.engines[0].behaviour.set(EngineBehaviour::Slow);
+    // With the pause before, longer than the grace period of the start.
+    fleet.engines[0].slow_time.set(Duration::from_millis(5700));
+    fleet.set_bound("grace", GRACE_SECONDS).await;
+    let request = HalfSentRequest::send(&fleet, "/plain/x", "id-1").await;
+    fleet.terminate_entry();
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(request.finish().await, ("HTTP/1.1 200 OK".to_owned(), true));
+    assert!(fleet.exits_cleanly().await);
+}
