Agents: a manifest is compared with the chunks of the configuration if it names them

Cause: a configuration may leave the number or the size of the chunks out, which reads as 0; every manifest would be refused.

Change: what the configuration does not name is not compared.

--- a/src/direct/agent/fetcher/manifest.rs
+++ b/src/direct/agent/fetcher/manifest.rs
@@ -79,13 +79,15 @@
         self.fits_engine(&manifest).then_some(manifest)
     }
 
-    /// Returns whether a manifest has the number and the size of chunks that the configuration names.
+    /// Returns whether a manifest has the number and the size of chunks that the configuration names, if it
+    /// names them.
     pub(super) fn fits_engine(&self, manifest: &VersionManifest) -> bool {
         let Some(spec) = self.state.engine_spec() else {
             return true;
         };
-        let fits = manifest.chunks.len() == spec.chunks as usize
-            && manifest.chunk_bytes == spec.chunk_bytes;
+        let has_count = spec.chunks == 0 || manifest.chunks.len() == spec.chunks as usize;
+        let has_size = spec.chunk_bytes == 0 || manifest.chunk_bytes == spec.chunk_bytes;
+        let fits = has_count && has_size;
         if !fits {
             warn!(
                 "event=odd_manifest pieces={} piece_bytes={}",
--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -245,6 +245,17 @@
     assert_eq!(fleet.origin.wrong_manifests.get(), 0, "no agent read a wrong manifest");
 }
 
+/// Guards against an agent that rejects every chunk, as the manifest names a wrong size.
+#[actix_rt::test]
+async fn a_version_whose_first_manifests_name_a_wrong_size_is_loaded() {
+    let fleet = SoakFleet::start(1, 2).await;
+    wait_settled(&fleet).await;
+    fleet.origin.wrong_sizes.set(2);
+    operator::declare_version(&fleet.store, 2);
+    wait_all_loaded(&fleet, 2).await;
+    assert_eq!(fleet.origin.wrong_sizes.get(), 0, "no agent read a wrong manifest");
+}
+
 #[actix_rt::test]
 async fn a_version_that_supersedes_one_still_being_swapped_in_is_loaded_completely() {
     let fleet = SoakFleet::start(1, 4).await;
