Entries: late idempotent requests are tried while they probably end in time

Change: an idempotent request is taken if half of its time comes before the end of draining; it gets an answer in any case. Streams that can be resumed are taken for as long as connections are accepted, as before; others only if they end in time.

--- a/core/src/direct/drain.rs
+++ b/core/src/direct/drain.rs
@@ -26,9 +26,17 @@
     }
 
     /// Returns whether a request that is read at `now` is taken. One that may outlast the period could be
-    /// given up while it runs, so another entry has to serve it; but callers that may still be connected to
-    /// this entry and can repeat the request lose nothing if it tries.
+    /// given up while it runs, and another entry can serve it. But callers that may repeat the request lose
+    /// little if it is tried while it probably ends in time; a stream only for as long as callers may still be
+    /// sent to this entry, since it would be cut.
     pub fn admits(&self, now: MonoTime, kind: WorkKind, deadline: MonoTime) -> bool {
-        deadline <= self.end || (kind.may_repeat() && now < self.accept_until)
+        if deadline <= self.end {
+            return true;
+        }
+        match kind {
+            WorkKind::Idempotent => now + deadline.since(now) / 2 <= self.end,
+            WorkKind::ResumableStream => now < self.accept_until,
+            WorkKind::Once | WorkKind::Stream => false,
+        }
     }
 }
