Tests of the exchange: one server that sends an answer and closes

The test of answers that are cut in their heads had a copy of the server that the other tests use; it now uses that one, which takes any slice of answers.

--- a/exchange/tests/exchange.rs
+++ b/exchange/tests/exchange.rs
@@ -26,11 +26,12 @@
 }
 
 /// Starts a server that answers each connection with the next of `answers` and closes it.
-async fn serve(answers: &'static [&'static str]) -> CallClient {
+async fn serve(answers: &[&'static str]) -> CallClient {
     CallClient::new(serve_on(answers).await)
 }
 
-async fn serve_on(answers: &'static [&'static str]) -> SocketAddr {
+async fn serve_on(answers: &[&'static str]) -> SocketAddr {
+    let answers = answers.to_vec();
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
     let address = listener.local_addr().expect("it is bound");
     actix_rt::spawn(async move {
@@ -88,7 +89,7 @@
     ];
     for answer in ANSWERS {
         for cut_at in 0..answer.len() {
-            let client = CallClient::new(serve_cut(&answer[..cut_at]).await);
+            let client = serve(&[&answer[..cut_at]]).await;
             let failure = client.call(get("/")).await.expect_err("the head is cut");
             let is_cut = matches!(failure, CallError::Failed(ExchangeError::ClosedEarly));
             assert!(is_cut, "{:?}: {failure}", &answer[..cut_at]);
@@ -96,19 +97,6 @@
     }
 }
 
-/// Starts a server that answers a request with `part` and closes the connection.
-async fn serve_cut(part: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
-    actix_rt::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a client connects");
-        let mut request = vec![0; 4096];
-        assert!(stream.read(&mut request).await.expect("the request arrives") > 0);
-        stream.write_all(part.as_bytes()).await.expect("the client reads");
-    });
-    address
-}
-
 #[actix_rt::test]
 async fn a_malformed_answer_is_an_error() {
     let client = serve(&["what is this?\r\n\r\n"]).await;
