Tests: the endless peer waits until the agent knows its engine

Cause: in the test. The stand-in engine holds version 1 from its start, so the wait for the loaded version ends at once, and on a busy machine the engine crashed before the agent had asked it for the first time. The output of the agent had no engine_seen. An agent reports an engine as lost only if it has seen it, which is right.

Change: the test waits for engine_seen, as its neighbour does. All it demands of the agent stays.

--- a/tests/direct_odd_entries.rs
+++ b/tests/direct_odd_entries.rs
@@ -240,6 +240,12 @@
     eventually(&format!("all engines load version {version}"), loaded).await;
 }
 
+/// Waits until the first agent has a report of its engine, which runs from the start of the fleet.
+async fn eventually_engine_seen(fleet: &SoakFleet) {
+    let seen = || fleet.process("agent-0").output().contains("event=engine_seen");
+    eventually("the agent knows its engine", seen).await;
+}
+
 fn assert_agents_run(fleet: &SoakFleet) {
     for process in fleet.processes.iter().filter(|process| process.name.starts_with("agent")) {
         assert!(!process.has_exited(), "{} has ended", process.name);
@@ -263,8 +269,7 @@
 #[actix_rt::test]
 async fn odd_reports_of_an_engine_do_not_end_its_agent() {
     let fleet = SoakFleet::start(1, 1).await;
-    let seen = || fleet.process("agent-0").output().contains("event=engine_seen");
-    eventually("the agent knows its engine", seen).await;
+    eventually_engine_seen(&fleet).await;
     let usual = json!({
         "models": [{ "name": "m", "version": 1, "adapters": [] }], "busy": false, "sequence": 0,
         "waiting": u32::MAX, "running": u32::MAX, "born": 1,
@@ -308,7 +313,8 @@
 #[actix_rt::test]
 async fn a_peer_that_names_endless_chunks_does_not_end_an_agent() {
     let fleet = SoakFleet::start(1, 1).await;
-    eventually_all_loaded(&fleet, 1).await;
+    // An agent reports only an engine as lost that it has seen.
+    eventually_engine_seen(&fleet).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("it is bound").to_string();
     let answers: Rc<Cell<u32>> = Rc::default();
