Watches: a call to the store whose answer is overdue is sent again

Cause: the answer to a long poll is due after 2.5 s, and the call timed out only 1.2 s later. The entry counted the time of the old version from when it heard of the new one, with 0.35 s kept for the delay.

Change: a watch whose answer is 0.25 s overdue is sent a second time over a new connection, and the first answer counts. A version in an overdue answer counts from the answer before it, unless agents have said how old it is. So the end of an old version no longer depends on how late the entry hears, and a silent connection is replaced within the 3 s after which an entry is bound again. No call is added while the store answers in time.

--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -51,4 +51,4 @@
 pub use slots::{Admission, SlotGrant, SlotRequest, SlotScheduler, WaitTicket};
 pub use store_position::{StoreEra, StorePosition};
 pub use versions::{DeclaredVersion, DeclaredVersions};
-pub use watch_backoff::{PROBE_TIMEOUT, PollBackoff, WatchBackoff, WatchTiming};
+pub use watch_backoff::{PROBE_TIMEOUT, PollBackoff, WatchBackoff, WatchHedge, WatchTiming};
--- a/core/src/direct/watch_backoff.rs
+++ b/core/src/direct/watch_backoff.rs
@@ -8,6 +8,8 @@
 const OUTAGE_LONG_POLL: Duration = Duration::from_millis(100);
 /// Time that a response may take beyond [`OUTAGE_LONG_POLL`].
 const OUTAGE_RESPONSE_MARGIN: Duration = PROBE_TIMEOUT;
+/// Time beyond the long-poll wait after which the answer of a responding store is overdue.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(250);
 /// Timeout of a probe, a small call that checks whether the store responds.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
 /// First back-off after a failed call.
@@ -59,6 +61,17 @@
     };
 }
 
+/// A second watch call, sent while the first one is overdue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WatchHedge {
+    /// Time from the first call to the second.
+    pub overdue_after: Duration,
+    /// Long-poll wait of the second call.
+    pub long_poll: Duration,
+    /// Timeout of the second call.
+    pub timeout: Duration,
+}
+
 /// Timeouts and back-off of one watch.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WatchBackoff {
@@ -101,6 +114,16 @@
         self.long_poll() + if self.failing { OUTAGE_RESPONSE_MARGIN } else { RESPONSE_MARGIN }
     }
 
+    /// Returns when to send the next watch call again; `None` while the store does not respond, as the
+    /// timeout is short then.
+    pub fn hedge(&self) -> Option<WatchHedge> {
+        (!self.failing).then(|| WatchHedge {
+            overdue_after: self.timing.long_poll + OVERDUE_MARGIN,
+            long_poll: OUTAGE_LONG_POLL,
+            timeout: OUTAGE_LONG_POLL + OUTAGE_RESPONSE_MARGIN,
+        })
+    }
+
     /// Records a response and returns whether it is the first after an outage.
     pub fn record_success(&mut self) -> bool {
         self.backoff = MIN_BACKOFF;
--- a/exchange/src/call.rs
+++ b/exchange/src/call.rs
@@ -157,6 +157,11 @@
         Ok(CallAnswer { status: head.status, headers: head.headers, body: body.freeze() })
     }
 
+    /// Closes the idle connections, so that the next call opens a new one.
+    pub fn close_idle_connections(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     async fn send(
         &self,
         call: OutboundCall,
--- a/src/direct/agent/state.rs
+++ b/src/direct/agent/state.rs
@@ -171,7 +171,7 @@
                 range.items.iter().for_each(|item| self.apply_version_item(item));
                 self.versions_known.set(true);
             }
-            StoreEvent::Changes(changes, _) => {
+            StoreEvent::Changes { changes, .. } => {
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
                         self.apply_version_item(item);
--- a/src/direct/entry/crash_reports.rs
+++ b/src/direct/entry/crash_reports.rs
@@ -43,7 +43,7 @@
         StoreEvent::Recovered if !state.crash_report().causes.is_empty() => state.report_crashes(),
         StoreEvent::Recovered | StoreEvent::Lost => {}
         StoreEvent::Snapshot(range) => range.items.iter().for_each(|item| merge(state, item)),
-        StoreEvent::Changes(changes, _) => {
+        StoreEvent::Changes { changes, .. } => {
             for change in &changes {
                 match change {
                     StoreChange::Put(item) if &*item.key != own_key => merge(state, item),
--- a/src/direct/entry/state/evacuation.rs
+++ b/src/direct/entry/state/evacuation.rs
@@ -21,7 +21,7 @@
         let is_watched = match event {
             StoreEvent::Lost => false,
             // The items are read anew if the store was set back.
-            StoreEvent::Recovered | StoreEvent::Snapshot(_) | StoreEvent::Changes(..) => true,
+            StoreEvent::Recovered | StoreEvent::Snapshot(_) | StoreEvent::Changes { .. } => true,
         };
         self.evacuation_age.set(EvacuationAge { is_watched, confirmed_at: now });
         let value = evacuation::read_event(&mut self.evacuation_reader.borrow_mut(), event);
--- a/src/direct/entry/state/updates.rs
+++ b/src/direct/entry/state/updates.rs
@@ -33,6 +33,11 @@
     Startup,
     /// From the store.
     Store,
+    /// From an overdue answer of the store, as after the connection had gone silent.
+    OverdueStore {
+        /// The time after which the version was declared.
+        since: MonoTime,
+    },
     /// From an agent, which knows since when it has been declared.
     Agent {
         /// When a process first received the declaration.
@@ -49,14 +54,21 @@
         self.on_evacuation_event(now, &event);
         match event {
             StoreEvent::Snapshot(range) => {
-                range.items.iter().for_each(|item| self.on_operator_item(now, item, true));
+                let source = match self.versions_listed.get() {
+                    true => DeclarationSource::Store,
+                    false => DeclarationSource::Startup,
+                };
+                range.items.iter().for_each(|item| self.on_operator_item(now, item, source));
                 self.versions_listed.set(true);
                 self.set_news_current(true);
             }
-            StoreEvent::Changes(changes, _) => {
+            StoreEvent::Changes { changes, overdue_since, .. } => {
+                let source = overdue_since.map_or(DeclarationSource::Store, |since| {
+                    DeclarationSource::OverdueStore { since }
+                });
                 for change in &changes {
                     if let StoreChange::Put(item) = change {
-                        self.on_operator_item(now, item, false);
+                        self.on_operator_item(now, item, source);
                     }
                 }
             }
@@ -68,7 +80,7 @@
         }
     }
 
-    fn on_operator_item(&self, now: MonoTime, item: &StoreItem, from_snapshot: bool) {
+    fn on_operator_item(&self, now: MonoTime, item: &StoreItem, source: DeclarationSource) {
         if &*item.key == keys::CONFIG {
             match serving::read_config(&item.value) {
                 Ok(config) => self.set_config(config, item.revision),
@@ -78,13 +90,7 @@
             }
         } else if item.key.starts_with(keys::VERSIONS) {
             match serving::read_version(&item.value) {
-                Ok(version) => {
-                    let source = match from_snapshot && !self.versions_listed.get() {
-                        true => DeclarationSource::Startup,
-                        false => DeclarationSource::Store,
-                    };
-                    self.declare_version(now, version, source);
-                }
+                Ok(version) => self.declare_version(now, version, source),
                 Err(error) => warn!("event=bad_version key={} reason=\"{error}\"", item.key),
             }
         }
@@ -143,12 +149,18 @@
 
     fn declare_version(&self, now: MonoTime, declared: LoadedModel, source: DeclarationSource) {
         let version_time = self.bounds.borrow().version_time.saturating_sub(REQUIRED_FROM_MARGIN);
-        let (declared_at, required_from) = match source {
-            DeclarationSource::Startup => (now, now + STARTUP_VERSION_TIME),
-            DeclarationSource::Store => (now, now + version_time),
-            DeclarationSource::Agent { declared_at } => (declared_at, declared_at + version_time),
-        };
         let LoadedModel { model, version } = declared;
+        // A process that heard of the version in time is more exact than the bound of an overdue answer.
+        let is_known = self.news.borrow().newest(&model) >= Some(version);
+        let (declared_at, version_time) = match source {
+            DeclarationSource::Startup => (now, STARTUP_VERSION_TIME),
+            DeclarationSource::OverdueStore { since } if !is_known => (since, version_time),
+            DeclarationSource::Store | DeclarationSource::OverdueStore { .. } => {
+                (now, version_time)
+            }
+            DeclarationSource::Agent { declared_at } => (declared_at, version_time),
+        };
+        let required_from = declared_at + version_time;
         let begin_by = required_from + (REQUIRED_FROM_MARGIN - BEGIN_BY_MARGIN);
         let declared_version = DeclaredVersion { version, declared_at, required_from, begin_by };
         if self.scheduler.borrow_mut().declare(&model, declared_version) {
@@ -179,7 +191,7 @@
                 catalog.replace(now, items.iter().filter_map(read_target).collect());
                 self.targets_listed.set(true);
             }
-            StoreEvent::Changes(changes, _) => {
+            StoreEvent::Changes { changes, .. } => {
                 for change in changes {
                     cold.extend(on_target_change(&mut catalog, now, change));
                 }
@@ -239,7 +251,7 @@
                     }
                 }
             }
-            StoreEvent::Changes(changes, _) => {
+            StoreEvent::Changes { changes, .. } => {
                 for change in changes {
                     match change {
                         StoreChange::Removed { key, .. } => drop(entries.remove(&key)),
--- a/src/direct/evacuation.rs
+++ b/src/direct/evacuation.rs
@@ -60,7 +60,7 @@
             let sites = range.items.iter().filter_map(|item| registry::evacuated_site(&item.key));
             Some(reader.replace(range.position, sites))
         }
-        StoreEvent::Changes(changes, position) => {
+        StoreEvent::Changes { changes, position, .. } => {
             let site_change = |change: &StoreChange| match change {
                 StoreChange::Put(item) => Some((registry::evacuated_site(&item.key)?, true)),
                 StoreChange::Removed { key, .. } => Some((registry::evacuated_site(key)?, false)),
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -1,5 +1,7 @@
 //! Watches and polls the items below a prefix of the platform's store.
 
+mod hedged_watch;
+
 use super::outage::{OutageRole, StoreOutage};
 use crate::clock;
 use buckthornwharf_core::direct::{
@@ -9,6 +11,7 @@
 use buckthornwharf_platform::{
     ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem, StoreRange, WatchCall,
 };
+use hedged_watch::{WatchAnswer, watch_hedged};
 use log::{info, warn};
 use rand::RngExt;
 use std::rc::Rc;
@@ -26,8 +29,15 @@
 pub enum StoreEvent {
     /// All items below the prefix, with the position at which they were read.
     Snapshot(StoreRange),
-    /// Changes since the last event, in order, and the position up to which they are complete.
-    Changes(Vec<StoreChange>, StorePosition),
+    /// Changes since the last event.
+    Changes {
+        /// The changes, in order.
+        changes: Vec<StoreChange>,
+        /// The position up to which they are complete.
+        position: StorePosition,
+        /// The time of the previous answer if this one was overdue: they may have been made since then.
+        overdue_since: Option<MonoTime>,
+    },
     /// A call failed; the items may have changed since.
     Lost,
     /// The store answers again after an outage, or was set back to an older copy.
@@ -76,6 +86,7 @@
         }
         backlog.on_items(range.items.iter().map(|item| item.value.len()));
         on_event(StoreEvent::Snapshot(range));
+        let mut answered_at = clock::now();
         loop {
             let call = WatchCall {
                 prefix,
@@ -84,16 +95,19 @@
                 timeout: health.backoff.timeout(),
                 max_answer_bytes: backlog.max_answer_bytes(),
             };
-            match store.watch(call).await {
-                Ok((changes, next)) => {
+            match watch_hedged(&store, call, health.backoff.hedge()).await {
+                Ok(answer) => {
                     if health.on_success() {
                         on_event(StoreEvent::Recovered);
                     }
+                    let WatchAnswer { changes, position: next, is_overdue } = answer;
+                    let previous = std::mem::replace(&mut answered_at, clock::now());
+                    let overdue_since = is_overdue.then_some(previous);
                     position = position.max(next);
                     let delay = health.backoff.next_delay(!changes.is_empty());
                     if !changes.is_empty() {
                         backlog.on_changes(changes.iter().map(StoreChange::value_bytes));
-                        on_event(StoreEvent::Changes(changes, position));
+                        on_event(StoreEvent::Changes { changes, position, overdue_since });
                         actix_rt::time::sleep(delay).await;
                     }
                 }
--- /dev/null
+++ b/tests/direct_silent_store.rs
@@ -0,0 +1,91 @@
+//! An entry whose connections to the store go silent without a reset, while new ones work, against the stand-in
+//! of the platform.
+
+#[allow(dead_code)]
+#[path = "soak/fleet.rs"]
+mod fleet;
+#[path = "../platform/tests/standin/standin.rs"]
+mod standin;
+
+use buckthornwharf_standin::relay::{RelaySwitches, SilenceMode};
+use fleet::{SoakFleet, VERSION_TIME, holds_within, set_switches};
+use standin::origin::OriginFault;
+use standin::{caller, operator};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Timeout for a condition to hold.
+const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time between requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after the end of the old version for which requests are sent.
+const LATE_TIME: Duration = Duration::from_millis(2500);
+
+async fn eventually(what: &str, condition: impl FnMut() -> bool) {
+    assert!(
+        holds_within(CONDITION_TIMEOUT, condition).await,
+        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
+    );
+}
+
+async fn status(fleet: &SoakFleet, id: &str) -> Option<u16> {
+    let address = fleet.process("entry-0").callers.get().expect("the entry runs");
+    let key = fleet.config.borrow().key.clone();
+    caller::send(address, "/plain/x", id, &key).await.status
+}
+
+async fn wait_served(fleet: &SoakFleet) {
+    for number in 0.. {
+        if status(fleet, &format!("first-{number}")).await == Some(200) {
+            return;
+        }
+        actix_rt::time::sleep(REQUEST_INTERVAL).await;
+    }
+}
+
+/// Starts an entry and two engines, and silences the entry's open connections to the store once the entry serves
+/// requests.
+async fn start_silenced() -> SoakFleet {
+    let fleet = SoakFleet::start(1, 2).await;
+    wait_served(&fleet).await;
+    let silence = RelaySwitches { silence: SilenceMode::Both, ..RelaySwitches::default() };
+    set_switches(&fleet.process("entry-0").store_relay, &silence);
+    fleet
+}
+
+// An entry heard of a new version late over a silent connection, and used the old one for that much longer.
+#[actix_rt::test]
+async fn requests_do_not_begin_on_a_version_whose_successor_was_heard_of_late() {
+    let fleet = start_silenced().await;
+    fleet.origin.fault.set(OriginFault::Down);
+    operator::declare_version(&fleet.store, 2);
+    let version_end = Instant::now() + VERSION_TIME;
+    let mut refusals = 0;
+    for number in 0.. {
+        if Instant::now() > version_end + LATE_TIME {
+            break;
+        }
+        let status = status(&fleet, &format!("request-{number}")).await;
+        refusals += u32::from(status == Some(503));
+        actix_rt::time::sleep(REQUEST_INTERVAL).await;
+    }
+    let runs = fleet.recorder.runs.borrow();
+    let late: Vec<Duration> =
+        runs.iter().filter_map(|run| run.started_at.checked_duration_since(version_end)).collect();
+    assert!(late.is_empty(), "{} late runs, the last by {:?}", late.len(), late.last());
+    assert!(runs.iter().all(|run| run.version == 1), "the origin is down");
+    assert!(refusals > 0, "the entry retires version 1");
+}
+
+// An entry used a removed key until the call on a silent connection had timed out.
+#[actix_rt::test]
+async fn a_configuration_is_heard_of_before_the_call_on_a_silent_connection_times_out() {
+    let fleet = start_silenced().await;
+    fleet.configure(|config| config.key = "key-2".to_owned());
+    let generation = fleet.config.borrow().version;
+    let entry = fleet.process("entry-0");
+    let heard = || entry.output().contains(&format!("event=config generation={generation}"));
+    eventually("the entry hears of the configuration", heard).await;
+    assert!(!entry.output().contains("event=store_lost prefix=op/"), "{}", entry.output());
+    assert_eq!(status(&fleet, "new-key").await, Some(200));
+}
