Entries: an answer without framing counts only if its target has not crashed

Answers that are no streams were passed on as whole in the same way.

Cause: a killed process closes its connections in an orderly way, and the close was taken for the end. Whether the target still listens was asked only afterwards, to find requests that crash targets.

Change: that check is made before the caller's answer ends. A target that refuses connections, and has not announced that it leaves, has crashed, and its answer has broken off: it is resumed or sent elsewhere if it may be, and otherwise refused or aborted. The number of connections stays as it was.

--- a/core/src/direct/slots/restrictions.rs
+++ b/core/src/direct/slots/restrictions.rs
@@ -12,6 +12,11 @@
         self.notices.record_leaving(now, target)
     }
 
+    /// Returns whether a target has said that it leaves.
+    pub fn is_leaving(&self, target: &RegisteredTarget) -> bool {
+        self.notices.is_leaving(target)
+    }
+
     /// Records that a target wants no requests for `pause`, at most [`MAX_PAUSE`](super::MAX_PAUSE).
     pub fn record_pause(&mut self, now: MonoTime, target: &RegisteredTarget, pause: Duration) {
         self.notices.record_pause(now, target, pause);
--- a/src/direct/entry/request.rs
+++ b/src/direct/entry/request.rs
@@ -189,7 +189,7 @@
             let failure = match result {
                 AttemptResult::Answered(answer) => {
                     if answer.is_success() {
-                        self.state.on_answer_ended(&target, answer.framing, sent_causes);
+                        self.state.on_answer_complete(&target.service, &sent_causes);
                     }
                     self.log_answer(&answer, &target.id, requested_at);
                     return answer.connection_action;
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -32,6 +32,8 @@
     Exchange(ExchangeError),
     /// {0}
     Stream(StreamFault),
+    /// the target closed the connection and does not listen any more
+    TargetCrashed,
 }
 
 impl From<ExchangeError> for BrokenAnswer {
@@ -53,7 +55,7 @@
             BrokenAnswer::Stream(StreamFault::EventTooLarge | StreamFault::NotContinued) => {
                 AttemptFailure::Garbled
             }
-            BrokenAnswer::Stream(_) => AttemptFailure::Broken,
+            BrokenAnswer::Stream(_) | BrokenAnswer::TargetCrashed => AttemptFailure::Broken,
         }
     }
 }
@@ -63,7 +65,7 @@
     /// Events that are complete now, if any.
     events: Bytes,
     /// Set if the stream ended after them.
-    end: Option<Result<(), BrokenAnswer>>,
+    end: Option<Result<StreamEnd, BrokenAnswer>>,
 }
 
 impl TargetAttempt<'_> {
@@ -97,12 +99,12 @@
         reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
         let mut body = BytesMut::new();
-        loop {
+        let end = loop {
             let part = self.unless_silent(caller, connection.read_body()).await;
             match part.map_err(|interruption| interruption.closing(&mut connection))? {
                 Ok(BodyPart::Data(bytes)) => body.extend_from_slice(&bytes),
-                // The format of the body is not known here, so an orderly close has to be believed.
-                Ok(BodyPart::End | BodyPart::Closed) => break,
+                Ok(BodyPart::End) => break StreamEnd::Delimited,
+                Ok(BodyPart::Closed) => break StreamEnd::Closed,
                 Err(error) => {
                     let broken = BrokenAnswer::from(error);
                     self.log_broken_off(&answer, &broken, 0);
@@ -113,6 +115,11 @@
                 let body = body.freeze();
                 return self.relay_unbuffered(caller, connection, answer, reply, body).await;
             }
+        };
+        if self.is_cut_by_crash(caller, end).await? {
+            let broken = BrokenAnswer::TargetCrashed;
+            self.log_broken_off(&answer, &broken, 0);
+            return Ok(AttemptResult::Failed(broken.failure()));
         }
         self.return_to_pool(connection, &answer);
         if self.may_retry && is_target_failure(answer.status) {
@@ -163,26 +170,35 @@
             let Ok(part) = self.within_deadline(caller, connection.read_body()).await else {
                 return Ok(answered(&answer, ConnectionAction::Abort));
             };
-            let buffered = match part {
-                Ok(BodyPart::Data(bytes)) => caller.put_body(bytes),
-                Ok(BodyPart::End | BodyPart::Closed) => {
-                    let ended = caller.put_end();
-                    let sent = ended.is_ok() && caller.flush().await.is_ok();
-                    self.return_to_pool(connection, &answer);
-                    let connection_action = match sent {
-                        true => ConnectionAction::after_answer(close),
-                        false => ConnectionAction::Abort,
-                    };
-                    return Ok(answered(&answer, connection_action));
+            let end = match part {
+                Ok(BodyPart::Data(bytes)) => {
+                    if caller.put_body(bytes).is_err() || caller.flush().await.is_err() {
+                        return Err(Interruption::CallerDisconnected);
+                    }
+                    continue;
                 }
+                Ok(BodyPart::End) => StreamEnd::Delimited,
+                Ok(BodyPart::Closed) => StreamEnd::Closed,
                 Err(error) => {
                     self.log_broken_off(&answer, &error.into(), 0);
                     return Ok(answered(&answer, ConnectionAction::Abort));
                 }
             };
-            if buffered.is_err() || caller.flush().await.is_err() {
-                return Err(Interruption::CallerDisconnected);
+            let Ok(is_cut) = self.is_cut_by_crash(caller, end).await else {
+                return Ok(answered(&answer, ConnectionAction::Abort));
+            };
+            if is_cut {
+                self.log_broken_off(&answer, &BrokenAnswer::TargetCrashed, 0);
+                return Ok(answered(&answer, ConnectionAction::Abort));
             }
+            let ended = caller.put_end();
+            let sent = ended.is_ok() && caller.flush().await.is_ok();
+            self.return_to_pool(connection, &answer);
+            let connection_action = match sent {
+                true => ConnectionAction::after_answer(close),
+                false => ConnectionAction::Abort,
+            };
+            return Ok(answered(&answer, connection_action));
         }
     }
 
@@ -207,7 +223,12 @@
             };
             let part = part.map_err(|interruption| interruption.closing(&mut connection))?;
             let events_before = reply.events.complete_events();
-            let step = take_received(&mut reply.events, &mut connection, part);
+            let mut step = take_received(&mut reply.events, &mut connection, part);
+            if let Some(Ok(end)) = step.end
+                && self.is_cut_by_crash(caller, end).await?
+            {
+                step.end = Some(Err(BrokenAnswer::TargetCrashed));
+            }
             let events = reply.events.complete_events() - events_before;
             if !step.events.is_empty() && !std::mem::replace(&mut has_begun, true) {
                 self.state.on_answer_begun(&self.request.service, &self.request.causes);
@@ -225,7 +246,7 @@
             }
             match step.end {
                 None => {}
-                Some(Ok(())) => {
+                Some(Ok(_)) => {
                     self.return_to_pool(connection, &answer);
                     return Ok(answered(&answer, reply.after_stream()));
                 }
@@ -237,6 +258,19 @@
         }
     }
 
+    /// Returns whether a response that ended without an error may be cut: only the close of the connection
+    /// marks its end, and the target has crashed.
+    async fn is_cut_by_crash(
+        &self,
+        caller: &mut InboundConnection,
+        end: StreamEnd,
+    ) -> Result<bool, Interruption> {
+        if end == StreamEnd::Delimited {
+            return Ok(false);
+        }
+        self.within_deadline(caller, self.state.has_crashed(&self.grant.target)).await
+    }
+
     /// Sends what a step adds to the response; the head goes with the first events or the end.
     async fn send_step(
         &self,
@@ -245,7 +279,7 @@
         reply: &mut CallerReply,
         step: &StreamStep,
     ) -> io::Result<()> {
-        let ended = matches!(step.end, Some(Ok(())));
+        let ended = matches!(step.end, Some(Ok(_)));
         if ended || !step.events.is_empty() {
             reply.begin_stream(caller, answer, self.state.is_shutting_down())?;
         }
@@ -279,7 +313,7 @@
     let mut events = Bytes::new();
     let mut received = Some(part);
     while let Some(part) = received {
-        let finished = match part {
+        let end = match part {
             Ok(BodyPart::Data(bytes)) => {
                 match stream.push(&bytes) {
                     Ok(complete) => events = concat(events, complete),
@@ -288,12 +322,12 @@
                 received = connection.decode_body().transpose();
                 continue;
             }
-            Ok(BodyPart::End) => stream.finish(StreamEnd::Delimited),
-            Ok(BodyPart::Closed) => stream.finish(StreamEnd::Closed),
+            Ok(BodyPart::End) => StreamEnd::Delimited,
+            Ok(BodyPart::Closed) => StreamEnd::Closed,
             Err(error) => return StreamStep { events, end: Some(Err(error.into())) },
         };
-        return match finished {
-            Ok(rest) => StreamStep { events: concat(events, rest), end: Some(Ok(())) },
+        return match stream.finish(end) {
+            Ok(rest) => StreamStep { events: concat(events, rest), end: Some(Ok(end)) },
             Err(fault) => StreamStep { events, end: Some(Err(fault.into())) },
         };
     }
--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -3,10 +3,9 @@
 use super::EntryState;
 use crate::clock;
 use buckthornwharf_core::direct::{
-    CauseHistory, CauseId, CrashId, CrashReport, RegisteredTarget, SentCause,
+    CauseHistory, CauseId, CrashId, CrashReport, RegisteredTarget, SentCause, TargetPhase,
 };
 use buckthornwharf_core::prelude::*;
-use buckthornwharf_exchange::AnswerFraming;
 use log::info;
 use std::io;
 use std::rc::Rc;
@@ -50,26 +49,21 @@
         }
     }
 
-    /// Records that the answer of `target` to a request with these causes ended without an error, with
-    /// success. If nothing but the close of the connection marks the end, the target may have crashed, so
-    /// it is checked first.
-    pub fn on_answer_ended(
-        self: &Rc<Self>,
-        target: &Arc<RegisteredTarget>,
-        framing: AnswerFraming,
-        causes: Vec<SentCause>,
-    ) {
-        match framing {
-            AnswerFraming::UntilClose => {
-                actix_rt::spawn(check_closed_answer(self.clone(), target.clone(), causes));
-            }
-            AnswerFraming::Delimited | AnswerFraming::NoBody => {
-                self.on_answer_complete(&target.service, &causes);
-            }
-        }
+    /// Returns whether `target`, which has closed the connection at the end of an answer without framing,
+    /// seems to have crashed: it refuses new connections, and has not announced that it leaves.
+    pub async fn has_crashed(&self, target: &RegisteredTarget) -> bool {
+        !self.has_announced_leaving(target) && listen_status(target).await == ListenStatus::Refuses
+    }
+
+    fn has_announced_leaving(&self, target: &RegisteredTarget) -> bool {
+        let catalog = self.catalog.borrow();
+        let is_ready =
+            catalog.get(&target.id).is_some_and(|known| known.phase == TargetPhase::Ready);
+        !is_ready || self.scheduler.borrow().is_leaving(target)
     }
 
-    fn on_answer_complete(&self, service: &ServiceName, causes: &[SentCause]) {
+    /// Records that the complete answer to a request with these causes arrived, with success.
+    pub fn on_answer_complete(&self, service: &ServiceName, causes: &[SentCause]) {
         if self.crash_ledger.borrow_mut().record_answer(service, causes) {
             self.after_crash_change(true);
         }
@@ -183,21 +177,6 @@
     }
 }
 
-async fn check_closed_answer(
-    state: Rc<EntryState>,
-    target: Arc<RegisteredTarget>,
-    causes: Vec<SentCause>,
-) {
-    match listen_status(&target).await {
-        ListenStatus::Refuses => {
-            state.on_target_crashed(&target, BrokenRequests { requests: 1, causes });
-        }
-        ListenStatus::Listens | ListenStatus::Silent => {
-            state.on_answer_complete(&target.service, &causes);
-        }
-    }
-}
-
 /// Opens a connection to the target and returns how it reacts.
 async fn listen_status(target: &RegisteredTarget) -> ListenStatus {
     match buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await {
