Entries: a target listens only if a new connection to it stays open

Cause: the system closes the sockets of a killed process one after the other. The connection of the stream was closed while the listener still took the connection of the check.

Change: that connection must stay open for 50 ms; if it is closed sooner, a second one decides. The check of targets whose connections broke, which counts crashes, is the same one and had the same gap.

--- a/src/direct/entry/state/crashes.rs
+++ b/src/direct/entry/state/crashes.rs
@@ -1,29 +1,17 @@
 //! Crashes of targets: how the entry notices them, and which requests it refuses for it.
 
+mod listen_check;
+
 use super::EntryState;
 use crate::clock;
 use buckthornwharf_core::direct::{
     CauseHistory, CauseId, CrashId, CrashReport, RegisteredTarget, SentCause, TargetPhase,
 };
 use buckthornwharf_core::prelude::*;
+use listen_check::{ListenStatus, listen_status};
 use log::info;
-use std::io;
 use std::rc::Rc;
 
-/// Timeout of the connection that shows whether a target still listens.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// How a target reacts to a new connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "snake_case")]
-enum ListenStatus {
-    Listens,
-    /// It refuses the connection, so its process is gone.
-    Refuses,
-    /// Nothing answers; the host may be cut off.
-    Silent,
-}
-
 /// Requests whose connections to one target broke, until it is known whether the target crashed.
 #[derive(Debug, Default)]
 pub(super) struct BrokenRequests {
@@ -176,12 +164,3 @@
         ),
     }
 }
-
-/// Opens a connection to the target and returns how it reacts.
-async fn listen_status(target: &RegisteredTarget) -> ListenStatus {
-    match buckthornwharf_exchange::connect(target.address, CHECK_TIMEOUT).await {
-        Ok(_) => ListenStatus::Listens,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ListenStatus::Refuses,
-        Err(_) => ListenStatus::Silent,
-    }
-}
--- a/tests/direct_crashed_answers.rs
+++ b/tests/direct_crashed_answers.rs
@@ -12,6 +12,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// Time after a crash until the target's listener is closed, too.
+const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(15);
 const FIRST_EVENT: &str = "id: 1\ndata: token 1\n\n";
 /// Time for which a target is down after a crash: for the rest of the test.
 const DOWN_TIME: Duration = Duration::from_secs(600);
@@ -24,6 +26,7 @@
 fn crash_on(engine: &Rc<EngineStandin>, path: &str) {
     engine.crashing_paths.borrow_mut().push(path.to_owned());
     engine.crashes_after_event.set(true);
+    engine.listener_close_delay.set(LISTENER_CLOSE_DELAY);
     engine.restart_delay.set(DOWN_TIME);
 }
 
