Own path: one limit for answers that are no streams

Cause: agents and entries each had a constant of 8 MB for the same answers.

Change: MAX_WHOLE_ANSWER_BYTES stands beside the link, and both ends use it. Nothing changes for callers.

--- a/src/agent/answer_check.rs
+++ b/src/agent/answer_check.rs
@@ -1,12 +1,13 @@
 //! Checks a target's answer before any of it is forwarded: every JSON object must carry the
 //! fingerprint of the requested version, and a stream must end with its end marker.
 
+use crate::link::MAX_WHOLE_ANSWER_BYTES;
 use buckthornwharf_core::prelude::*;
 use bytes::{Bytes, BytesMut};
 use serde::Deserialize;
 
-/// Maximum size of an answer that is no stream, and of the unchecked events of a stream, in bytes.
-pub const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
+/// Maximum size of the bytes that are not checked yet: of a whole answer, or of the events of a stream.
+const MAX_BUFFERED_BYTES: usize = MAX_WHOLE_ANSWER_BYTES;
 const EVENT_END: &[u8] = b"\n\n";
 const EVENT_PREFIX: &[u8] = b"data: ";
 const STREAM_END: &[u8] = b"[DONE]";
--- a/src/agent/target.rs
+++ b/src/agent/target.rs
@@ -5,7 +5,8 @@
 
 pub use window::ANSWER_WINDOW_BYTES;
 
-use super::answer_check::{AnswerChecker, AnswerFault, AnswerFormat, MAX_BUFFERED_BYTES};
+use super::answer_check::{AnswerChecker, AnswerFault, AnswerFormat};
+use crate::link::MAX_WHOLE_ANSWER_BYTES;
 use actix_http::StatusCode;
 use actix_rt::net::TcpStream;
 use buckthornwharf_core::frame::SubmitFrame;
@@ -159,7 +160,7 @@
         let mut received_bytes = 0;
         while let Some(bytes) = response.next_part().await? {
             received_bytes += bytes.len();
-            if !is_stream && received_bytes > MAX_BUFFERED_BYTES {
+            if !is_stream && received_bytes > MAX_WHOLE_ANSWER_BYTES {
                 return Err(reject_answer(AnswerFault::TooLarge));
             }
             let checked = checker.push(bytes).map_err(reject_answer)?;
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -3,6 +3,7 @@
 use super::answer_channel::AnswerReceiver;
 use super::prompt::PromptSummary;
 use crate::admin::response_with_type;
+use crate::link::MAX_WHOLE_ANSWER_BYTES;
 use crate::shared::ActiveConfig;
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::HeaderMap;
@@ -15,8 +16,6 @@
 
 /// Maximum size of a request's body.
 pub const MAX_BODY_BYTES: usize = 1024 * 1024;
-/// Maximum size of an answer that is buffered until it is complete.
-pub const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Time within which a caller must send the body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Maximum size of an idempotency key.
--- a/src/link.rs
+++ b/src/link.rs
@@ -10,3 +10,7 @@
 
 pub use connection::{LinkEvent, LinkHandle, run_link};
 pub use handshake::{LinkIdentity, LinkSocket, PeerIdentity, accept_link, dial_link};
+
+/// Maximum size of an answer that is no stream, in bytes. Agents send no longer ones, and entries buffer no
+/// more.
+pub const MAX_WHOLE_ANSWER_BYTES: usize = 8 * 1024 * 1024;
--- a/tests/streamed_answers.rs
+++ b/tests/streamed_answers.rs
@@ -3,9 +3,8 @@
 use actix_http::Response;
 use actix_http::body::{BoxBody, MessageBody};
 use buckthornwharf::entry::answer_channel::{MAX_UNREAD_BYTES, answer_channel};
-use buckthornwharf::entry::caller::{
-    CallerEvent, CallerGuard, MAX_WHOLE_ANSWER_BYTES, write_answer,
-};
+use buckthornwharf::entry::caller::{CallerEvent, CallerGuard, write_answer};
+use buckthornwharf::link::MAX_WHOLE_ANSWER_BYTES;
 use buckthornwharf_core::prelude::*;
 use std::cell::Cell;
 use std::future::poll_fn;
