--- a/tests/direct_agent.rs
+++ b/tests/direct_agent.rs
@@ -7,7 +7,7 @@
 mod standin;
 
 use buckthornwharf_standin::relay::RelaySwitches;
-use fleet::{SoakFleet, holds_within, set_switches};
+use fleet::{SoakFleet, eventually, set_switches};
 use standin::operator;
 use standin::origin::{CHUNKS, OriginFault};
 use std::net::SocketAddr;
@@ -20,13 +20,6 @@
 /// Time between a verification and an order after which corruption may not go unnoticed.
 const UNVERIFIED_TIME: Duration = Duration::from_secs(4);
 
-async fn eventually(what: &str, condition: impl FnMut() -> bool) {
-    assert!(
-        holds_within(CONDITION_TIMEOUT, condition).await,
-        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
-    );
-}
-
 /// Switches of a relay that forwards nothing for as long as a test takes.
 fn slow_switches() -> RelaySwitches {
     RelaySwitches { delay_ms: 600_000, ..RelaySwitches::default() }
--- a/tests/direct_answers.rs
+++ b/tests/direct_answers.rs
@@ -8,17 +8,13 @@
 mod standin;
 
 use fleet::DirectFleet;
-use standin::engine::{EngineBehaviour, STREAM_EVENTS};
+use standin::engine::{EngineBehaviour, whole_stream};
 use standin::shape::AnswerShape;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-fn whole_stream() -> String {
-    (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect()
-}
-
 #[actix_rt::test]
 async fn an_answer_without_a_length_is_passed_on_whole() {
     let fleet = DirectFleet::start(1).await;
--- a/tests/direct_crashed_answers.rs
+++ b/tests/direct_crashed_answers.rs
@@ -8,7 +8,7 @@
 mod standin;
 
 use fleet::DirectFleet;
-use standin::engine::{EngineStandin, STREAM_EVENTS};
+use standin::engine::{EngineStandin, whole_stream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,10 +18,6 @@
 /// Time for which a target is down after a crash: for the rest of the test.
 const DOWN_TIME: Duration = Duration::from_secs(600);
 
-fn whole_stream() -> String {
-    (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: token {event}\n\n")).collect()
-}
-
 /// Has `engine` crash after the first event of each answer to a request to `path`.
 fn crash_on(engine: &Rc<EngineStandin>, path: &str) {
     engine.crashing_paths.borrow_mut().push(path.to_owned());
--- a/tests/direct_evacuation.rs
+++ b/tests/direct_evacuation.rs
@@ -11,7 +11,7 @@
 
 use buckthornwharf_standin::fleet::FleetProcess;
 use buckthornwharf_standin::relay::RelaySwitches;
-use fleet::{SoakFleet, SoakProcess, holds_within, set_switches};
+use fleet::{SoakFleet, SoakProcess, eventually, set_switches};
 use standin::store::StoreFault;
 use standin::{caller, operator};
 use std::cell::Cell;
@@ -21,20 +21,11 @@
 
 /// Time after the operator's write from which nothing may be sent to an evacuated site.
 const COMPLIANCE_TIME: Duration = Duration::from_secs(5);
-/// Timeout for a condition to hold.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 /// Pause between requests of the callers.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which callers go on after all processes have to comply.
 const OBSERVED_TIME: Duration = Duration::from_millis(1500);
 
-async fn eventually(what: &str, condition: impl FnMut() -> bool) {
-    assert!(
-        holds_within(CONDITION_TIMEOUT, condition).await,
-        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
-    );
-}
-
 /// A fleet with two entries and four agents in the sites `a` and `b`, all of whose links are up, with
 /// a caller at each entry. The first entry sends requests to `a`, the second one to `b`.
 struct EvacuationFleet {
--- a/tests/direct_late_news.rs
+++ b/tests/direct_late_news.rs
@@ -6,7 +6,7 @@
 #[path = "../platform/tests/standin/standin.rs"]
 mod standin;
 
-use fleet::{SoakFleet, holds_within};
+use fleet::{SoakFleet, eventually};
 use standin::origin::OriginFault;
 use standin::{caller, operator};
 use std::time::Duration;
@@ -18,13 +18,6 @@
 /// Allowed difference between the times at which two entries retire a version.
 const RETIREMENT_DIFFERENCE: Duration = Duration::from_secs(1);
 
-async fn eventually(what: &str, condition: impl FnMut() -> bool) {
-    assert!(
-        holds_within(CONDITION_TIMEOUT, condition).await,
-        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
-    );
-}
-
 async fn status(fleet: &SoakFleet, entry: &str, id: &str) -> Option<u16> {
     let address = fleet.process(entry).callers.get().expect("the entry runs");
     let key = fleet.config.borrow().key.clone();
--- a/tests/direct_silent_store.rs
+++ b/tests/direct_silent_store.rs
@@ -8,26 +8,17 @@
 mod standin;
 
 use buckthornwharf_standin::relay::{RelaySwitches, SilenceMode};
-use fleet::{SoakFleet, VERSION_TIME, holds_within, set_switches};
+use fleet::{SoakFleet, VERSION_TIME, eventually, set_switches};
 use standin::origin::OriginFault;
 use standin::{caller, operator};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Timeout for a condition to hold.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time between requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 /// Time after the end of the old version for which requests are sent.
 const LATE_TIME: Duration = Duration::from_millis(2500);
 
-async fn eventually(what: &str, condition: impl FnMut() -> bool) {
-    assert!(
-        holds_within(CONDITION_TIMEOUT, condition).await,
-        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
-    );
-}
-
 async fn status(fleet: &SoakFleet, id: &str) -> Option<u16> {
     let address = fleet.process("entry-0").callers.get().expect("the entry runs");
     let key = fleet.config.borrow().key.clone();
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -17,7 +17,7 @@
 
 /// The sites; each is its own region.
 const SITES: [&str; 2] = ["a", "b"];
-/// Timeout for a killed process to exit.
+/// Timeout for a condition to hold, and for a killed process to exit.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time that a process has to finish its requests after SIGTERM.
@@ -72,6 +72,14 @@
     true
 }
 
+/// Waits until `condition` holds.
+pub async fn eventually(what: &str, condition: impl FnMut() -> bool) {
+    assert!(
+        holds_within(CONDITION_TIMEOUT, condition).await,
+        "condition not met within {CONDITION_TIMEOUT:?}: {what}"
+    );
+}
+
 /// Sets the fault switches of a relay.
 pub fn set_switches(relay: &RelayService, switches: &RelaySwitches) {
     let patch = serde_json::to_vec(switches).expect("switches can be serialised");
--- a/tests/where_routed.rs
+++ b/tests/where_routed.rs
@@ -10,7 +10,7 @@
 use buckthornwharf::direct::placement_report::{PlacementDecision, PlacementReport};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{CallClient, OutboundCall};
-use fleet::{SoakFleet, holds_within};
+use fleet::{SoakFleet, eventually};
 use standin::operator;
 use std::net::SocketAddr;
 use std::process::Output;
@@ -21,10 +21,6 @@
 const FAILED: Option<i32> = Some(1);
 const INCOMPLETE: Option<i32> = Some(8);
 
-async fn eventually(what: &str, condition: impl FnMut() -> bool) {
-    assert!(holds_within(CONDITION_TIMEOUT, condition).await, "condition not met: {what}");
-}
-
 /// Returns the address of the metrics of an entry, which it logs.
 async fn metrics_address(fleet: &SoakFleet, entry: &str) -> SocketAddr {
     let address = || {
