Entries, watches: the relay of streams and the hedged watch have modules of their own

Change: the relay of a stream leaves relay.rs, and the time of the last answer of a watch moves into HedgedWatch, so that watch_prefix only passes it on. No change of behaviour.

--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -1,30 +1,23 @@
 //! Relays a target's response to the caller.
 
+mod stream;
+
 use super::super::ConnectionAction;
 use super::super::reply::CallerReply;
 use super::{
     AttemptResult, Interruption, RelayedAnswer, TargetAttempt, TargetConnection, failure_of,
 };
-use crate::clock;
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
-use buckthornwharf_core::direct::capacity::PauseMeter;
-use buckthornwharf_core::direct::{AttemptFailure, EventStream, StreamEnd, StreamFault};
-use buckthornwharf_core::prelude::*;
-use buckthornwharf_exchange::{
-    AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
-};
+use buckthornwharf_core::direct::{AttemptFailure, StreamEnd, StreamFault};
+use buckthornwharf_exchange::{AnswerHead, BodyPart, ExchangeError, InboundConnection};
 use buckthornwharf_platform::request::{answer_headers, is_event_stream};
 use bytes::{Bytes, BytesMut};
 use log::info;
-use std::io;
 
 /// Size in bytes up to which a response is buffered until it is complete.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
-/// Time to send events to a caller from which pauses are not those of the target: nothing is read meanwhile.
-const SLOW_CALLER_TIME: Duration = Duration::from_millis(5);
-
 /// Why a response ended before it was complete.
 #[derive(Debug, displaydoc::Display)]
 enum BrokenAnswer {
@@ -60,14 +53,6 @@
     }
 }
 
-/// What the received parts of a stream add to the response.
-struct StreamStep {
-    /// Events that are complete now, if any.
-    events: Bytes,
-    /// Set if the stream ended after them.
-    end: Option<Result<StreamEnd, BrokenAnswer>>,
-}
-
 impl TargetAttempt<'_> {
     /// Relays a response: as events if it is a stream, otherwise as a whole.
     pub(super) async fn relay(
@@ -202,62 +187,6 @@
         }
     }
 
-    /// Relays events as they arrive, but only complete ones, so that another target can continue the
-    /// stream. The head is sent with the first events: this saves a packet, and the caller does not
-    /// notice a target that fails before them.
-    async fn relay_stream(
-        &self,
-        caller: &mut InboundConnection,
-        mut connection: TargetConnection,
-        answer: AnswerHead,
-        reply: &mut CallerReply,
-    ) -> Result<AttemptResult, Interruption> {
-        reply.events.begin_attempt();
-        let mut is_first_part = true;
-        let mut has_begun = false;
-        let mut pauses = PauseMeter::default();
-        loop {
-            let part = match std::mem::take(&mut is_first_part) {
-                true => self.within_begin_by(caller, connection.read_body()).await,
-                false => self.unless_silent(caller, connection.read_body()).await,
-            };
-            let part = part.map_err(|interruption| interruption.closing(&mut connection))?;
-            let events_before = reply.events.complete_events();
-            let mut step = take_received(&mut reply.events, &mut connection, part);
-            if let Some(Ok(end)) = step.end
-                && self.is_cut_by_crash(caller, end).await?
-            {
-                step.end = Some(Err(BrokenAnswer::TargetCrashed));
-            }
-            let events = reply.events.complete_events() - events_before;
-            if !step.events.is_empty() && !std::mem::replace(&mut has_begun, true) {
-                self.state.on_answer_begun(&self.request.service, &self.request.causes);
-                self.state.record_started(self.grant);
-            }
-            if let Some(sample) = pauses.on_events(clock::now(), events) {
-                self.state.record_pauses(self.grant, sample);
-            }
-            let received_at = clock::now();
-            if self.send_step(caller, &answer, reply, &step).await.is_err() {
-                return Err(Interruption::CallerDisconnected);
-            }
-            if clock::now().since(received_at) > SLOW_CALLER_TIME {
-                pauses = PauseMeter::default();
-            }
-            match step.end {
-                None => {}
-                Some(Ok(_)) => {
-                    self.return_to_pool(connection, &answer);
-                    return Ok(answered(&answer, reply.after_stream()));
-                }
-                Some(Err(broken)) => {
-                    self.log_broken_off(&answer, &broken, reply.events.partial_bytes());
-                    return Ok(AttemptResult::Failed(broken.failure()));
-                }
-            }
-        }
-    }
-
     /// Returns whether a response that ended without an error may be cut: only the close of the connection
     /// marks its end, and the target has crashed.
     async fn is_cut_by_crash(
@@ -271,27 +200,6 @@
         self.within_deadline(caller, self.state.has_crashed(&self.grant.target)).await
     }
 
-    /// Sends what a step adds to the response; the head goes with the first events or the end.
-    async fn send_step(
-        &self,
-        caller: &mut InboundConnection,
-        answer: &AnswerHead,
-        reply: &mut CallerReply,
-        step: &StreamStep,
-    ) -> io::Result<()> {
-        let ended = matches!(step.end, Some(Ok(_)));
-        if ended || !step.events.is_empty() {
-            reply.begin_stream(caller, answer, self.state.is_shutting_down())?;
-        }
-        if !step.events.is_empty() {
-            caller.put_body(step.events.clone())?;
-        }
-        if ended {
-            caller.put_end()?;
-        }
-        caller.flush().await
-    }
-
     /// Counts and logs a response that broke off after its head.
     fn log_broken_off(&self, answer: &AnswerHead, broken: &BrokenAnswer, partial_bytes: usize) {
         let framing: &str = answer.framing.into();
@@ -304,46 +212,6 @@
     }
 }
 
-/// Adds `part` and all further parts that have been received to the stream.
-fn take_received(
-    stream: &mut EventStream,
-    connection: &mut OutboundConnection,
-    part: Result<BodyPart, ExchangeError>,
-) -> StreamStep {
-    let mut events = Bytes::new();
-    let mut received = Some(part);
-    while let Some(part) = received {
-        let end = match part {
-            Ok(BodyPart::Data(bytes)) => {
-                match stream.push(&bytes) {
-                    Ok(complete) => events = concat(events, complete),
-                    Err(fault) => return StreamStep { events, end: Some(Err(fault.into())) },
-                }
-                received = connection.decode_body().transpose();
-                continue;
-            }
-            Ok(BodyPart::End) => StreamEnd::Delimited,
-            Ok(BodyPart::Closed) => StreamEnd::Closed,
-            Err(error) => return StreamStep { events, end: Some(Err(error.into())) },
-        };
-        return match stream.finish(end) {
-            Ok(rest) => StreamStep { events: concat(events, rest), end: Some(Ok(end)) },
-            Err(fault) => StreamStep { events, end: Some(Err(fault.into())) },
-        };
-    }
-    StreamStep { events, end: None }
-}
-
-fn concat(first: Bytes, second: Bytes) -> Bytes {
-    if first.is_empty() {
-        return second;
-    }
-    if second.is_empty() {
-        return first;
-    }
-    [first, second].concat().into()
-}
-
 fn answered(answer: &AnswerHead, connection_action: ConnectionAction) -> AttemptResult {
     let (status, framing) = (answer.status, answer.framing);
     AttemptResult::Answered(RelayedAnswer { status, framing, connection_action })
--- a/src/direct/follow.rs
+++ b/src/direct/follow.rs
@@ -11,7 +11,7 @@
 use buckthornwharf_platform::{
     ReadConsistency, StoreChange, StoreClient, StoreError, StoreItem, StoreRange, WatchCall,
 };
-use hedged_watch::{WatchAnswer, watch_hedged};
+use hedged_watch::{HedgedWatch, WatchAnswer};
 use log::{info, warn};
 use rand::RngExt;
 use std::rc::Rc;
@@ -35,7 +35,7 @@
         changes: Vec<StoreChange>,
         /// The position up to which they are complete.
         position: StorePosition,
-        /// The time of the previous answer if this one was overdue: they may have been made since then.
+        /// Set if the answer was overdue: the changes may have been made at any time since then.
         overdue_since: Option<MonoTime>,
     },
     /// A call failed; the items may have changed since.
@@ -86,7 +86,7 @@
         }
         backlog.on_items(range.items.iter().map(|item| item.value.len()));
         on_event(StoreEvent::Snapshot(range));
-        let mut answered_at = clock::now();
+        let mut watch = HedgedWatch::new(&store);
         loop {
             let call = WatchCall {
                 prefix,
@@ -95,14 +95,11 @@
                 timeout: health.backoff.timeout(),
                 max_answer_bytes: backlog.max_answer_bytes(),
             };
-            match watch_hedged(&store, call, health.backoff.hedge()).await {
-                Ok(answer) => {
+            match watch.call(call, health.backoff.hedge()).await {
+                Ok(WatchAnswer { changes, position: next, overdue_since }) => {
                     if health.on_success() {
                         on_event(StoreEvent::Recovered);
                     }
-                    let WatchAnswer { changes, position: next, is_overdue } = answer;
-                    let previous = std::mem::replace(&mut answered_at, clock::now());
-                    let overdue_since = is_overdue.then_some(previous);
                     position = position.max(next);
                     let delay = health.backoff.next_delay(!changes.is_empty());
                     if !changes.is_empty() {
--- a/src/direct/follow/hedged_watch.rs
+++ b/src/direct/follow/hedged_watch.rs
@@ -1,4 +1,4 @@
-//! A watch call that is sent a second time, over a new connection, once its answer is overdue.
+//! A watch whose calls are sent a second time, over a new connection, once their answer is overdue.
 //!
 //! A connection may go silent without a reset. The answer to a long poll shows that only after the long-poll
 //! wait, and the timeout of the call leaves time for a slow store beyond it. The second call tells a silent
@@ -6,6 +6,7 @@
 
 use crate::clock;
 use buckthornwharf_core::direct::{StorePosition, WatchHedge};
+use buckthornwharf_core::prelude::*;
 use buckthornwharf_platform::{StoreChange, StoreClient, StoreError, WatchCall};
 use log::info;
 use std::future::pending;
@@ -17,43 +18,66 @@
     pub(super) changes: Vec<StoreChange>,
     /// The position up to which they are complete.
     pub(super) position: StorePosition,
-    /// Whether the answer came later than the store sends one, so that the changes may be older.
-    pub(super) is_overdue: bool,
+    /// The time of the previous answer if this one was overdue: the changes may have been made since then.
+    pub(super) overdue_since: Option<MonoTime>,
 }
 
-/// Sends `call` and, if there is a `hedge` and the answer is overdue, sends it again. Returns the first answer of
-/// the store.
-///
-/// # Errors
-///
-/// [`StoreError`] as [`StoreClient::watch`]; a second call that the store does not answer is ignored.
-pub(super) async fn watch_hedged(
+/// A watch, as one call after the other.
+#[derive(Debug)]
+pub(super) struct HedgedWatch<'a> {
+    store: &'a StoreClient,
+    /// When the store answered last.
+    answered_at: MonoTime,
+}
+
+impl<'a> HedgedWatch<'a> {
+    /// Creates a watch that follows an answer of the store which has just arrived.
+    pub(super) fn new(store: &'a StoreClient) -> Self {
+        Self { store, answered_at: clock::now() }
+    }
+
+    /// Sends `call` and, if there is a `hedge` and the answer is overdue, sends it again. Returns the first
+    /// answer of the store.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`] as [`StoreClient::watch`]; a second call that the store does not answer is ignored.
+    pub(super) async fn call(
+        &mut self,
+        call: WatchCall<'_>,
+        hedge: Option<WatchHedge>,
+    ) -> Result<WatchAnswer, StoreError> {
+        let sent_at = clock::now();
+        let (changes, position) = match hedge {
+            Some(hedge) => watch_hedged(self.store, call, hedge).await?,
+            None => self.store.watch(call).await?,
+        };
+        let previous = std::mem::replace(&mut self.answered_at, clock::now());
+        // Also if the process stood still while the answer waited for it.
+        let is_overdue =
+            hedge.is_some_and(|hedge| self.answered_at.since(sent_at) >= hedge.overdue_after);
+        Ok(WatchAnswer { changes, position, overdue_since: is_overdue.then_some(previous) })
+    }
+}
+
+async fn watch_hedged(
     store: &StoreClient,
     call: WatchCall<'_>,
-    hedge: Option<WatchHedge>,
-) -> Result<WatchAnswer, StoreError> {
-    let sent_at = clock::now();
+    hedge: WatchHedge,
+) -> Result<(Vec<StoreChange>, StorePosition), StoreError> {
     let first = store.watch(call);
-    let Some(hedge) = hedge else {
-        return first.await.map(|answer| WatchAnswer::new(answer, false));
-    };
     tokio::pin!(first);
-    let answer = match tokio::time::timeout(hedge.overdue_after, &mut first).await {
-        Ok(answer) => answer,
-        Err(_) => {
-            info!("event=watch_overdue prefix={}", call.prefix);
-            // What silences one connection probably silences all that are open.
-            store.close_idle_connections();
-            let second = WatchCall { wait: hedge.long_poll, timeout: hedge.timeout, ..call };
-            tokio::select! {
-                answer = first => answer,
-                answer = watch_answered(store, second) => answer,
-            }
-        }
-    };
-    // Also if the process stood still while the answer waited for it.
-    let is_overdue = clock::now().since(sent_at) >= hedge.overdue_after;
-    answer.map(|answer| WatchAnswer::new(answer, is_overdue))
+    if let Ok(answer) = tokio::time::timeout(hedge.overdue_after, &mut first).await {
+        return answer;
+    }
+    info!("event=watch_overdue prefix={}", call.prefix);
+    // What silences one connection probably silences all that are open.
+    store.close_idle_connections();
+    let second = WatchCall { wait: hedge.long_poll, timeout: hedge.timeout, ..call };
+    tokio::select! {
+        answer = first => answer,
+        answer = watch_answered(store, second) => answer,
+    }
 }
 
 /// Sends `call` and waits forever if the store does not answer it.
@@ -66,9 +90,3 @@
         answer => answer,
     }
 }
-
-impl WatchAnswer {
-    fn new((changes, position): (Vec<StoreChange>, StorePosition), is_overdue: bool) -> Self {
-        Self { changes, position, is_overdue }
-    }
-}
