--- a/core/src/direct.rs
+++ b/core/src/direct.rs
@@ -40,7 +40,7 @@
 pub use evacuation::{
     EvacuatedPart, EvacuatedSites, EvacuationReader, EvacuationRepeat, EvacuationState,
 };
-pub use event_stream::{EventStream, StreamEnd, StreamFault};
+pub use event_stream::{AnswerEnd, EventStream, StreamFault};
 pub use news::{NewsCoverage, news_sources};
 pub use placement::{ColdReason, PlacementObstacle, PlacementVerdict, TargetVerdict};
 pub use routes::RouteTable;
--- a/core/src/direct/event_stream.rs
+++ b/core/src/direct/event_stream.rs
@@ -10,9 +10,9 @@
 const SEPARATORS: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
 const MAX_SEPARATOR_BYTES: usize = 3;
 
-/// How the transport of a stream ended without an error.
+/// How the transport of an answer ended without an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StreamEnd {
+pub enum AnswerEnd {
     /// At the end that the framing of the answer marks.
     Delimited,
     /// With the connection, as the answer has no framing. A target that fails may end it anywhere.
@@ -103,11 +103,11 @@
     /// # Errors
     ///
     /// [`StreamFault`] if the stream broke off.
-    pub fn finish(&mut self, end: StreamEnd) -> Result<Bytes, StreamFault> {
+    pub fn finish(&mut self, end: AnswerEnd) -> Result<Bytes, StreamFault> {
         if is_within_event(&self.partial) {
             return Err(StreamFault::WithinEvent);
         }
-        if end == StreamEnd::Closed && self.complete_events == 0 {
+        if end == AnswerEnd::Closed && self.complete_events == 0 {
             return Err(StreamFault::NoEvent);
         }
         self.scanned = 0;
--- a/core/tests/direct_streams.rs
+++ b/core/tests/direct_streams.rs
@@ -1,10 +1,10 @@
 //! Streams of events from one target or several: event boundaries, and whether the end is complete.
 
-use buckthornwharf_core::direct::{EventStream, StreamEnd, StreamFault};
+use buckthornwharf_core::direct::{AnswerEnd, EventStream, StreamFault};
 use bytes::Bytes;
 use proptest::prelude::*;
 
-const ENDS: [StreamEnd; 2] = [StreamEnd::Delimited, StreamEnd::Closed];
+const ENDS: [AnswerEnd; 2] = [AnswerEnd::Delimited, AnswerEnd::Closed];
 
 /// Feeds `parts` to a new stream; returns the forwarded bytes and the stream.
 fn feed(parts: &[&str]) -> (String, EventStream) {
@@ -33,18 +33,18 @@
 #[test]
 fn a_stream_without_events_is_complete_only_if_its_framing_says_so() {
     let (_, mut stream) = feed(&[]);
-    assert_eq!(stream.finish(StreamEnd::Delimited), Ok(Bytes::new()));
-    assert_eq!(stream.finish(StreamEnd::Closed), Err(StreamFault::NoEvent));
+    assert_eq!(stream.finish(AnswerEnd::Delimited), Ok(Bytes::new()));
+    assert_eq!(stream.finish(AnswerEnd::Closed), Err(StreamFault::NoEvent));
 }
 
 #[test]
 fn a_target_that_continues_a_stream_must_send_an_event_before_it_closes() {
     let (forwarded, mut stream) = feed(&["id: 7\ndata: a\n\nid: 8\nda"]);
     assert_eq!(forwarded, "id: 7\ndata: a\n\n");
-    assert_eq!(stream.finish(StreamEnd::Closed), Err(StreamFault::WithinEvent));
+    assert_eq!(stream.finish(AnswerEnd::Closed), Err(StreamFault::WithinEvent));
     stream.begin_attempt();
     assert_eq!(stream.last_id(), Some("7"));
-    assert_eq!(stream.finish(StreamEnd::Closed), Err(StreamFault::NoEvent));
+    assert_eq!(stream.finish(AnswerEnd::Closed), Err(StreamFault::NoEvent));
 }
 
 #[test]
--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -9,7 +9,7 @@
 };
 use actix_http::StatusCode;
 use actix_http::body::BodySize;
-use buckthornwharf_core::direct::{AttemptFailure, StreamEnd, StreamFault};
+use buckthornwharf_core::direct::{AnswerEnd, AttemptFailure, StreamFault};
 use buckthornwharf_exchange::{AnswerHead, BodyPart, ExchangeError, InboundConnection};
 use buckthornwharf_platform::request::{answer_headers, is_event_stream};
 use bytes::{Bytes, BytesMut};
@@ -88,8 +88,8 @@
             let part = self.unless_silent(caller, connection.read_body()).await;
             match part.map_err(|interruption| interruption.closing(&mut connection))? {
                 Ok(BodyPart::Data(bytes)) => body.extend_from_slice(&bytes),
-                Ok(BodyPart::End) => break StreamEnd::Delimited,
-                Ok(BodyPart::Closed) => break StreamEnd::Closed,
+                Ok(BodyPart::End) => break AnswerEnd::Delimited,
+                Ok(BodyPart::Closed) => break AnswerEnd::Closed,
                 Err(error) => {
                     let broken = BrokenAnswer::from(error);
                     self.log_broken_off(&answer, &broken, 0);
@@ -162,8 +162,8 @@
                     }
                     continue;
                 }
-                Ok(BodyPart::End) => StreamEnd::Delimited,
-                Ok(BodyPart::Closed) => StreamEnd::Closed,
+                Ok(BodyPart::End) => AnswerEnd::Delimited,
+                Ok(BodyPart::Closed) => AnswerEnd::Closed,
                 Err(error) => {
                     self.log_broken_off(&answer, &error.into(), 0);
                     return Ok(answered(&answer, ConnectionAction::Abort));
@@ -192,9 +192,9 @@
     async fn is_cut_by_crash(
         &self,
         caller: &mut InboundConnection,
-        end: StreamEnd,
+        end: AnswerEnd,
     ) -> Result<bool, Interruption> {
-        if end == StreamEnd::Delimited {
+        if end == AnswerEnd::Delimited {
             return Ok(false);
         }
         self.within_deadline(caller, self.state.has_crashed(&self.grant.target)).await
--- a/src/direct/entry/request/attempt/relay/stream.rs
+++ b/src/direct/entry/request/attempt/relay/stream.rs
@@ -5,7 +5,7 @@
 use crate::clock;
 use crate::direct::entry::request::reply::CallerReply;
 use buckthornwharf_core::direct::capacity::PauseMeter;
-use buckthornwharf_core::direct::{EventStream, StreamEnd};
+use buckthornwharf_core::direct::{AnswerEnd, EventStream};
 use buckthornwharf_core::prelude::*;
 use buckthornwharf_exchange::{
     AnswerHead, BodyPart, ExchangeError, InboundConnection, OutboundConnection,
@@ -21,7 +21,7 @@
     /// Events that are complete now, if any.
     events: Bytes,
     /// Set if the stream ended after them.
-    end: Option<Result<StreamEnd, BrokenAnswer>>,
+    end: Option<Result<AnswerEnd, BrokenAnswer>>,
 }
 
 impl TargetAttempt<'_> {
@@ -121,8 +121,8 @@
                 received = connection.decode_body().transpose();
                 continue;
             }
-            Ok(BodyPart::End) => StreamEnd::Delimited,
-            Ok(BodyPart::Closed) => StreamEnd::Closed,
+            Ok(BodyPart::End) => AnswerEnd::Delimited,
+            Ok(BodyPart::Closed) => AnswerEnd::Closed,
             Err(error) => return StreamStep { events, end: Some(Err(error.into())) },
         };
         return match stream.finish(end) {
--- a/tests/outside_input.rs
+++ b/tests/outside_input.rs
@@ -8,7 +8,7 @@
 use buckthornwharf::direct::loads::AgentMessage;
 use buckthornwharf::direct::news::NewsMessage;
 use buckthornwharf::direct::settings::DirectSettings;
-use buckthornwharf_core::direct::{EventStream, StreamEnd};
+use buckthornwharf_core::direct::{AnswerEnd, EventStream};
 use buckthornwharf_exchange::{
     BodyPart, InboundConnection, InboundError, InboundLimits, OutboundConnection, OutboundRequest,
 };
@@ -229,7 +229,7 @@
                 let events = stream.push(&Bytes::copy_from_slice(part)).expect("no event is too large");
                 relayed.extend_from_slice(&events);
             }
-            let end = stream.finish(StreamEnd::Delimited);
+            let end = stream.finish(AnswerEnd::Delimited);
             relayed.extend_from_slice(end.as_deref().unwrap_or_default());
             // An empty line after an event is not an event, and may be held back with an incomplete one.
             let events = relayed.trim_ascii_end().to_vec();
