Entries: one check of the parts of an answer's body, buffered or not

Cause: the relay of whole answers told the ends apart in three places, each with its own copy of the log line and the failure.

Change: check_part returns the data, the end of a complete body, or why it broke off; both loops use it. No change of behaviour.

--- a/src/direct/entry/request/attempt/relay.rs
+++ b/src/direct/entry/request/attempt/relay.rs
@@ -84,14 +84,13 @@
         reply: &mut CallerReply,
     ) -> Result<AttemptResult, Interruption> {
         let mut body = BytesMut::new();
-        let end = loop {
+        loop {
             let part = self.unless_silent(caller, connection.read_body()).await;
-            match part.map_err(|interruption| interruption.closing(&mut connection))? {
-                Ok(BodyPart::Data(bytes)) => body.extend_from_slice(&bytes),
-                Ok(BodyPart::End) => break AnswerEnd::Delimited,
-                Ok(BodyPart::Closed) => break AnswerEnd::Closed,
-                Err(error) => {
-                    let broken = BrokenAnswer::from(error);
+            let part = part.map_err(|interruption| interruption.closing(&mut connection))?;
+            match self.check_part(caller, part).await? {
+                Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+                Ok(None) => break,
+                Err(broken) => {
                     self.log_broken_off(&answer, &broken, 0);
                     return Ok(AttemptResult::Failed(broken.failure()));
                 }
@@ -100,11 +99,6 @@
                 let body = body.freeze();
                 return self.relay_unbuffered(caller, connection, answer, reply, body).await;
             }
-        };
-        if self.is_cut_by_crash(caller, end).await? {
-            let broken = BrokenAnswer::TargetCrashed;
-            self.log_broken_off(&answer, &broken, 0);
-            return Ok(AttemptResult::Failed(broken.failure()));
         }
         self.return_to_pool(connection, &answer);
         if self.may_retry && is_target_failure(answer.status) {
@@ -155,36 +149,47 @@
             let Ok(part) = self.within_deadline(caller, connection.read_body()).await else {
                 return Ok(answered(&answer, ConnectionAction::Abort));
             };
-            let end = match part {
-                Ok(BodyPart::Data(bytes)) => {
-                    if caller.put_body(bytes).is_err() || caller.flush().await.is_err() {
-                        return Err(Interruption::CallerDisconnected);
-                    }
-                    continue;
-                }
-                Ok(BodyPart::End) => AnswerEnd::Delimited,
-                Ok(BodyPart::Closed) => AnswerEnd::Closed,
-                Err(error) => {
-                    self.log_broken_off(&answer, &error.into(), 0);
+            let Ok(part) = self.check_part(caller, part).await else {
+                return Ok(answered(&answer, ConnectionAction::Abort));
+            };
+            let bytes = match part {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => break,
+                Err(broken) => {
+                    self.log_broken_off(&answer, &broken, 0);
                     return Ok(answered(&answer, ConnectionAction::Abort));
                 }
             };
-            let Ok(is_cut) = self.is_cut_by_crash(caller, end).await else {
-                return Ok(answered(&answer, ConnectionAction::Abort));
-            };
-            if is_cut {
-                self.log_broken_off(&answer, &BrokenAnswer::TargetCrashed, 0);
-                return Ok(answered(&answer, ConnectionAction::Abort));
+            if caller.put_body(bytes).is_err() || caller.flush().await.is_err() {
+                return Err(Interruption::CallerDisconnected);
             }
-            let ended = caller.put_end();
-            let sent = ended.is_ok() && caller.flush().await.is_ok();
-            self.return_to_pool(connection, &answer);
-            let connection_action = match sent {
-                true => ConnectionAction::after_answer(close),
-                false => ConnectionAction::Abort,
-            };
-            return Ok(answered(&answer, connection_action));
         }
+        let ended = caller.put_end();
+        let sent = ended.is_ok() && caller.flush().await.is_ok();
+        self.return_to_pool(connection, &answer);
+        let connection_action = match sent {
+            true => ConnectionAction::after_answer(close),
+            false => ConnectionAction::Abort,
+        };
+        Ok(answered(&answer, connection_action))
+    }
+
+    /// Returns the data of a part of a body, or `None` at the end of a complete one.
+    async fn check_part(
+        &self,
+        caller: &mut InboundConnection,
+        part: Result<BodyPart, ExchangeError>,
+    ) -> Result<Result<Option<Bytes>, BrokenAnswer>, Interruption> {
+        let end = match part {
+            Ok(BodyPart::Data(bytes)) => return Ok(Ok(Some(bytes))),
+            Ok(BodyPart::End) => AnswerEnd::Delimited,
+            Ok(BodyPart::Closed) => AnswerEnd::Closed,
+            Err(error) => return Ok(Err(error.into())),
+        };
+        Ok(match self.is_cut_by_crash(caller, end).await? {
+            true => Err(BrokenAnswer::TargetCrashed),
+            false => Ok(None),
+        })
     }
 
     /// Returns whether a response that ended without an error may be cut: only the close of the connection
