Tests: requests to an entry of the soak fleet stand once

Change: two files had their own status, and one a wait without a bound; the fleet has status and wait_status now.

--- a/tests/direct_late_news.rs
+++ b/tests/direct_late_news.rs
@@ -7,51 +7,31 @@
 mod standin;
 
 use fleet::{SoakFleet, eventually};
+use standin::operator;
 use standin::origin::OriginFault;
-use standin::{caller, operator};
 use std::time::Duration;
 
-/// Timeout for a condition to hold.
-const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which the entry stands still; far longer than the difference that is allowed afterwards.
 const SUSPENDED_TIME: Duration = Duration::from_secs(4);
 /// Allowed difference between the times at which two entries retire a version.
 const RETIREMENT_DIFFERENCE: Duration = Duration::from_secs(1);
 
-async fn status(fleet: &SoakFleet, entry: &str, id: &str) -> Option<u16> {
-    let address = fleet.process(entry).callers.get().expect("the entry runs");
-    let key = fleet.config.borrow().key.clone();
-    caller::send(address, "/plain/x", id, &key).await.status
-}
-
-/// Sends requests to `entry` until one is answered with `wanted`.
-async fn wait_status(fleet: &SoakFleet, entry: &str, wanted: u16) {
-    let deadline = tokio::time::Instant::now() + CONDITION_TIMEOUT;
-    for number in 0.. {
-        if status(fleet, entry, &format!("{entry}-{wanted}-{number}")).await == Some(wanted) {
-            return;
-        }
-        assert!(tokio::time::Instant::now() < deadline, "{entry} never answers {wanted}");
-        actix_rt::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 #[actix_rt::test]
 async fn an_entry_that_stood_still_at_a_declaration_retires_the_old_version_with_the_others() {
     let fleet = SoakFleet::start(2, 2).await;
     let loaded = || fleet.engines.iter().all(|engine| engine.loaded() == Some(1));
     eventually("all engines load version 1", loaded).await;
-    wait_status(&fleet, "entry-0", 200).await;
-    wait_status(&fleet, "entry-1", 200).await;
+    fleet.wait_status("entry-0", 200).await;
+    fleet.wait_status("entry-1", 200).await;
     fleet.origin.fault.set(OriginFault::Down);
     let late = fleet.process("entry-1");
     late.with_process(|process| process.suspend());
     operator::declare_version(&fleet.store, 2);
     actix_rt::time::sleep(SUSPENDED_TIME).await;
     late.with_process(|process| process.resume());
-    wait_status(&fleet, "entry-1", 200).await;
+    fleet.wait_status("entry-1", 200).await;
     assert!(loaded(), "no engine has version 2");
-    wait_status(&fleet, "entry-0", 503).await;
+    fleet.wait_status("entry-0", 503).await;
     actix_rt::time::sleep(RETIREMENT_DIFFERENCE).await;
-    assert_eq!(status(&fleet, "entry-1", "late").await, Some(503));
+    assert_eq!(fleet.status("entry-1", "late").await, Some(503));
 }
--- a/tests/direct_shutdown.rs
+++ b/tests/direct_shutdown.rs
@@ -17,6 +17,9 @@
 
 /// Time for which callers wait; they are still waiting when the grace period of 8 s ends.
 const DEADLINE_MS: u64 = 6000;
+/// Time after which a request that may be repeated probably does not end within the grace period any more,
+/// counted from when entries stop taking others that may outlast it.
+const REPEATABLE_ACCEPT_TIME: Duration = Duration::from_millis(1700);
 /// Timeout for the end of a connection.
 const END_TIMEOUT: Duration = Duration::from_secs(30);
 const BODY: &str = "an order";
@@ -62,7 +65,7 @@
     let (once, stream) = tokio::join!(once.finish(), stream.finish());
     assert_eq!(once, ("HTTP/1.1 503 Service Unavailable".to_owned(), true));
     assert_eq!(stream, ("HTTP/1.1 503 Service Unavailable".to_owned(), true));
-    actix_rt::time::sleep(Duration::from_millis(1700)).await;
+    actix_rt::time::sleep(REPEATABLE_ACCEPT_TIME).await;
     assert_eq!(repeatable.finish().await, ("HTTP/1.1 503 Service Unavailable".to_owned(), true));
     assert_eq!(fleet.runs(), 0, "a request that was refused has run");
     assert!(fleet.exits_cleanly().await);
--- a/tests/direct_silent_store.rs
+++ b/tests/direct_silent_store.rs
@@ -9,8 +9,8 @@
 
 use buckthornwharf_standin::relay::{RelaySwitches, SilenceMode};
 use fleet::{SoakFleet, VERSION_TIME, eventually, set_switches};
+use standin::operator;
 use standin::origin::OriginFault;
-use standin::{caller, operator};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,26 +19,11 @@
 /// Time after the end of the old version for which requests are sent.
 const LATE_TIME: Duration = Duration::from_millis(2500);
 
-async fn status(fleet: &SoakFleet, id: &str) -> Option<u16> {
-    let address = fleet.process("entry-0").callers.get().expect("the entry runs");
-    let key = fleet.config.borrow().key.clone();
-    caller::send(address, "/plain/x", id, &key).await.status
-}
-
-async fn wait_served(fleet: &SoakFleet) {
-    for number in 0.. {
-        if status(fleet, &format!("first-{number}")).await == Some(200) {
-            return;
-        }
-        actix_rt::time::sleep(REQUEST_INTERVAL).await;
-    }
-}
-
 /// Starts an entry and two engines, and silences the entry's open connections to the store once the entry serves
 /// requests.
 async fn start_silenced() -> SoakFleet {
     let fleet = SoakFleet::start(1, 2).await;
-    wait_served(&fleet).await;
+    fleet.wait_status("entry-0", 200).await;
     let silence = RelaySwitches { silence: SilenceMode::Both, ..RelaySwitches::default() };
     set_switches(&fleet.process("entry-0").store_relay, &silence);
     fleet
@@ -56,7 +41,7 @@
         if Instant::now() > version_end + LATE_TIME {
             break;
         }
-        let status = status(&fleet, &format!("request-{number}")).await;
+        let status = fleet.status("entry-0", &format!("request-{number}")).await;
         refusals += u32::from(status == Some(503));
         actix_rt::time::sleep(REQUEST_INTERVAL).await;
     }
@@ -78,5 +63,5 @@
     let heard = || entry.output().contains(&format!("event=config generation={generation}"));
     eventually("the entry hears of the configuration", heard).await;
     assert!(!entry.output().contains("event=store_lost prefix=op/"), "{}", entry.output());
-    assert_eq!(status(&fleet, "new-key").await, Some(200));
+    assert_eq!(fleet.status("entry-0", "new-key").await, Some(200));
 }
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -1,5 +1,6 @@
 //! Entries and agents as processes, connected to stand-ins of the platform through proxies.
 
+use super::standin::caller;
 use super::standin::model_engine::{EngineRecorder, ModelEngineStandin};
 use super::standin::operator::ModelConfig;
 use super::standin::origin::OriginStandin;
@@ -192,6 +193,25 @@
         self.processes.iter().filter(|process| process.role == SoakRole::Entry)
     }
 
+    /// Sends an idempotent request to `entry` and returns the status of the answer, if there is one.
+    pub async fn status(&self, entry: &str, id: &str) -> Option<u16> {
+        let address = self.process(entry).callers.get().expect("the entry runs");
+        let key = self.config.borrow().key.clone();
+        caller::send(address, "/plain/x", id, &key).await.status
+    }
+
+    /// Sends requests to `entry` until one is answered with `wanted`.
+    pub async fn wait_status(&self, entry: &str, wanted: u16) {
+        let deadline = tokio::time::Instant::now() + CONDITION_TIMEOUT;
+        for number in 0.. {
+            if self.status(entry, &format!("{entry}-{wanted}-{number}")).await == Some(wanted) {
+                return;
+            }
+            assert!(tokio::time::Instant::now() < deadline, "{entry} never answers {wanted}");
+            actix_rt::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Applies `change` to the configuration and writes it to the store.
     pub fn configure(&self, change: impl FnOnce(&mut ModelConfig)) {
         let mut config = self.config.borrow_mut();
